--- /dev/null
+++ b/src/adapters/disk/mod.rs
@@ -0,0 +1,1 @@
+//! Log segments, snapshots and the identity file.
--- /dev/null
+++ b/src/adapters/mod.rs
@@ -0,0 +1,7 @@
+//! Connections of the domain to clocks, disks, upstreams, the platform and telemetry.
+
+pub mod clock;
+pub mod disk;
+pub mod platform;
+pub mod telemetry;
+pub mod upstream;
--- /dev/null
+++ b/src/adapters/platform/mod.rs
@@ -0,0 +1,1 @@
+//! The platform's list of live and leaving instances.
--- /dev/null
+++ b/src/adapters/telemetry/mod.rs
@@ -0,0 +1,62 @@
+//! Logs as JSON lines, metrics, and the counter of violated invariants.
+
+use std::sync::OnceLock;
+
+use prometheus::{Encoder, IntCounterVec, Opts, Registry, TextEncoder};
+use tracing_subscriber::EnvFilter;
+
+static INVARIANTS: OnceLock<IntCounterVec> = OnceLock::new();
+
+/// Starts logging as JSON lines to standard error. `filter` has the syntax of `tracing`'s filters.
+///
+/// A second call in the same process has no effect.
+pub fn init_logs(filter: &str) {
+    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    // A test process may initialise logs several times; the first one wins.
+    let _ = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .try_init();
+}
+
+/// Returns the registry of all metrics of this process.
+pub fn registry() -> &'static Registry {
+    prometheus::default_registry()
+}
+
+/// Returns all metrics in the text format of prometheus.
+pub fn render_metrics() -> String {
+    let mut buffer = Vec::new();
+    match TextEncoder::new().encode(&registry().gather(), &mut buffer) {
+        Ok(()) => String::from_utf8_lossy(&buffer).into_owned(),
+        Err(error) => format!("# cannot encode metrics: {error}\n"),
+    }
+}
+
+fn invariants() -> &'static IntCounterVec {
+    INVARIANTS.get_or_init(|| {
+        let opts = Opts::new(
+            "lilac_invariant_violations_total",
+            "Violated invariants by name; any value above zero is a defect.",
+        );
+        let counter = IntCounterVec::new(opts, &["invariant"]).expect("constant options are valid");
+        // Registration fails only if the name is taken, which the OnceLock rules out.
+        let _ = registry().register(Box::new(counter.clone()));
+        counter
+    })
+}
+
+/// Counts and logs a violation if `holds` is false, and panics in debug builds. Returns `holds`.
+pub fn invariant(holds: bool, name: &str, detail: impl FnOnce() -> String) -> bool {
+    let counter = invariants().with_label_values(&[name]);
+    if holds {
+        return true;
+    }
+    counter.inc();
+    let detail = detail();
+    tracing::error!(invariant = name, detail, "invariant violated");
+    debug_assert!(holds, "invariant {name} violated: {detail}");
+    false
+}
--- /dev/null
+++ b/src/adapters/upstream/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP clients of engines and plain services.
--- /dev/null
+++ b/src/bench/mod.rs
@@ -0,0 +1,1 @@
+//! The load tool: seeded arrivals, measured results.
--- /dev/null
+++ b/src/bin/lilacspindled/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/src/capacity/mod.rs
@@ -0,0 +1,1 @@
+//! Capacity tables from measured slopes.
--- /dev/null
+++ b/src/domain/ledger/mod.rs
@@ -0,0 +1,1 @@
+//! Claims on idempotency keys.
--- /dev/null
+++ b/src/domain/length/mod.rs
@@ -0,0 +1,1 @@
+//! Estimates of output length.
--- /dev/null
+++ b/src/domain/log/mod.rs
@@ -0,0 +1,1 @@
+//! The core of the replicated log.
--- /dev/null
+++ b/src/domain/mod.rs
@@ -0,0 +1,14 @@
+//! Decisions without I/O: time, messages and random numbers come in as arguments.
+
+pub mod ledger;
+pub mod length;
+pub mod log;
+pub mod members;
+pub mod orders;
+pub mod retry;
+pub mod room;
+pub mod route;
+pub mod schedule;
+pub mod state;
+pub mod stream;
+pub mod table;
--- /dev/null
+++ b/src/domain/orders/mod.rs
@@ -0,0 +1,1 @@
+//! Fencing numbers, load permits and rollout order for engine orders.
--- /dev/null
+++ b/src/domain/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retry budgets and backoff.
--- /dev/null
+++ b/src/domain/route/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of the replica for a request.
--- /dev/null
+++ b/src/domain/schedule/mod.rs
@@ -0,0 +1,1 @@
+//! Admission, queueing and preemption on one upstream.
--- /dev/null
+++ b/src/domain/stream/mod.rs
@@ -0,0 +1,1 @@
+//! The token log of one generation.
--- /dev/null
+++ b/src/model/mod.rs
@@ -0,0 +1,13 @@
+//! Names and types shared by all parts.
+
+mod ids;
+mod names;
+mod outcome;
+
+pub use ids::{
+    Fence, GenerationId, Incarnation, InstanceRef, ParseIdError, RequestId, TableVersion,
+};
+pub use names::{
+    InstanceName, KindName, ModelName, ServiceName, UpstreamName, WorkspaceName, ZoneName,
+};
+pub use outcome::{Outcome, Refusal, RefusalCode};
--- /dev/null
+++ b/src/model/outcome.rs
@@ -0,0 +1,73 @@
+//! What a caller is told when its answer is not a result.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// What is known about a request that has no complete answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// Proved: no upstream has run or will run the request.
+    NotRun,
+    /// Part of the answer was shown; the rest will not come.
+    Interrupted,
+    /// The request may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the value used in JSON, metrics and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Interrupted => "interrupted",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Why a request was refused or ended without a result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalCode {
+    /// The request itself is malformed or names something unknown.
+    BadRequest,
+    /// The queue is too long for the deadline, or full.
+    Overload,
+    /// The workspace uses all of its room.
+    NoRoom,
+    /// The process could not confirm that its table is current.
+    StaleTable,
+    /// The instance or the upstream is leaving.
+    Leaving,
+    /// No replica serves the model or service.
+    NoReplica,
+    /// The deadline passed.
+    DeadlineExceeded,
+    /// The idempotency key is too old, or from the future.
+    KeyExpired,
+    /// The idempotency key was used with another body.
+    KeyConflict,
+    /// A claim on the idempotency key could not be decided.
+    ClaimUndecided,
+    /// The upstream failed or was lost.
+    UpstreamLost,
+    /// The attempt was cancelled before it started.
+    Cancelled,
+}
+
+/// A refusal with its reason and the time after which to ask again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    pub code: RefusalCode,
+    pub message: String,
+    /// Time until a retry is useful, computed from the queue; none if a retry does not help.
+    pub retry_after_ms: Option<u64>,
+}
--- /dev/null
+++ b/src/proxy/mod.rs
@@ -0,0 +1,1 @@
+//! A TCP proxy that injects faults, for tests.
--- /dev/null
+++ b/src/roles/control/mod.rs
@@ -0,0 +1,1 @@
+//! The control role: the replicated log and the services on it.
--- /dev/null
+++ b/src/roles/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The entry role: HTTP towards callers.
--- /dev/null
+++ b/src/roles/sidecar/mod.rs
@@ -0,0 +1,1 @@
+//! The sidecar role: the only way to its upstreams.
--- /dev/null
+++ b/src/roles/standin/mod.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for a model engine and a plain service.
--- /dev/null
+++ b/src/rpc/control.rs
@@ -0,0 +1,161 @@
+//! The service of control instances, called by every process.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::Stamp;
+use crate::domain::state::{Command, Response, ViewDelta};
+use crate::model::{
+    Fence, InstanceName, KindName, ModelName, TableVersion, UpstreamName, WorkspaceName,
+};
+
+/// Why a control instance did not answer a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ControlError {
+    /// Another instance leads; its address, if known.
+    NotLeader { leader: Option<SocketAddr> },
+    /// The command may or may not be committed. Resend it: commands are idempotent.
+    Undecided,
+    /// The role has stopped, for example after a failed sync.
+    Stopped,
+    /// The call is malformed.
+    Invalid { reason: String },
+}
+
+/// Submits a command to the replicated log.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SubmitRequest {
+    pub stamp: Stamp,
+    pub command: Command,
+}
+
+/// Asks for changes of the view beyond a version. A control instance or a relay answers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WatchRequest {
+    pub stamp: Stamp,
+    /// The version that the watcher has applied.
+    pub known_version: TableVersion,
+    /// Position in a snapshot whose pieces are being fetched.
+    pub piece: Option<SnapshotCursor>,
+    /// The lowest version in the watcher's subtree of relays, itself included.
+    pub subtree_version: TableVersion,
+    /// The number of processes in that subtree.
+    pub subtree_count: u32,
+    pub hold_ms: u64,
+}
+
+/// A position in a snapshot of the view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SnapshotCursor {
+    pub version: TableVersion,
+    pub offset_bytes: u64,
+}
+
+/// The answer to a watch.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum WatchReply {
+    /// Deltas in order; empty if the hold time passed without a change.
+    Deltas {
+        stamp: Stamp,
+        deltas: Vec<ViewDelta>,
+        /// How long ago the answering process knew its view to be current.
+        confirmed_age_ms: u64,
+    },
+    /// One piece of an encoded snapshot; ask again with the next cursor until `next` is none.
+    Snapshot {
+        stamp: Stamp,
+        version: TableVersion,
+        bytes: Vec<u8>,
+        next: Option<SnapshotCursor>,
+        confirmed_age_ms: u64,
+    },
+    /// The process serves enough watchers; ask this one.
+    Redirect { stamp: Stamp, relay: SocketAddr },
+    /// The process cannot confirm that its view is current.
+    Unconfirmed { stamp: Stamp },
+}
+
+/// What a holder of slots wants for one row, and what it uses.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoomWant {
+    pub workspace: WorkspaceName,
+    /// None for the row of the workspace itself.
+    pub kind: Option<KindName>,
+    /// Slots under running generations.
+    pub used_slots: u32,
+    /// Slots wanted in total, those in use included.
+    pub wanted_slots: u32,
+    /// Slots that the holder believes to be granted to it.
+    pub held_slots: u32,
+}
+
+/// Renews, asks for and returns leases on slots. One call carries all rows of the holder.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RoomRequest {
+    pub stamp: Stamp,
+    /// Rises with each request of this holder's incarnation; older requests are ignored.
+    pub sequence: u64,
+    pub wants: Vec<RoomWant>,
+    /// Slots to take over from holders that fell silent: holder, workspace, kind.
+    pub adopts: Vec<(InstanceName, WorkspaceName, Option<KindName>)>,
+}
+
+/// A grant of slots for one row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoomGrant {
+    pub workspace: WorkspaceName,
+    pub kind: Option<KindName>,
+    pub granted_slots: u32,
+}
+
+/// The answer to a room request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RoomReply {
+    pub stamp: Stamp,
+    pub sequence: u64,
+    pub grants: Vec<RoomGrant>,
+    /// Length of the leases, from the time at which the holder sent its request.
+    pub lease_ms: u64,
+}
+
+/// Asks for permission to load a version from the weight store.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PermitRequest {
+    pub stamp: Stamp,
+    pub fence: Fence,
+    pub upstream: UpstreamName,
+    pub model: ModelName,
+    pub version: String,
+    /// True if the upstream has no version at all, so that it serves nothing until it has loaded.
+    pub recovery: bool,
+    /// True to give the permit back.
+    pub done: bool,
+}
+
+/// The answer to a permit request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum PermitReply {
+    Granted {
+        stamp: Stamp,
+        lease_ms: u64,
+    },
+    Wait {
+        stamp: Stamp,
+        retry_after_ms: u64,
+    },
+    /// A newer registration of the instance exists.
+    Fenced {
+        stamp: Stamp,
+        current: Fence,
+    },
+}
+
+/// The calls of a control instance. Relays answer `watch` only.
+#[tarpc::service]
+pub trait Control {
+    async fn submit(request: SubmitRequest) -> Result<Response, ControlError>;
+    async fn watch(request: WatchRequest) -> WatchReply;
+    async fn room(request: RoomRequest) -> Result<RoomReply, ControlError>;
+    async fn permit(request: PermitRequest) -> Result<PermitReply, ControlError>;
+}
--- /dev/null
+++ b/src/rpc/mod.rs
@@ -0,0 +1,24 @@
+//! Calls between the system's own processes: message types, services, codec and connections.
+
+mod codec;
+mod connection;
+pub mod control;
+pub mod peer;
+pub mod sidecar;
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{InstanceRef, TableVersion};
+
+pub use codec::{MAX_FRAME_BYTES, Postcard, decode, encode};
+pub use connection::{ConnectError, connect, deadline_after, listen};
+
+/// What every message between processes says of its sender.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    pub sender: InstanceRef,
+    /// The highest version of the view that the sender has applied.
+    pub table_version: TableVersion,
+    /// True once the sender takes no new work.
+    pub leaving: bool,
+}
--- /dev/null
+++ b/src/rpc/peer.rs
@@ -0,0 +1,38 @@
+//! The service between control instances, which carries the messages of the replicated log.
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::InstanceName;
+
+/// Messages of the log core, encoded by it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Envelope {
+    /// The identity (data folder) of the sender.
+    pub from: u64,
+    /// The identity that the messages are for; another one drops them.
+    pub to: u64,
+    pub messages: Vec<Vec<u8>>,
+}
+
+/// Asks an instance about its identity and cluster, for formation and joining.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HelloRequest {
+    pub name: InstanceName,
+    pub identity: u64,
+}
+
+/// The answer to a hello.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HelloReply {
+    pub name: InstanceName,
+    pub identity: u64,
+    /// The cluster that the instance belongs to; none while its data folder is empty.
+    pub cluster: Option<u64>,
+}
+
+/// The calls between control instances.
+#[tarpc::service]
+pub trait Peer {
+    async fn deliver(envelope: Envelope);
+    async fn hello(request: HelloRequest) -> HelloReply;
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,110 @@
+//! Settings of a daemon, read from an INI file. All faults are reported at once.
+
+mod reader;
+mod roles;
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use crate::findings::Findings;
+use crate::model::{InstanceName, ZoneName};
+use reader::Reader;
+
+pub use roles::{
+    ControlSettings, EntrySettings, PeerAddress, SidecarSettings, StalePolicy, StandinSettings,
+    UpstreamKind, UpstreamSettings,
+};
+
+/// The settings of one daemon.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub instance: InstanceName,
+    pub zone: ZoneName,
+    /// Where other processes of the system reach this one.
+    pub rpc_address: SocketAddr,
+    /// Serves metrics, health and readiness, and, with the control role, the operators' API.
+    pub admin_address: SocketAddr,
+    /// Bearer token of the operators' API.
+    pub admin_token: Option<String>,
+    /// Filter of log lines, in the syntax of the `tracing` library.
+    pub log_filter: String,
+    /// The RPC addresses of control instances.
+    pub control_addresses: Vec<SocketAddr>,
+    /// What to do while the table cannot be confirmed current.
+    pub stale_policy: StalePolicy,
+    pub stale_limit_ms: u64,
+    pub entry: Option<EntrySettings>,
+    pub sidecar: Option<SidecarSettings>,
+    pub control: Option<ControlSettings>,
+    pub standin: Option<StandinSettings>,
+}
+
+impl Settings {
+    /// Reads a file; fails with every fault found in it.
+    pub fn load(path: &Path) -> Result<Self, Findings> {
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&path.display().to_string(), &text),
+            Err(error) => {
+                let mut findings = Findings::default();
+                findings.add(
+                    path.display().to_string(),
+                    format!("cannot be read: {error}"),
+                );
+                Err(findings)
+            }
+        }
+    }
+
+    /// Parses settings; `file` is used to name places.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        let mut reader = Reader::new(file, text)?;
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let section = "instance";
+        let settings = Self {
+            instance: InstanceName::from(
+                reader
+                    .required::<String>(section, "name")
+                    .unwrap_or_default()
+                    .as_str(),
+            ),
+            zone: ZoneName::from(
+                reader
+                    .required::<String>(section, "zone")
+                    .unwrap_or_default()
+                    .as_str(),
+            ),
+            rpc_address: reader.required(section, "rpc_address").unwrap_or(loopback),
+            admin_address: reader
+                .required(section, "admin_address")
+                .unwrap_or(loopback),
+            admin_token: reader.optional(section, "admin_token"),
+            log_filter: reader.or(section, "log_filter", "info".to_owned()),
+            control_addresses: reader.list(section, "control_addresses"),
+            stale_policy: reader.or(section, "stale_policy", StalePolicy::Refuse),
+            stale_limit_ms: reader.bounded(section, "stale_limit_ms", 12_000, 1_000..=600_000),
+            entry: EntrySettings::read(&mut reader),
+            sidecar: SidecarSettings::read(&mut reader),
+            control: ControlSettings::read(&mut reader),
+            standin: StandinSettings::read(&mut reader),
+        };
+        let has_role = settings.entry.is_some()
+            || settings.sidecar.is_some()
+            || settings.control.is_some()
+            || settings.standin.is_some();
+        if !has_role {
+            reader.find_file(
+                "names no role; add a section [entry], [sidecar], [control] or [standin]",
+            );
+        }
+        if settings.control_addresses.is_empty()
+            && (settings.entry.is_some() || settings.sidecar.is_some())
+        {
+            reader.find(
+                section,
+                "control_addresses",
+                "is missing; the roles entry and sidecar need it",
+            );
+        }
+        reader.finish(settings)
+    }
+}
--- /dev/null
+++ b/src/settings/roles.rs
@@ -0,0 +1,247 @@
+//! Settings of each role.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use super::reader::Reader;
+use crate::model::{InstanceName, ModelName, ServiceName, UpstreamName};
+
+/// What a process does with new work while its table is not confirmed current.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StalePolicy {
+    Refuse,
+    Serve,
+}
+
+impl FromStr for StalePolicy {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "refuse" => Ok(Self::Refuse),
+            "serve" => Ok(Self::Serve),
+            _ => Err("expected refuse or serve"),
+        }
+    }
+}
+
+/// The entry role.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// Where callers connect.
+    pub http_address: SocketAddr,
+    /// Upper bound on a request body.
+    pub body_limit_bytes: u64,
+    /// How long a dropped streaming caller may take to resume before its generation is cancelled.
+    pub reconnect_grace_ms: u64,
+    /// Deadline of requests that name none and whose kind has none.
+    pub default_deadline_ms: u64,
+}
+
+impl EntrySettings {
+    pub(super) fn read(reader: &mut Reader) -> Option<Self> {
+        let section = "entry";
+        reader.has(section).then(|| Self {
+            http_address: reader
+                .required(section, "http_address")
+                .unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))),
+            body_limit_bytes: reader.bounded(
+                section,
+                "body_limit_bytes",
+                2_097_152,
+                1_024..=4_000_000,
+            ),
+            reconnect_grace_ms: reader.bounded(section, "reconnect_grace_ms", 3_000, 0..=60_000),
+            default_deadline_ms: reader.bounded(
+                section,
+                "default_deadline_ms",
+                600_000,
+                100..=86_400_000,
+            ),
+        })
+    }
+}
+
+/// The protocol of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum UpstreamKind {
+    Model(ModelName),
+    Service(ServiceName),
+}
+
+/// One upstream instance, in a section `[upstream <name>]`.
+#[derive(Debug, Clone)]
+pub struct UpstreamSettings {
+    pub name: UpstreamName,
+    pub kind: UpstreamKind,
+    /// Base URL, such as `http://10.0.0.5:8000`.
+    pub url: String,
+    /// Memory for cached prompt and produced tokens; models only.
+    pub capacity_tokens: u64,
+    /// Generations or calls at once.
+    pub max_running: u32,
+    /// True if the engine refuses orders with an old fencing number.
+    pub checks_fence: bool,
+}
+
+/// The sidecar role.
+#[derive(Debug, Clone)]
+pub struct SidecarSettings {
+    pub upstreams: Vec<UpstreamSettings>,
+    /// Generations that nobody reads are cancelled after this time.
+    pub orphan_ms: u64,
+    /// Limit of a planned stop; none waits for the last generation.
+    pub drain_limit_ms: Option<u64>,
+    /// Name of the admission policy: `adaptive`, `none`, `fixed` or `worst_case`.
+    pub policy: String,
+}
+
+impl SidecarSettings {
+    pub(super) fn read(reader: &mut Reader) -> Option<Self> {
+        let section = "sidecar";
+        if !reader.has(section) {
+            return None;
+        }
+        let names = reader.sections_after("upstream ");
+        if names.is_empty() {
+            reader.find(
+                section,
+                "",
+                "has no upstreams; add a section [upstream NAME]",
+            );
+        }
+        Some(Self {
+            upstreams: names
+                .iter()
+                .map(|name| UpstreamSettings::read(reader, name))
+                .collect(),
+            orphan_ms: reader.bounded(section, "orphan_ms", 30_000, 1_000..=600_000),
+            drain_limit_ms: reader.optional(section, "drain_limit_ms"),
+            policy: reader.or(section, "policy", "adaptive".to_owned()),
+        })
+    }
+}
+
+impl UpstreamSettings {
+    fn read(reader: &mut Reader, name: &str) -> Self {
+        let section = format!("upstream {name}");
+        let model: Option<String> = reader.optional(&section, "model");
+        let service: Option<String> = reader.optional(&section, "service");
+        let kind = match (model, service) {
+            (Some(model), None) => UpstreamKind::Model(ModelName::from(model.as_str())),
+            (None, Some(service)) => UpstreamKind::Service(ServiceName::from(service.as_str())),
+            _ => {
+                reader.find(
+                    &section,
+                    "model",
+                    "exactly one of model and service is needed",
+                );
+                UpstreamKind::Service(ServiceName::from(""))
+            }
+        };
+        Self {
+            name: UpstreamName::from(name),
+            kind,
+            url: reader.required(&section, "url").unwrap_or_default(),
+            capacity_tokens: reader.bounded(
+                &section,
+                "capacity_tokens",
+                100_000,
+                256..=1_000_000_000,
+            ),
+            max_running: reader.bounded(&section, "max_running", 64, 1..=100_000),
+            checks_fence: reader.or(&section, "checks_fence", false),
+        }
+    }
+}
+
+/// A control instance by name and RPC address, written `name@address`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerAddress {
+    pub name: InstanceName,
+    pub address: SocketAddr,
+}
+
+impl FromStr for PeerAddress {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let Some((name, address)) = text.split_once('@') else {
+            return Err("expected name@address:port".to_owned());
+        };
+        let address = address.parse().map_err(|error| format!("{error}"))?;
+        Ok(Self {
+            name: InstanceName::from(name),
+            address,
+        })
+    }
+}
+
+impl fmt::Display for PeerAddress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.name, self.address)
+    }
+}
+
+/// The control role.
+#[derive(Debug, Clone)]
+pub struct ControlSettings {
+    pub data_folder: PathBuf,
+    /// All control instances, this one included, for formation and joining.
+    pub peers: Vec<PeerAddress>,
+    /// Shortest election timeout; heartbeats go out at a fifth of it.
+    pub election_ms: u64,
+    /// Log entries between snapshots.
+    pub snapshot_entries: u64,
+    /// The platform's list of instances: a JSON file that the platform keeps current.
+    pub platform_list: Option<PathBuf>,
+}
+
+impl ControlSettings {
+    pub(super) fn read(reader: &mut Reader) -> Option<Self> {
+        let section = "control";
+        reader.has(section).then(|| Self {
+            data_folder: reader.required(section, "data_folder").unwrap_or_default(),
+            peers: reader.list(section, "peers"),
+            election_ms: reader.bounded(section, "election_ms", 1_000, 100..=60_000),
+            snapshot_entries: reader.bounded(section, "snapshot_entries", 4_096, 16..=1_000_000),
+            platform_list: reader.optional(section, "platform_list"),
+        })
+    }
+}
+
+/// Stand-ins for upstreams, for trials and tests.
+#[derive(Debug, Clone)]
+pub struct StandinSettings {
+    pub engine_address: Option<SocketAddr>,
+    pub service_address: Option<SocketAddr>,
+    pub capacity_tokens: u64,
+    pub max_batch: u32,
+    /// Time of one decoding step of the whole batch.
+    pub step_ms: u64,
+    pub seed: u64,
+    /// True to refuse orders with an old fencing number.
+    pub checks_fence: bool,
+}
+
+impl StandinSettings {
+    pub(super) fn read(reader: &mut Reader) -> Option<Self> {
+        let section = "standin";
+        reader.has(section).then(|| Self {
+            engine_address: reader.optional(section, "engine_address"),
+            service_address: reader.optional(section, "service_address"),
+            capacity_tokens: reader.bounded(
+                section,
+                "capacity_tokens",
+                100_000,
+                256..=1_000_000_000,
+            ),
+            max_batch: reader.bounded(section, "max_batch", 64, 1..=100_000),
+            step_ms: reader.bounded(section, "step_ms", 10, 1..=10_000),
+            seed: reader.or(section, "seed", 1),
+            checks_fence: reader.or(section, "checks_fence", true),
+        })
+    }
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,35 @@
+//! Settings: every fault of a file is reported at once, each with its place.
+
+use lilacspindle::settings::Settings;
+
+const SIX_FAULTS: &str = "\
+[instance]
+name = a
+zone = z1
+rpc_address = nowhere
+admin_address = 127.0.0.1:0
+stale_limit_ms = 5
+stale_policy = maybe
+[entry]
+http_address = 127.0.0.1:0
+colour = red
+body_limit_bytes = many
+";
+
+/// Guards against a parser that stops at the first fault.
+#[test]
+fn six_faults_are_all_named() {
+    let findings = Settings::parse("test.ini", SIX_FAULTS).unwrap_err();
+    let text = findings.to_string();
+    for place in [
+        "test.ini:4 [instance] rpc_address",
+        "test.ini:6 [instance] stale_limit_ms",
+        "test.ini:7 [instance] stale_policy",
+        "[instance] control_addresses",
+        "test.ini:10 [entry] colour",
+        "test.ini:11 [entry] body_limit_bytes",
+    ] {
+        assert!(text.contains(place), "{place} is not named in:\n{text}");
+    }
+    assert_eq!(findings.0.len(), 6, "{text}");
+}
