Add connections, view distribution, the control service and the daemon frame

Cause: every role needs the same connections, the applied view and a start and stop procedure. Conclusion: entry and sidecar can be built against the subscriber and the links.

--- /dev/null
+++ b/src/adapters/admin/mod.rs
@@ -0,0 +1,32 @@
+//! The HTTP listener that every process has: metrics, health and readiness.
+
+use rocket::http::{ContentType, Status};
+use rocket::{Route, State, get, routes};
+
+use crate::adapters::telemetry::render_metrics;
+
+/// Answers whether this process should receive new work.
+pub struct Readiness(pub Box<dyn Fn() -> Result<(), String> + Send + Sync>);
+
+/// Returns the routes `/metrics`, `/healthz` and `/readyz`. They need a managed `Readiness`.
+pub fn admin_routes() -> Vec<Route> {
+    routes![metrics, health, ready]
+}
+
+#[get("/metrics")]
+fn metrics() -> (ContentType, String) {
+    (ContentType::Plain, render_metrics())
+}
+
+#[get("/healthz")]
+fn health() -> &'static str {
+    "ok\n"
+}
+
+#[get("/readyz")]
+fn ready(readiness: &State<Readiness>) -> (Status, String) {
+    match (readiness.0)() {
+        Ok(()) => (Status::Ok, "ready\n".to_owned()),
+        Err(reason) => (Status::ServiceUnavailable, format!("{reason}\n")),
+    }
+}
--- a/src/roles/control/mod.rs
+++ b/src/roles/control/mod.rs
@@ -1,1 +1,9 @@
 //! The control role: the replicated log and the services on it.
+
+mod machine;
+mod port;
+mod service;
+
+pub use machine::Machine;
+pub use port::{Leadership, LogError, LogPort, memory_log};
+pub use service::{ControlRole, RelayService};
--- /dev/null
+++ b/src/roles/control/port.rs
@@ -0,0 +1,63 @@
+//! What the control services need of the replicated log, as a struct of closures.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+
+use super::Machine;
+
+/// Why the log has no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LogError {
+    NotLeader { leader: Option<SocketAddr> },
+    /// The command may or may not be committed.
+    Undecided,
+    /// The role has stopped.
+    Stopped,
+}
+
+/// Who leads, as far as this instance knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Leadership {
+    /// True if this instance leads and its lease is valid.
+    pub leads: bool,
+    pub term: u64,
+    pub leader: Option<SocketAddr>,
+}
+
+type Submit = Box<dyn Fn(Vec<u8>, Duration) -> BoxFuture<'static, Result<Vec<u8>, LogError>> + Send + Sync>;
+type Confirm = Box<dyn Fn(Duration) -> BoxFuture<'static, Result<u64, LogError>> + Send + Sync>;
+
+/// The replicated log.
+pub struct LogPort {
+    /// Commits an encoded command and returns the encoded response.
+    pub submit: Submit,
+    /// Returns an index that was current at some time after the call began and is applied here.
+    pub confirm: Confirm,
+    pub leadership: Box<dyn Fn() -> Leadership + Send + Sync>,
+    /// Hands leadership over to another voter, for a planned stop.
+    pub hand_over: Box<dyn Fn() -> BoxFuture<'static, ()> + Send + Sync>,
+}
+
+/// Returns a log of one process that is lost with it, for trials and tests.
+pub fn memory_log(machine: &Arc<Machine>) -> LogPort {
+    let next_index = Arc::new(Mutex::new(0));
+    let last_index = Arc::clone(&next_index);
+    let machine = Arc::clone(machine);
+    LogPort {
+        submit: Box::new(move |command, _limit| {
+            let mut index = next_index.lock().unwrap_or_else(PoisonError::into_inner);
+            *index += 1;
+            let response = machine.apply(*index, &command);
+            Box::pin(async move { Ok(response) })
+        }),
+        confirm: Box::new(move |_limit| {
+            let index = *last_index.lock().unwrap_or_else(PoisonError::into_inner);
+            Box::pin(async move { Ok(index) })
+        }),
+        leadership: Box::new(|| Leadership { leads: true, term: 1, leader: None }),
+        hand_over: Box::new(|| Box::pin(async {})),
+    }
+}
--- /dev/null
+++ b/src/roles/control/service.rs
@@ -0,0 +1,136 @@
+//! The control service on the replicated log, and the relay that other processes offer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tarpc::context::Context;
+use tokio::time::sleep;
+
+use super::{LogError, LogPort, Machine};
+use crate::adapters::clock::monotonic_ms;
+use crate::call_handler;
+use crate::domain::state::Response;
+use crate::roles::subscriber::Subscriber;
+use crate::rpc::control::{
+    Control, ControlError, PermitReply, PermitRequest, RoomReply, RoomRequest, SubmitRequest, WatchReply, WatchRequest,
+};
+use crate::rpc::{Service, Services, decode, encode};
+
+/// Upper bound on the time that a command waits for its commit.
+const SUBMIT_LIMIT: Duration = Duration::from_millis(1_200);
+/// Time between confirmations that this instance's view is current.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A running control role.
+pub struct ControlRole {
+    log: LogPort,
+    machine: Arc<Machine>,
+    subscriber: Arc<Subscriber>,
+}
+
+impl ControlRole {
+    /// Returns the role over a log whose machine feeds the subscriber's store.
+    pub fn new(log: LogPort, machine: Arc<Machine>, subscriber: Arc<Subscriber>) -> Arc<Self> {
+        Arc::new(Self { log, machine, subscriber })
+    }
+
+    /// Returns the replicated state of this instance.
+    pub fn machine(&self) -> &Arc<Machine> {
+        &self.machine
+    }
+
+    /// Returns the log.
+    pub fn log(&self) -> &LogPort {
+        &self.log
+    }
+
+    /// Adds the control service to the listener of this process.
+    pub fn offer(self: &Arc<Self>, services: &mut Services) {
+        let server = ControlService { role: Arc::clone(self) };
+        services.offer(Service::Control, call_handler!(Service::Control, server));
+    }
+
+    /// Keeps confirming that the applied view is current. Does not return.
+    pub async fn confirm_view(self: Arc<Self>) {
+        loop {
+            let began_at_ms = monotonic_ms();
+            if (self.log.confirm)(SUBMIT_LIMIT).await.is_ok() {
+                self.subscriber.store().confirm(began_at_ms);
+            }
+            sleep(CONFIRM_INTERVAL).await;
+        }
+    }
+
+    async fn submit(&self, request: &SubmitRequest) -> Result<Response, ControlError> {
+        let command = encode(&request.command).map_err(|error| invalid(&error))?;
+        match (self.log.submit)(command, SUBMIT_LIMIT).await {
+            Ok(response) => decode(&response).map_err(|error| invalid(&error)),
+            Err(LogError::NotLeader { leader }) => Err(ControlError::NotLeader { leader }),
+            Err(LogError::Undecided) => Err(ControlError::Undecided),
+            Err(LogError::Stopped) => Err(ControlError::Stopped),
+        }
+    }
+}
+
+fn invalid(error: &impl ToString) -> ControlError {
+    ControlError::Invalid { reason: error.to_string() }
+}
+
+#[derive(Clone)]
+struct ControlService {
+    role: Arc<ControlRole>,
+}
+
+impl Control for ControlService {
+    async fn ping(self, _: Context) {}
+
+    async fn submit(self, _: Context, request: SubmitRequest) -> Result<Response, ControlError> {
+        self.role.submit(&request).await
+    }
+
+    async fn watch(self, _: Context, request: WatchRequest) -> WatchReply {
+        self.role.subscriber.answer_watch(request).await
+    }
+
+    async fn room(self, _: Context, _request: RoomRequest) -> Result<RoomReply, ControlError> {
+        Err(ControlError::Stopped)
+    }
+
+    async fn permit(self, _: Context, _request: PermitRequest) -> Result<PermitReply, ControlError> {
+        Err(ControlError::Stopped)
+    }
+}
+
+/// The control service of a process without the control role: it relays the view.
+#[derive(Clone)]
+pub struct RelayService {
+    subscriber: Arc<Subscriber>,
+}
+
+impl RelayService {
+    /// Adds the relay to the listener of this process.
+    pub fn offer(subscriber: Arc<Subscriber>, services: &mut Services) {
+        let server = Self { subscriber };
+        services.offer(Service::Control, call_handler!(Service::Control, server));
+    }
+}
+
+impl Control for RelayService {
+    async fn ping(self, _: Context) {}
+
+    async fn submit(self, _: Context, _request: SubmitRequest) -> Result<Response, ControlError> {
+        Err(ControlError::NotLeader { leader: None })
+    }
+
+    async fn watch(self, _: Context, request: WatchRequest) -> WatchReply {
+        self.subscriber.answer_watch(request).await
+    }
+
+    async fn room(self, _: Context, _request: RoomRequest) -> Result<RoomReply, ControlError> {
+        Err(ControlError::NotLeader { leader: None })
+    }
+
+    async fn permit(self, _: Context, _request: PermitRequest) -> Result<PermitReply, ControlError> {
+        Err(ControlError::NotLeader { leader: None })
+    }
+}
--- /dev/null
+++ b/src/roles/subscriber/control_calls.rs
@@ -0,0 +1,162 @@
+//! Calls to the control instances: finds the leader and resends idempotent commands.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use crate::domain::state::{Command, Response};
+use crate::rpc::control::{
+    ControlClient, ControlError, PermitReply, PermitRequest, RoomReply, RoomRequest, SubmitRequest,
+};
+use crate::rpc::{CallError, Link, Stamp, control_link};
+
+/// Limit of one try; a try at an instance that is cut off must leave time for others.
+const TRY_LIMIT: Duration = Duration::from_millis(1_500);
+/// Pause between rounds over all control instances.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a command has no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SubmitError {
+    /// No try reached an instance that could have accepted the command.
+    NotSubmitted(String),
+    /// The command may have been accepted.
+    Undecided(String),
+}
+
+impl fmt::Display for SubmitError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSubmitted(cause) => write!(f, "not submitted: {cause}"),
+            Self::Undecided(cause) => write!(f, "undecided: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for SubmitError {}
+
+/// Links to the control instances and the one that was last known to lead.
+pub struct ControlCalls {
+    configured: Vec<SocketAddr>,
+    links: Mutex<BTreeMap<SocketAddr, Arc<Link<ControlClient>>>>,
+    leader: Mutex<Option<SocketAddr>>,
+}
+
+impl ControlCalls {
+    /// Returns calls to the configured control instances.
+    pub fn new(configured: Vec<SocketAddr>) -> Self {
+        Self {
+            configured,
+            links: Mutex::default(),
+            leader: Mutex::default(),
+        }
+    }
+
+    /// Returns the configured addresses.
+    pub fn configured(&self) -> &[SocketAddr] {
+        &self.configured
+    }
+
+    /// Returns the link to an address, shared by all callers.
+    pub fn link(&self, address: SocketAddr) -> Arc<Link<ControlClient>> {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(links.entry(address).or_insert_with(|| control_link(address)))
+    }
+
+    /// Puts a command into the replicated log. Resends it until `limit` has passed; commands are
+    /// idempotent.
+    pub async fn submit(&self, stamp: impl Fn() -> Stamp, command: &Command, limit: Duration) -> Result<Response, SubmitError> {
+        self.call(limit, |client, context| {
+            let request = SubmitRequest { stamp: stamp(), command: command.clone() };
+            async move { client.submit(context, request).await }
+        })
+        .await
+    }
+
+    /// Renews leases on slots.
+    pub async fn room(&self, request: &RoomRequest, limit: Duration) -> Result<RoomReply, SubmitError> {
+        self.call(limit, |client, context| {
+            let request = request.clone();
+            async move { client.room(context, request).await }
+        })
+        .await
+    }
+
+    /// Asks for a permit to load from the weight store, or gives it back.
+    pub async fn permit(&self, request: &PermitRequest, limit: Duration) -> Result<PermitReply, SubmitError> {
+        self.call(limit, |client, context| {
+            let request = request.clone();
+            async move { client.permit(context, request).await }
+        })
+        .await
+    }
+
+    async fn call<T, F, Fut>(&self, limit: Duration, send: F) -> Result<T, SubmitError>
+    where
+        F: Fn(ControlClient, tarpc::context::Context) -> Fut,
+        Fut: Future<Output = Result<Result<T, ControlError>, tarpc::client::RpcError>>,
+    {
+        let end = Instant::now() + limit;
+        let mut undecided = false;
+        let mut last_cause = "no control instance is configured".to_owned();
+        let mut next = 0;
+        loop {
+            let address = match (self.leader_hint(), self.configured.get(next)) {
+                (Some(leader), _) => leader,
+                (None, Some(address)) => *address,
+                (None, None) => {
+                    next = 0;
+                    sleep(ROUND_PAUSE).await;
+                    if Instant::now() >= end {
+                        break;
+                    }
+                    continue;
+                }
+            };
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            next += 1;
+            let result = self.link(address).call(left.min(TRY_LIMIT), &send).await;
+            self.set_leader_hint(None);
+            match result {
+                Ok(Ok(value)) => {
+                    self.set_leader_hint(Some(address));
+                    return Ok(value);
+                }
+                Ok(Err(ControlError::NotLeader { leader })) => {
+                    self.set_leader_hint(leader.filter(|leader| *leader != address));
+                    last_cause = format!("{address} does not lead");
+                }
+                Ok(Err(ControlError::Undecided)) => {
+                    undecided = true;
+                    last_cause = format!("{address} could not decide in time");
+                }
+                Ok(Err(ControlError::Stopped)) => last_cause = format!("control at {address} has stopped"),
+                Ok(Err(ControlError::Invalid { reason })) => return Err(SubmitError::NotSubmitted(reason)),
+                Err(CallError::NotSent(cause)) => last_cause = cause,
+                Err(CallError::Lost(cause)) => {
+                    undecided = true;
+                    last_cause = cause;
+                }
+            }
+        }
+        match undecided {
+            true => Err(SubmitError::Undecided(last_cause)),
+            false => Err(SubmitError::NotSubmitted(last_cause)),
+        }
+    }
+
+    fn leader_hint(&self) -> Option<SocketAddr> {
+        *self.leader.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_leader_hint(&self, leader: Option<SocketAddr>) {
+        *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = leader;
+    }
+}
--- a/src/rpc/connection.rs
+++ b/src/rpc/connection.rs
@@ -1,4 +1,4 @@
-//! Framed TCP connections for tarpc.
+//! Framed TCP connections for tarpc. A connection starts with one byte that names its service.
 
 use std::fmt;
 use std::io;
@@ -9,16 +9,53 @@
 use serde::de::DeserializeOwned;
 use tarpc::context::Context;
 use tarpc::serde_transport::Transport;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_util::codec::LengthDelimitedCodec;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::{MAX_FRAME_BYTES, Postcard};
 
-/// A connection that carries requests of one type and responses of another.
-pub type Framed<Item, SinkItem> = Transport<TcpStream, Item, SinkItem, Postcard>;
+/// Upper bound on the time to open a connection, the service byte included.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
-/// A connection could not be made.
+/// A connection that carries values of one type in and of another out.
+pub type FramedTransport<Item, SinkItem> = Transport<TcpStream, Item, SinkItem, Postcard>;
+
+/// A service that a process can offer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Service {
+    Sidecar,
+    Control,
+    Peer,
+}
+
+impl Service {
+    /// Returns the name used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Sidecar => "sidecar",
+            Self::Control => "control",
+            Self::Peer => "peer",
+        }
+    }
+
+    fn byte(self) -> u8 {
+        match self {
+            Self::Sidecar => b'S',
+            Self::Control => b'C',
+            Self::Peer => b'P',
+        }
+    }
+
+    fn from_byte(byte: u8) -> Option<Self> {
+        [Self::Sidecar, Self::Control, Self::Peer]
+            .into_iter()
+            .find(|service| service.byte() == byte)
+    }
+}
+
+/// A connection could not be made, so nothing was sent.
 #[derive(Debug)]
 pub struct ConnectError {
     pub address: SocketAddr,
@@ -33,48 +70,56 @@
 
 impl std::error::Error for ConnectError {}
 
-/// Returns a connection to `address`; fails if it is refused or takes longer than `limit`.
-pub async fn connect<Item, SinkItem>(
+/// Returns a socket to a service; fails if it is refused or takes too long.
+pub(super) async fn open_socket(
     address: SocketAddr,
-    limit: Duration,
-) -> Result<Framed<Item, SinkItem>, ConnectError>
-where
-    Item: DeserializeOwned,
-    SinkItem: Serialize,
-{
-    let stream = match timeout(limit, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(cause)) => return Err(ConnectError { address, cause }),
-        Err(_) => {
-            let cause = io::Error::from(io::ErrorKind::TimedOut);
-            return Err(ConnectError { address, cause });
-        }
+    service: Service,
+) -> Result<TcpStream, ConnectError> {
+    let opening = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        stream.write_u8(service.byte()).await?;
+        Ok(stream)
     };
-    wrap(stream).map_err(|cause| ConnectError { address, cause })
+    let result = match timeout(CONNECT_LIMIT, opening).await {
+        Ok(result) => result,
+        Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut)),
+    };
+    result.map_err(|cause| ConnectError { address, cause })
 }
 
-/// Returns a listener on `address`; port 0 picks a free port.
-pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(address).await
+/// Reads the service that an accepted connection asks for; fails on an unknown one.
+pub(super) async fn accept_service(stream: &mut TcpStream) -> io::Result<Service> {
+    stream.set_nodelay(true)?;
+    let byte = match timeout(CONNECT_LIMIT, stream.read_u8()).await {
+        Ok(byte) => byte?,
+        Err(_) => return Err(io::Error::from(io::ErrorKind::TimedOut)),
+    };
+    let unknown = || {
+        io::Error::new(
+            io::ErrorKind::InvalidData,
+            format!("no service has the byte {byte}"),
+        )
+    };
+    Service::from_byte(byte).ok_or_else(unknown)
 }
 
-/// Wraps an accepted or opened socket in the frame codec.
-pub fn wrap<Item, SinkItem>(stream: TcpStream) -> io::Result<Framed<Item, SinkItem>>
+/// Wraps a socket in frames of bounded length.
+pub fn wrap<Item, SinkItem>(stream: TcpStream, service: Service) -> FramedTransport<Item, SinkItem>
 where
     Item: DeserializeOwned,
     SinkItem: Serialize,
 {
-    stream.set_nodelay(true)?;
     let codec = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME_BYTES)
         .new_codec();
-    let framed = tokio_util::codec::Framed::new(stream, codec);
-    Ok(tarpc::serde_transport::new(framed, Postcard))
+    let framed = Framed::new(stream, codec);
+    tarpc::serde_transport::new(framed, Postcard::counted(service.as_str()))
 }
 
 /// Returns a call context that ends after `limit`.
 pub fn deadline_after(limit: Duration) -> Context {
-    let mut context = Context::current();
+    let mut context = tarpc::context::current();
     context.deadline = Instant::now() + limit;
     context
 }
--- a/src/rpc/control.rs
+++ b/src/rpc/control.rs
@@ -52,6 +52,16 @@
     pub offset_bytes: u64,
 }
 
+/// How current the view of an answering process is, in ages, so that clocks need not agree.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Freshness {
+    /// How long ago the process knew its view to be current.
+    pub confirmed_age_ms: u64,
+    /// How long the process held the call. The watcher knows when it sent the call, so it knows a
+    /// time before which the answer was not made.
+    pub held_ms: u64,
+}
+
 /// The answer to a watch.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum WatchReply {
@@ -59,8 +69,7 @@
     Deltas {
         stamp: Stamp,
         deltas: Vec<ViewDelta>,
-        /// How long ago the answering process knew its view to be current.
-        confirmed_age_ms: u64,
+        freshness: Freshness,
     },
     /// One piece of an encoded snapshot; ask again with the next cursor until `next` is none.
     Snapshot {
@@ -68,7 +77,7 @@
         version: TableVersion,
         bytes: Vec<u8>,
         next: Option<SnapshotCursor>,
-        confirmed_age_ms: u64,
+        freshness: Freshness,
     },
     /// The process serves enough watchers; ask this one.
     Redirect { stamp: Stamp, relay: SocketAddr },
@@ -154,6 +163,8 @@
 /// The calls of a control instance. Relays answer `watch` only.
 #[tarpc::service]
 pub trait Control {
+    /// Answered at once; the heartbeat of a connection.
+    async fn ping();
     async fn submit(request: SubmitRequest) -> Result<Response, ControlError>;
     async fn watch(request: WatchRequest) -> WatchReply;
     async fn room(request: RoomRequest) -> Result<RoomReply, ControlError>;
--- a/src/rpc/mod.rs
+++ b/src/rpc/mod.rs
@@ -3,7 +3,9 @@
 mod codec;
 mod connection;
 pub mod control;
+mod link;
 pub mod peer;
+mod server;
 pub mod sidecar;
 
 use serde::{Deserialize, Serialize};
@@ -11,7 +13,9 @@
 use crate::model::{InstanceRef, TableVersion};
 
 pub use codec::{MAX_FRAME_BYTES, Postcard, decode, encode};
-pub use connection::{ConnectError, connect, deadline_after, listen};
+pub use connection::{ConnectError, FramedTransport, Service, deadline_after, wrap};
+pub use link::{CallError, Link, control_link, peer_link, sidecar_link};
+pub use server::{Handler, Services, serve};
 
 /// What every message between processes says of its sender.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/rpc/peer.rs
+++ b/src/rpc/peer.rs
@@ -33,6 +33,8 @@
 /// The calls between control instances.
 #[tarpc::service]
 pub trait Peer {
+    /// Answered at once; the heartbeat of a connection.
+    async fn ping();
     async fn deliver(envelope: Envelope);
     async fn hello(request: HelloRequest) -> HelloReply;
 }
--- a/src/rpc/sidecar.rs
+++ b/src/rpc/sidecar.rs
@@ -273,6 +273,8 @@
 /// The calls of a sidecar.
 #[tarpc::service]
 pub trait Sidecar {
+    /// Answered at once; the heartbeat of a connection.
+    async fn ping();
     async fn start(request: StartRequest) -> StartReply;
     async fn poll(request: PollRequest) -> PollReply;
     async fn cancel(request: CancelRequest) -> CancelReply;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -96,13 +96,12 @@
                 "names no role; add a section [entry], [sidecar], [control] or [standin]",
             );
         }
-        if settings.control_addresses.is_empty()
-            && (settings.entry.is_some() || settings.sidecar.is_some())
-        {
+        let subscribes = settings.entry.is_some() || settings.sidecar.is_some();
+        if settings.control_addresses.is_empty() && subscribes && settings.control.is_none() {
             reader.find(
                 section,
                 "control_addresses",
-                "is missing; the roles entry and sidecar need it",
+                "is missing; the roles entry and sidecar need it unless control runs in the same process",
             );
         }
         reader.finish(settings)
