--- a/src/domain/members/mod.rs
+++ b/src/domain/members/mod.rs
@@ -1,5 +1,8 @@
 //! Members: which instances there are, in which incarnation, and which are leaving.
 
+mod merge;
+mod registry;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -9,6 +12,9 @@
     Fence, Incarnation, InstanceName, ModelName, ServiceName, UpstreamName, ZoneName,
 };
 
+pub use merge::{CLOCK_MARGIN_MS, PlatformInstance, PlatformList, merge};
+pub use registry::{GONE_KEPT_MS, MAX_RETIRED, RETIRED_KEPT_MS, Registry};
+
 /// What an instance does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Role {
--- a/src/domain/state/command.rs
+++ b/src/domain/state/command.rs
@@ -1,5 +1,7 @@
 //! Commands of the replicated log and their answers. Every command is idempotent.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::domain::members::{Member, Phase, UpstreamInfo};
@@ -82,6 +84,21 @@
     },
 }
 
+impl Command {
+    /// Returns the proposer's wall clock.
+    pub fn now_ms(&self) -> u64 {
+        match self {
+            Self::Edit { now_ms, .. }
+            | Self::Claim { now_ms, .. }
+            | Self::Finish { now_ms, .. }
+            | Self::Release { now_ms, .. }
+            | Self::Register { now_ms, .. }
+            | Self::SetPhase { now_ms, .. }
+            | Self::SetUpstreams { now_ms, .. } => *now_ms,
+        }
+    }
+}
+
 /// The answer to an edit.
 pub type EditAnswer = Result<TableVersion, EditRefusal>;
 
@@ -100,6 +117,27 @@
     },
 }
 
+impl fmt::Display for EditRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Invalid(findings) => findings.fmt(f),
+            Self::Conflict {
+                winner,
+                author,
+                version,
+                rows,
+            } => {
+                write!(
+                    f,
+                    "edit {:?} of {author} won at version {version}; changed since the base:",
+                    winner.0
+                )?;
+                rows.iter().try_for_each(|row| write!(f, " {row}"))
+            }
+        }
+    }
+}
+
 /// The answer to a claim.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimAnswer {
@@ -122,6 +160,10 @@
     Future,
     /// The key was used with another body.
     OtherBody,
+    /// This generation gave the key up before; claim it again with a new generation.
+    Released,
+    /// The ledger holds as many claims as it may.
+    Full,
 }
 
 /// The answer to a registration.
--- a/src/domain/table/rows.rs
+++ b/src/domain/table/rows.rs
@@ -1,6 +1,7 @@
 //! The rows of the table.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
@@ -18,6 +19,44 @@
     Limit(String),
 }
 
+impl RowKey {
+    /// Returns every name in the key.
+    pub(super) fn names(&self) -> Vec<&str> {
+        match self {
+            Self::Workspace(name) => vec![name.as_str()],
+            Self::Kind(None, kind) => vec![kind.as_str()],
+            Self::Kind(Some(workspace), kind) => vec![workspace.as_str(), kind.as_str()],
+            Self::Model(name) => vec![name.as_str()],
+            Self::Service(name) => vec![name.as_str()],
+            Self::Limit(name) => vec![name],
+        }
+    }
+
+    /// Returns the keys of the rows that a row under this key needs.
+    pub(super) fn references(&self, row: &Row) -> Vec<Self> {
+        match (self, row) {
+            (Self::Kind(workspace, _), Row::Kind(row)) => {
+                let workspace = workspace.iter().cloned().map(Self::Workspace);
+                workspace.chain([row.target.key()]).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+}
+
+impl fmt::Display for RowKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Workspace(name) => write!(f, "workspace/{name}"),
+            Self::Kind(Some(workspace), kind) => write!(f, "kind/{workspace}/{kind}"),
+            Self::Kind(None, kind) => write!(f, "kind/*/{kind}"),
+            Self::Model(name) => write!(f, "model/{name}"),
+            Self::Service(name) => write!(f, "service/{name}"),
+            Self::Limit(name) => write!(f, "limit/{name}"),
+        }
+    }
+}
+
 /// A workspace: its share and its room.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -40,6 +79,16 @@
     Service(ServiceName),
 }
 
+impl Target {
+    /// Returns the key of the target's row.
+    pub fn key(&self) -> RowKey {
+        match self {
+            Self::Model(name) => RowKey::Model(name.clone()),
+            Self::Service(name) => RowKey::Service(name.clone()),
+        }
+    }
+}
+
 /// A kind of request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/src/domain/table/validate.rs
@@ -0,0 +1,374 @@
+//! Validation of edits. Every finding is collected with its row and field.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
+
+use super::edits::Edit;
+use super::{KindRow, ModelRow, Row, RowKey, ServiceRow, Table, WorkspaceRow};
+use crate::domain::members::{Members, Phase, Serves, UpstreamInfo};
+use crate::domain::state::RowChange;
+use crate::findings::Findings;
+use crate::model::ModelName;
+
+/// The largest number of rows in the table, five times the 20,000 workspaces designed for.
+pub const MAX_ROWS: usize = 100_000;
+
+/// The largest number of changes in one edit; a whole table of 20,000 workspaces fits.
+pub const MAX_CHANGES: usize = 25_000;
+
+/// The largest number of findings that a refusal lists.
+pub const MAX_FINDINGS: usize = 1_000;
+
+const MAX_NAME_BYTES: usize = 64;
+const MAX_VERSION_BYTES: usize = 128;
+const MAX_EDIT_ID_BYTES: usize = 128;
+
+const WEIGHT: RangeInclusive<u64> = 1..=1_000_000;
+const ROOM_SLOTS: RangeInclusive<u64> = 0..=1_000_000;
+const MAX_TOKENS: RangeInclusive<u64> = 1..=10_000_000;
+const DEADLINE_MS: RangeInclusive<u64> = 1..=86_400_000;
+
+/// The rows as they would be after an edit.
+pub(super) struct After<'a> {
+    changes: BTreeMap<&'a RowKey, Option<&'a Row>>,
+    table: &'a Table,
+}
+
+impl<'a> After<'a> {
+    pub(super) fn new(changes: &'a [RowChange], table: &'a Table) -> Self {
+        let changes = changes
+            .iter()
+            .map(|change| (&change.key, change.row.as_ref()))
+            .collect();
+        Self { changes, table }
+    }
+
+    fn has(&self, key: &RowKey) -> bool {
+        match self.changes.get(key) {
+            Some(row) => row.is_some(),
+            None => self.table.rows.contains_key(key),
+        }
+    }
+
+    /// Returns the rows that the edit leaves as they are.
+    fn untouched(&self) -> impl Iterator<Item = (&'a RowKey, &'a Row)> + '_ {
+        let rows = self.table.rows.iter().map(|(key, (_, row))| (key, row));
+        rows.filter(|(key, _)| !self.changes.contains_key(*key))
+    }
+
+    /// Returns untouched rows that refer to a row that the edit deletes, each with that row.
+    pub(super) fn users_of_deleted(&self) -> impl Iterator<Item = (&'a RowKey, RowKey)> + '_ {
+        let deletes = self.changes.values().any(Option::is_none);
+        let users = deletes.then(|| self.untouched()).into_iter().flatten();
+        users.flat_map(|(key, row)| {
+            let references = key.references(row).into_iter();
+            references
+                .filter(|reference| self.changes.get(reference) == Some(&None))
+                .map(move |reference| (key, reference))
+        })
+    }
+
+    /// Returns untouched workspaces that have an API key hash which the edit sets elsewhere.
+    pub(super) fn key_hash_owners(&self) -> Vec<RowKey> {
+        let hashes: BTreeSet<&str> = self
+            .changes
+            .values()
+            .filter_map(|row| key_hash((*row)?))
+            .collect();
+        if hashes.is_empty() {
+            return Vec::new();
+        }
+        self.untouched()
+            .filter(|(_, row)| key_hash(row).is_some_and(|hash| hashes.contains(hash)))
+            .map(|(key, _)| key.clone())
+            .collect()
+    }
+}
+
+fn key_hash(row: &Row) -> Option<&str> {
+    match row {
+        Row::Workspace(row) => row.api_key_sha256.as_deref(),
+        _ => None,
+    }
+}
+
+/// Returns everything that is wrong with an edit.
+pub(super) fn validate(edit: Edit, table: &Table, members: &Members) -> Findings {
+    let mut findings = Findings::default();
+    check_header(edit, &mut findings);
+    let after = After::new(edit.changes, table);
+    check_counts(edit, &after, &mut findings);
+    for change in edit.changes {
+        check_change(change, &after, members, &mut findings);
+    }
+    check_deletions(&after, &mut findings);
+    check_key_hashes(&after, &mut findings);
+    shorten(&mut findings);
+    findings
+}
+
+fn check_header(edit: Edit, findings: &mut Findings) {
+    if !is_text(&edit.id.0, MAX_EDIT_ID_BYTES) {
+        findings.add("id", text_rule(MAX_EDIT_ID_BYTES));
+    }
+    let author_fits = (1..=MAX_NAME_BYTES).contains(&edit.author.len());
+    if !author_fits || edit.author.chars().any(char::is_control) {
+        findings.add(
+            "author",
+            format!("must have 1 to {MAX_NAME_BYTES} bytes and no control characters"),
+        );
+    }
+}
+
+fn check_counts(edit: Edit, after: &After, findings: &mut Findings) {
+    if edit.changes.is_empty() {
+        findings.add("changes", "is empty");
+    }
+    if edit.changes.len() > MAX_CHANGES {
+        let reason = format!("has {} changes; at most {MAX_CHANGES}", edit.changes.len());
+        findings.add("changes", reason);
+    }
+    let mut seen = BTreeSet::new();
+    for change in edit.changes {
+        if !seen.insert(&change.key) {
+            findings.add(change.key.to_string(), "is changed twice in one edit");
+        }
+    }
+    let set = after.changes.values().filter(|row| row.is_some()).count();
+    let rows = after.untouched().count() + set;
+    if rows > MAX_ROWS {
+        findings.add(
+            "changes",
+            format!("would make {rows} rows; at most {MAX_ROWS}"),
+        );
+    }
+}
+
+fn check_change(change: &RowChange, after: &After, members: &Members, findings: &mut Findings) {
+    let place = change.key.to_string();
+    for name in change.key.names() {
+        if !is_name(name) {
+            findings.add(
+                &place,
+                format!(
+                    "{name:?} must have 1 to {MAX_NAME_BYTES} letters, digits or any of . _ -, \
+                     and start with a letter or digit"
+                ),
+            );
+        }
+    }
+    let Some(row) = &change.row else {
+        if !after.table.rows.contains_key(&change.key) {
+            findings.add(place, "does not exist, so it cannot be deleted");
+        }
+        return;
+    };
+    if !row.fits(&change.key) {
+        findings.add(place, "holds a row of another type");
+        return;
+    }
+    check_row(&place, row, findings);
+    for reference in change.key.references(row) {
+        if !after.has(&reference) {
+            let field = match reference {
+                RowKey::Workspace(_) => "workspace",
+                _ => "target",
+            };
+            findings.add(
+                format!("{place} {field}"),
+                format!("names {reference}, which would not exist"),
+            );
+        }
+    }
+    if let (RowKey::Model(name), Row::Model(row)) = (&change.key, row) {
+        check_loaded(&place, name, row, after.table, members, findings);
+    }
+}
+
+fn check_row(place: &str, row: &Row, findings: &mut Findings) {
+    match row {
+        Row::Workspace(row) => check_workspace(place, row, findings),
+        Row::Kind(KindRow {
+            room_slots,
+            deadline_ms,
+            ..
+        }) => {
+            check_bound(
+                place,
+                "deadline_ms",
+                Some(*deadline_ms),
+                &DEADLINE_MS,
+                findings,
+            );
+            let slots = room_slots.map(u64::from);
+            check_bound(place, "room_slots", slots, &ROOM_SLOTS, findings);
+        }
+        Row::Model(row) => check_model(place, row, findings),
+        Row::Service(ServiceRow { deadline_ms, .. }) => {
+            check_bound(
+                place,
+                "deadline_ms",
+                Some(*deadline_ms),
+                &DEADLINE_MS,
+                findings,
+            );
+        }
+        Row::Limit(_) => {}
+    }
+}
+
+fn check_workspace(place: &str, row: &WorkspaceRow, findings: &mut Findings) {
+    check_bound(place, "weight", Some(row.weight.into()), &WEIGHT, findings);
+    let slots = row.room_slots.map(u64::from);
+    check_bound(place, "room_slots", slots, &ROOM_SLOTS, findings);
+    let tokens = Some(row.max_tokens.into());
+    check_bound(place, "max_tokens", tokens, &MAX_TOKENS, findings);
+    let is_hash = |text: &str| {
+        let is_digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        text.len() == 64 && text.bytes().all(is_digit)
+    };
+    if row
+        .api_key_sha256
+        .as_deref()
+        .is_some_and(|hash| !is_hash(hash))
+    {
+        findings.add(
+            format!("{place} api_key_sha256"),
+            "must have 64 lowercase hexadecimal digits",
+        );
+    }
+}
+
+fn check_model(place: &str, row: &ModelRow, findings: &mut Findings) {
+    let fields = [
+        ("version", Some(&row.version)),
+        ("prepare_version", row.prepare_version.as_ref()),
+        ("adapter", row.adapter.as_ref()),
+    ];
+    for (field, value) in fields {
+        if value.is_some_and(|value| !is_text(value, MAX_VERSION_BYTES)) {
+            findings.add(format!("{place} {field}"), text_rule(MAX_VERSION_BYTES));
+        }
+    }
+}
+
+fn check_bound(
+    place: &str,
+    field: &str,
+    value: Option<u64>,
+    bounds: &RangeInclusive<u64>,
+    findings: &mut Findings,
+) {
+    if let Some(value) = value
+        && !bounds.contains(&value)
+    {
+        let reason = format!("is {value}, outside {} to {}", bounds.start(), bounds.end());
+        findings.add(format!("{place} {field}"), reason);
+    }
+}
+
+/// A new version must be loaded on a live replica, unless the model has no live replica at all.
+fn check_loaded(
+    place: &str,
+    name: &ModelName,
+    row: &ModelRow,
+    table: &Table,
+    members: &Members,
+    findings: &mut Findings,
+) {
+    if table
+        .model(name)
+        .is_some_and(|old| old.version == row.version)
+    {
+        return;
+    }
+    let replicas: Vec<_> = live_replicas(name, members).collect();
+    let is_loaded = replicas
+        .iter()
+        .any(|replica| replica.versions.contains(&row.version));
+    if replicas.is_empty() || is_loaded {
+        return;
+    }
+    findings.add(
+        format!("{place} version"),
+        format!(
+            "{:?} is not loaded on any of {} replicas; set prepare_version to it first and wait \
+             until a replica has loaded it",
+            row.version,
+            replicas.len()
+        ),
+    );
+}
+
+fn live_replicas<'a>(
+    name: &'a ModelName,
+    members: &'a Members,
+) -> impl Iterator<Item = &'a UpstreamInfo> {
+    let live = members
+        .members
+        .values()
+        .filter(|member| member.phase == Phase::Live);
+    live.flat_map(|member| &member.upstreams)
+        .filter(move |upstream| upstream.serves == Serves::Model(name.clone()))
+}
+
+fn check_deletions(after: &After, findings: &mut Findings) {
+    for (user, deleted) in after.users_of_deleted() {
+        findings.add(
+            deleted.to_string(),
+            format!("is used by {user}; change that first"),
+        );
+    }
+}
+
+fn check_key_hashes(after: &After, findings: &mut Findings) {
+    let mut owners: BTreeMap<&str, &RowKey> = BTreeMap::new();
+    let changed = after
+        .changes
+        .iter()
+        .filter_map(|(key, row)| Some((*key, (*row)?)));
+    let has_hash = |row: &Row| key_hash(row).is_some();
+    if !changed.clone().any(|(_, row)| has_hash(row)) {
+        return;
+    }
+    for (key, row) in after.untouched() {
+        if let Some(hash) = key_hash(row) {
+            owners.insert(hash, key);
+        }
+    }
+    for (key, row) in changed {
+        let Some(hash) = key_hash(row) else { continue };
+        if let Some(owner) = owners.insert(hash, key) {
+            findings.add(
+                format!("{key} api_key_sha256"),
+                format!("is the hash of {owner} as well; each workspace needs its own key"),
+            );
+        }
+    }
+}
+
+fn shorten(findings: &mut Findings) {
+    let total = findings.0.len();
+    if total > MAX_FINDINGS {
+        findings.0.truncate(MAX_FINDINGS);
+        findings.add(
+            "changes",
+            format!("has {} more findings", total - MAX_FINDINGS),
+        );
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+    (1..=MAX_NAME_BYTES).contains(&text.len())
+        && text.bytes().all(allowed)
+        && text.as_bytes()[0].is_ascii_alphanumeric()
+}
+
+fn is_text(text: &str, max_bytes: usize) -> bool {
+    (1..=max_bytes).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
+fn text_rule(max_bytes: usize) -> String {
+    format!("must have 1 to {max_bytes} printable ASCII characters without spaces")
+}
