--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -57,7 +57,10 @@
         address: address.ip(),
         port: address.port(),
         log_level: LogLevel::Off,
-        limits: Limits::default().limit("json", limit).limit("bytes", limit).limit("string", limit),
+        limits: Limits::default()
+            .limit("json", limit)
+            .limit("bytes", limit)
+            .limit("string", limit),
         shutdown: Shutdown {
             ctrlc: false,
             signals: std::collections::HashSet::new(),
--- a/src/roles/control/machine.rs
+++ b/src/roles/control/machine.rs
@@ -15,7 +15,10 @@
 impl Machine {
     /// Returns an empty state over a store.
     pub fn new(store: Arc<ViewStore>) -> Arc<Self> {
-        Arc::new(Self { state: Mutex::default(), store })
+        Arc::new(Self {
+            state: Mutex::default(),
+            store,
+        })
     }
 
     /// Returns what `read` makes of the state.
--- a/src/roles/control/port.rs
+++ b/src/roles/control/port.rs
@@ -11,7 +11,9 @@
 /// Why the log has no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LogError {
-    NotLeader { leader: Option<SocketAddr> },
+    NotLeader {
+        leader: Option<SocketAddr>,
+    },
     /// The command may or may not be committed.
     Undecided,
     /// The role has stopped.
@@ -27,7 +29,8 @@
     pub leader: Option<SocketAddr>,
 }
 
-type Submit = Box<dyn Fn(Vec<u8>, Duration) -> BoxFuture<'static, Result<Vec<u8>, LogError>> + Send + Sync>;
+type Submit =
+    Box<dyn Fn(Vec<u8>, Duration) -> BoxFuture<'static, Result<Vec<u8>, LogError>> + Send + Sync>;
 type Confirm = Box<dyn Fn(Duration) -> BoxFuture<'static, Result<u64, LogError>> + Send + Sync>;
 
 /// The replicated log.
@@ -57,7 +60,11 @@
             let index = *last_index.lock().unwrap_or_else(PoisonError::into_inner);
             Box::pin(async move { Ok(index) })
         }),
-        leadership: Box::new(|| Leadership { leads: true, term: 1, leader: None }),
+        leadership: Box::new(|| Leadership {
+            leads: true,
+            term: 1,
+            leader: None,
+        }),
         hand_over: Box::new(|| Box::pin(async {})),
     }
 }
--- a/src/roles/control/service.rs
+++ b/src/roles/control/service.rs
@@ -12,7 +12,8 @@
 use crate::domain::state::Response;
 use crate::roles::subscriber::Subscriber;
 use crate::rpc::control::{
-    Control, ControlError, PermitReply, PermitRequest, RoomReply, RoomRequest, SubmitRequest, WatchReply, WatchRequest,
+    Control, ControlError, PermitReply, PermitRequest, RoomReply, RoomRequest, SubmitRequest,
+    WatchReply, WatchRequest,
 };
 use crate::rpc::{Service, Services, decode, encode};
 
@@ -31,7 +32,11 @@
 impl ControlRole {
     /// Returns the role over a log whose machine feeds the subscriber's store.
     pub fn new(log: LogPort, machine: Arc<Machine>, subscriber: Arc<Subscriber>) -> Arc<Self> {
-        Arc::new(Self { log, machine, subscriber })
+        Arc::new(Self {
+            log,
+            machine,
+            subscriber,
+        })
     }
 
     /// Returns the replicated state of this instance.
@@ -46,7 +51,9 @@
 
     /// Adds the control service to the listener of this process.
     pub fn offer(self: &Arc<Self>, services: &mut Services) {
-        let server = ControlService { role: Arc::clone(self) };
+        let server = ControlService {
+            role: Arc::clone(self),
+        };
         services.offer(Service::Control, call_handler!(Service::Control, server));
     }
 
@@ -73,7 +80,9 @@
 }
 
 fn invalid(error: &impl ToString) -> ControlError {
-    ControlError::Invalid { reason: error.to_string() }
+    ControlError::Invalid {
+        reason: error.to_string(),
+    }
 }
 
 #[derive(Clone)]
@@ -96,7 +105,11 @@
         Err(ControlError::Stopped)
     }
 
-    async fn permit(self, _: Context, _request: PermitRequest) -> Result<PermitReply, ControlError> {
+    async fn permit(
+        self,
+        _: Context,
+        _request: PermitRequest,
+    ) -> Result<PermitReply, ControlError> {
         Err(ControlError::Stopped)
     }
 }
@@ -130,7 +143,11 @@
         Err(ControlError::NotLeader { leader: None })
     }
 
-    async fn permit(self, _: Context, _request: PermitRequest) -> Result<PermitReply, ControlError> {
+    async fn permit(
+        self,
+        _: Context,
+        _request: PermitRequest,
+    ) -> Result<PermitReply, ControlError> {
         Err(ControlError::NotLeader { leader: None })
     }
 }
--- a/src/roles/daemon/mod.rs
+++ b/src/roles/daemon/mod.rs
@@ -65,8 +65,15 @@
         };
         let listener = TcpListener::bind(settings.rpc_address)
             .await
-            .map_err(|error| DaemonError(format!("cannot listen on rpc_address {}: {error}", settings.rpc_address)))?;
-        let rpc_address = listener.local_addr().map_err(|error| DaemonError(error.to_string()))?;
+            .map_err(|error| {
+                DaemonError(format!(
+                    "cannot listen on rpc_address {}: {error}",
+                    settings.rpc_address
+                ))
+            })?;
+        let rpc_address = listener
+            .local_addr()
+            .map_err(|error| DaemonError(error.to_string()))?;
         let mut control_addresses = settings.control_addresses.clone();
         if control_addresses.is_empty() && settings.control.is_some() {
             control_addresses.push(rpc_address);
@@ -158,7 +165,8 @@
 
     /// Waits for SIGTERM or SIGINT, or for the phase `leaving` in the members, then drains.
     pub async fn run_until_stopped(self) -> Result<(), DaemonError> {
-        let signal_error = |error: std::io::Error| DaemonError(format!("cannot handle signals: {error}"));
+        let signal_error =
+            |error: std::io::Error| DaemonError(format!("cannot handle signals: {error}"));
         let mut terminate = signal(SignalKind::terminate()).map_err(signal_error)?;
         let mut interrupt = signal(SignalKind::interrupt()).map_err(signal_error)?;
         tokio::select! {
@@ -195,20 +203,32 @@
     }
 
     fn register(mut self) -> Self {
-        let member = registration::member(&self.settings, &self.subscriber, self.rpc_address, self.sidecar.as_ref());
+        let member = registration::member(
+            &self.settings,
+            &self.subscriber,
+            self.rpc_address,
+            self.sidecar.as_ref(),
+        );
         let subscriber = Arc::clone(&self.subscriber);
         let stop = self.stop.subscribe();
-        self.tasks.push(tokio::spawn(registration::keep_registered(subscriber, member, stop)));
+        self.tasks.push(tokio::spawn(registration::keep_registered(
+            subscriber, member, stop,
+        )));
         self
     }
 }
 
-async fn start_admin(settings: &Settings, subscriber: &Arc<Subscriber>) -> Result<Server, DaemonError> {
+async fn start_admin(
+    settings: &Settings,
+    subscriber: &Arc<Subscriber>,
+) -> Result<Server, DaemonError> {
     let observed = Arc::clone(subscriber);
-    let readiness = Readiness(Box::new(move || match (observed.is_leaving(), observed.is_ready()) {
-        (true, _) => Err("leaving".to_owned()),
-        (_, false) => Err("the table has not been read since the start".to_owned()),
-        _ => Ok(()),
+    let readiness = Readiness(Box::new(move || {
+        match (observed.is_leaving(), observed.is_ready()) {
+            (true, _) => Err("leaving".to_owned()),
+            (_, false) => Err("the table has not been read since the start".to_owned()),
+            _ => Ok(()),
+        }
     }));
     http::start(settings.admin_address, ADMIN_BODY_LIMIT_BYTES, |rocket| {
         rocket.manage(readiness).mount("/", admin_routes())
--- a/src/roles/daemon/registration.rs
+++ b/src/roles/daemon/registration.rs
@@ -21,7 +21,12 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Returns what this process registers of itself.
-pub(super) fn member(settings: &Settings, subscriber: &Subscriber, rpc_address: SocketAddr, sidecar: Option<&Arc<SidecarRole>>) -> Member {
+pub(super) fn member(
+    settings: &Settings,
+    subscriber: &Subscriber,
+    rpc_address: SocketAddr,
+    sidecar: Option<&Arc<SidecarRole>>,
+) -> Member {
     let me = subscriber.me();
     let roles = [
         settings.entry.is_some().then_some(Role::Entry),
@@ -36,22 +41,34 @@
         zone: settings.zone.clone(),
         rpc_address,
         phase: Phase::Live,
-        upstreams: sidecar.map(|sidecar| sidecar.upstreams()).unwrap_or_default(),
+        upstreams: sidecar
+            .map(|sidecar| sidecar.upstreams())
+            .unwrap_or_default(),
     }
 }
 
 /// Registers this process, and tells control when its upstreams change, until it leaves.
-pub(super) async fn keep_registered(subscriber: Arc<Subscriber>, member: Member, mut stop: watch::Receiver<bool>) {
+pub(super) async fn keep_registered(
+    subscriber: Arc<Subscriber>,
+    member: Member,
+    mut stop: watch::Receiver<bool>,
+) {
     let register = async {
         loop {
-            let command = Command::Register { member: member.clone(), now_ms: unix_ms() };
+            let command = Command::Register {
+                member: member.clone(),
+                now_ms: unix_ms(),
+            };
             match subscriber.submit(&command, REGISTER_LIMIT).await {
                 Ok(Response::Register(RegisterAnswer::Registered(fence))) => {
                     tracing::info!(%fence, "registered");
                     return;
                 }
                 Ok(answer) => {
-                    tracing::error!(?answer, "a newer run of this instance is registered; this one leaves");
+                    tracing::error!(
+                        ?answer,
+                        "a newer run of this instance is registered; this one leaves"
+                    );
                     subscriber.set_leaving();
                     return;
                 }
@@ -73,7 +90,9 @@
         let me = subscriber.me();
         let view = subscriber.view();
         let member = view.members.members.get(&me.name);
-        if member.is_some_and(|member| member.incarnation == me.incarnation && member.phase >= Phase::Leaving) {
+        if member.is_some_and(|member| {
+            member.incarnation == me.incarnation && member.phase >= Phase::Leaving
+        }) {
             return;
         }
         if versions.changed().await.is_err() {
--- a/src/roles/daemon/standalone.rs
+++ b/src/roles/daemon/standalone.rs
@@ -7,7 +7,13 @@
 use crate::settings::Settings;
 
 /// Returns settings for one process with every role, its stand-ins at the given addresses.
-pub fn standalone_settings(entry: SocketAddr, admin: SocketAddr, engine: SocketAddr, service: SocketAddr, data_folder: &Path) -> Result<Settings, Findings> {
+pub fn standalone_settings(
+    entry: SocketAddr,
+    admin: SocketAddr,
+    engine: SocketAddr,
+    service: SocketAddr,
+    data_folder: &Path,
+) -> Result<Settings, Findings> {
     let text = format!(
         "\
 [instance]
--- a/src/roles/entry/mod.rs
+++ b/src/roles/entry/mod.rs
@@ -15,9 +15,15 @@
 
 impl EntryRole {
     /// Starts the entry; fails if its address is in use.
-    pub async fn start(settings: &EntrySettings, subscriber: Arc<Subscriber>) -> Result<Arc<Self>, StartError> {
+    pub async fn start(
+        settings: &EntrySettings,
+        subscriber: Arc<Subscriber>,
+    ) -> Result<Arc<Self>, StartError> {
         let address = settings.http_address;
-        Ok(Arc::new(Self { subscriber, address }))
+        Ok(Arc::new(Self {
+            subscriber,
+            address,
+        }))
     }
 
     /// Returns where callers connect.
--- a/src/roles/subscriber/control_calls.rs
+++ b/src/roles/subscriber/control_calls.rs
@@ -64,21 +64,37 @@
     /// Returns the link to an address, shared by all callers.
     pub fn link(&self, address: SocketAddr) -> Arc<Link<ControlClient>> {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(links.entry(address).or_insert_with(|| control_link(address)))
+        Arc::clone(
+            links
+                .entry(address)
+                .or_insert_with(|| control_link(address)),
+        )
     }
 
     /// Puts a command into the replicated log. Resends it until `limit` has passed; commands are
     /// idempotent.
-    pub async fn submit(&self, stamp: impl Fn() -> Stamp, command: &Command, limit: Duration) -> Result<Response, SubmitError> {
+    pub async fn submit(
+        &self,
+        stamp: impl Fn() -> Stamp,
+        command: &Command,
+        limit: Duration,
+    ) -> Result<Response, SubmitError> {
         self.call(limit, |client, context| {
-            let request = SubmitRequest { stamp: stamp(), command: command.clone() };
+            let request = SubmitRequest {
+                stamp: stamp(),
+                command: command.clone(),
+            };
             async move { client.submit(context, request).await }
         })
         .await
     }
 
     /// Renews leases on slots.
-    pub async fn room(&self, request: &RoomRequest, limit: Duration) -> Result<RoomReply, SubmitError> {
+    pub async fn room(
+        &self,
+        request: &RoomRequest,
+        limit: Duration,
+    ) -> Result<RoomReply, SubmitError> {
         self.call(limit, |client, context| {
             let request = request.clone();
             async move { client.room(context, request).await }
@@ -87,7 +103,11 @@
     }
 
     /// Asks for a permit to load from the weight store, or gives it back.
-    pub async fn permit(&self, request: &PermitRequest, limit: Duration) -> Result<PermitReply, SubmitError> {
+    pub async fn permit(
+        &self,
+        request: &PermitRequest,
+        limit: Duration,
+    ) -> Result<PermitReply, SubmitError> {
         self.call(limit, |client, context| {
             let request = request.clone();
             async move { client.permit(context, request).await }
@@ -137,8 +157,12 @@
                     undecided = true;
                     last_cause = format!("{address} could not decide in time");
                 }
-                Ok(Err(ControlError::Stopped)) => last_cause = format!("control at {address} has stopped"),
-                Ok(Err(ControlError::Invalid { reason })) => return Err(SubmitError::NotSubmitted(reason)),
+                Ok(Err(ControlError::Stopped)) => {
+                    last_cause = format!("control at {address} has stopped");
+                }
+                Ok(Err(ControlError::Invalid { reason })) => {
+                    return Err(SubmitError::NotSubmitted(reason));
+                }
                 Err(CallError::NotSent(cause)) => last_cause = cause,
                 Err(CallError::Lost(cause)) => {
                     undecided = true;
--- a/src/roles/subscriber/subscriber.rs
+++ b/src/roles/subscriber/follow.rs
@@ -50,7 +50,11 @@
 impl Subscriber {
     /// Returns a subscriber over a store. With the control role in this process the store is fed
     /// by the replicated log; otherwise `run` feeds it.
-    pub fn new(settings: SubscriberSettings, store: Arc<ViewStore>, watchers: Watchers) -> Arc<Self> {
+    pub fn new(
+        settings: SubscriberSettings,
+        store: Arc<ViewStore>,
+        watchers: Watchers,
+    ) -> Arc<Self> {
         Arc::new(Self {
             calls: ControlCalls::new(settings.control_addresses.clone()),
             settings,
@@ -100,7 +104,8 @@
     /// Notes the stamp of a peer's message: from now on this process does no new work below the
     /// peer's version.
     pub fn observe(&self, stamp: &Stamp) {
-        self.required_version.fetch_max(stamp.table_version.0, Ordering::SeqCst);
+        self.required_version
+            .fetch_max(stamp.table_version.0, Ordering::SeqCst);
     }
 
     /// Marks this process as leaving in all of its stamps.
@@ -128,25 +133,37 @@
         let required = TableVersion(self.required_version.load(Ordering::SeqCst));
         if self.store.version() < required {
             let mut versions = self.store.versions();
-            let caught_up = timeout(CATCH_UP_LIMIT, versions.wait_for(|version| *version >= required)).await;
+            let caught_up = timeout(
+                CATCH_UP_LIMIT,
+                versions.wait_for(|version| *version >= required),
+            )
+            .await;
             if caught_up.is_err() {
-                return Err(stale(format!("version {required} of the table is in force elsewhere, but not here yet")));
+                return Err(stale(format!(
+                    "version {required} of the table is in force elsewhere, but not here yet"
+                )));
             }
         }
         if !self.is_ready() {
-            return Err(stale("the table has not been read since the start".to_owned()));
+            return Err(stale(
+                "the table has not been read since the start".to_owned(),
+            ));
         }
         let age_ms = self.store.confirmed_age_ms().unwrap_or(u64::MAX);
         match self.settings.stale_policy {
-            StalePolicy::Refuse if age_ms > self.settings.stale_limit_ms => {
-                Err(stale(format!("the table was last confirmed {age_ms} ms ago")))
-            }
+            StalePolicy::Refuse if age_ms > self.settings.stale_limit_ms => Err(stale(format!(
+                "the table was last confirmed {age_ms} ms ago"
+            ))),
             _ => Ok(self.store.view()),
         }
     }
 
     /// Puts a command into the replicated log.
-    pub async fn submit(&self, command: &Command, limit: Duration) -> Result<Response, SubmitError> {
+    pub async fn submit(
+        &self,
+        command: &Command,
+        limit: Duration,
+    ) -> Result<Response, SubmitError> {
         self.calls.submit(|| self.stamp(), command, limit).await
     }
 
@@ -188,7 +205,11 @@
         loop {
             let sent_at_ms = monotonic_ms();
             match self.watch(address, piece).await {
-                Ok(WatchReply::Deltas { stamp, deltas, freshness }) => {
+                Ok(WatchReply::Deltas {
+                    stamp,
+                    deltas,
+                    freshness,
+                }) => {
                     self.set_source(address);
                     self.observe(&stamp);
                     self.store.apply(&deltas);
@@ -198,16 +219,29 @@
                         return None;
                     }
                 }
-                Ok(WatchReply::Snapshot { stamp, version, bytes, next, freshness }) => {
+                Ok(WatchReply::Snapshot {
+                    stamp,
+                    version,
+                    bytes,
+                    next,
+                    freshness,
+                }) => {
                     self.set_source(address);
                     self.observe(&stamp);
-                    pieces.add(version, bytes, piece, confirmed_at_ms(sent_at_ms, freshness));
+                    pieces.add(
+                        version,
+                        bytes,
+                        piece,
+                        confirmed_at_ms(sent_at_ms, freshness),
+                    );
                     piece = next;
-                    if next.is_none() && !self.restore(address, std::mem::take(&mut pieces)) {
+                    if next.is_none() && !self.restore(address, &std::mem::take(&mut pieces)) {
                         return None;
                     }
                 }
-                Ok(WatchReply::Redirect { relay, .. }) => return Some(relay).filter(|relay| *relay != address),
+                Ok(WatchReply::Redirect { relay, .. }) => {
+                    return Some(relay).filter(|relay| *relay != address);
+                }
                 Ok(WatchReply::Unconfirmed { stamp }) => {
                     self.observe(&stamp);
                     return None;
@@ -220,7 +254,11 @@
         }
     }
 
-    async fn watch(&self, address: SocketAddr, piece: Option<SnapshotCursor>) -> Result<WatchReply, CallError> {
+    async fn watch(
+        &self,
+        address: SocketAddr,
+        piece: Option<SnapshotCursor>,
+    ) -> Result<WatchReply, CallError> {
         let version = self.store.version();
         let subtree = self.watchers.subtree(version);
         let request = WatchRequest {
@@ -232,7 +270,10 @@
             hold_ms: HOLD_MS,
         };
         let link = self.calls.link(address);
-        link.call(WATCH_LIMIT, |client, context| async move { client.watch(context, request).await }).await
+        link.call(WATCH_LIMIT, |client, context| async move {
+            client.watch(context, request).await
+        })
+        .await
     }
 
     /// Confirms the applied view if it is at least as new as what the source had applied.
@@ -242,7 +283,7 @@
         }
     }
 
-    fn restore(&self, address: SocketAddr, pieces: Pieces) -> bool {
+    fn restore(&self, address: SocketAddr, pieces: &Pieces) -> bool {
         match decode::<View>(&pieces.bytes) {
             Ok(view) => {
                 let version = view.version;
@@ -272,13 +313,23 @@
 
 impl Pieces {
     /// Adds a piece; one of another version, or without a cursor, starts again.
-    fn add(&mut self, version: TableVersion, bytes: Vec<u8>, cursor: Option<SnapshotCursor>, confirmed_at_ms: u64) {
+    fn add(
+        &mut self,
+        version: TableVersion,
+        bytes: Vec<u8>,
+        cursor: Option<SnapshotCursor>,
+        confirmed_at_ms: u64,
+    ) {
         if cursor.is_some_and(|cursor| cursor.version == version && self.version == version) {
             self.bytes.extend(bytes);
             return;
         }
         // Later pieces do not renew the confirmation: the source may have moved on meanwhile.
-        *self = Self { version, bytes, confirmed_at_ms };
+        *self = Self {
+            version,
+            bytes,
+            confirmed_at_ms,
+        };
     }
 }
 
--- a/src/roles/subscriber/watchers.rs
+++ b/src/roles/subscriber/watchers.rs
@@ -45,24 +45,30 @@
 /// The watchers of one process.
 #[derive(Default)]
 pub struct Watchers {
-    watchers: Mutex<BTreeMap<InstanceName, Watcher>>,
+    active: Mutex<BTreeMap<InstanceName, Watcher>>,
     snapshot: Mutex<Option<(TableVersion, Vec<u8>)>>,
-    max_watchers: Option<usize>,
+    limit: Option<usize>,
 }
 
 impl Watchers {
     /// Returns watchers with another limit than `MAX_WATCHERS`.
     pub fn with_limit(max_watchers: usize) -> Self {
-        Self { max_watchers: Some(max_watchers), ..Self::default() }
+        Self {
+            limit: Some(max_watchers),
+            ..Self::default()
+        }
     }
 
     /// Returns the lowest version and the number of processes in the subtree of `own`, itself
     /// included.
     pub fn subtree(&self, own: TableVersion) -> Subtree {
         let now_ms = monotonic_ms();
-        let mut watchers = self.watchers.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut watchers = self.active.lock().unwrap_or_else(PoisonError::into_inner);
         watchers.retain(|_, watcher| now_ms < watcher.seen_at_ms + WATCHER_LIMIT_MS);
-        let start = Subtree { version: own, count: 1 };
+        let start = Subtree {
+            version: own,
+            count: 1,
+        };
         watchers.values().fold(start, |sum, watcher| Subtree {
             version: sum.version.min(watcher.subtree.version),
             count: sum.count + watcher.subtree.count,
@@ -72,34 +78,48 @@
     /// Notes a watcher and returns true, or returns false if there are enough others.
     fn admit(&self, request: &WatchRequest) -> bool {
         let now_ms = monotonic_ms();
-        let mut watchers = self.watchers.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut watchers = self.active.lock().unwrap_or_else(PoisonError::into_inner);
         watchers.retain(|_, watcher| now_ms < watcher.seen_at_ms + WATCHER_LIMIT_MS);
         let name = &request.stamp.sender.name;
-        if !watchers.contains_key(name) && watchers.len() >= self.max_watchers.unwrap_or(MAX_WATCHERS) {
+        if !watchers.contains_key(name) && watchers.len() >= self.limit.unwrap_or(MAX_WATCHERS) {
             return false;
         }
         let subtree = Subtree {
             version: request.subtree_version,
             count: request.subtree_count,
         };
-        watchers.insert(name.clone(), Watcher { seen_at_ms: now_ms, subtree });
+        watchers.insert(
+            name.clone(),
+            Watcher {
+                seen_at_ms: now_ms,
+                subtree,
+            },
+        );
         true
     }
 
     /// Returns the watcher with the smallest subtree, preferring the zone of the asker.
     fn relay_for(&self, view: &View, asker: &InstanceName) -> Option<SocketAddr> {
         let zone = view.members.members.get(asker).map(|member| &member.zone);
-        let watchers = self.watchers.lock().unwrap_or_else(PoisonError::into_inner);
+        let watchers = self.active.lock().unwrap_or_else(PoisonError::into_inner);
         let candidates = watchers.iter().filter_map(|(name, watcher)| {
             let member = view.members.members.get(name)?;
             let usable = name != asker && member.phase == Phase::Live;
-            usable.then_some((Some(&member.zone) != zone, watcher.subtree.count, member.rpc_address))
+            usable.then_some((
+                Some(&member.zone) != zone,
+                watcher.subtree.count,
+                member.rpc_address,
+            ))
         });
         candidates.min().map(|(_, _, address)| address)
     }
 
     /// Returns a piece of the encoded view, made once per version.
-    fn piece(&self, view: &View, cursor: Option<SnapshotCursor>) -> Option<(TableVersion, Vec<u8>, Option<SnapshotCursor>)> {
+    fn piece(
+        &self,
+        view: &View,
+        cursor: Option<SnapshotCursor>,
+    ) -> Option<(TableVersion, Vec<u8>, Option<SnapshotCursor>)> {
         let mut snapshot = self.snapshot.lock().unwrap_or_else(PoisonError::into_inner);
         let stale = match (&*snapshot, cursor) {
             (Some((version, _)), Some(cursor)) => *version != cursor.version,
@@ -112,7 +132,9 @@
         let (version, bytes) = snapshot.as_ref()?;
         // A cursor into a snapshot that is no longer kept starts again.
         let offset = match cursor {
-            Some(cursor) if cursor.version == *version => usize::try_from(cursor.offset_bytes).ok()?.min(bytes.len()),
+            Some(cursor) if cursor.version == *version => {
+                usize::try_from(cursor.offset_bytes).ok()?.min(bytes.len())
+            }
             _ => 0,
         };
         let end = bytes.len().min(offset + PIECE_BYTES);
@@ -125,12 +147,20 @@
 }
 
 /// Answers a watch: deltas as soon as there are some, else an empty answer after the hold time.
-pub async fn answer_watch(store: &ViewStore, watchers: &Watchers, stamp: impl Fn() -> Stamp, request: WatchRequest) -> WatchReply {
+pub async fn answer_watch(
+    store: &ViewStore,
+    watchers: &Watchers,
+    stamp: impl Fn() -> Stamp,
+    request: WatchRequest,
+) -> WatchReply {
     let received_at_ms = monotonic_ms();
     if !watchers.admit(&request) {
         let relay = watchers.relay_for(&store.view(), &request.stamp.sender.name);
         if let Some(relay) = relay {
-            return WatchReply::Redirect { stamp: stamp(), relay };
+            return WatchReply::Redirect {
+                stamp: stamp(),
+                relay,
+            };
         }
     }
     let hold = Duration::from_millis(request.hold_ms.min(MAX_HOLD_MS));
@@ -143,7 +173,10 @@
     if store.version() < request.known_version {
         return WatchReply::Unconfirmed { stamp: stamp() };
     }
-    let Some(confirmed_age_ms) = store.confirmed_age_ms().filter(|age_ms| *age_ms <= RELAY_LIMIT_MS) else {
+    let Some(confirmed_age_ms) = store
+        .confirmed_age_ms()
+        .filter(|age_ms| *age_ms <= RELAY_LIMIT_MS)
+    else {
         return WatchReply::Unconfirmed { stamp: stamp() };
     };
     let freshness = Freshness {
@@ -152,9 +185,19 @@
     };
     let known = request.known_version != TableVersion::default() && request.piece.is_none();
     match store.deltas_since(request.known_version) {
-        Some(deltas) if known || deltas.is_empty() => WatchReply::Deltas { stamp: stamp(), deltas, freshness },
+        Some(deltas) if known || deltas.is_empty() => WatchReply::Deltas {
+            stamp: stamp(),
+            deltas,
+            freshness,
+        },
         _ => match watchers.piece(&store.view(), request.piece) {
-            Some((version, bytes, next)) => WatchReply::Snapshot { stamp: stamp(), version, bytes, next, freshness },
+            Some((version, bytes, next)) => WatchReply::Snapshot {
+                stamp: stamp(),
+                version,
+                bytes,
+                next,
+                freshness,
+            },
             None => WatchReply::Unconfirmed { stamp: stamp() },
         },
     }
