Add the daemon's command line and example settings of both sites

Cause: the daemon had no program, and the settings of the two sites were not written down. Conclusion: settings cover both layouts.

--- a/src/bin/lilacspindled/main.rs
+++ b/src/bin/lilacspindled/main.rs
@@ -1,3 +1,71 @@
-//! Placeholder.
+//! The daemon: runs the roles that its settings name.
 
-fn main() {}
+mod cli;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use lilacspindle::adapters::telemetry::init_logs;
+use lilacspindle::findings::Findings;
+use lilacspindle::roles::daemon::{Daemon, standalone_settings};
+use lilacspindle::settings::Settings;
+
+use cli::{Cli, Command, Standalone};
+
+/// Exit code for wrong settings or arguments.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let (settings, standalone) = match cli.command {
+        Command::Run { settings } => (Settings::load(&settings), false),
+        Command::Standalone(options) => (standalone(&options), true),
+    };
+    let settings = match settings {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    init_logs(&settings.log_filter);
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start threads: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run(settings, standalone)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(%error, "daemon failed");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(settings: Settings, standalone: bool) -> Result<(), Box<dyn std::error::Error>> {
+    let daemon = Daemon::start(settings).await?;
+    tracing::info!(
+        rpc = %daemon.rpc_address(),
+        admin = %daemon.admin_address(),
+        entry = ?daemon.entry_address(),
+        "started"
+    );
+    if standalone {
+        daemon.create_first_rows().await?;
+    }
+    daemon.run_until_stopped().await?;
+    Ok(())
+}
+
+fn standalone(options: &Standalone) -> Result<Settings, Findings> {
+    standalone_settings(
+        options.entry_address,
+        options.admin_address,
+        options.engine_address,
+        options.service_address,
+        &options.data_folder,
+    )
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings: every fault of a file is reported at once, each with its place.
 
+use std::path::Path;
+
 use lilacspindle::settings::Settings;
 
 const SIX_FAULTS: &str = "\
@@ -33,3 +35,23 @@
     }
     assert_eq!(findings.0.len(), 6, "{text}");
 }
+
+/// Guards against example settings that the program no longer reads.
+#[test]
+fn examples_of_both_sites_are_valid() {
+    let mut checked = 0;
+    for site in ["chalkline", "atlas-pneus"] {
+        let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples").join(site);
+        for file in std::fs::read_dir(folder).unwrap() {
+            let path = file.unwrap().path();
+            if path.file_name().unwrap() == "table.ini" {
+                continue;
+            }
+            if let Err(findings) = Settings::load(&path) {
+                panic!("{findings}");
+            }
+            checked += 1;
+        }
+    }
+    assert_eq!(checked, 16);
+}
