Test the state machine and the ledger in randomised runs

Cause: the state machine had no tests; an edit that changes one row twice was answered as a conflict although it is malformed. Change: randomised runs against simple models with resent commands and restores; an edit with a repeated row is refused as invalid.

--- a/src/domain/table/edits.rs
+++ b/src/domain/table/edits.rs
@@ -110,7 +110,9 @@
         members: &Members,
         current: TableVersion,
     ) -> Result<Vec<RowAudit>, EditRefusal> {
-        if let Some(conflict) = self.conflict(edit, table) {
+        // What an edit depends on is only defined if each row has one change.
+        let is_ambiguous = has_repeated_key(edit);
+        if !is_ambiguous && let Some(conflict) = self.conflict(edit, table) {
             return Err(conflict);
         }
         let mut findings = validate(edit, table, members);
@@ -234,6 +236,11 @@
     EditRefusal::Invalid(findings)
 }
 
+fn has_repeated_key(edit: Edit) -> bool {
+    let mut seen = BTreeSet::new();
+    !edit.changes.iter().all(|change| seen.insert(&change.key))
+}
+
 /// Returns the rows that an edit touches or whose content decides whether it is valid.
 fn dependencies(edit: Edit, table: &Table) -> BTreeSet<RowKey> {
     let mut keys = BTreeSet::new();
--- /dev/null
+++ b/tests/ledger_random.rs
@@ -0,0 +1,204 @@
+//! Randomised runs of the claims against a simple model, and the parser of keys.
+
+mod state_support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lilacspindle::domain::ledger::{KeyError, parse_key};
+use lilacspindle::domain::state::{
+    ClaimAnswer, ClaimRefusal, Claimed, Command, KeyId, Response, State,
+};
+use lilacspindle::model::GenerationId;
+use state_support::{Source, seeds};
+
+const WINDOW_MS: u64 = 600_000;
+
+/// Forgets nothing.
+#[derive(Default)]
+struct Model {
+    now_ms: u64,
+    granted: BTreeMap<KeyId, Claimed>,
+    finished: BTreeSet<KeyId>,
+    released: BTreeSet<(KeyId, GenerationId)>,
+    fingerprints: BTreeMap<KeyId, u64>,
+}
+
+impl Model {
+    fn is_kept(&self, key: &KeyId) -> bool {
+        let age_ms = self.now_ms.saturating_sub(key.created_at_ms);
+        age_ms <= WINDOW_MS && key.created_at_ms <= self.now_ms + 60_000
+    }
+
+    fn holds(&self, key: &KeyId, generation: GenerationId) -> bool {
+        let holder = self.granted.get(key);
+        holder.is_some_and(|holder| holder.generation == generation)
+    }
+
+    fn claim(&mut self, key: &KeyId, fingerprint: u64, claimed: &Claimed) -> ClaimAnswer {
+        if key.created_at_ms > self.now_ms + 60_000 {
+            return ClaimAnswer::Refused(ClaimRefusal::Future);
+        }
+        if !self.is_kept(key) {
+            return ClaimAnswer::Refused(ClaimRefusal::Expired);
+        }
+        if self
+            .fingerprints
+            .get(key)
+            .is_some_and(|first| *first != fingerprint)
+        {
+            return ClaimAnswer::Refused(ClaimRefusal::OtherBody);
+        }
+        if self.released.contains(&(key.clone(), claimed.generation)) {
+            return ClaimAnswer::Refused(ClaimRefusal::Released);
+        }
+        let finished = self.finished.contains(key);
+        match self.granted.get(key) {
+            Some(holder) if holder == claimed && !finished => ClaimAnswer::Granted,
+            Some(holder) => ClaimAnswer::Held {
+                claimed: holder.clone(),
+                finished,
+            },
+            None => {
+                self.granted.insert(key.clone(), claimed.clone());
+                self.fingerprints.insert(key.clone(), fingerprint);
+                ClaimAnswer::Granted
+            }
+        }
+    }
+
+    fn apply(&mut self, command: &Command) -> Option<ClaimAnswer> {
+        self.now_ms = self.now_ms.max(command.now_ms());
+        match command {
+            Command::Claim {
+                key,
+                fingerprint,
+                claimed,
+                ..
+            } => {
+                return Some(self.claim(key, *fingerprint, claimed));
+            }
+            Command::Finish {
+                key, generation, ..
+            } if self.is_kept(key) && self.holds(key, *generation) => {
+                self.finished.insert(key.clone());
+            }
+            Command::Release {
+                key, generation, ..
+            } if self.is_kept(key) => {
+                let holds = self.holds(key, *generation);
+                if holds && self.finished.contains(key) {
+                    return None;
+                }
+                if holds {
+                    self.granted.remove(key);
+                }
+                self.released.insert((key.clone(), *generation));
+            }
+            _ => {}
+        }
+        None
+    }
+}
+
+/// Guards against a second generation under one key, a forgotten or revived claim, and a clock
+/// that runs backwards, over duplicates, reordering and restores.
+#[test]
+fn claims_match_the_model() {
+    let (mut grants, mut held) = (0, 0);
+    for seed in seeds() {
+        let mut source = Source::new(seed);
+        let (mut state, mut model) = (State::default(), Model::default());
+        let mut delayed: Vec<Command> = Vec::new();
+        // Per key, the generation that was granted last and not released since.
+        let mut running: BTreeMap<KeyId, GenerationId> = BTreeMap::new();
+        for index in 1..=4_000 {
+            source.now_ms += if source.chance(1) { 90_000 } else { 300 };
+            let mut command = source.ledger_command();
+            if source.chance(30) && !delayed.is_empty() {
+                let position = usize::try_from(index).unwrap() % delayed.len();
+                command = delayed[position].clone();
+            }
+            if source.chance(2) {
+                state = State::restore(&state.snapshot()).unwrap();
+            }
+            let (response, _) = state.apply(index, &command);
+            let expected = model.apply(&command);
+            match (&command, response) {
+                (Command::Claim { key, claimed, .. }, Response::Claim(answer)) => {
+                    assert_eq!(Some(&answer), expected.as_ref(), "seed {seed}: {command:?}");
+                    held += usize::from(matches!(answer, ClaimAnswer::Held { .. }));
+                    if answer == ClaimAnswer::Granted {
+                        grants += 1;
+                        let first = running.insert(key.clone(), claimed.generation);
+                        let alone = first.is_none_or(|first| first == claimed.generation);
+                        assert!(alone, "seed {seed}: two generations run under {key:?}");
+                    }
+                }
+                (
+                    Command::Release {
+                        key, generation, ..
+                    },
+                    _,
+                ) => {
+                    let ended = model.finished.contains(key);
+                    if !ended && running.get(key) == Some(generation) {
+                        running.remove(key);
+                    }
+                }
+                _ => {}
+            }
+            delayed.push(command);
+            if delayed.len() > 60 {
+                delayed.remove(0);
+            }
+        }
+        let kept = model
+            .fingerprints
+            .keys()
+            .filter(|key| model.is_kept(key))
+            .count();
+        assert!(
+            state.ledger().len() >= kept,
+            "seed {seed}: a claim was forgotten"
+        );
+    }
+    assert!(
+        grants > 1_000 && held > 1_000,
+        "{grants} grants, {held} held"
+    );
+}
+
+/// Guards against a key that is read with a wrong time, or accepted without one.
+#[test]
+fn key_times() {
+    let parse = |text: &str| parse_key(&"w".into(), text).map(|key| key.created_at_ms);
+    assert_eq!(
+        parse("017F22E2-79B0-7CC3-98C4-DC0C0C07398F"),
+        Ok(0x017F_22E2_79B0)
+    );
+    assert_eq!(parse("1700000000000-scan-7"), Ok(1_700_000_000_000));
+    assert_eq!(
+        parse("919108f7-52d1-4320-9bac-f847db4148a8"),
+        Err(KeyError::WrongUuidVersion)
+    );
+    assert_eq!(
+        parse("17000000-0000-4000-8000-000000000000"),
+        Err(KeyError::WrongUuidVersion)
+    );
+    assert_eq!(parse(""), Err(KeyError::Empty));
+    assert_eq!(parse("1700000000-seconds"), Err(KeyError::NoTime));
+    assert_eq!(parse("1700000000000-"), Err(KeyError::NoTime));
+    assert_eq!(parse("+700000000000-x"), Err(KeyError::NoTime));
+    assert_eq!(
+        parse("1700000000000-a b"),
+        Err(KeyError::BadCharacter { offset: 15 })
+    );
+    assert_eq!(
+        parse(&"1".repeat(129)),
+        Err(KeyError::TooLong { bytes: 129 })
+    );
+    quickcheck::quickcheck(
+        (|text: String| parse_key(&"w".into(), &text).is_ok() <= text.is_ascii())
+            as fn(String) -> bool,
+    );
+}
--- /dev/null
+++ b/tests/state_support/mod.rs
@@ -0,0 +1,232 @@
+//! Random commands over few names, so that edits, claims and registrations collide often.
+#![allow(dead_code)]
+
+use lilacspindle::domain::members::{Member, Phase, Role, Serves, UpstreamInfo};
+use lilacspindle::domain::state::{Claimed, Command, EditId, KeyId, RowChange};
+use lilacspindle::domain::table::{
+    KindRow, LimitRow, ModelRow, Row, RowKey, ServiceRow, Target, WorkspaceRow,
+};
+use lilacspindle::model::{
+    Fence, GenerationId, Incarnation, InstanceName, InstanceRef, ModelName, TableVersion,
+    WorkspaceName,
+};
+use lilacspindle::rpc::sidecar::Lane;
+use rand::prelude::*;
+
+/// The seeds of a run: fixed ones, or as many as `LILAC_SEEDS` says.
+pub fn seeds() -> std::ops::Range<u64> {
+    let count = std::env::var("LILAC_SEEDS").ok();
+    0..count.and_then(|text| text.parse().ok()).unwrap_or(12)
+}
+
+pub struct Source {
+    pub rng: StdRng,
+    pub now_ms: u64,
+    edits: u64,
+}
+
+impl Source {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            now_ms: 1_700_000_000_000,
+            edits: 0,
+        }
+    }
+
+    pub fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    /// A proposer's clock, which runs up to 2 s behind the others.
+    pub fn proposed_ms(&mut self) -> u64 {
+        self.now_ms - self.rng.random_range(0..2_000)
+    }
+
+    fn pick(&mut self, names: &[&str]) -> String {
+        (*names.choose(&mut self.rng).unwrap()).to_owned()
+    }
+
+    fn workspace(&mut self) -> WorkspaceName {
+        self.pick(&["a", "b", "c", "d"]).as_str().into()
+    }
+
+    fn model(&mut self) -> ModelName {
+        self.pick(&["m", "n"]).as_str().into()
+    }
+
+    fn version(&mut self) -> String {
+        self.pick(&["1", "2", "3"])
+    }
+
+    pub fn row_key(&mut self) -> RowKey {
+        match self.rng.random_range(0..10) {
+            0..=3 => RowKey::Workspace(self.workspace()),
+            4 => RowKey::Kind(None, self.pick(&["k", "l"]).as_str().into()),
+            5..=6 => {
+                let workspace = self.workspace();
+                RowKey::Kind(Some(workspace), self.pick(&["k", "l"]).as_str().into())
+            }
+            7 => RowKey::Model(self.model()),
+            8 => RowKey::Service(self.pick(&["s", "t"]).as_str().into()),
+            _ => RowKey::Limit(self.pick(&["x", "bad name"])),
+        }
+    }
+
+    fn row(&mut self, key: &RowKey) -> Row {
+        match key {
+            RowKey::Workspace(_) => Row::Workspace(WorkspaceRow {
+                weight: self.rng.random_range(0..9),
+                room_slots: self.chance(50).then_some(3),
+                api_key_sha256: self.chance(30).then(|| self.pick(&["0", "1"]).repeat(64)),
+                max_tokens: 100,
+            }),
+            RowKey::Kind(..) => Row::Kind(KindRow {
+                lane: Lane::Small,
+                repeatable: self.chance(50),
+                room_slots: None,
+                deadline_ms: self.rng.random_range(0..9),
+                target: if self.chance(50) {
+                    Target::Model(self.model())
+                } else {
+                    Target::Service(self.pick(&["s", "t"]).as_str().into())
+                },
+            }),
+            RowKey::Model(_) => Row::Model(ModelRow {
+                version: self.version(),
+                prepare_version: None,
+                adapter: None,
+            }),
+            RowKey::Service(_) => Row::Service(ServiceRow {
+                repeatable: self.chance(50),
+                deadline_ms: 5,
+            }),
+            RowKey::Limit(_) => Row::Limit(LimitRow {
+                value: self.rng.random_range(0..3),
+            }),
+        }
+    }
+
+    pub fn edit(&mut self, current: TableVersion) -> Command {
+        self.edits += 1;
+        let count = self.rng.random_range(1..4);
+        let changes = (0..count)
+            .map(|_| {
+                let key = self.row_key();
+                let deleted = self.chance(25);
+                let row = (!deleted).then(|| self.row(&key));
+                RowChange { key, row }
+            })
+            .collect();
+        let behind = self.rng.random_range(0..12) * u64::from(self.chance(50));
+        Command::Edit {
+            id: EditId(format!("e{}", self.edits)),
+            author: self.pick(&["ann", "bob"]),
+            base: TableVersion(current.0.saturating_sub(behind)),
+            changes,
+            now_ms: self.proposed_ms(),
+        }
+    }
+
+    pub fn claimed(&mut self) -> Claimed {
+        Claimed {
+            generation: GenerationId(self.rng.random_range(0..40)),
+            sidecar: self.instance(),
+        }
+    }
+
+    pub fn key(&mut self) -> KeyId {
+        let spread = self.rng.random_range(0..12);
+        // From 100 s beyond the kept window to 60 s beyond the allowed future.
+        let created_at_ms = (self.now_ms / 60_000 + 3) * 60_000 - spread * 70_000;
+        KeyId {
+            workspace: self.workspace(),
+            key: format!("{created_at_ms}-{}", self.rng.random_range(0..2)),
+            created_at_ms,
+        }
+    }
+
+    pub fn ledger_command(&mut self) -> Command {
+        let (key, claimed, now_ms) = (self.key(), self.claimed(), self.proposed_ms());
+        let generation = claimed.generation;
+        match self.rng.random_range(0..6) {
+            0 => Command::Finish {
+                key,
+                generation,
+                now_ms,
+            },
+            1 => Command::Release {
+                key,
+                generation,
+                now_ms,
+            },
+            _ => Command::Claim {
+                key,
+                fingerprint: u64::from(self.chance(10)),
+                claimed,
+                now_ms,
+            },
+        }
+    }
+
+    pub fn instance(&mut self) -> InstanceRef {
+        InstanceRef {
+            name: InstanceName::from(self.pick(&["i", "j", "k"]).as_str()),
+            incarnation: Incarnation(self.rng.random_range(0..6)),
+        }
+    }
+
+    fn upstreams(&mut self) -> Vec<UpstreamInfo> {
+        let count = self.rng.random_range(0..3);
+        (0..count)
+            .map(|number| UpstreamInfo {
+                name: format!("u{number}").as_str().into(),
+                serves: Serves::Model(self.model()),
+                versions: vec![self.version()],
+            })
+            .collect()
+    }
+
+    pub fn member_command(&mut self) -> Command {
+        let (instance, now_ms) = (self.instance(), self.proposed_ms());
+        match self.rng.random_range(0..4) {
+            0 => {
+                let phases = [Phase::Live, Phase::Leaving, Phase::Gone];
+                let phase = *phases.choose(&mut self.rng).unwrap();
+                Command::SetPhase {
+                    instance,
+                    phase,
+                    now_ms,
+                }
+            }
+            1 => Command::SetUpstreams {
+                instance,
+                upstreams: self.upstreams(),
+                now_ms,
+            },
+            _ => Command::Register {
+                member: Member {
+                    name: instance.name,
+                    incarnation: instance.incarnation,
+                    fence: Fence(0),
+                    roles: vec![Role::Sidecar],
+                    zone: "z".into(),
+                    rpc_address: ([127, 0, 0, 1], 1).into(),
+                    phase: Phase::Live,
+                    upstreams: self.upstreams(),
+                },
+                now_ms,
+            },
+        }
+    }
+
+    /// Any command; time goes on, sometimes by minutes.
+    pub fn command(&mut self, current: TableVersion) -> Command {
+        self.now_ms += if self.chance(2) { 200_000 } else { 500 };
+        match self.rng.random_range(0..10) {
+            0..=4 => self.edit(current),
+            5..=7 => self.ledger_command(),
+            _ => self.member_command(),
+        }
+    }
+}
