Test members in randomised runs and the merge with a lagging list

Cause: registrations, phases and the merge had no tests. Change: randomised runs against a model that forgets nothing, and cases of a lagging list.

--- /dev/null
+++ b/tests/members_random.rs
@@ -0,0 +1,227 @@
+//! Randomised runs of members against a simple model, and the merge with the platform's list.
+
+mod state_support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lilacspindle::domain::members::{
+    CLOCK_MARGIN_MS, GONE_KEPT_MS, Phase, PlatformInstance, PlatformList, merge,
+};
+use lilacspindle::domain::state::{Command, RegisterAnswer, Response, State};
+use lilacspindle::model::{Fence, InstanceRef};
+use rand::prelude::*;
+use state_support::{Source, seeds};
+
+/// Remembers every incarnation for good; at most six of them exist per instance.
+#[derive(Default)]
+struct Model {
+    current: BTreeMap<String, (InstanceRef, Fence, Phase)>,
+    retired: BTreeSet<InstanceRef>,
+}
+
+impl Model {
+    fn register(&mut self, instance: &InstanceRef, index: u64) -> RegisterAnswer {
+        let name = instance.name.to_string();
+        match self.current.get(&name) {
+            _ if self.retired.contains(instance) => return RegisterAnswer::Replaced,
+            Some((old, _, Phase::Gone)) if old == instance => return RegisterAnswer::Replaced,
+            Some((old, fence, _)) if old == instance => return RegisterAnswer::Registered(*fence),
+            Some((old, ..)) => {
+                self.retired.insert(old.clone());
+            }
+            None => {}
+        }
+        let entry = (instance.clone(), Fence(index), Phase::Live);
+        self.current.insert(name, entry);
+        RegisterAnswer::Registered(Fence(index))
+    }
+
+    fn set_phase(&mut self, instance: &InstanceRef, phase: Phase) {
+        match self.current.get_mut(instance.name.as_str()) {
+            Some((current, _, old)) if current == instance => *old = phase.max(*old),
+            _ => {}
+        }
+    }
+}
+
+/// Guards against a replaced incarnation that comes back, a fence that falls, and a phase that
+/// falls within an incarnation.
+#[test]
+fn members_match_the_model() {
+    let (mut registered, mut replaced) = (0, 0);
+    for seed in seeds() {
+        let mut source = Source::new(seed);
+        let (mut state, mut model) = (State::default(), Model::default());
+        for index in 1..=400 {
+            source.now_ms += if source.chance(3) { 300_000 } else { 100 };
+            // The model never forgets, and six incarnations per name are soon used up.
+            if source.chance(1) {
+                (state, model) = (State::default(), Model::default());
+            }
+            if source.chance(5) {
+                state = State::restore(&state.snapshot()).unwrap();
+            }
+            let command = source.member_command();
+            let (response, _) = state.apply(index, &command);
+            match &command {
+                Command::Register { member, .. } => {
+                    let instance = InstanceRef {
+                        name: member.name.clone(),
+                        incarnation: member.incarnation,
+                    };
+                    let expected = model.register(&instance, index);
+                    registered += usize::from(expected == RegisterAnswer::Registered(Fence(index)));
+                    replaced += usize::from(expected == RegisterAnswer::Replaced);
+                    assert_eq!(response, Response::Register(expected), "seed {seed}");
+                }
+                Command::SetPhase {
+                    instance, phase, ..
+                } => model.set_phase(instance, *phase),
+                _ => {}
+            }
+            for member in state.view().members.members.values() {
+                let (current, fence, phase) = &model.current[member.name.as_str()];
+                assert_eq!(member.incarnation, current.incarnation, "seed {seed}");
+                assert_eq!(
+                    (member.fence, member.phase),
+                    (*fence, *phase),
+                    "seed {seed}"
+                );
+            }
+            let alive = model
+                .current
+                .values()
+                .filter(|(.., phase)| *phase != Phase::Gone);
+            for (instance, ..) in alive {
+                let members = &state.view().members.members;
+                assert!(
+                    members.contains_key(&instance.name),
+                    "seed {seed}: {instance:?} is lost"
+                );
+            }
+        }
+    }
+    assert!(
+        registered > 100 && replaced > 100,
+        "{registered} registered, {replaced} replaced"
+    );
+}
+
+fn register(state: &mut State, index: u64, name: &str, now_ms: u64) {
+    let mut source = Source::new(index);
+    let member = loop {
+        if let Command::Register { member, .. } = source.member_command() {
+            break member;
+        }
+    };
+    let member = lilacspindle::domain::members::Member {
+        name: name.into(),
+        ..member
+    };
+    state.apply(index, &Command::Register { member, now_ms });
+}
+
+/// Guards against a late list that removes an instance which registered after it was made, a
+/// leaving instance that is taken for live, and members that stay for ever.
+#[test]
+fn a_lagging_list_removes_only_what_it_can_know() {
+    let mut state = State::default();
+    let made_at_ms = 1_000_000;
+    for (index, name, now_ms) in [
+        (1, "old", 1_000),
+        (2, "leaving", 1_000),
+        (3, "kept", 1_000),
+        (4, "just", made_at_ms - CLOCK_MARGIN_MS),
+        (5, "new", made_at_ms + 1),
+        (6, "restarted", made_at_ms + 1),
+    ] {
+        register(&mut state, index, name, now_ms);
+    }
+    let list = PlatformList {
+        made_at_ms,
+        instances: [
+            ("leaving".into(), PlatformInstance::Leaving),
+            ("kept".into(), PlatformInstance::Live),
+            ("restarted".into(), PlatformInstance::Leaving),
+        ]
+        .into(),
+    };
+    let commands =
+        |state: &State, now_ms| merge(&state.view().members, state.registry(), &list, now_ms);
+    let first = commands(&state, made_at_ms + 50);
+    for (index, command) in (10..).zip(&first) {
+        state.apply(index, command);
+    }
+    let phases = |state: &State| -> Vec<(String, Phase)> {
+        let members = state.view().members.members.values();
+        members
+            .map(|member| (member.name.to_string(), member.phase))
+            .collect()
+    };
+    let expected = [
+        ("just", Phase::Live),
+        ("kept", Phase::Live),
+        ("leaving", Phase::Leaving),
+        ("new", Phase::Live),
+        ("old", Phase::Gone),
+        ("restarted", Phase::Live),
+    ];
+    let expected = expected.map(|(name, phase)| (name.to_owned(), phase));
+    assert_eq!(phases(&state), expected);
+    assert_eq!(
+        commands(&state, made_at_ms + 60),
+        [],
+        "a second merge changes nothing"
+    );
+    register(&mut state, 30, "later", made_at_ms + 50 + GONE_KEPT_MS);
+    let names: Vec<_> = phases(&state).into_iter().map(|(name, _)| name).collect();
+    assert_eq!(
+        names,
+        ["just", "kept", "later", "leaving", "new", "restarted"]
+    );
+}
+
+/// Guards against merges that lower a phase or touch a former incarnation, for any list.
+#[test]
+fn merges_only_raise_phases() {
+    for seed in seeds() {
+        let mut source = Source::new(seed);
+        let mut state = State::default();
+        for index in 1..=300 {
+            source.now_ms += 20_000;
+            let mut commands = vec![source.member_command()];
+            if source.chance(30) {
+                let names = ["i", "j", "k"].into_iter().filter(|_| source.rng.random());
+                let names: Vec<_> = names.collect();
+                let list = PlatformList {
+                    made_at_ms: source.now_ms - source.rng.random_range(0..200_000),
+                    instances: names
+                        .into_iter()
+                        .map(|name| (name.into(), PlatformInstance::Leaving))
+                        .collect(),
+                };
+                commands = merge(
+                    &state.view().members,
+                    state.registry(),
+                    &list,
+                    source.now_ms,
+                );
+                for command in &commands {
+                    let Command::SetPhase {
+                        instance, phase, ..
+                    } = command
+                    else {
+                        panic!("not a phase: {command:?}");
+                    };
+                    let member = &state.view().members.members[&instance.name];
+                    assert!(member.phase < *phase && member.incarnation == instance.incarnation);
+                    let registered_at_ms = state.registry().registered_at_ms(&instance.name);
+                    assert!(registered_at_ms < Some(list.made_at_ms), "seed {seed}");
+                }
+            }
+            for (offset, command) in (0..).zip(&commands) {
+                state.apply(index * 10 + offset, command);
+            }
+        }
+    }
+}
