Document and check every setting; start the stand-ins in the daemon

Cause: settings were described nowhere, and library log lines drowned those of the daemon. Change: docs/configuration.md with a test that compares it with the keys that the parser asks for; library logs below error are filtered; the daemon starts the stand-ins and creates first rows.

--- a/src/adapters/telemetry/mod.rs
+++ b/src/adapters/telemetry/mod.rs
@@ -5,13 +5,18 @@
 use prometheus::{Encoder, IntCounterVec, Opts, Registry, TextEncoder};
 use tracing_subscriber::EnvFilter;
 
+/// Libraries log each request and each setting of theirs; only their errors are of use here. The
+/// filter from the settings comes after it and may override it.
+const LIBRARY_FILTER: &str = "rocket=error,tarpc=error,hyper=error";
+
 static INVARIANTS: OnceLock<IntCounterVec> = OnceLock::new();
 
 /// Starts logging as JSON lines to standard error. `filter` has the syntax of `tracing`'s filters.
 ///
 /// A second call in the same process has no effect.
 pub fn init_logs(filter: &str) {
-    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    let filter = EnvFilter::try_new(format!("{LIBRARY_FILTER},{filter}"))
+        .unwrap_or_else(|_| EnvFilter::new(format!("{LIBRARY_FILTER},info")));
     // A test process may initialise logs several times; the first one wins.
     let _ = tracing_subscriber::fmt()
         .json()
--- a/src/bin/lilacspindled/main.rs
+++ b/src/bin/lilacspindled/main.rs
@@ -29,7 +29,10 @@
         }
     };
     init_logs(&settings.log_filter);
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("cannot start threads: {error}");
--- a/src/roles/daemon/mod.rs
+++ b/src/roles/daemon/mod.rs
@@ -18,13 +18,14 @@
 use super::control::{ControlRole, Machine, RelayService, memory_log};
 use super::entry::EntryRole;
 use super::sidecar::SidecarRole;
+use super::standin::{EngineOptions, Running, start_engine, start_service};
 use super::subscriber::{Subscriber, SubscriberSettings, ViewStore, Watchers};
 use crate::adapters::admin::{Readiness, admin_routes};
 use crate::adapters::http::{self, Server};
 use crate::model::{Incarnation, InstanceRef};
 use crate::rpc::{Services, serve};
 use crate::settings::Settings;
-pub use standalone::{standalone_settings, standalone_table};
+pub use standalone::standalone_settings;
 
 /// Upper bound on the body of an operator's request.
 const ADMIN_BODY_LIMIT_BYTES: u64 = 8 * 1024 * 1024;
@@ -52,6 +53,7 @@
     entry: Option<Arc<EntryRole>>,
     sidecar: Option<Arc<SidecarRole>>,
     control: Option<Arc<ControlRole>>,
+    standins: Vec<Running>,
     tasks: Vec<JoinHandle<()>>,
     stop: watch::Sender<bool>,
 }
@@ -59,36 +61,11 @@
 impl Daemon {
     /// Starts all roles of the settings. Fails if an address is in use.
     pub async fn start(settings: Settings) -> Result<Self, DaemonError> {
-        let me = InstanceRef {
-            name: settings.instance.clone(),
-            incarnation: Incarnation(random()),
-        };
-        let listener = TcpListener::bind(settings.rpc_address)
-            .await
-            .map_err(|error| {
-                DaemonError(format!(
-                    "cannot listen on rpc_address {}: {error}",
-                    settings.rpc_address
-                ))
-            })?;
-        let rpc_address = listener
-            .local_addr()
-            .map_err(|error| DaemonError(error.to_string()))?;
-        let mut control_addresses = settings.control_addresses.clone();
-        if control_addresses.is_empty() && settings.control.is_some() {
-            control_addresses.push(rpc_address);
-        }
+        let listener = bind(settings.rpc_address).await?;
+        let rpc_address = listener.local_addr().map_err(as_daemon_error)?;
+        let standins = start_standins(&settings).await?;
         let store = Arc::new(ViewStore::default());
-        let subscriber = Subscriber::new(
-            SubscriberSettings {
-                me,
-                control_addresses,
-                stale_policy: settings.stale_policy,
-                stale_limit_ms: settings.stale_limit_ms,
-            },
-            Arc::clone(&store),
-            Watchers::default(),
-        );
+        let subscriber = subscriber(&settings, rpc_address, &store);
         let mut services = Services::default();
         let mut tasks = Vec::new();
         let control = settings.control.as_ref().map(|_| {
@@ -115,15 +92,13 @@
         }
         tasks.push(tokio::spawn(serve(listener, services)));
         let entry = match &settings.entry {
-            Some(entry) => Some(
-                EntryRole::start(entry, Arc::clone(&subscriber))
-                    .await
-                    .map_err(|error| DaemonError(error.to_string()))?,
-            ),
+            Some(entry) => {
+                let starting = EntryRole::start(entry, Arc::clone(&subscriber));
+                Some(starting.await.map_err(as_daemon_error)?)
+            }
             None => None,
         };
         let admin = start_admin(&settings, &subscriber).await?;
-        let stop = watch::Sender::new(false);
         let daemon = Self {
             settings,
             subscriber,
@@ -132,12 +107,20 @@
             entry,
             sidecar,
             control,
+            standins,
             tasks,
-            stop,
+            stop: watch::Sender::new(false),
         };
         Ok(daemon.register())
     }
 
+    /// Creates the rows of a trial if the table is empty. Fails if control does not answer.
+    pub async fn create_first_rows(&self) -> Result<(), DaemonError> {
+        standalone::create_first_rows(&self.subscriber)
+            .await
+            .map_err(as_daemon_error)
+    }
+
     /// Returns the address for calls between processes.
     pub fn rpc_address(&self) -> SocketAddr {
         self.rpc_address
@@ -199,6 +182,7 @@
             task.abort();
         }
         self.admin.stop().await;
+        self.standins.into_iter().for_each(Running::stop);
         tracing::info!(instance = %self.settings.instance, "stopped");
     }
 
@@ -218,6 +202,51 @@
     }
 }
 
+fn as_daemon_error(error: impl Into<Box<dyn std::error::Error>>) -> DaemonError {
+    DaemonError(error.into().to_string())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    let failed = |error| DaemonError(format!("cannot listen on rpc_address {address}: {error}"));
+    TcpListener::bind(address).await.map_err(failed)
+}
+
+fn subscriber(
+    settings: &Settings,
+    rpc_address: SocketAddr,
+    store: &Arc<ViewStore>,
+) -> Arc<Subscriber> {
+    let mut control_addresses = settings.control_addresses.clone();
+    if control_addresses.is_empty() && settings.control.is_some() {
+        control_addresses.push(rpc_address);
+    }
+    let me = InstanceRef {
+        name: settings.instance.clone(),
+        incarnation: Incarnation(random()),
+    };
+    let settings = SubscriberSettings {
+        me,
+        control_addresses,
+        stale_policy: settings.stale_policy,
+        stale_limit_ms: settings.stale_limit_ms,
+    };
+    Subscriber::new(settings, Arc::clone(store), Watchers::default())
+}
+
+async fn start_standins(settings: &Settings) -> Result<Vec<Running>, DaemonError> {
+    let mut standins = Vec::new();
+    let Some(standin) = &settings.standin else {
+        return Ok(standins);
+    };
+    if let Some(options) = EngineOptions::from_settings(standin) {
+        standins.push(start_engine(options).await.map_err(as_daemon_error)?);
+    }
+    if let Some(address) = standin.service_address {
+        standins.push(start_service(address).await.map_err(as_daemon_error)?);
+    }
+    Ok(standins)
+}
+
 async fn start_admin(
     settings: &Settings,
     subscriber: &Arc<Subscriber>,
@@ -234,5 +263,5 @@
         rocket.manage(readiness).mount("/", admin_routes())
     })
     .await
-    .map_err(|error| DaemonError(error.to_string()))
+    .map_err(as_daemon_error)
 }
--- a/src/roles/daemon/standalone.rs
+++ b/src/roles/daemon/standalone.rs
@@ -2,10 +2,20 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
+use crate::adapters::clock::unix_ms;
+use crate::domain::state::{Command, EditId, Response, RowChange};
+use crate::domain::table::{KindRow, ModelRow, Row, RowKey, ServiceRow, Target, WorkspaceRow};
 use crate::findings::Findings;
+use crate::model::{KindName, ModelName, ServiceName, TableVersion, WorkspaceName};
+use crate::roles::subscriber::{SubmitError, Subscriber};
+use crate::rpc::sidecar::Lane;
 use crate::settings::Settings;
 
+/// Limit of the edit that creates the first rows; a new cluster needs an election first.
+const EDIT_LIMIT: Duration = Duration::from_secs(10);
+
 /// Returns settings for one process with every role, its stand-ins at the given addresses.
 pub fn standalone_settings(
     entry: SocketAddr,
@@ -49,30 +59,70 @@
     Settings::parse("built-in settings", &text)
 }
 
-/// Returns the rows that a standalone process starts with, in the format of `table apply`.
-pub fn standalone_table() -> &'static str {
-    "\
-[workspace/demo]
-weight = 10
-max_tokens = 4096
-
-[model/tutor]
-version = v1
-
-[service/cards]
-repeatable = true
-deadline_ms = 5000
-
-[kind/*/essay]
-lane = long
-repeatable = true
-deadline_ms = 600000
-target = model/tutor
+/// Creates the rows of a trial if the table is empty.
+pub(super) async fn create_first_rows(subscriber: &Subscriber) -> Result<(), SubmitError> {
+    let command = Command::Edit {
+        id: EditId("standalone-first-rows".to_owned()),
+        author: "standalone".to_owned(),
+        base: TableVersion::default(),
+        changes: first_rows(),
+        now_ms: unix_ms(),
+    };
+    match subscriber.submit(&command, EDIT_LIMIT).await? {
+        Response::Edit(Ok(version)) => tracing::info!(%version, "the table has its first rows"),
+        // A table from an earlier run is kept.
+        answer => tracing::info!(?answer, "the table is kept as it is"),
+    }
+    Ok(())
+}
 
-[kind/*/hint]
-lane = small
-repeatable = true
-deadline_ms = 60000
-target = model/tutor
-"
+fn first_rows() -> Vec<RowChange> {
+    let model = ModelName::from("tutor");
+    let service = ServiceName::from("cards");
+    let kind = |name: &str, lane, deadline_ms, target| {
+        let row = KindRow {
+            lane,
+            repeatable: true,
+            room_slots: None,
+            deadline_ms,
+            target,
+        };
+        (RowKey::Kind(None, KindName::from(name)), Row::Kind(row))
+    };
+    let workspace = WorkspaceRow {
+        weight: 10,
+        room_slots: None,
+        api_key_sha256: None,
+        max_tokens: 4_096,
+    };
+    let rows = [
+        (
+            RowKey::Workspace(WorkspaceName::from("demo")),
+            Row::Workspace(workspace),
+        ),
+        (
+            RowKey::Model(model.clone()),
+            Row::Model(ModelRow {
+                version: "v1".to_owned(),
+                prepare_version: None,
+                adapter: None,
+            }),
+        ),
+        (
+            RowKey::Service(service.clone()),
+            Row::Service(ServiceRow {
+                repeatable: true,
+                deadline_ms: 5_000,
+            }),
+        ),
+        kind("essay", Lane::Long, 600_000, Target::Model(model.clone())),
+        kind("hint", Lane::Small, 60_000, Target::Model(model)),
+        kind("card", Lane::Small, 5_000, Target::Service(service)),
+    ];
+    rows.into_iter()
+        .map(|(key, row)| RowChange {
+            key,
+            row: Some(row),
+        })
+        .collect()
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 mod reader;
 mod roles;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -58,6 +59,23 @@
     /// Parses settings; `file` is used to name places.
     pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
         let mut reader = Reader::new(file, text)?;
+        let settings = Self::read(&mut reader);
+        reader.finish(settings)
+    }
+
+    /// Returns the sections and keys that a settings file can have, for the documentation's test.
+    pub fn known_keys() -> BTreeSet<(String, String)> {
+        let sections = "[entry]\n[sidecar]\n[upstream NAME]\n[control]\n[standin]\n";
+        match Reader::new("all sections", sections) {
+            Ok(mut reader) => {
+                Self::read(&mut reader);
+                reader.asked()
+            }
+            Err(_) => BTreeSet::new(),
+        }
+    }
+
+    fn read(reader: &mut Reader) -> Self {
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
         let section = "instance";
         let settings = Self {
@@ -82,10 +100,10 @@
             control_addresses: reader.list(section, "control_addresses"),
             stale_policy: reader.or(section, "stale_policy", StalePolicy::Refuse),
             stale_limit_ms: reader.bounded(section, "stale_limit_ms", 12_000, 1_000..=600_000),
-            entry: EntrySettings::read(&mut reader),
-            sidecar: SidecarSettings::read(&mut reader),
-            control: ControlSettings::read(&mut reader),
-            standin: StandinSettings::read(&mut reader),
+            entry: EntrySettings::read(reader),
+            sidecar: SidecarSettings::read(reader),
+            control: ControlSettings::read(reader),
+            standin: StandinSettings::read(reader),
         };
         let has_role = settings.entry.is_some()
             || settings.sidecar.is_some()
@@ -104,6 +122,6 @@
                 "is missing; the roles entry and sidecar need it unless control runs in the same process",
             );
         }
-        reader.finish(settings)
+        settings
     }
 }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -149,6 +149,11 @@
         self.findings.add(self.file.clone(), reason);
     }
 
+    /// Returns every section and key that was asked for.
+    pub(super) fn asked(self) -> BTreeSet<(String, String)> {
+        self.used
+    }
+
     /// Returns `value` if no fault was found; unknown sections and keys are faults.
     pub(super) fn finish<T>(mut self, value: T) -> Result<T, Findings> {
         let unknown: Vec<_> = self
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -41,7 +41,9 @@
 fn examples_of_both_sites_are_valid() {
     let mut checked = 0;
     for site in ["chalkline", "atlas-pneus"] {
-        let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples").join(site);
+        let folder = Path::new(env!("CARGO_MANIFEST_DIR"))
+            .join("examples")
+            .join(site);
         for file in std::fs::read_dir(folder).unwrap() {
             let path = file.unwrap().path();
             if path.file_name().unwrap() == "table.ini" {
@@ -55,3 +57,23 @@
     }
     assert_eq!(checked, 16);
 }
+
+/// Guards against settings that the documentation does not describe, and the other way round.
+#[test]
+fn documentation_lists_every_key() {
+    let page = include_str!("../docs/configuration.md");
+    let mut documented = std::collections::BTreeSet::new();
+    let mut section = String::new();
+    for line in page.lines() {
+        if let Some(heading) = line.strip_prefix("## `[") {
+            heading.trim_end_matches("]`").clone_into(&mut section);
+        }
+        if let Some(key) = line
+            .strip_prefix("| `")
+            .and_then(|rest| rest.split('`').next())
+        {
+            documented.insert((section.clone(), key.to_owned()));
+        }
+    }
+    assert_eq!(documented, Settings::known_keys());
+}
