--- a/src/adapters/disk/mod.rs
+++ b/src/adapters/disk/mod.rs
@@ -1,1 +1,15 @@
 //! Log segments, snapshots and the identity file.
+//!
+//! A data folder holds `identity`, `lock`, segments `log-<number>` and one `snapshot-<index>`.
+//! Everything is checksummed and carries a format version.
+
+mod error;
+mod folder;
+mod ops;
+mod recovery;
+mod segment;
+
+pub use error::{Cause, DiskError};
+pub use folder::{Disk, Opened};
+pub use ops::FileOps;
+pub use segment::{Record, Scan, decode_snapshot, encode_records, encode_snapshot, scan_segment};
--- /dev/null
+++ b/src/domain/log/core.rs
@@ -0,0 +1,470 @@
+//! State of one replica, its timers and its outputs.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::members::Joins;
+use super::reads::RemoteReads;
+use super::state::{Limits, Options, Recovered, Role, RoleName, Status};
+use super::store::LogStore;
+use super::transfer::Incoming;
+use super::types::{
+    Body, Config, Entry, HardState, Member, NodeId, Output, Packet, Payload, Persist, ReadDone,
+    Snapshot, SnapshotWrite, Violation,
+};
+use crate::model::InstanceName;
+
+/// One replica.
+#[derive(Debug)]
+pub struct Core {
+    pub(super) id: NodeId,
+    pub(super) address: SocketAddr,
+    pub(super) options: Options,
+    pub(super) limits: Limits,
+    pub(super) hard: HardState,
+    pub(super) role: Role,
+    pub(super) leader: Option<NodeId>,
+    pub(super) log: LogStore,
+    pub(super) snapshot: Option<Arc<Snapshot>>,
+    /// Configurations in the log after the snapshot, by index; the last one is in force.
+    pub(super) configs: BTreeMap<u64, Config>,
+    pub(super) commit: u64,
+    pub(super) applied: u64,
+    pub(super) synced: u64,
+    pub(super) election_due_ms: u64,
+    /// When a leader was last heard. A restarted replica may have answered one just before.
+    pub(super) heard_leader_ms: Option<u64>,
+    pub(super) remote_reads: RemoteReads,
+    pub(super) joins: Joins,
+    pub(super) incoming: Option<Incoming>,
+    pub(super) elections: u64,
+    snapshot_wanted: bool,
+    random: u64,
+    persist: Persist,
+    restore: Option<Arc<Snapshot>>,
+    early: Vec<(NodeId, Packet)>,
+    late: Vec<(NodeId, Packet)>,
+    pub(super) reads_done: Vec<ReadDone>,
+    violations: Vec<Violation>,
+}
+
+impl Core {
+    /// Returns a follower with what its folder held. `seed` is a random number.
+    pub fn new(
+        id: NodeId,
+        address: SocketAddr,
+        limits: Limits,
+        options: Options,
+        recovered: Recovered,
+        seed: u64,
+        now_ms: u64,
+    ) -> Self {
+        let base = recovered
+            .snapshot
+            .as_ref()
+            .map_or((0, 0), |s| (s.index, s.term));
+        let mut core = Self {
+            id,
+            address,
+            options,
+            limits,
+            hard: recovered.hard_state,
+            role: Role::Follower,
+            leader: None,
+            log: LogStore::after(base.0, base.1),
+            configs: BTreeMap::new(),
+            commit: base.0,
+            applied: base.0,
+            synced: base.0,
+            election_due_ms: now_ms,
+            heard_leader_ms: (recovered.hard_state.term > 0).then_some(now_ms),
+            remote_reads: RemoteReads::default(),
+            joins: Joins::default(),
+            incoming: None,
+            elections: 0,
+            snapshot_wanted: false,
+            random: seed,
+            persist: Persist::default(),
+            restore: recovered.snapshot.clone(),
+            early: Vec::new(),
+            late: Vec::new(),
+            reads_done: Vec::new(),
+            violations: Vec::new(),
+            snapshot: recovered.snapshot,
+        };
+        if let Some(snapshot) = core.snapshot.clone() {
+            core.configs
+                .insert(snapshot.config_index, snapshot.config.clone());
+        }
+        for entry in recovered.entries {
+            core.push_log(Arc::new(entry));
+        }
+        core.synced = core.log.last_index();
+        core.reset_election_timer(now_ms);
+        if core.other_voters().is_empty() {
+            core.election_due_ms = now_ms;
+        }
+        core
+    }
+
+    /// Forms a cluster of empty replicas, this one included. Does nothing if the log is not empty.
+    pub fn bootstrap(
+        &mut self,
+        cluster: u64,
+        members: BTreeMap<NodeId, (InstanceName, SocketAddr)>,
+        now_ms: u64,
+    ) {
+        if self.config().is_some() || self.log.last_index() > 0 || !members.contains_key(&self.id) {
+            return;
+        }
+        let members = members
+            .into_iter()
+            .map(|(id, (name, address))| {
+                let member = Member {
+                    name,
+                    address,
+                    voter: true,
+                    since: 1,
+                };
+                (id, member)
+            })
+            .collect();
+        if self.hard.term == 0 {
+            self.set_hard(HardState {
+                term: 1,
+                vote: None,
+            });
+        }
+        let payload = Payload::Config(Config { cluster, members });
+        self.election_due_ms = now_ms;
+        // Term 1 has no leader that could write another entry 1.
+        self.append_log(Arc::new(Entry {
+            index: 1,
+            term: 1,
+            payload,
+        }));
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<&Config> {
+        self.configs.values().next_back()
+    }
+
+    /// Returns a summary.
+    pub fn status(&self) -> Status {
+        Status {
+            id: self.id,
+            role: match self.role {
+                Role::Follower => RoleName::Follower,
+                Role::Candidate { .. } => RoleName::Candidate,
+                Role::Leader(_) => RoleName::Leader,
+            },
+            term: self.hard.term,
+            leader: self.leader,
+            config: self.config().cloned(),
+            last: self.log.last_index(),
+            commit: self.commit,
+            applied: self.applied,
+            synced: self.synced,
+        }
+    }
+
+    /// Returns true if this replica leads.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Returns the leader of the term, if known.
+    pub fn leader(&self) -> Option<NodeId> {
+        self.leader
+    }
+
+    /// Returns how many elections this replica has started.
+    pub fn elections(&self) -> u64 {
+        self.elections
+    }
+
+    /// Returns an entry that is held in memory.
+    pub fn entry(&self, index: u64) -> Option<&Arc<Entry>> {
+        self.log.get(index)
+    }
+
+    /// Adds a command to the log. Returns its index and term, or none if this replica cannot.
+    pub fn propose(&mut self, command: Vec<u8>) -> Option<(u64, u64)> {
+        match &self.role {
+            Role::Leader(leading) if leading.hand_over.is_none() => {}
+            _ => return None,
+        }
+        Some(self.propose_payload(Payload::Command(command)))
+    }
+
+    pub(super) fn propose_payload(&mut self, payload: Payload) -> (u64, u64) {
+        let (index, term) = (self.log.last_index() + 1, self.hard.term);
+        self.append_log(Arc::new(Entry {
+            index,
+            term,
+            payload,
+        }));
+        (index, term)
+    }
+
+    /// Advances the timers.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.expire_reads(now_ms);
+        match self.role {
+            Role::Leader(_) => self.tick_leader(now_ms),
+            _ if now_ms >= self.election_due_ms => self.campaign(now_ms, false),
+            _ => {}
+        }
+    }
+
+    /// Handles a message of another replica.
+    pub fn step(&mut self, from: NodeId, packet: Packet, now_ms: u64) {
+        let foreign = match (self.config(), packet.cluster) {
+            (Some(own), Some(other)) => own.cluster != other,
+            // A replica without a cluster can only ask to join one, or answer.
+            (Some(_), None) => matches!(packet.body, Body::Vote { .. } | Body::Append { .. }),
+            (None, _) => false,
+        };
+        if foreign || from == self.id {
+            return;
+        }
+        match packet.body {
+            Body::Join { name } => self.on_join(from, name, packet.address, now_ms),
+            Body::Read { id } => self.on_read(from, id, now_ms),
+            Body::ReadReply { id, index } => self.on_read_reply(id, index),
+            body => {
+                if self.check_term(from, packet.term, &body, now_ms) {
+                    self.dispatch(from, packet.term, body, now_ms);
+                }
+            }
+        }
+    }
+
+    fn dispatch(&mut self, from: NodeId, term: u64, body: Body, now_ms: u64) {
+        match body {
+            Body::Vote { .. } => self.on_vote(from, term, &body, now_ms),
+            Body::VoteReply { pre, granted } => {
+                self.on_vote_reply(from, term, pre, granted, now_ms);
+            }
+            Body::Append {
+                prev_index,
+                prev_term,
+                commit,
+                echo,
+                entries,
+            } => {
+                self.on_append(from, (prev_index, prev_term), commit, echo, entries, now_ms);
+            }
+            Body::Piece { .. } => self.on_piece(from, body, now_ms),
+            Body::Appended { matched, echo } => self.on_appended(from, matched, echo, now_ms),
+            Body::Mismatch {
+                prev_index,
+                next,
+                echo,
+            } => {
+                self.on_mismatch(from, prev_index, next, echo, now_ms);
+            }
+            Body::PieceReply {
+                index,
+                offset,
+                echo,
+            } => {
+                self.on_piece_reply(from, index, offset, echo, now_ms);
+            }
+            Body::TimeoutNow if self.config().is_some_and(|c| c.is_voter(self.id)) => {
+                self.campaign(now_ms, true);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns what has to be done now; call it until it is empty.
+    pub fn output(&mut self, now_ms: u64) -> Output {
+        self.flush_appends(now_ms);
+        self.serve_leader_reads(now_ms);
+        let apply = self.log.range(self.applied + 1, self.commit);
+        self.applied = self.commit;
+        let mut output = Output {
+            early: std::mem::take(&mut self.early),
+            persist: std::mem::take(&mut self.persist),
+            late: std::mem::take(&mut self.late),
+            restore: self.restore.take(),
+            reads: self.finished_reads(),
+            take_snapshot: self.wants_snapshot(),
+            violations: std::mem::take(&mut self.violations),
+            apply,
+        };
+        if !self.options.sync_before_ack {
+            output.early.append(&mut output.late);
+        }
+        output
+    }
+
+    fn wants_snapshot(&mut self) -> bool {
+        let taken = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let due = self.applied >= taken + self.limits.snapshot_entries;
+        let wanted = due && !self.snapshot_wanted;
+        self.snapshot_wanted = due;
+        wanted
+    }
+
+    /// Says that everything in the last output's `persist` is synced.
+    pub fn synced(&mut self) {
+        self.synced = self.log.last_index();
+        self.maybe_commit();
+    }
+
+    /// Gives the snapshot of the state machine after the last applied entry.
+    pub fn snapshot_taken(&mut self, data: Vec<u8>) {
+        let index = self.applied;
+        self.snapshot_wanted = false;
+        let term = self.log.term_at(index);
+        let config = self.configs.range(..=index).next_back();
+        let (Some(term), Some((config_index, config))) = (term, config) else {
+            return;
+        };
+        let snapshot = Arc::new(Snapshot {
+            index,
+            term,
+            config: config.clone(),
+            config_index: *config_index,
+            data,
+        });
+        // Followers that are a little behind are served from the log instead of a snapshot.
+        let keep_after = index.saturating_sub(self.limits.snapshot_entries / 4);
+        self.log.compact(keep_after);
+        let keep_config = snapshot.config_index;
+        self.configs.retain(|index, _| *index >= keep_config);
+        self.persist.snapshot = Some(SnapshotWrite {
+            snapshot: snapshot.clone(),
+            replaces_log: false,
+            keep_after: self.log.base(),
+        });
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Replaces log and state machine by a snapshot received from the leader.
+    pub(super) fn install(&mut self, snapshot: Snapshot) {
+        let snapshot = Arc::new(snapshot);
+        self.check(snapshot.index > self.commit, "install_above_commit", || {
+            format!("snapshot {}", snapshot.index)
+        });
+        self.log = LogStore::after(snapshot.index, snapshot.term);
+        self.configs = BTreeMap::from([(snapshot.config_index, snapshot.config.clone())]);
+        self.commit = snapshot.index;
+        self.applied = snapshot.index;
+        self.synced = snapshot.index;
+        self.persist.entries.clear();
+        self.persist.snapshot = Some(SnapshotWrite {
+            snapshot: snapshot.clone(),
+            replaces_log: true,
+            keep_after: snapshot.index,
+        });
+        self.restore = Some(snapshot.clone());
+        self.snapshot = Some(snapshot);
+    }
+
+    fn push_log(&mut self, entry: Arc<Entry>) {
+        if let Payload::Config(config) = &entry.payload {
+            self.configs.insert(entry.index, config.clone());
+        }
+        let index = entry.index;
+        let follows = self.log.push(entry);
+        self.check(follows, "log_contiguous", || format!("entry {index}"));
+    }
+
+    pub(super) fn append_log(&mut self, entry: Arc<Entry>) {
+        self.persist.entries.push(entry.clone());
+        self.push_log(entry);
+        if !self.options.sync_before_ack {
+            self.synced = self.log.last_index();
+        }
+    }
+
+    /// Removes entries from `index` on, which the leader of this term does not have.
+    pub(super) fn truncate_log(&mut self, index: u64) {
+        let commit = self.commit;
+        if !self.check(index > commit, "committed_entry_kept", || {
+            format!("truncation at {index}, commit {commit}")
+        }) {
+            return;
+        }
+        self.log.truncate(index);
+        self.configs.split_off(&index);
+        self.synced = self.synced.min(index - 1);
+        self.persist.entries.retain(|entry| entry.index < index);
+    }
+
+    pub(super) fn set_hard(&mut self, hard: HardState) {
+        let before = self.hard;
+        let holds = hard.term > before.term
+            || (hard.term == before.term && (before.vote.is_none() || before.vote == hard.vote));
+        self.check(holds, "one_vote_per_term", || {
+            format!("{before:?} to {hard:?}")
+        });
+        self.hard = hard;
+        self.persist.hard_state = Some(hard);
+    }
+
+    pub(super) fn set_commit(&mut self, index: u64) {
+        if index <= self.commit {
+            return;
+        }
+        let last = self.log.last_index();
+        if self.check(index <= last, "commit_within_log", || {
+            format!("{index} > {last}")
+        }) {
+            self.commit = index;
+        }
+    }
+
+    pub(super) fn check(
+        &mut self,
+        holds: bool,
+        name: &'static str,
+        detail: impl FnOnce() -> String,
+    ) -> bool {
+        if !holds {
+            let detail = format!("replica {} term {}: {}", self.id, self.hard.term, detail());
+            self.violations.push(Violation { name, detail });
+        }
+        holds
+    }
+
+    fn packet(&self, term: u64, body: Body) -> Packet {
+        Packet {
+            cluster: self.config().map(|config| config.cluster),
+            address: self.address,
+            term,
+            body,
+        }
+    }
+
+    /// Queues a message that depends on nothing unsynced.
+    pub(super) fn send_early(&mut self, to: NodeId, body: Body) {
+        let packet = self.packet(self.hard.term, body);
+        self.early.push((to, packet));
+    }
+
+    /// Queues a message that is sent after the next sync.
+    pub(super) fn send_late(&mut self, to: NodeId, term: u64, body: Body) {
+        let packet = self.packet(term, body);
+        self.late.push((to, packet));
+    }
+
+    pub(super) fn reset_election_timer(&mut self, now_ms: u64) {
+        let extra = self.next_random() % self.limits.election_ms.max(1);
+        self.election_due_ms = now_ms + self.limits.election_ms + extra;
+    }
+
+    // SplitMix64, seeded by the caller.
+    pub(super) fn next_random(&mut self) -> u64 {
+        self.random = self.random.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut z = self.random;
+        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        z ^ (z >> 31)
+    }
+}
--- /dev/null
+++ b/src/domain/log/election.rs
@@ -0,0 +1,316 @@
+//! Elections: pre-vote, votes, and when a leader steps down.
+
+use std::collections::BTreeMap;
+
+use super::core::Core;
+use super::state::{Leading, Progress, Role};
+use super::types::{Body, HardState, NodeId, Payload};
+
+impl Core {
+    /// Compares the term of a message with the own one and follows a higher term. Returns false if
+    /// the message must not be handled further.
+    pub(super) fn check_term(&mut self, from: NodeId, term: u64, body: &Body, now_ms: u64) -> bool {
+        if term > self.hard.term {
+            return match body {
+                Body::Vote { pre: true, .. }
+                | Body::VoteReply {
+                    pre: true,
+                    granted: true,
+                } => true,
+                Body::Vote { transfer, .. } if self.guards_leader(*transfer, now_ms) => false,
+                Body::Append { .. } | Body::Piece { .. } => {
+                    self.follow(term, Some(from), now_ms);
+                    true
+                }
+                _ => {
+                    self.follow(term, None, now_ms);
+                    true
+                }
+            };
+        }
+        if term == self.hard.term {
+            return true;
+        }
+        // A sender of an old term learns the new one from the answer.
+        match body {
+            Body::Append { echo, .. } | Body::Piece { echo, .. } => {
+                let (echo, next) = (*echo, self.log.last_index() + 1);
+                let reply = Body::Mismatch {
+                    prev_index: 0,
+                    next,
+                    echo,
+                };
+                self.send_late(from, self.hard.term, reply);
+            }
+            Body::Vote { pre, .. } => {
+                let reply = Body::VoteReply {
+                    pre: *pre,
+                    granted: false,
+                };
+                self.send_late(from, self.hard.term, reply);
+            }
+            _ => {}
+        }
+        false
+    }
+
+    /// Returns true if a vote would break the lease of a leader that was heard lately.
+    fn guards_leader(&self, transfer: bool, now_ms: u64) -> bool {
+        self.options.lease_checks
+            && !transfer
+            && (self.is_leader()
+                || self
+                    .heard_leader_ms
+                    .is_some_and(|heard| now_ms < heard + self.limits.election_ms))
+    }
+
+    /// Becomes a follower of `term`.
+    pub(super) fn follow(&mut self, term: u64, leader: Option<NodeId>, now_ms: u64) {
+        if term > self.hard.term {
+            self.set_hard(HardState { term, vote: None });
+        }
+        self.drop_leader_reads();
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.reset_election_timer(now_ms);
+    }
+
+    /// Takes note of a message from the leader of this term.
+    pub(super) fn hear_leader(&mut self, from: NodeId, now_ms: u64) -> bool {
+        let (leads, known) = (self.is_leader(), self.leader);
+        let single = !leads && known.is_none_or(|leader| leader == from);
+        if !self.check(single, "one_leader_per_term", || {
+            format!("{known:?} and {from}")
+        }) {
+            return false;
+        }
+        if !matches!(self.role, Role::Follower) {
+            self.role = Role::Follower;
+        }
+        self.leader = Some(from);
+        self.heard_leader_ms = Some(now_ms);
+        self.reset_election_timer(now_ms);
+        true
+    }
+
+    /// Starts an election, with a pre-vote unless the leader asked for it.
+    pub(super) fn campaign(&mut self, now_ms: u64, transfer: bool) {
+        self.reset_election_timer(now_ms);
+        if !self.config().is_some_and(|config| config.is_voter(self.id)) {
+            return;
+        }
+        self.leader = None;
+        self.start_votes(self.options.pre_vote && !transfer, transfer, now_ms);
+    }
+
+    fn start_votes(&mut self, pre: bool, transfer: bool, now_ms: u64) {
+        let term = self.hard.term + 1;
+        if !pre {
+            self.elections += 1;
+            self.set_hard(HardState {
+                term,
+                vote: Some(self.id),
+            });
+        }
+        let votes = BTreeMap::from([(self.id, true)]);
+        self.role = Role::Candidate {
+            pre,
+            transfer,
+            votes,
+        };
+        let others: Vec<NodeId> = self.other_voters();
+        let body = Body::Vote {
+            pre,
+            transfer,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        for to in others {
+            self.send_late(to, term, body.clone());
+        }
+        self.count_votes(now_ms);
+    }
+
+    pub(super) fn other_voters(&self) -> Vec<NodeId> {
+        let voters = self.config().into_iter().flat_map(super::Config::voters);
+        voters.filter(|id| *id != self.id).collect()
+    }
+
+    pub(super) fn on_vote(&mut self, from: NodeId, term: u64, body: &Body, now_ms: u64) {
+        let Body::Vote {
+            pre,
+            transfer,
+            last_index,
+            last_term,
+        } = *body
+        else {
+            return;
+        };
+        let current = (last_term, last_index) >= (self.log.last_term(), self.log.last_index());
+        let free = if pre {
+            term > self.hard.term
+        } else {
+            self.hard.vote.is_none_or(|vote| vote == from) && self.leader.is_none()
+        };
+        // The lease of a leader of an older term also stands against a vote in the present term.
+        let granted = current && free && !self.guards_leader(transfer, now_ms);
+        if granted && !pre {
+            self.set_hard(HardState {
+                term,
+                vote: Some(from),
+            });
+            self.reset_election_timer(now_ms);
+        }
+        // A granted pre-vote names the term asked for, a refusal the own term.
+        let reply_term = if granted { term } else { self.hard.term };
+        self.send_late(from, reply_term, Body::VoteReply { pre, granted });
+    }
+
+    pub(super) fn on_vote_reply(
+        &mut self,
+        from: NodeId,
+        term: u64,
+        pre: bool,
+        granted: bool,
+        now_ms: u64,
+    ) {
+        let expected = self.hard.term + u64::from(pre && granted);
+        match &mut self.role {
+            Role::Candidate {
+                pre: asked, votes, ..
+            } if *asked == pre && term == expected => {
+                votes.insert(from, granted);
+            }
+            _ => return,
+        }
+        self.count_votes(now_ms);
+    }
+
+    fn count_votes(&mut self, now_ms: u64) {
+        let Some(config) = self.config() else { return };
+        let Role::Candidate {
+            pre,
+            transfer,
+            votes,
+        } = &self.role
+        else {
+            return;
+        };
+        let granted = config
+            .voters()
+            .filter(|id| votes.get(id).copied().unwrap_or(false))
+            .count();
+        let (pre, transfer) = (*pre, *transfer);
+        if granted < config.quorum() {
+            return;
+        }
+        if pre {
+            self.start_votes(false, transfer, now_ms);
+        } else {
+            self.lead(now_ms);
+        }
+    }
+
+    fn lead(&mut self, now_ms: u64) {
+        let leading = Leading {
+            first_index: self.log.last_index() + 1,
+            // Rounds of an earlier term are told apart by the term of the answers.
+            round: 1,
+            heartbeat_due_ms: now_ms,
+            ..Leading::default()
+        };
+        self.joins.clear();
+        self.role = Role::Leader(Box::new(leading));
+        self.leader = Some(self.id);
+        self.follow_config(now_ms);
+        self.propose_payload(Payload::Empty);
+    }
+
+    /// Makes the leader's list of followers match the configuration.
+    pub(super) fn follow_config(&mut self, now_ms: u64) {
+        let members: Vec<NodeId> = self
+            .config()
+            .map(|config| config.members.keys().copied().collect())
+            .unwrap_or_default();
+        let (id, next) = (self.id, self.log.last_index() + 1);
+        let Role::Leader(leading) = &mut self.role else {
+            return;
+        };
+        leading.progress.retain(|peer, _| members.contains(peer));
+        for peer in members.into_iter().filter(|peer| *peer != id) {
+            leading.progress.entry(peer).or_insert_with(|| Progress {
+                next,
+                probing: true,
+                heard_ms: now_ms,
+                ..Progress::default()
+            });
+        }
+        leading.heartbeat_due_ms = now_ms;
+    }
+
+    pub(super) fn tick_leader(&mut self, now_ms: u64) {
+        let quorum_heard_ms = self.heard_by_quorum(now_ms);
+        let lost = now_ms > quorum_heard_ms + self.limits.election_ms;
+        if lost && self.options.quorum_check {
+            self.follow(self.hard.term, None, now_ms);
+            return;
+        }
+        self.manage_members(now_ms);
+        self.continue_hand_over(now_ms);
+    }
+
+    fn heard_by_quorum(&self, now_ms: u64) -> u64 {
+        let (Role::Leader(leading), Some(config)) = (&self.role, self.config()) else {
+            return now_ms;
+        };
+        config.reached_by_quorum(|voter| {
+            let heard = leading
+                .progress
+                .get(&voter)
+                .map(|progress| progress.heard_ms);
+            heard.unwrap_or(now_ms)
+        })
+    }
+
+    /// Starts to hand leadership to the voter with the longest log. Returns false if there is none.
+    pub fn hand_over(&mut self, now_ms: u64) -> bool {
+        let deadline_ms = now_ms + self.limits.election_ms;
+        let voters = self.other_voters();
+        let Role::Leader(leading) = &mut self.role else {
+            return false;
+        };
+        let target = voters
+            .into_iter()
+            .filter_map(|id| {
+                leading
+                    .progress
+                    .get(&id)
+                    .map(|p| (p.matched, p.heard_ms, id))
+            })
+            .max();
+        if let Some((.., target)) = target {
+            leading.hand_over = Some((target, deadline_ms));
+            self.continue_hand_over(now_ms);
+        }
+        target.is_some()
+    }
+
+    /// Steps down once the chosen voter has the whole log. The leader gives up its lease before the
+    /// message leaves, so the other side need not wait for it.
+    pub(super) fn continue_hand_over(&mut self, now_ms: u64) {
+        let last = self.log.last_index();
+        let Role::Leader(leading) = &mut self.role else {
+            return;
+        };
+        let Some((target, deadline_ms)) = leading.hand_over else {
+            return;
+        };
+        let matched = leading.progress.get(&target).map_or(0, |p| p.matched);
+        if matched == last {
+            self.send_early(target, Body::TimeoutNow);
+            self.follow(self.hard.term, None, now_ms);
+        } else if now_ms >= deadline_ms {
+            leading.hand_over = None;
+        }
+    }
+}
--- /dev/null
+++ b/src/domain/log/members.rs
@@ -0,0 +1,146 @@
+//! Membership changes: one at a time, a learner first, a voter once it has caught up.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::core::Core;
+use super::state::Role;
+use super::types::{Body, Config, Member, NodeId, Payload};
+use crate::model::InstanceName;
+
+/// Replicas that asked to be added or to have their address changed.
+pub(super) type Joins = BTreeMap<NodeId, (InstanceName, SocketAddr)>;
+
+/// Requests kept at once; each is repeated by its sender until it is done.
+const MAX_JOINS: usize = 64;
+
+impl Core {
+    /// Asks the replica at `to`, which may be the leader, to add this one.
+    pub fn ask_to_join(&mut self, to: NodeId, name: InstanceName) {
+        self.send_late(to, self.hard.term, Body::Join { name });
+    }
+
+    pub(super) fn on_join(
+        &mut self,
+        from: NodeId,
+        name: InstanceName,
+        address: SocketAddr,
+        now_ms: u64,
+    ) {
+        if !self.is_leader() || self.joins.len() >= MAX_JOINS {
+            return;
+        }
+        let known = self.config().and_then(|config| config.members.get(&from));
+        let done = known.is_some_and(|member| member.address == address);
+        // Two running folders with one name are a mistake in the settings; the first one stays.
+        if !done && !self.name_in_use(&name, from, now_ms) {
+            self.joins.insert(from, (name, address));
+        }
+    }
+
+    fn name_in_use(&self, name: &InstanceName, by_other_than: NodeId, now_ms: u64) -> bool {
+        let (Role::Leader(leading), Some(config)) = (&self.role, self.config()) else {
+            return false;
+        };
+        let silent_after_ms = 2 * self.limits.election_ms;
+        config
+            .members
+            .iter()
+            .filter(|(id, member)| member.name == *name && **id != by_other_than)
+            .any(|(id, _)| {
+                let heard = leading.progress.get(id).map(|progress| progress.heard_ms);
+                *id == self.id || heard.is_some_and(|heard| now_ms < heard + silent_after_ms)
+            })
+    }
+
+    /// Proposes the next membership change, if one is due and none is pending.
+    pub(super) fn manage_members(&mut self, now_ms: u64) {
+        let pending = self
+            .configs
+            .last_key_value()
+            .is_some_and(|(index, _)| *index > self.commit);
+        let Role::Leader(leading) = &self.role else {
+            return;
+        };
+        if pending || self.commit < leading.first_index || leading.hand_over.is_some() {
+            return;
+        }
+        let change = self
+            .without_replaced()
+            .or_else(|| self.with_promoted(now_ms))
+            .or_else(|| self.with_joined());
+        if let Some(config) = change {
+            self.propose_payload(Payload::Config(config));
+            self.follow_config(now_ms);
+        }
+    }
+
+    /// Returns the configuration without an old identity whose instance has a newer voter.
+    fn without_replaced(&self) -> Option<Config> {
+        let config = self.config()?;
+        let replaced = config.members.iter().find(|(id, old)| {
+            **id != self.id
+                && config
+                    .members
+                    .values()
+                    .any(|new| new.voter && new.name == old.name && new.since > old.since)
+        });
+        let id = *replaced?.0;
+        let mut config = config.clone();
+        config.members.remove(&id);
+        Some(config)
+    }
+
+    /// Returns the configuration with a learner made a voter. A learner has caught up when it has
+    /// synced, within one election timeout, all that was committed at the beginning of that time.
+    fn with_promoted(&mut self, now_ms: u64) -> Option<Config> {
+        let (commit, limit_ms) = (self.commit, self.limits.election_ms);
+        let mut config = self.config()?.clone();
+        let Role::Leader(leading) = &mut self.role else {
+            return None;
+        };
+        for (id, member) in config
+            .members
+            .iter_mut()
+            .filter(|(_, member)| !member.voter)
+        {
+            let Some(progress) = leading.progress.get_mut(id) else {
+                continue;
+            };
+            let (target, set_ms) = *progress.target.get_or_insert((commit, now_ms));
+            if progress.matched < target {
+                continue;
+            }
+            if now_ms <= set_ms + limit_ms {
+                member.voter = true;
+                return Some(config);
+            }
+            progress.target = Some((commit, now_ms));
+        }
+        None
+    }
+
+    /// Returns the configuration with one request to join carried out.
+    fn with_joined(&mut self) -> Option<Config> {
+        let (id, (name, address)) = self.joins.pop_first()?;
+        let since = self.log.last_index() + 1;
+        let mut config = self.config()?.clone();
+        if let Some(member) = config.members.get_mut(&id) {
+            let moved = member.address != address;
+            member.address = address;
+            return moved.then_some(config);
+        }
+        // An identity that never became a voter and was lost again only makes room.
+        config
+            .members
+            .retain(|_, member| member.voter || member.name != name);
+        let member = Member {
+            name,
+            address,
+            voter: false,
+            since,
+        };
+        config.members.insert(id, member);
+        Some(config)
+    }
+}
--- /dev/null
+++ b/src/domain/log/reads.rs
@@ -0,0 +1,196 @@
+//! Reads: an index that was current at some time after the read began.
+
+use std::collections::BTreeMap;
+
+use super::core::Core;
+use super::state::Role;
+use super::types::{Body, NodeId, ReadDone};
+
+/// A read that the leader has to confirm.
+#[derive(Debug, Clone)]
+pub(super) struct LeaderRead {
+    /// The follower that asked; none for this replica.
+    from: Option<NodeId>,
+    id: u64,
+    index: u64,
+    /// The heartbeat round that confirms the read if there is no lease.
+    round: u64,
+}
+
+/// Reads of this replica that wait for the leader's answer or for entries to be applied.
+#[derive(Debug, Default)]
+pub(super) struct RemoteReads {
+    /// Deadlines of reads that were sent to the leader.
+    asked: BTreeMap<u64, u64>,
+    /// Confirmed reads with the index that must be applied first.
+    confirmed: Vec<(u64, u64)>,
+}
+
+impl Core {
+    /// Begins a read. The answer appears in an output's `reads` under the same id. Ids must not
+    /// repeat, also not after a restart.
+    pub fn read(&mut self, id: u64, now_ms: u64) {
+        match (self.is_leader(), self.leader) {
+            (true, _) => self.add_leader_read(None, id, now_ms),
+            (false, Some(leader)) => {
+                self.remote_reads
+                    .asked
+                    .insert(id, now_ms + self.limits.election_ms);
+                self.send_early(leader, Body::Read { id });
+            }
+            (false, None) => self.reads_done.push(ReadDone { id, index: None }),
+        }
+    }
+
+    pub(super) fn on_read(&mut self, from: NodeId, id: u64, now_ms: u64) {
+        if self.is_leader() {
+            self.add_leader_read(Some(from), id, now_ms);
+        } else {
+            self.send_early(from, Body::ReadReply { id, index: None });
+        }
+    }
+
+    pub(super) fn on_read_reply(&mut self, id: u64, index: Option<u64>) {
+        if self.remote_reads.asked.remove(&id).is_none() {
+            return;
+        }
+        match index {
+            Some(index) => self.remote_reads.confirmed.push((id, index)),
+            None => self.reads_done.push(ReadDone { id, index: None }),
+        }
+    }
+
+    fn add_leader_read(&mut self, from: Option<NodeId>, id: u64, now_ms: u64) {
+        let leased = self.has_lease(now_ms);
+        let commit = self.commit;
+        let Role::Leader(leading) = &mut self.role else {
+            return;
+        };
+        if !leased {
+            // All reads until the next output share one round of heartbeats.
+            leading.heartbeat_due_ms = now_ms;
+        }
+        let read = LeaderRead {
+            from,
+            id,
+            // Before the first entry of the term, the commit index may be behind.
+            index: commit.max(leading.first_index),
+            round: leading.round + 1,
+        };
+        leading.reads.push(read);
+    }
+
+    /// Returns true if no other replica can have been elected before `now_ms`.
+    pub(super) fn has_lease(&self, now_ms: u64) -> bool {
+        if !self.options.lease_checks {
+            return true;
+        }
+        let (Role::Leader(leading), Some(config)) = (&self.role, self.config()) else {
+            return false;
+        };
+        let lease_ms = self.limits.lease_ms();
+        let id = self.id;
+        let until = config.reached_by_quorum(|voter| {
+            if voter == id {
+                return now_ms + lease_ms;
+            }
+            let progress = leading.progress.get(&voter);
+            let acked = progress.and_then(|progress| progress.acked_sent_ms);
+            acked.map_or(0, |sent_ms| sent_ms + lease_ms)
+        });
+        now_ms < until
+    }
+
+    fn acked_round(&self) -> u64 {
+        let (Role::Leader(leading), Some(config)) = (&self.role, self.config()) else {
+            return 0;
+        };
+        let id = self.id;
+        config.reached_by_quorum(|voter| {
+            if voter == id {
+                return u64::MAX;
+            }
+            leading
+                .progress
+                .get(&voter)
+                .map_or(0, |progress| progress.acked_round)
+        })
+    }
+
+    /// Answers the reads that a lease or a round confirms.
+    pub(super) fn serve_leader_reads(&mut self, now_ms: u64) {
+        let leased = self.has_lease(now_ms);
+        let acked = self.acked_round();
+        let commit = self.commit;
+        let Role::Leader(leading) = &mut self.role else {
+            return;
+        };
+        let (ready, waiting) = std::mem::take(&mut leading.reads)
+            .into_iter()
+            .partition(|read| read.index <= commit && (leased || read.round <= acked));
+        leading.reads = waiting;
+        let ready: Vec<LeaderRead> = ready;
+        for read in ready {
+            match read.from {
+                Some(from) => {
+                    let body = Body::ReadReply {
+                        id: read.id,
+                        index: Some(read.index),
+                    };
+                    self.send_early(from, body);
+                }
+                None => self.remote_reads.confirmed.push((read.id, read.index)),
+            }
+        }
+    }
+
+    /// Refuses the reads that this replica cannot confirm any more.
+    pub(super) fn drop_leader_reads(&mut self) {
+        let Role::Leader(leading) = &mut self.role else {
+            return;
+        };
+        for read in std::mem::take(&mut leading.reads) {
+            match read.from {
+                Some(from) => self.send_early(
+                    from,
+                    Body::ReadReply {
+                        id: read.id,
+                        index: None,
+                    },
+                ),
+                None => self.reads_done.push(ReadDone {
+                    id: read.id,
+                    index: None,
+                }),
+            }
+        }
+    }
+
+    /// Gives up reads whose question or answer was lost.
+    pub(super) fn expire_reads(&mut self, now_ms: u64) {
+        let waiting = self.remote_reads.asked.split_off(&0);
+        for (id, deadline_ms) in waiting {
+            if now_ms < deadline_ms {
+                self.remote_reads.asked.insert(id, deadline_ms);
+            } else {
+                self.reads_done.push(ReadDone { id, index: None });
+            }
+        }
+    }
+
+    /// Returns the reads that are answered once the entries of this output are applied.
+    pub(super) fn finished_reads(&mut self) -> Vec<ReadDone> {
+        let applied = self.applied;
+        let mut done = std::mem::take(&mut self.reads_done);
+        self.remote_reads.confirmed.retain(|(id, index)| {
+            if *index <= applied {
+                done.push(ReadDone {
+                    id: *id,
+                    index: Some(applied),
+                });
+            }
+            *index > applied
+        });
+        done
+    }
+}
--- /dev/null
+++ b/src/domain/log/types.rs
@@ -0,0 +1,264 @@
+//! Entries, messages and outputs of the log core.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::InstanceName;
+
+/// The identity of a data folder. A folder that was lost gets another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct NodeId(pub u64);
+
+impl fmt::Display for NodeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// One replica of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    pub name: InstanceName,
+    pub address: SocketAddr,
+    /// False for a learner, which receives the log but is not counted.
+    pub voter: bool,
+    /// Index of the entry that added the identity; orders identities of the same name.
+    pub since: u64,
+}
+
+/// The replicas of the log.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Config {
+    /// Drawn at formation; messages of another cluster are dropped.
+    pub cluster: u64,
+    pub members: BTreeMap<NodeId, Member>,
+}
+
+impl Config {
+    /// Returns the identities that vote.
+    pub fn voters(&self) -> impl Iterator<Item = NodeId> + '_ {
+        self.members
+            .iter()
+            .filter(|(_, member)| member.voter)
+            .map(|(id, _)| *id)
+    }
+
+    /// Returns true if the identity votes.
+    pub fn is_voter(&self, id: NodeId) -> bool {
+        self.members.get(&id).is_some_and(|member| member.voter)
+    }
+
+    /// Returns the number of voters that make a majority.
+    pub fn quorum(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// Returns the value that a majority has reached, given the value of each voter.
+    pub(super) fn reached_by_quorum(&self, value: impl Fn(NodeId) -> u64) -> u64 {
+        let mut values: Vec<u64> = self.voters().map(value).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.quorum() - 1).copied().unwrap_or(0)
+    }
+}
+
+/// What an entry holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Payload {
+    /// First entry of a term; commits the entries of earlier terms.
+    Empty,
+    Command(Vec<u8>),
+    /// In force from the moment it is in the log.
+    Config(Config),
+}
+
+/// One entry of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    pub index: u64,
+    pub term: u64,
+    pub payload: Payload,
+}
+
+impl Entry {
+    /// Returns the approximate encoded size.
+    pub fn size_bytes(&self) -> usize {
+        match &self.payload {
+            Payload::Empty => 16,
+            Payload::Command(bytes) => 24 + bytes.len(),
+            Payload::Config(config) => 32 + 96 * config.members.len(),
+        }
+    }
+}
+
+/// What a voter must not forget.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HardState {
+    pub term: u64,
+    pub vote: Option<NodeId>,
+}
+
+/// The state machine after an entry, with the configuration in force there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    pub index: u64,
+    pub term: u64,
+    pub config: Config,
+    pub config_index: u64,
+    pub data: Vec<u8>,
+}
+
+/// A message with what every message carries.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Packet {
+    /// None while the sender belongs to no cluster.
+    pub cluster: Option<u64>,
+    /// Where answers reach the sender.
+    pub address: SocketAddr,
+    pub term: u64,
+    pub body: Body,
+}
+
+/// The messages between replicas.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Asks for a vote. A pre-vote asks whether a vote would be given, and changes nothing.
+    Vote {
+        pre: bool,
+        /// The leader asked for this election, so its lease does not stand against it.
+        transfer: bool,
+        last_index: u64,
+        last_term: u64,
+    },
+    VoteReply {
+        pre: bool,
+        granted: bool,
+    },
+    Append {
+        prev_index: u64,
+        prev_term: u64,
+        commit: u64,
+        echo: Echo,
+        entries: Vec<Arc<Entry>>,
+    },
+    /// The follower's synced log matches the leader's up to `matched`.
+    Appended {
+        matched: u64,
+        echo: Echo,
+    },
+    /// The follower has no entry that matches at `prev_index`; the leader should go back to `next`.
+    Mismatch {
+        prev_index: u64,
+        next: u64,
+        echo: Echo,
+    },
+    /// A part of an encoded snapshot.
+    Piece {
+        index: u64,
+        term: u64,
+        offset: u64,
+        total: u64,
+        data: Vec<u8>,
+        echo: Echo,
+    },
+    /// The follower has the snapshot up to `offset`.
+    PieceReply {
+        index: u64,
+        offset: u64,
+        echo: Echo,
+    },
+    /// The leader has stepped down in favour of the receiver.
+    TimeoutNow,
+    /// Asks the leader for an index that was current after the question was asked.
+    Read {
+        id: u64,
+    },
+    ReadReply {
+        id: u64,
+        index: Option<u64>,
+    },
+    /// Asks the leader to add the sender as a learner, or to record its new address.
+    Join {
+        name: InstanceName,
+    },
+}
+
+/// Data of the leader that a follower returns unchanged.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The leader's clock when it sent the message.
+    pub sent_ms: u64,
+    /// The read round that the message confirms.
+    pub round: u64,
+}
+
+/// A snapshot to write.
+#[derive(Debug, Clone)]
+pub struct SnapshotWrite {
+    pub snapshot: Arc<Snapshot>,
+    /// True if the snapshot replaces the whole log; then it is written before the entries.
+    pub replaces_log: bool,
+    /// Entries up to this index are no longer needed.
+    pub keep_after: u64,
+}
+
+/// What has to be synced before `late` is sent.
+#[derive(Debug, Clone, Default)]
+pub struct Persist {
+    pub hard_state: Option<HardState>,
+    /// Contiguous; the first one replaces all stored entries from its index on.
+    pub entries: Vec<Arc<Entry>>,
+    pub snapshot: Option<SnapshotWrite>,
+}
+
+impl Persist {
+    /// Returns true if there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.hard_state.is_none() && self.entries.is_empty() && self.snapshot.is_none()
+    }
+}
+
+/// The answer to a read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReadDone {
+    pub id: u64,
+    /// The applied index, or none if no leader confirmed it.
+    pub index: Option<u64>,
+}
+
+/// A broken invariant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Violation {
+    pub name: &'static str,
+    pub detail: String,
+}
+
+/// What the caller has to do; see the module's description for the order.
+#[derive(Debug, Default)]
+pub struct Output {
+    pub early: Vec<(NodeId, Packet)>,
+    pub persist: Persist,
+    pub late: Vec<(NodeId, Packet)>,
+    pub restore: Option<Arc<Snapshot>>,
+    pub apply: Vec<Arc<Entry>>,
+    pub reads: Vec<ReadDone>,
+    pub take_snapshot: bool,
+    pub violations: Vec<Violation>,
+}
+
+impl Output {
+    /// Returns true if there is nothing to do.
+    pub fn is_empty(&self) -> bool {
+        self.early.is_empty()
+            && self.persist.is_empty()
+            && self.late.is_empty()
+            && self.restore.is_none()
+            && self.apply.is_empty()
+            && self.reads.is_empty()
+            && !self.take_snapshot
+            && self.violations.is_empty()
+    }
+}
--- /dev/null
+++ b/src/roles/control/replica/driver.rs
@@ -0,0 +1,325 @@
+//! The thread that owns the core and the data folder.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::{Duration, Instant};
+
+use tokio::runtime::Handle;
+use tokio::sync::{oneshot, watch};
+
+use super::links::Links;
+use super::metrics::Metrics;
+use super::{Endpoint, ReplicaStatus, StateMachine, SubmitError};
+use crate::adapters::clock::monotonic_ms;
+use crate::adapters::disk::{Disk, DiskError, FileOps};
+use crate::adapters::telemetry::invariant;
+use crate::domain::log::{Core, Entry, Limits, NodeId, Options, Output, Packet, Payload};
+use crate::model::InstanceName;
+use crate::rpc::{decode, encode};
+use crate::settings::ControlSettings;
+
+/// Inputs handled before the next write; all of them share one sync.
+const MAX_BATCH: usize = 4096;
+
+type Reply = oneshot::Sender<Result<Vec<u8>, SubmitError>>;
+
+/// What other threads ask of the log.
+pub(super) enum Input {
+    Propose {
+        command: Vec<u8>,
+        reply: Reply,
+    },
+    Read {
+        reply: oneshot::Sender<Option<u64>>,
+    },
+    Deliver {
+        from: NodeId,
+        messages: Vec<Vec<u8>>,
+    },
+    Bootstrap {
+        members: BTreeMap<NodeId, (InstanceName, SocketAddr)>,
+    },
+    Join {
+        targets: Vec<(NodeId, SocketAddr)>,
+        name: InstanceName,
+    },
+    HandOver {
+        reply: oneshot::Sender<bool>,
+    },
+    Stop,
+}
+
+pub(super) struct Driver {
+    core: Core,
+    disk: Disk,
+    machine: StateMachine,
+    links: Links,
+    metrics: Metrics,
+    status: watch::Sender<ReplicaStatus>,
+    tick: Duration,
+    /// Proposals by index, with their term.
+    pending: BTreeMap<u64, (u64, Reply)>,
+    /// Reads of this batch, and those that the core works on.
+    new_reads: Vec<oneshot::Sender<Option<u64>>>,
+    reads: BTreeMap<u64, Vec<oneshot::Sender<Option<u64>>>>,
+    next_read: u64,
+    elections: u64,
+}
+
+impl Driver {
+    pub fn open(
+        settings: &ControlSettings,
+        endpoint: &Endpoint,
+        machine: StateMachine,
+        ops: FileOps,
+        options: Options,
+    ) -> Result<Self, DiskError> {
+        let (disk, opened) = Disk::open(&settings.data_folder, ops, rand::random())?;
+        let id = NodeId(opened.identity);
+        let limits = Limits {
+            election_ms: settings.election_ms,
+            snapshot_entries: settings.snapshot_entries,
+        };
+        let seed = rand::random();
+        let now_ms = monotonic_ms();
+        let core = Core::new(
+            id,
+            endpoint.rpc_address,
+            limits,
+            options,
+            opened.recovered,
+            seed,
+            now_ms,
+        );
+        let metrics = Metrics::new(endpoint.name.as_str());
+        let (status, _) = watch::channel(ReplicaStatus::new(&core.status(), None));
+        tracing::info!(instance = %endpoint.name, identity = %id, last = core.status().last,
+            "opened the replicated log");
+        Ok(Self {
+            core,
+            disk,
+            machine,
+            links: Links::new(id, Handle::current(), metrics.sent_bytes.clone()),
+            metrics,
+            status,
+            tick: Duration::from_millis((settings.election_ms / 20).clamp(5, 50)),
+            pending: BTreeMap::new(),
+            new_reads: Vec::new(),
+            reads: BTreeMap::new(),
+            next_read: rand::random(),
+            elections: 0,
+        })
+    }
+
+    pub fn watch(&self) -> watch::Receiver<ReplicaStatus> {
+        self.status.subscribe()
+    }
+
+    /// Runs until it is stopped or the data folder fails.
+    pub fn run(mut self, inputs: &Receiver<Input>) {
+        let reason = match self.serve(inputs) {
+            Ok(()) => "stopped on request".to_owned(),
+            Err(error) => {
+                tracing::error!(%error, "the replicated log has stopped");
+                error.to_string()
+            }
+        };
+        for (_, reply) in std::mem::take(&mut self.pending).into_values() {
+            // Other replicas may still commit the command.
+            let _ = reply.send(Err(SubmitError::Undecided));
+        }
+        let Self {
+            disk, status, core, ..
+        } = self;
+        // The folder is released before anyone learns that the replica has stopped.
+        drop(disk);
+        status.send_replace(ReplicaStatus::new(&core.status(), Some(reason)));
+    }
+
+    fn serve(&mut self, inputs: &Receiver<Input>) -> Result<(), DiskError> {
+        let mut tick_due = Instant::now();
+        loop {
+            self.drive()?;
+            let wait = tick_due.saturating_duration_since(Instant::now());
+            match inputs.recv_timeout(wait) {
+                Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return Ok(()),
+                Ok(input) => self.handle(input),
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            for input in inputs.try_iter().take(MAX_BATCH) {
+                if matches!(input, Input::Stop) {
+                    return Ok(());
+                }
+                self.handle(input);
+            }
+            self.begin_reads();
+            if Instant::now() >= tick_due {
+                self.core.tick(monotonic_ms());
+                tick_due = Instant::now() + self.tick;
+            }
+        }
+    }
+
+    fn handle(&mut self, input: Input) {
+        match input {
+            Input::Propose { command, reply } => self.propose(command, reply),
+            Input::Read { reply } => self.new_reads.push(reply),
+            Input::Deliver { from, messages } => self.deliver(from, &messages),
+            Input::Bootstrap { members } => {
+                tracing::info!(members = members.len(), "forms a new cluster");
+                self.core.bootstrap(rand::random(), members, monotonic_ms());
+            }
+            Input::Join { targets, name } => {
+                for (to, address) in targets {
+                    self.links.learn(to, address);
+                    self.core.ask_to_join(to, name.clone());
+                }
+            }
+            Input::HandOver { reply } => {
+                let _ = reply.send(self.core.hand_over(monotonic_ms()));
+            }
+            Input::Stop => {}
+        }
+    }
+
+    fn propose(&mut self, command: Vec<u8>, reply: Reply) {
+        if let Some((index, term)) = self.core.propose(command) {
+            self.pending.insert(index, (term, reply));
+            return;
+        }
+        // While it hands leadership over, this replica is still the leader it knows.
+        let status = self.status.borrow();
+        let leader = status.leader.as_ref();
+        let leader = leader.filter(|leader| leader.identity != status.identity);
+        let leader = leader.map(|leader| leader.address);
+        let _ = reply.send(Err(SubmitError::NotLeader { leader }));
+    }
+
+    fn deliver(&mut self, from: NodeId, messages: &[Vec<u8>]) {
+        for message in messages {
+            match decode::<Packet>(message) {
+                Ok(packet) => {
+                    self.links.learn(from, packet.address);
+                    self.core.step(from, packet, monotonic_ms());
+                }
+                Err(error) => tracing::warn!(%from, %error, "dropped a malformed message"),
+            }
+        }
+    }
+
+    /// Begins one read for all that asked since the last batch.
+    fn begin_reads(&mut self) {
+        if self.new_reads.is_empty() {
+            return;
+        }
+        self.next_read = self.next_read.wrapping_add(1);
+        self.reads
+            .insert(self.next_read, std::mem::take(&mut self.new_reads));
+        self.core.read(self.next_read, monotonic_ms());
+    }
+
+    /// Carries out what the core wants until it wants nothing more.
+    fn drive(&mut self) -> Result<(), DiskError> {
+        loop {
+            let output = self.core.output(monotonic_ms());
+            if output.is_empty() {
+                break;
+            }
+            self.carry_out(output)?;
+        }
+        self.publish();
+        Ok(())
+    }
+
+    fn carry_out(&mut self, output: Output) -> Result<(), DiskError> {
+        for violation in &output.violations {
+            invariant(false, violation.name, || violation.detail.clone());
+        }
+        self.send(output.early);
+        if !output.persist.is_empty() {
+            let begun = Instant::now();
+            self.disk.write(&output.persist)?;
+            self.metrics.observe_sync(begun.elapsed());
+            self.core.synced();
+        }
+        self.send(output.late);
+        if let Some(snapshot) = output.restore {
+            (self.machine.restore)(&snapshot.data);
+        }
+        for entry in &output.apply {
+            self.apply(entry);
+        }
+        for read in output.reads {
+            for reply in self.reads.remove(&read.id).unwrap_or_default() {
+                let _ = reply.send(read.index);
+            }
+        }
+        if output.take_snapshot {
+            let data = (self.machine.snapshot)();
+            self.core.snapshot_taken(data);
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        let Payload::Command(command) = &entry.payload else {
+            return;
+        };
+        let answer = (self.machine.apply)(entry.index, command);
+        match self.pending.remove(&entry.index) {
+            Some((term, reply)) if term == entry.term => {
+                let _ = reply.send(Ok(answer));
+            }
+            Some((_, reply)) => {
+                let _ = reply.send(Err(SubmitError::Undecided));
+            }
+            None => {}
+        }
+    }
+
+    fn send(&mut self, packets: Vec<(NodeId, Packet)>) {
+        for (to, packet) in packets {
+            if !self.links.knows(to) {
+                let config = self.core.config();
+                let Some(member) = config.and_then(|config| config.members.get(&to)) else {
+                    continue;
+                };
+                self.links.learn(to, member.address);
+            }
+            match encode(&packet) {
+                Ok(message) => self.links.send(to, message),
+                Err(error) => tracing::error!(%to, %error, "cannot encode a message"),
+            }
+        }
+    }
+
+    /// Publishes the status, and gives up proposals if leadership was lost.
+    fn publish(&mut self) {
+        let status = self.core.status();
+        if !self.core.is_leader()
+            || self
+                .pending
+                .first_key_value()
+                .is_some_and(|(_, (term, _))| *term != status.term)
+        {
+            for (_, reply) in std::mem::take(&mut self.pending).into_values() {
+                let _ = reply.send(Err(SubmitError::Undecided));
+            }
+        }
+        let elections = self.core.elections();
+        self.metrics.add_elections(elections - self.elections);
+        self.elections = elections;
+        self.metrics.set_status(&status);
+        let shown = ReplicaStatus::new(&status, None);
+        self.status.send_if_modified(|held| {
+            let changed = *held != shown;
+            if changed && (held.role != shown.role || held.term != shown.term) {
+                tracing::info!(identity = %shown.identity, role = ?shown.role, term = shown.term,
+                    "role of the replica");
+            }
+            *held = shown;
+            changed
+        });
+    }
+}
--- /dev/null
+++ b/src/roles/control/replica/server.rs
@@ -0,0 +1,55 @@
+//! The service that other replicas call.
+
+use std::sync::mpsc::SyncSender;
+
+use tarpc::context::Context;
+use tokio::sync::watch;
+
+use super::driver::Input;
+use super::status::ReplicaStatus;
+use crate::domain::log::NodeId;
+use crate::model::InstanceName;
+use crate::rpc::peer::{Envelope, HelloReply, HelloRequest, Peer};
+
+/// Answers calls of other replicas.
+#[derive(Clone)]
+pub struct PeerServer {
+    inputs: SyncSender<Input>,
+    status: watch::Receiver<ReplicaStatus>,
+    name: InstanceName,
+}
+
+impl PeerServer {
+    pub(super) fn new(
+        inputs: SyncSender<Input>,
+        status: watch::Receiver<ReplicaStatus>,
+        name: InstanceName,
+    ) -> Self {
+        Self {
+            inputs,
+            status,
+            name,
+        }
+    }
+}
+
+impl Peer for PeerServer {
+    async fn deliver(self, _: Context, envelope: Envelope) {
+        if envelope.to != self.status.borrow().identity.0 {
+            return;
+        }
+        let from = NodeId(envelope.from);
+        let messages = envelope.messages;
+        // A full queue drops the messages; the core sends again what is missing.
+        let _ = self.inputs.try_send(Input::Deliver { from, messages });
+    }
+
+    async fn hello(self, _: Context, _: HelloRequest) -> HelloReply {
+        let status = self.status.borrow();
+        HelloReply {
+            name: self.name.clone(),
+            identity: status.identity.0,
+            cluster: status.cluster,
+        }
+    }
+}
--- a/src/rpc/mod.rs
+++ b/src/rpc/mod.rs
@@ -11,7 +11,7 @@
 use crate::model::{InstanceRef, TableVersion};
 
 pub use codec::{MAX_FRAME_BYTES, Postcard, decode, encode};
-pub use connection::{ConnectError, connect, deadline_after, listen};
+pub use connection::{ConnectError, Framed, connect, deadline_after, listen, wrap};
 
 /// What every message between processes says of its sender.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
