--- a/src/roles/control/mod.rs
+++ b/src/roles/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod machine;
 mod port;
+pub mod replica;
 mod service;
 
 pub use machine::Machine;
--- a/src/rpc/connection.rs
+++ b/src/rpc/connection.rs
@@ -88,8 +88,20 @@
     result.map_err(|cause| ConnectError { address, cause })
 }
 
+/// Returns a connection to a service; fails if it is refused or takes too long.
+pub async fn connect<Item, SinkItem>(
+    address: SocketAddr,
+    service: Service,
+) -> Result<FramedTransport<Item, SinkItem>, ConnectError>
+where
+    Item: DeserializeOwned,
+    SinkItem: Serialize,
+{
+    Ok(wrap(open_socket(address, service).await?, service))
+}
+
 /// Reads the service that an accepted connection asks for; fails on an unknown one.
-pub(super) async fn accept_service(stream: &mut TcpStream) -> io::Result<Service> {
+pub async fn accept_service(stream: &mut TcpStream) -> io::Result<Service> {
     stream.set_nodelay(true)?;
     let byte = match timeout(CONNECT_LIMIT, stream.read_u8()).await {
         Ok(byte) => byte?,
