--- a/src/domain/members/registry.rs
+++ b/src/domain/members/registry.rs
@@ -23,6 +23,8 @@
     registered_at_ms: u64,
     /// None while the current incarnation is not gone.
     gone_at_ms: Option<u64>,
+    /// The sequence number of the last report of upstreams.
+    reported: u64,
     /// Former incarnations, the oldest first.
     retired: Vec<Incarnation>,
 }
@@ -71,6 +73,7 @@
             None => {}
         }
         life.registered_at_ms = now_ms;
+        life.reported = 0;
         life.gone_at_ms = (member.phase == Phase::Gone).then_some(now_ms);
         let mut member = member.clone();
         member.fence = Fence(index);
@@ -98,17 +101,27 @@
         vec![ViewChange::SetMember(member)]
     }
 
-    /// Replaces the upstreams of an incarnation that is not gone.
+    /// Replaces the upstreams of an incarnation that is not gone, unless a later report arrived
+    /// before.
     pub fn set_upstreams(
+        &mut self,
         members: &Members,
         instance: &InstanceRef,
+        sequence: u64,
         upstreams: &[UpstreamInfo],
     ) -> Vec<ViewChange> {
-        let Some(member) = current(members, instance)
-            .filter(|member| member.phase != Phase::Gone && member.upstreams != upstreams)
+        let Some(member) = current(members, instance).filter(|member| member.phase != Phase::Gone)
         else {
             return Vec::new();
         };
+        let life = self.lives.entry(instance.name.clone()).or_default();
+        if sequence <= life.reported {
+            return Vec::new();
+        }
+        life.reported = sequence;
+        if member.upstreams == upstreams {
+            return Vec::new();
+        }
         let mut member = member.clone();
         member.upstreams = upstreams.to_vec();
         vec![ViewChange::SetMember(member)]
--- a/src/domain/state/command.rs
+++ b/src/domain/state/command.rs
@@ -79,6 +79,9 @@
     /// Replaces what an incarnation says of its upstreams.
     SetUpstreams {
         instance: InstanceRef,
+        /// Rises with each report of an incarnation, from 1. A report that arrives after a later
+        /// one is ignored: it could name a version that has been unloaded since.
+        sequence: u64,
         upstreams: Vec<UpstreamInfo>,
         now_ms: u64,
     },
--- a/src/domain/state/machine.rs
+++ b/src/domain/state/machine.rs
@@ -174,10 +174,12 @@
             }
             Command::SetUpstreams {
                 instance,
+                sequence,
                 upstreams,
                 ..
             } => {
-                let changes = Registry::set_upstreams(members, instance, upstreams);
+                let registry = &mut self.registry;
+                let changes = registry.set_upstreams(members, instance, *sequence, upstreams);
                 (Response::Done, changes)
             }
             _ => (Response::Done, Vec::new()),
--- a/src/rpc/control.rs
+++ b/src/rpc/control.rs
@@ -129,6 +129,8 @@
     pub version: String,
     /// True if the upstream has no version at all, so that it serves nothing until it has loaded.
     pub recovery: bool,
+    /// True to renew a permit that the sidecar holds, perhaps from a former leader.
+    pub held: bool,
     /// True to give the permit back.
     pub done: bool,
 }
--- a/tests/members_random.rs
+++ b/tests/members_random.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use lilacspindle::domain::members::{
-    CLOCK_MARGIN_MS, GONE_KEPT_MS, Phase, PlatformInstance, PlatformList, merge,
+    CLOCK_MARGIN_MS, GONE_KEPT_MS, Phase, PlatformInstance, PlatformList, UpstreamInfo, merge,
 };
 use lilacspindle::domain::state::{Command, RegisterAnswer, Response, State};
 use lilacspindle::model::{Fence, InstanceRef};
@@ -17,6 +17,8 @@
 struct Model {
     current: BTreeMap<String, (InstanceRef, Fence, Phase)>,
     retired: BTreeSet<InstanceRef>,
+    /// The report with the highest sequence number of each current incarnation.
+    reports: BTreeMap<String, (u64, Vec<UpstreamInfo>)>,
 }
 
 impl Model {
@@ -31,11 +33,24 @@
             }
             None => {}
         }
+        self.reports.remove(&name);
         let entry = (instance.clone(), Fence(index), Phase::Live);
         self.current.insert(name, entry);
         RegisterAnswer::Registered(Fence(index))
     }
 
+    fn report(&mut self, instance: &InstanceRef, sequence: u64, upstreams: &[UpstreamInfo]) {
+        let name = instance.name.as_str();
+        let current = self.current.get(name);
+        if current.is_none_or(|(own, _, phase)| own != instance || *phase == Phase::Gone) {
+            return;
+        }
+        let last = self.reports.entry(name.to_owned()).or_default();
+        if sequence > last.0 {
+            *last = (sequence, upstreams.to_vec());
+        }
+    }
+
     fn set_phase(&mut self, instance: &InstanceRef, phase: Phase) {
         match self.current.get_mut(instance.name.as_str()) {
             Some((current, _, old)) if current == instance => *old = phase.max(*old),
@@ -77,6 +92,12 @@
                 Command::SetPhase {
                     instance, phase, ..
                 } => model.set_phase(instance, *phase),
+                Command::SetUpstreams {
+                    instance,
+                    sequence,
+                    upstreams,
+                    ..
+                } => model.report(instance, *sequence, upstreams),
                 _ => {}
             }
             for member in state.view().members.members.values() {
--- a/tests/state_support/mod.rs
+++ b/tests/state_support/mod.rs
@@ -201,6 +201,7 @@
             }
             1 => Command::SetUpstreams {
                 instance,
+                sequence: self.rng.random_range(0..30),
                 upstreams: self.upstreams(),
                 now_ms,
             },
