Run the control role on the replicated log

Cause: the daemon used a log in memory that was lost with the process. Change: an adapter from the replica to the port of the control services; the peer service is offered on the daemon's listener; connections between replicas start with the service byte. Conclusion: edits are kept on synced disks from here on.

--- a/src/roles/control/mod.rs
+++ b/src/roles/control/mod.rs
@@ -3,8 +3,10 @@
 mod machine;
 mod port;
 pub mod replica;
+mod replicated;
 mod service;
 
 pub use machine::Machine;
 pub use port::{Leadership, LogError, LogPort, memory_log};
+pub use replicated::replicated_log;
 pub use service::{ControlRole, RelayService};
--- a/src/roles/control/port.rs
+++ b/src/roles/control/port.rs
@@ -18,6 +18,8 @@
     Undecided,
     /// The role has stopped.
     Stopped,
+    /// The command is larger than the log takes; it is not in the log.
+    TooLarge,
 }
 
 /// Who leads, as far as this instance knows.
@@ -40,7 +42,7 @@
     /// Returns an index that was current at some time after the call began and is applied here.
     pub confirm: Confirm,
     pub leadership: Box<dyn Fn() -> Leadership + Send + Sync>,
-    /// Hands leadership over to another voter, for a planned stop.
+    /// Hands leadership over to another voter and stops, for a planned stop.
     pub hand_over: Box<dyn Fn() -> BoxFuture<'static, ()> + Send + Sync>,
 }
 
--- /dev/null
+++ b/src/roles/control/replicated.rs
@@ -0,0 +1,73 @@
+//! The replicated log as the port of the control services.
+
+use std::sync::Arc;
+
+use super::replica::{Endpoint, Replica, StateMachine, SubmitError};
+use super::{Leadership, LogError, LogPort, Machine};
+use crate::adapters::disk::DiskError;
+use crate::domain::log::RoleName;
+use crate::settings::ControlSettings;
+
+/// Opens the replica of this instance over a machine. Fails if the data folder cannot be used.
+pub fn replicated_log(
+    settings: &ControlSettings,
+    endpoint: Endpoint,
+    machine: &Arc<Machine>,
+) -> Result<(Replica, LogPort), DiskError> {
+    let (applied, saved, restored) = (
+        Arc::clone(machine),
+        Arc::clone(machine),
+        Arc::clone(machine),
+    );
+    let machine = StateMachine {
+        apply: Box::new(move |index, command| applied.apply(index, command)),
+        snapshot: Box::new(move || saved.snapshot()),
+        restore: Box::new(move |snapshot| restored.restore(snapshot)),
+    };
+    let replica = Replica::open(settings, endpoint, machine)?;
+    let port = port(&replica);
+    Ok((replica, port))
+}
+
+fn port(replica: &Replica) -> LogPort {
+    let (submitter, reader, watched, leader) = (
+        replica.clone(),
+        replica.clone(),
+        replica.clone(),
+        replica.clone(),
+    );
+    LogPort {
+        submit: Box::new(move |command, limit| {
+            let replica = submitter.clone();
+            Box::pin(async move { replica.submit(command, limit).await.map_err(log_error) })
+        }),
+        confirm: Box::new(move |limit| {
+            let replica = reader.clone();
+            Box::pin(async move { replica.confirm(limit).await.map_err(log_error) })
+        }),
+        leadership: Box::new(move || {
+            let status = watched.status();
+            Leadership {
+                leads: status.role == RoleName::Leader && status.stopped.is_none(),
+                term: status.term,
+                leader: status.leader.map(|leader| leader.address),
+            }
+        }),
+        hand_over: Box::new(move || {
+            let replica = leader.clone();
+            Box::pin(async move {
+                replica.hand_over().await;
+                replica.stop().await;
+            })
+        }),
+    }
+}
+
+fn log_error(error: SubmitError) -> LogError {
+    match error {
+        SubmitError::NotLeader { leader } => LogError::NotLeader { leader },
+        SubmitError::Undecided => LogError::Undecided,
+        SubmitError::Stopped => LogError::Stopped,
+        SubmitError::TooLarge => LogError::TooLarge,
+    }
+}
--- a/src/roles/control/service.rs
+++ b/src/roles/control/service.rs
@@ -75,6 +75,7 @@
             Err(LogError::NotLeader { leader }) => Err(ControlError::NotLeader { leader }),
             Err(LogError::Undecided) => Err(ControlError::Undecided),
             Err(LogError::Stopped) => Err(ControlError::Stopped),
+            Err(LogError::TooLarge) => Err(invalid(&"the command is too large for the log")),
         }
     }
 }
--- a/src/roles/daemon/mod.rs
+++ b/src/roles/daemon/mod.rs
@@ -15,15 +15,18 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use super::control::{ControlRole, Machine, RelayService, memory_log};
+use super::control::replica::Endpoint;
+use super::control::{ControlRole, Machine, RelayService, replicated_log};
 use super::entry::EntryRole;
 use super::sidecar::SidecarRole;
 use super::standin::{EngineOptions, Running, start_engine, start_service};
 use super::subscriber::{Subscriber, SubscriberSettings, ViewStore, Watchers};
 use crate::adapters::admin::{Readiness, admin_routes};
 use crate::adapters::http::{self, Server};
+use crate::call_handler;
 use crate::model::{Incarnation, InstanceRef};
-use crate::rpc::{Services, serve};
+use crate::rpc::peer::Peer;
+use crate::rpc::{Service, Services, serve};
 use crate::settings::Settings;
 pub use standalone::standalone_settings;
 
@@ -68,11 +71,23 @@
         let subscriber = subscriber(&settings, rpc_address, &store);
         let mut services = Services::default();
         let mut tasks = Vec::new();
-        let control = settings.control.as_ref().map(|_| {
-            let machine = Machine::new(Arc::clone(&store));
-            let log = memory_log(&machine);
-            ControlRole::new(log, machine, Arc::clone(&subscriber))
-        });
+        let control = match &settings.control {
+            Some(control) => {
+                let machine = Machine::new(Arc::clone(&store));
+                let endpoint = Endpoint {
+                    name: settings.instance.clone(),
+                    rpc_address,
+                };
+                let (replica, log) =
+                    replicated_log(control, endpoint, &machine).map_err(as_daemon_error)?;
+                services.offer(
+                    Service::Peer,
+                    call_handler!(Service::Peer, replica.server()),
+                );
+                Some(ControlRole::new(log, machine, Arc::clone(&subscriber)))
+            }
+            None => None,
+        };
         match &control {
             Some(control) => {
                 control.offer(&mut services);
