Add the thin path of the sidecar: starts, long polls, cancels and plain calls

Cause: entries need a sidecar to build against. Change: token logs with offsets and tombstones in domain::stream, clients of engines and services in adapters::upstream, and the sidecar service without admission control: every accepted generation is sent at once, and a broken stream is not resumed yet. Conclusion: the interface of rpc::sidecar is unchanged.

--- a/src/adapters/upstream/mod.rs
+++ b/src/adapters/upstream/mod.rs
@@ -1,1 +1,13 @@
-//! HTTP clients of engines and plain services.
+//! The clients of upstreams: model engines (SSE) and plain services.
+
+mod engine;
+mod error;
+mod service;
+mod sse;
+
+pub use engine::{
+    EngineClient, EngineLoad, EngineRequest, Order, OrderAnswer, StreamEvent, TokenStream,
+};
+pub use error::UpstreamError;
+pub use service::{PlainCall, ServiceClient};
+pub use sse::SseParser;
--- /dev/null
+++ b/src/adapters/upstream/service.rs
@@ -0,0 +1,108 @@
+//! The client of a plain service.
+
+use std::time::Duration;
+
+use reqwest::{Client, Method};
+
+use super::UpstreamError;
+use crate::rpc::sidecar::ServiceResponse;
+
+/// Time to open a connection to a service.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Upper bound on a response, so that it fits in a frame with its headers.
+const MAX_RESPONSE_BYTES: usize = 3 * 1024 * 1024;
+/// Headers of one connection, which are not passed through.
+const HOP_HEADERS: [&str; 8] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// A call that is passed through.
+#[derive(Debug, Clone)]
+pub struct PlainCall {
+    pub method: String,
+    pub path_and_query: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+/// A client of one service instance.
+#[derive(Debug, Clone)]
+pub struct ServiceClient {
+    http: Client,
+    base: String,
+}
+
+impl ServiceClient {
+    /// Returns a client of the service at a base URL. With `reuse` off every call opens its own
+    /// connection.
+    pub fn new(base: &str, reuse: bool) -> Self {
+        let builder = Client::builder()
+            .connect_timeout(CONNECT_LIMIT)
+            .tcp_nodelay(true)
+            .redirect(reqwest::redirect::Policy::none())
+            // The library would send a request again after certain failures of a connection.
+            .retry(reqwest::retry::never())
+            .no_proxy();
+        let builder = match reuse {
+            true => builder,
+            false => builder.pool_max_idle_per_host(0),
+        };
+        Self {
+            http: builder.build().unwrap_or_default(),
+            base: base.trim_end_matches('/').to_owned(),
+        }
+    }
+
+    /// Calls the service once.
+    pub async fn call(
+        &self,
+        call: &PlainCall,
+        limit: Duration,
+    ) -> Result<ServiceResponse, UpstreamError> {
+        let method =
+            Method::from_bytes(call.method.as_bytes()).map_err(|error| UpstreamError::Refused {
+                status: 400,
+                message: error.to_string(),
+            })?;
+        let separator = match call.path_and_query.starts_with('/') {
+            true => "",
+            false => "/",
+        };
+        let url = format!("{}{separator}{}", self.base, call.path_and_query);
+        let mut request = self.http.request(method, url).timeout(limit);
+        for (name, value) in &call.headers {
+            if !HOP_HEADERS.contains(&name.to_ascii_lowercase().as_str()) {
+                request = request.header(name, value);
+            }
+        }
+        let mut response = request.body(call.body.clone()).send().await?;
+        let headers = response.headers().iter().filter_map(|(name, value)| {
+            let passed = !HOP_HEADERS.contains(&name.as_str());
+            let value = value.to_str().ok().filter(|_| passed)?;
+            Some((name.as_str().to_owned(), value.to_owned()))
+        });
+        let headers = headers.collect();
+        let status = response.status().as_u16();
+        let mut body = Vec::new();
+        while let Some(bytes) = response.chunk().await? {
+            if body.len() + bytes.len() > MAX_RESPONSE_BYTES {
+                return Err(UpstreamError::Broken(format!(
+                    "the response is longer than {MAX_RESPONSE_BYTES} bytes"
+                )));
+            }
+            body.extend_from_slice(&bytes);
+        }
+        Ok(ServiceResponse {
+            status,
+            headers,
+            body,
+        })
+    }
+}
--- a/src/roles/sidecar/mod.rs
+++ b/src/roles/sidecar/mod.rs
@@ -1,33 +1,53 @@
 //! The sidecar role: the only way to its upstreams.
 
+mod core;
+mod observe;
+mod poll;
+mod run;
+mod service;
+mod start;
+
 use std::sync::Arc;
 
+use crate::call_handler;
 use crate::domain::members::UpstreamInfo;
 use crate::roles::subscriber::Subscriber;
-use crate::rpc::Services;
+use crate::rpc::sidecar::Sidecar;
+use crate::rpc::{Service, Services};
 use crate::settings::SidecarSettings;
 
+use self::core::Core;
+use self::service::SidecarService;
+
 /// A running sidecar.
 pub struct SidecarRole {
-    subscriber: Arc<Subscriber>,
+    core: Arc<Core>,
 }
 
 impl SidecarRole {
     /// Starts the sidecar's tasks.
-    pub fn start(_settings: &SidecarSettings, subscriber: Arc<Subscriber>) -> Arc<Self> {
-        Arc::new(Self { subscriber })
+    pub fn start(settings: &SidecarSettings, subscriber: Arc<Subscriber>) -> Arc<Self> {
+        let core = Core::new(settings, subscriber);
+        tokio::spawn(Arc::clone(&core).expire());
+        tokio::spawn(Arc::clone(&core).observe_upstreams());
+        Arc::new(Self { core })
     }
 
     /// Adds the sidecar service to the listener of this process.
-    pub fn offer(self: &Arc<Self>, _services: &mut Services) {}
+    pub fn offer(self: &Arc<Self>, services: &mut Services) {
+        let server = SidecarService {
+            core: Arc::clone(&self.core),
+        };
+        services.offer(Service::Sidecar, call_handler!(Service::Sidecar, server));
+    }
 
     /// Returns what this sidecar registers of its upstreams.
     pub fn upstreams(&self) -> Vec<UpstreamInfo> {
-        Vec::new()
+        self.core.upstream_infos()
     }
 
     /// Waits until no generation is left. New work is refused since the process is leaving.
     pub async fn drain(&self) {
-        let _ = &self.subscriber;
+        self.core.drain().await;
     }
 }
