--- /dev/null
+++ b/src/bench/sim/run.rs
@@ -0,0 +1,410 @@
+//! One simulated run: recorded arrivals, several engines, one policy, no network.
+
+// Names that differ only in the unit of time are meant to be similar.
+#![allow(clippy::similar_names)]
+
+use std::collections::BTreeSet;
+
+use super::policy::{EngineView, Job, JobEnd, Policy, Verdict};
+use super::{SimConfig, prefixes};
+use crate::bench::recorder::{Ending, Recorder, Trace, measured_window};
+use crate::bench::report::MemorySample;
+use crate::bench::workload::Workload;
+use crate::model::{KindName, WorkspaceName};
+use crate::roles::standin::{Engine, Event, SequenceId, SequenceRequest};
+
+/// Age up to which an entry's view of an engine is not renewed.
+const VIEW_US: u64 = 100_000;
+/// Time between two samples of the engines' memory.
+const MEMORY_SAMPLE_US: u64 = 1_000_000;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    New,
+    Queued,
+    Running,
+    Paused,
+    Done,
+}
+
+struct JobState {
+    job: Job,
+    phase: Phase,
+    engine: usize,
+    sequence: Option<SequenceId>,
+    trace: Trace,
+}
+
+struct SimEngine {
+    core: Engine,
+    alive: bool,
+    /// The job of each sequence; sequence ids count from 1.
+    jobs: Vec<u32>,
+    queued: u32,
+    running: u32,
+    tokens: u64,
+    tokens_at_view: u64,
+}
+
+pub(super) struct Run<'a> {
+    config: &'a SimConfig,
+    workload: &'a Workload,
+    policy: Policy,
+    recorder: Recorder,
+    engines: Vec<SimEngine>,
+    jobs: Vec<JobState>,
+    prefixes: Vec<Vec<u64>>,
+    deadlines: BTreeSet<(u64, u32)>,
+    views: Vec<EngineView>,
+    views_at_us: Option<u64>,
+    memory_at_us: u64,
+    events: Vec<Event>,
+    open: usize,
+}
+
+impl<'a> Run<'a> {
+    pub(super) fn new(
+        config: &'a SimConfig,
+        workload: &'a Workload,
+        name: &str,
+        policy: Policy,
+    ) -> Self {
+        let engines = (0..config.engines).map(|_| SimEngine {
+            core: Engine::new(config.engine.clone()),
+            alive: true,
+            jobs: vec![u32::MAX],
+            queued: 0,
+            running: 0,
+            tokens: 0,
+            tokens_at_view: 0,
+        });
+        Self {
+            config,
+            workload,
+            policy,
+            recorder: Recorder::new(name, workload, config.load),
+            engines: engines.collect(),
+            jobs: jobs(workload),
+            prefixes: prefixes(workload),
+            deadlines: BTreeSet::new(),
+            views: vec![EngineView::default(); config.engines],
+            views_at_us: None,
+            memory_at_us: 0,
+            events: Vec::new(),
+            open: 0,
+        }
+    }
+
+    /// Runs until every job has ended.
+    pub(super) fn run(mut self) -> Recorder {
+        let mut arrivals = (0..self.jobs.len())
+            .filter(|index| {
+                let kind = self.workload.arrivals[*index].kind;
+                self.workload.kinds[kind].is_model()
+            })
+            .collect::<Vec<_>>()
+            .into_iter()
+            .peekable();
+        let mut failure = self.config.failure.clone();
+        loop {
+            let arrival_us = arrivals.peek().map(|i| self.workload.arrivals[*i].at_us);
+            if arrival_us.is_none() && self.open == 0 {
+                break;
+            }
+            let step = self.next_step();
+            let deadline_us = self.deadlines.first().map(|(at_ms, _)| at_ms * 1_000);
+            let failure_us = failure.as_ref().map(|failure| failure.at_us);
+            let times = [arrival_us, step.map(|(at, _)| at), deadline_us, failure_us];
+            let Some(now_us) = times.into_iter().flatten().min() else {
+                break;
+            };
+            self.sample_memory(now_us);
+            if failure_us == Some(now_us) {
+                if let Some(failure) = failure.take() {
+                    self.engines[failure.slowed].core.slow_down(failure.factor);
+                    self.kill(now_us, failure.killed);
+                }
+            } else if arrival_us == Some(now_us) {
+                if let Some(index) = arrivals.next() {
+                    self.arrive(now_us, index);
+                }
+            } else if let Some((at_us, engine)) = step.filter(|(at_us, _)| *at_us == now_us) {
+                self.step(at_us, engine);
+            } else {
+                self.deadline(now_us);
+            }
+        }
+        self.finish()
+    }
+
+    fn finish(mut self) -> Recorder {
+        for engine in &self.engines {
+            let counters = engine.core.counters();
+            self.recorder.preemptions += counters.preemptions;
+            self.recorder.recomputed_tokens += counters.recomputed_tokens;
+        }
+        self.recorder
+    }
+
+    fn next_step(&self) -> Option<(u64, usize)> {
+        self.engines
+            .iter()
+            .enumerate()
+            .filter(|(_, engine)| engine.alive)
+            .filter_map(|(index, engine)| Some((engine.core.due_us()?, index)))
+            .min()
+    }
+
+    fn arrive(&mut self, now_us: u64, index: usize) {
+        let job = &self.jobs[index].job;
+        self.deadlines.insert((job.deadline_ms, job.id));
+        self.open += 1;
+        self.place(now_us, index);
+    }
+
+    fn place(&mut self, now_us: u64, index: usize) {
+        self.renew_views(now_us);
+        let now_ms = now_us / 1_000;
+        let job = &self.jobs[index].job;
+        let Some(engine) = (self.policy.choose)(now_ms, job, &self.views) else {
+            self.end(now_us, index, Ending::NotRun);
+            return;
+        };
+        if (self.policy.arrive)(now_ms, engine, job) == Verdict::Refuse {
+            self.end(now_us, index, Ending::NotRun);
+            return;
+        }
+        self.jobs[index].engine = engine;
+        self.jobs[index].phase = Phase::Queued;
+        self.engines[engine].queued += 1;
+        self.pump(now_us, engine);
+    }
+
+    /// Lets the policy pause and start jobs of one engine.
+    fn pump(&mut self, now_us: u64, engine: usize) {
+        let now_ms = now_us / 1_000;
+        if !self.engines[engine].alive {
+            return;
+        }
+        while let Some(victim) = (self.policy.victim)(now_ms, engine) {
+            self.pause(victim as usize);
+        }
+        while let Some(start) = (self.policy.next)(now_ms, engine) {
+            self.start(now_us, start.job as usize, start.priority);
+        }
+    }
+
+    fn pause(&mut self, index: usize) {
+        let state = &mut self.jobs[index];
+        assert_eq!(state.phase, Phase::Running, "only running jobs are paused");
+        let engine = &mut self.engines[state.engine];
+        if let Some(sequence) = state.sequence {
+            engine.core.pause(sequence);
+        }
+        state.phase = Phase::Paused;
+        engine.running -= 1;
+        engine.queued += 1;
+        let held = state.job.prompt_tokens + state.trace.tokens;
+        self.recorder.preemptions += 1;
+        self.recorder.recomputed_tokens += u64::from(held);
+    }
+
+    fn start(&mut self, now_us: u64, index: usize, priority: u8) {
+        let state = &mut self.jobs[index];
+        let engine = &mut self.engines[state.engine];
+        match (state.phase, state.sequence) {
+            (Phase::Paused, Some(sequence)) => {
+                engine.core.unpause(now_us, sequence);
+            }
+            (Phase::Queued, None) => {
+                let arrival = &self.workload.arrivals[index];
+                let request = SequenceRequest {
+                    priority,
+                    prompt_tokens: arrival.prompt_tokens,
+                    max_tokens: arrival.max_tokens,
+                    target_tokens: arrival.target_tokens,
+                    prefix: self.prefixes[index].clone(),
+                };
+                let sequence = engine.core.submit(now_us, request);
+                state.sequence = Some(sequence.expect("prompts are smaller than an engine"));
+                engine.jobs.push(state.job.id);
+            }
+            (phase, _) => panic!("job {index} was started in phase {phase:?}"),
+        }
+        state.phase = Phase::Running;
+        engine.queued -= 1;
+        engine.running += 1;
+    }
+
+    fn step(&mut self, now_us: u64, engine: usize) {
+        let now_ms = now_us / 1_000;
+        let window_us = measured_window(self.workload);
+        let mut events = std::mem::take(&mut self.events);
+        self.engines[engine].core.step(now_us, &mut events);
+        for event in events.drain(..) {
+            match event {
+                Event::Token { id, .. } => {
+                    let job = self.job_of(engine, id);
+                    self.engines[engine].tokens += 1;
+                    if let Some(gap_us) = self.jobs[job].trace.token(now_us, &window_us) {
+                        self.recorder.between_tokens(gap_us);
+                    }
+                    (self.policy.on_token)(now_ms, engine, self.jobs[job].job.id);
+                }
+                Event::End { id, produced, .. } => {
+                    let job = self.job_of(engine, id);
+                    assert_eq!(produced, self.jobs[job].trace.tokens, "tokens of job {job}");
+                    self.leave(now_us, job, JobEnd::Finished);
+                    self.end(now_us, job, Ending::Complete);
+                }
+                Event::Preempted { id, .. } => {
+                    let job = self.job_of(engine, id);
+                    (self.policy.on_preempted)(now_ms, engine, self.jobs[job].job.id);
+                }
+            }
+        }
+        self.events = events;
+        self.pump(now_us, engine);
+    }
+
+    fn job_of(&self, engine: usize, id: SequenceId) -> usize {
+        let position = usize::try_from(id.0).unwrap_or(usize::MAX);
+        self.engines[engine].jobs[position] as usize
+    }
+
+    fn deadline(&mut self, now_us: u64) {
+        while let Some((at_ms, id)) = self.deadlines.first().copied() {
+            if at_ms * 1_000 > now_us {
+                return;
+            }
+            self.deadlines.remove(&(at_ms, id));
+            let index = id as usize;
+            let engine = self.jobs[index].engine;
+            if let Some(sequence) = self.jobs[index].sequence {
+                self.engines[engine].core.cancel(sequence);
+            }
+            self.leave(now_us, index, JobEnd::Deadline);
+            self.end(now_us, index, self.broken_ending(index));
+            self.pump(now_us, engine);
+        }
+    }
+
+    fn kill(&mut self, now_us: u64, engine: usize) {
+        self.engines[engine].alive = false;
+        self.views_at_us = None;
+        let lost: Vec<usize> = (0..self.jobs.len())
+            .filter(|index| self.jobs[*index].engine == engine)
+            .filter(|index| !matches!(self.jobs[*index].phase, Phase::New | Phase::Done))
+            .collect();
+        for index in &lost {
+            self.leave(now_us, *index, JobEnd::Lost);
+        }
+        for index in lost {
+            if self.jobs[index].trace.tokens > 0 {
+                self.end(now_us, index, Ending::Interrupted);
+            } else {
+                self.place(now_us, index);
+            }
+        }
+    }
+
+    /// Takes a job from its engine.
+    fn leave(&mut self, now_us: u64, index: usize, end: JobEnd) {
+        let state = &mut self.jobs[index];
+        let engine = &mut self.engines[state.engine];
+        match state.phase {
+            Phase::Running => engine.running -= 1,
+            Phase::Queued | Phase::Paused => engine.queued -= 1,
+            Phase::New | Phase::Done => {}
+        }
+        state.phase = Phase::New;
+        state.sequence = None;
+        (self.policy.on_end)(now_us / 1_000, state.engine, state.job.id, end);
+    }
+
+    fn broken_ending(&self, index: usize) -> Ending {
+        match self.jobs[index].trace.tokens {
+            0 => Ending::NotRun,
+            _ => Ending::Interrupted,
+        }
+    }
+
+    fn end(&mut self, now_us: u64, index: usize, ending: Ending) {
+        let state = &mut self.jobs[index];
+        state.phase = Phase::Done;
+        state.trace.close(now_us);
+        self.deadlines
+            .remove(&(state.job.deadline_ms, state.job.id));
+        self.open -= 1;
+        self.recorder
+            .finish(self.workload, index, &state.trace, ending, now_us);
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn renew_views(&mut self, now_us: u64) {
+        let age_us = self.views_at_us.map(|at_us| now_us.saturating_sub(at_us));
+        if age_us.is_some_and(|age_us| age_us < VIEW_US) {
+            return;
+        }
+        let elapsed_s = age_us.unwrap_or(VIEW_US) as f64 / 1e6;
+        for (view, engine) in self.views.iter_mut().zip(&mut self.engines) {
+            let load = engine.core.load();
+            let tokens = engine.tokens - engine.tokens_at_view;
+            engine.tokens_at_view = engine.tokens;
+            *view = EngineView {
+                alive: engine.alive,
+                running: engine.running,
+                queued: engine.queued,
+                used_tokens: load.used_tokens,
+                capacity_tokens: load.capacity_tokens,
+                tokens_per_s: tokens as f64 / elapsed_s,
+            };
+        }
+        self.views_at_us = Some(now_us);
+    }
+
+    fn sample_memory(&mut self, now_us: u64) {
+        if !self.config.sample_memory || now_us < self.memory_at_us {
+            return;
+        }
+        self.memory_at_us = now_us + MEMORY_SAMPLE_US;
+        for (index, engine) in self.engines.iter().enumerate() {
+            let load = engine.core.load();
+            self.recorder.memory.push(MemorySample {
+                at_ms: now_us / 1_000,
+                engine: index,
+                used_tokens: if engine.alive { load.used_tokens } else { 0 },
+                capacity_tokens: load.capacity_tokens,
+            });
+        }
+    }
+}
+
+fn jobs(workload: &Workload) -> Vec<JobState> {
+    workload
+        .arrivals
+        .iter()
+        .map(|arrival| {
+            let kind = &workload.kinds[arrival.kind];
+            let workspace = &workload.workspaces[arrival.workspace];
+            let at_ms = arrival.at_us / 1_000;
+            JobState {
+                job: Job {
+                    id: arrival.number,
+                    at_ms,
+                    workspace: WorkspaceName::from(workspace.name.as_str()),
+                    weight: workspace.weight,
+                    kind: KindName::from(kind.name.as_str()),
+                    lane: kind.lane,
+                    prompt_tokens: arrival.prompt_tokens,
+                    max_tokens: arrival.max_tokens,
+                    deadline_ms: at_ms + kind.deadline_ms,
+                },
+                phase: Phase::New,
+                engine: 0,
+                sequence: None,
+                trace: Trace::default(),
+            }
+        })
+        .collect()
+}
