Number the sidecar's reports of its upstreams

Cause: reports of one incarnation can arrive out of order, so they now carry a sequence number. Change: the sidecar's report loop counts its reports.

--- a/src/roles/sidecar/observe.rs
+++ b/src/roles/sidecar/observe.rs
@@ -37,14 +37,14 @@
                 tokio::spawn(observe_engine(Arc::clone(upstream)));
             }
         }
-        loop {
+        for sequence in 1.. {
             sleep(OBSERVE_INTERVAL).await;
-            self.report_upstreams().await;
+            self.report_upstreams(sequence).await;
         }
     }
 
     /// Tells control what the upstreams have loaded if the member list says otherwise.
-    async fn report_upstreams(&self) {
+    async fn report_upstreams(&self, sequence: u64) {
         let me = self.subscriber.me();
         let upstreams = self.upstream_infos();
         let view = self.subscriber.view();
@@ -56,6 +56,7 @@
         }
         let command = Command::SetUpstreams {
             instance: me.clone(),
+            sequence,
             upstreams,
             now_ms: unix_ms(),
         };
