--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,543 @@
+//! Real daemons on loopback, each test on an address of its own, with files in a temporary folder.
+
+// Each test program uses a part of this module.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+
+use lilacspindle::domain::state::{Command as LogCommand, EditAnswer, EditId, Response, RowChange};
+use lilacspindle::domain::table::{
+    KindRow, ModelRow, Row, RowKey, ServiceRow, Target, WorkspaceRow,
+};
+use lilacspindle::model::{
+    Incarnation, InstanceName, InstanceRef, KindName, ModelName, ServiceName, TableVersion,
+    WorkspaceName,
+};
+use lilacspindle::roles::subscriber::ControlCalls;
+use lilacspindle::rpc::Stamp;
+use lilacspindle::rpc::sidecar::Lane;
+
+/// Time in which a started fleet has to be ready. Debug builds on a busy machine need some.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+static NEXT_NETWORK: AtomicU16 = AtomicU16::new(0);
+
+/// A daemon of the test.
+pub struct Daemon {
+    child: Child,
+    pub settings: PathBuf,
+    pub rpc: SocketAddr,
+    pub admin: SocketAddr,
+    /// The first address of the role: callers of an entry, the engine of a stand-in.
+    pub http: Option<SocketAddr>,
+    /// The second address of a stand-in: the service.
+    pub service: Option<SocketAddr>,
+}
+
+/// All daemons of a test. They are killed when the test ends.
+pub struct Fleet {
+    pub folder: PathBuf,
+    pub daemons: BTreeMap<String, Daemon>,
+    pub control: Vec<SocketAddr>,
+    pub peers: Vec<(String, SocketAddr)>,
+    /// The version at which the first rows are in force.
+    pub rows_version: TableVersion,
+    ip: Ipv4Addr,
+    extra: String,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for daemon in self.daemons.values_mut() {
+            let _ = daemon.child.kill();
+            let _ = daemon.child.wait();
+        }
+        if std::env::var_os("LILAC_KEEP").is_none() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl Fleet {
+    /// Returns an empty fleet on a loopback address that no other test uses.
+    pub fn new() -> Self {
+        let network = NEXT_NETWORK.fetch_add(1, Ordering::SeqCst);
+        let pid = std::process::id();
+        let [_, _, high, low] = pid.to_be_bytes();
+        let last = u8::try_from(network % 250 + 2).unwrap();
+        let folder = std::env::temp_dir().join(format!("lilacspindle-{pid}-{network}"));
+        std::fs::create_dir_all(&folder).unwrap();
+        Self {
+            folder,
+            daemons: BTreeMap::new(),
+            control: Vec::new(),
+            peers: Vec::new(),
+            rows_version: TableVersion(0),
+            ip: Ipv4Addr::new(127, high | 64, low, last),
+            extra: String::new(),
+        }
+    }
+
+    /// Adds lines to the `[instance]` section of daemons that are started from now on.
+    pub fn instance_lines(&mut self, lines: &str) {
+        lines.clone_into(&mut self.extra);
+    }
+
+    /// Returns a free address of this test.
+    pub fn free_address(&self) -> SocketAddr {
+        let listener = TcpListener::bind(SocketAddr::new(IpAddr::V4(self.ip), 0)).unwrap();
+        listener.local_addr().unwrap()
+    }
+
+    /// Starts `count` control instances and waits until one of them is ready.
+    pub async fn start_control(&mut self, count: usize) {
+        let names: Vec<String> = (1..=count)
+            .map(|number| format!("control-{number}"))
+            .collect();
+        self.peers = names
+            .iter()
+            .map(|name| (name.clone(), self.free_address()))
+            .collect();
+        self.control = self.peers.iter().map(|(_, address)| *address).collect();
+        for name in &names {
+            self.start_control_instance(name);
+        }
+        for name in &names {
+            self.wait_ready(name).await;
+        }
+    }
+
+    /// Starts one of the control instances, for the first time or again.
+    pub fn start_control_instance(&mut self, name: &str) {
+        let rpc = self.peers.iter().find(|(peer, _)| peer == name).unwrap().1;
+        let peers: Vec<String> = self
+            .peers
+            .iter()
+            .map(|(name, address)| format!("{name}@{address}"))
+            .collect();
+        let roles = format!(
+            "[control]\ndata_folder = {}\npeers = {}\n",
+            self.data_folder(name).display(),
+            peers.join(",")
+        );
+        self.start(name, Some(rpc), &roles, None, None);
+    }
+
+    /// Returns the data folder of a control instance.
+    pub fn data_folder(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}-data"))
+    }
+
+    /// Starts an entry.
+    pub fn start_entry(&mut self, name: &str) -> SocketAddr {
+        let http = self.free_address();
+        let roles = format!("[entry]\nhttp_address = {http}\n");
+        self.start(name, None, &roles, Some(http), None);
+        http
+    }
+
+    /// Starts an engine and a service stand-in in a process of their own.
+    pub fn start_standin(&mut self, name: &str, lines: &str) -> (SocketAddr, SocketAddr) {
+        let engine = self.free_address();
+        let service = self.free_address();
+        let roles =
+            format!("[standin]\nengine_address = {engine}\nservice_address = {service}\n{lines}\n");
+        self.start(name, None, &roles, Some(engine), Some(service));
+        (engine, service)
+    }
+
+    /// Starts a sidecar in front of an engine of the model `tutor` and a service `cards`.
+    pub fn start_sidecar(
+        &mut self,
+        name: &str,
+        engine: SocketAddr,
+        service: SocketAddr,
+        lines: &str,
+    ) {
+        let roles = format!(
+            "[sidecar]\n{lines}\n[upstream {name}-engine]\nmodel = tutor\nurl = http://{engine}\n\
+             checks_fence = true\n[upstream {name}-service]\nservice = cards\nurl = http://{service}\n"
+        );
+        self.start(name, None, &roles, None, None);
+    }
+
+    /// Starts a daemon with the given role sections.
+    pub fn start(
+        &mut self,
+        name: &str,
+        rpc: Option<SocketAddr>,
+        roles: &str,
+        http: Option<SocketAddr>,
+        service: Option<SocketAddr>,
+    ) {
+        let rpc = rpc.unwrap_or_else(|| self.free_address());
+        let admin = self.free_address();
+        let control: Vec<String> = self.control.iter().map(ToString::to_string).collect();
+        let control = match control.as_slice() {
+            [] => String::new(),
+            addresses => format!("control_addresses = {}\n", addresses.join(",")),
+        };
+        let text = format!(
+            "[instance]\nname = {name}\nzone = z1\nrpc_address = {rpc}\nadmin_address = {admin}\n\
+             admin_token = secret\n{control}{}\n{roles}",
+            self.extra
+        );
+        let settings = self.folder.join(format!("{name}.ini"));
+        std::fs::write(&settings, text).unwrap();
+        let child = spawn(&settings, &self.log_file(name));
+        let daemon = Daemon {
+            child,
+            settings,
+            rpc,
+            admin,
+            http,
+            service,
+        };
+        self.daemons.insert(name.to_owned(), daemon);
+    }
+
+    /// Returns the file that a daemon logs to.
+    pub fn log_file(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}.log"))
+    }
+
+    /// Starts a daemon again with the settings that it had.
+    pub fn restart(&mut self, name: &str) {
+        let log = self.log_file(name);
+        let daemon = self.daemons.get_mut(name).unwrap();
+        let _ = daemon.child.kill();
+        let _ = daemon.child.wait();
+        daemon.child = spawn(&daemon.settings, &log);
+    }
+
+    /// Kills a daemon at once.
+    pub fn kill(&mut self, name: &str) {
+        let daemon = self.daemons.get_mut(name).unwrap();
+        daemon.child.kill().unwrap();
+        daemon.child.wait().unwrap();
+    }
+
+    /// Sends a signal by its name, such as `STOP`, `CONT` or `TERM`.
+    pub fn signal(&self, name: &str, signal: &str) {
+        let pid = self.daemons[name].child.id().to_string();
+        let status = Command::new("kill")
+            .args(["-s", signal, &pid])
+            .status()
+            .unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits until a daemon has ended by itself; fails after `limit`.
+    pub async fn wait_ended(&mut self, name: &str, limit: Duration) -> Duration {
+        let start = Instant::now();
+        while start.elapsed() < limit {
+            if self
+                .daemons
+                .get_mut(name)
+                .unwrap()
+                .child
+                .try_wait()
+                .unwrap()
+                .is_some()
+            {
+                return start.elapsed();
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("{name} still runs after {limit:?}");
+    }
+
+    /// Returns true if a daemon has not ended.
+    pub fn runs(&mut self, name: &str) -> bool {
+        self.daemons
+            .get_mut(name)
+            .unwrap()
+            .child
+            .try_wait()
+            .unwrap()
+            .is_none()
+    }
+
+    /// Waits until `/readyz` of a daemon answers 200.
+    pub async fn wait_ready(&self, name: &str) {
+        let url = format!("http://{}/readyz", self.daemons[name].admin);
+        let start = Instant::now();
+        while start.elapsed() < READY_LIMIT {
+            let answer = reqwest::get(&url).await;
+            if answer.is_ok_and(|answer| answer.status() == 200) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let log = std::fs::read_to_string(self.log_file(name)).unwrap_or_default();
+        panic!("{name} is not ready after {READY_LIMIT:?}; its log:\n{log}");
+    }
+
+    /// Returns the metrics page of a daemon.
+    pub async fn metrics(&self, name: &str) -> String {
+        let url = format!("http://{}/metrics", self.daemons[name].admin);
+        reqwest::get(&url).await.unwrap().text().await.unwrap()
+    }
+
+    /// Fails if any daemon that can be reached counted a violated invariant.
+    pub async fn assert_no_violations(&self) {
+        for (name, daemon) in &self.daemons {
+            let url = format!("http://{}/metrics", daemon.admin);
+            let Ok(answer) = reqwest::get(&url).await else {
+                continue;
+            };
+            for line in answer.text().await.unwrap_or_default().lines() {
+                let violated =
+                    line.starts_with("lilac_invariant_violations_total") && !line.ends_with(" 0");
+                assert!(!violated, "{name}: {line}");
+            }
+        }
+    }
+
+    /// Makes an edit against the present version. Resends it until it has an answer.
+    pub async fn edit(&self, id: &str, base: TableVersion, changes: Vec<RowChange>) -> EditAnswer {
+        let command = LogCommand::Edit {
+            id: EditId(id.to_owned()),
+            author: "test".to_owned(),
+            base,
+            changes,
+            now_ms: lilacspindle::adapters::clock::unix_ms(),
+        };
+        match self.submit(&command).await {
+            Response::Edit(answer) => answer,
+            other => panic!("unexpected answer {other:?}"),
+        }
+    }
+
+    /// Submits a command to control.
+    pub async fn submit(&self, command: &LogCommand) -> Response {
+        let calls = ControlCalls::new(self.control.clone());
+        calls
+            .submit(stamp, command, Duration::from_secs(20))
+            .await
+            .unwrap()
+    }
+
+    /// Starts one control instance, two stand-ins with a sidecar each and two entries, with rows.
+    pub async fn start_path(&mut self, control: usize) {
+        self.start_control(control).await;
+        self.rows_version = self.edit("rows", TableVersion(0), rows()).await.unwrap();
+        for number in 1..=2 {
+            let (engine, service) = self.start_standin(&format!("standin-{number}"), "step_ms = 5");
+            self.start_sidecar(&format!("sidecar-{number}"), engine, service, "");
+        }
+        for number in 1..=2 {
+            self.start_entry(&format!("entry-{number}"));
+        }
+        for name in ["sidecar-1", "sidecar-2", "entry-1", "entry-2"] {
+            self.wait_ready(name).await;
+        }
+        self.wait_routable().await;
+    }
+
+    /// Waits until both entries serve a short call, so that routes are known.
+    pub async fn wait_routable(&self) {
+        let start = Instant::now();
+        for name in ["entry-1", "entry-2"] {
+            loop {
+                let answer = completion(self.url(name), "hint", "are you there", 3, false)
+                    .send()
+                    .await;
+                if answer.is_ok_and(|answer| answer.status() == 200) {
+                    break;
+                }
+                assert!(start.elapsed() < READY_LIMIT, "{name} serves nothing");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    /// Returns the base URL of an entry or a stand-in.
+    pub fn url(&self, name: &str) -> String {
+        format!("http://{}", self.daemons[name].http.unwrap())
+    }
+}
+
+fn stamp() -> Stamp {
+    Stamp {
+        sender: InstanceRef {
+            name: InstanceName::from("test"),
+            incarnation: Incarnation(1),
+        },
+        table_version: TableVersion(0),
+        leaving: false,
+    }
+}
+
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let log = std::fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(log)
+        .unwrap();
+    Command::new(env!("CARGO_BIN_EXE_lilacspindled"))
+        .arg("run")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()
+        .unwrap()
+}
+
+/// Returns the rows that tests of the path start with.
+pub fn rows() -> Vec<RowChange> {
+    let model = || Target::Model(ModelName::from("tutor"));
+    let service = || Target::Service(ServiceName::from("cards"));
+    let rows = [
+        (
+            RowKey::Workspace(WorkspaceName::from("demo")),
+            workspace_row(None),
+        ),
+        (
+            RowKey::Model(ModelName::from("tutor")),
+            Row::Model(ModelRow {
+                version: "v1".to_owned(),
+                prepare_version: None,
+                adapter: None,
+            }),
+        ),
+        (
+            RowKey::Service(ServiceName::from("cards")),
+            Row::Service(ServiceRow {
+                repeatable: true,
+                deadline_ms: 10_000,
+            }),
+        ),
+        kind("essay", Lane::Long, true, model()),
+        kind("hint", Lane::Small, true, model()),
+        kind("card", Lane::Small, true, service()),
+        kind("scan", Lane::Small, false, service()),
+    ];
+    rows.into_iter()
+        .map(|(key, row)| RowChange {
+            key,
+            row: Some(row),
+        })
+        .collect()
+}
+
+/// Returns a row of a workspace with some room.
+pub fn workspace_row(room_slots: Option<u32>) -> Row {
+    Row::Workspace(WorkspaceRow {
+        weight: 10,
+        room_slots,
+        api_key_sha256: None,
+        max_tokens: 4_096,
+    })
+}
+
+fn kind(name: &str, lane: Lane, repeatable: bool, target: Target) -> (RowKey, Row) {
+    let row = KindRow {
+        lane,
+        repeatable,
+        room_slots: None,
+        deadline_ms: 60_000,
+        target,
+    };
+    (RowKey::Kind(None, KindName::from(name)), Row::Kind(row))
+}
+
+/// Returns a completion call of the workspace `demo`; `tokens` is the true length of the answer.
+pub fn completion(
+    url: String,
+    kind: &str,
+    prompt: &str,
+    tokens: u32,
+    stream: bool,
+) -> reqwest::RequestBuilder {
+    let body = serde_json::json!({
+        "model": "tutor",
+        "prompt": prompt,
+        "max_tokens": 4096,
+        "target_tokens": tokens,
+        "stream": stream,
+    });
+    client()
+        .post(format!("{url}/v1/completions"))
+        .header("Lilac-Workspace", "demo")
+        .header("Lilac-Kind", kind)
+        .json(&body)
+}
+
+/// Returns an HTTP client that does not share connections with other calls.
+pub fn client() -> reqwest::Client {
+    reqwest::Client::builder()
+        .pool_max_idle_per_host(0)
+        .build()
+        .unwrap()
+}
+
+/// What a caller got on a stream.
+#[derive(Debug, Default)]
+pub struct Streamed {
+    pub text: String,
+    pub ids: Vec<String>,
+    pub done: bool,
+    /// The JSON of an `error` event.
+    pub error: Option<serde_json::Value>,
+    /// True if the connection broke.
+    pub broken: bool,
+}
+
+/// Reads a stream until its end, until it breaks, or until `stop` says so.
+pub async fn read_stream(
+    mut response: reqwest::Response,
+    mut stop: impl FnMut(&Streamed) -> bool,
+) -> Streamed {
+    let mut streamed = Streamed::default();
+    let mut buffer = String::new();
+    loop {
+        match response.chunk().await {
+            Ok(Some(bytes)) => buffer.push_str(&String::from_utf8_lossy(&bytes)),
+            Ok(None) => return streamed,
+            Err(_) => {
+                streamed.broken = true;
+                return streamed;
+            }
+        }
+        while let Some(end) = buffer.find("\n\n") {
+            let event: String = buffer.drain(..end + 2).collect();
+            streamed.add(&event);
+        }
+        if stop(&streamed) {
+            return streamed;
+        }
+    }
+}
+
+impl Streamed {
+    fn add(&mut self, event: &str) {
+        let field = |name: &str| {
+            let lines = event.lines();
+            let values = lines.filter_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
+            values
+                .map(|value| value.strip_prefix(' ').unwrap_or(value).to_owned())
+                .next()
+        };
+        let data = field("data").unwrap_or_default();
+        match (field("event").as_deref(), data.as_str()) {
+            (Some("error"), data) => self.error = serde_json::from_str(data).ok(),
+            (_, "[DONE]") => self.done = true,
+            (_, "") => {}
+            (_, data) => {
+                let chunk: serde_json::Value = serde_json::from_str(data).unwrap();
+                let choice = &chunk["choices"][0];
+                let text = choice["text"]
+                    .as_str()
+                    .or(choice["delta"]["content"].as_str());
+                self.text.push_str(text.unwrap_or_default());
+                self.ids.extend(field("id"));
+            }
+        }
+    }
+}
