Add the entry: HTTP, choice of replica, polls, retries and claims

Cause: the entry role was a stub, and other parts wait for a path from a caller to a sidecar. Change: Rocket routes for completions, chat completions, services and the list of models; one poll loop per sidecar that applies a chunk only at the reader's cursor; choice of replica from load reports; retry budgets; claims; recovery of streams from restarted sidecars. `Last-Event-ID` is still refused. Result: before, nothing listened. Conclusion: the path from caller to sidecar can be used by other parts.

--- /dev/null
+++ b/src/roles/entry/events.rs
@@ -0,0 +1,141 @@
+//! Answers in the shape of the standard API, as events and whole.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde_json::{Value, json};
+
+use super::failure::Failure;
+use crate::model::{GenerationId, Incarnation, InstanceName, InstanceRef, ModelName};
+use crate::rpc::sidecar::Api;
+
+/// Sent while a stream is silent, so that a closed connection is noticed.
+pub(super) const COMMENT: &[u8] = b": waiting\n\n";
+
+/// The position of a caller in a stream: the id of an event, and of `Last-Event-ID`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct EventId {
+    pub sidecar: InstanceRef,
+    pub generation: GenerationId,
+    /// The number of tokens that the caller has once it has this event.
+    pub offset: u32,
+}
+
+impl fmt::Display for EventId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}.{}.{}.{}",
+            self.sidecar.name, self.sidecar.incarnation, self.generation, self.offset
+        )
+    }
+}
+
+impl FromStr for EventId {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        // The name comes first, so it may contain dots.
+        let mut parts = text.rsplitn(4, '.');
+        let (Some(offset), Some(generation), Some(incarnation), Some(name)) =
+            (parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return Err("expected <sidecar>.<incarnation>.<generation>.<offset>");
+        };
+        if name.is_empty() {
+            return Err("the name of the sidecar is empty");
+        }
+        Ok(Self {
+            sidecar: InstanceRef {
+                name: InstanceName::from(name),
+                incarnation: parse_hex::<Incarnation>(incarnation, 16)
+                    .ok_or("the incarnation is not 16 hexadecimal digits")?,
+            },
+            generation: parse_hex::<GenerationId>(generation, 32)
+                .ok_or("the generation is not 32 hexadecimal digits")?,
+            offset: offset.parse().map_err(|_| "the offset is not a number")?,
+        })
+    }
+}
+
+fn parse_hex<T: FromStr>(text: &str, digits: usize) -> Option<T> {
+    let is_hex = text.len() == digits && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    is_hex.then(|| text.parse().ok()).flatten()
+}
+
+/// Makes the JSON of one answer.
+#[derive(Debug, Clone)]
+pub(super) struct Shape {
+    pub api: Api,
+    pub model: ModelName,
+    /// Seconds since the Unix epoch.
+    pub created_s: u64,
+}
+
+impl Shape {
+    /// Returns the event of one token.
+    pub fn token(&self, id: &EventId, text: &str) -> Vec<u8> {
+        let choice = match self.api {
+            Api::ChatCompletions if id.offset == 1 => json!({"index": 0,
+                "delta": {"role": "assistant", "content": text}, "finish_reason": null}),
+            Api::ChatCompletions => {
+                json!({"index": 0, "delta": {"content": text}, "finish_reason": null})
+            }
+            Api::Completions => json!({"index": 0, "text": text, "finish_reason": null}),
+        };
+        self.event(id, &choice)
+    }
+
+    /// Returns the events at the end of a stream.
+    pub fn end(&self, id: &EventId, reason: &str) -> Vec<u8> {
+        let choice = match self.api {
+            Api::ChatCompletions => json!({"index": 0, "delta": {}, "finish_reason": reason}),
+            Api::Completions => json!({"index": 0, "text": "", "finish_reason": reason}),
+        };
+        let mut bytes = self.event(id, &choice);
+        bytes.extend_from_slice(b"data: [DONE]\n\n");
+        bytes
+    }
+
+    /// Returns a whole answer.
+    pub fn whole(&self, id: &EventId, text: &str, reason: &str, prompt_tokens: u32) -> String {
+        let (object, choice) = match self.api {
+            Api::ChatCompletions => (
+                "chat.completion",
+                json!({"index": 0, "message": {"role": "assistant", "content": text},
+                    "finish_reason": reason}),
+            ),
+            Api::Completions => (
+                "text_completion",
+                json!({"index": 0, "text": text, "finish_reason": reason}),
+            ),
+        };
+        let mut answer = self.envelope(id.generation, object, &choice);
+        answer["usage"] = json!({"prompt_tokens": prompt_tokens, "completion_tokens": id.offset,
+            "total_tokens": u64::from(prompt_tokens) + u64::from(id.offset)});
+        answer.to_string()
+    }
+
+    fn event(&self, id: &EventId, choice: &Value) -> Vec<u8> {
+        let object = match self.api {
+            Api::ChatCompletions => "chat.completion.chunk",
+            Api::Completions => "text_completion",
+        };
+        let data = self.envelope(id.generation, object, choice);
+        format!("id: {id}\ndata: {data}\n\n").into_bytes()
+    }
+
+    fn envelope(&self, generation: GenerationId, object: &str, choice: &Value) -> Value {
+        let prefix = match self.api {
+            Api::ChatCompletions => "chatcmpl",
+            Api::Completions => "cmpl",
+        };
+        json!({"id": format!("{prefix}-{generation}"), "object": object,
+            "created": self.created_s, "model": self.model.as_str(), "choices": [choice]})
+    }
+}
+
+/// Returns the event of a stream that ends without a result.
+pub(super) fn error_event(failure: &Failure) -> Vec<u8> {
+    format!("event: error\ndata: {}\n\n", failure.json()).into_bytes()
+}
--- a/src/roles/entry/mod.rs
+++ b/src/roles/entry/mod.rs
@@ -1,16 +1,42 @@
 //! The entry role: HTTP towards callers.
 
+mod attempt;
+mod claim;
+mod completions;
+mod core;
+mod events;
+mod failure;
+mod fleet;
+mod generation;
+mod inbox;
+mod input;
+mod load;
+mod metrics;
+mod plain;
+mod poller;
+mod probes;
+mod prompt;
+mod recovery;
+mod reply;
+mod room;
+mod routes;
+mod terms;
+
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
-use crate::adapters::http::StartError;
+use self::core::Entry;
+use crate::adapters::http::{self, Server, StartError};
 use crate::roles::subscriber::Subscriber;
 use crate::settings::EntrySettings;
 
+pub use room::{Acquire, RoomPort, SlotGuard};
+
 /// A running entry.
 pub struct EntryRole {
-    subscriber: Arc<Subscriber>,
+    entry: Arc<Entry>,
     address: SocketAddr,
+    server: Mutex<Option<Server>>,
 }
 
 impl EntryRole {
@@ -19,10 +45,27 @@
         settings: &EntrySettings,
         subscriber: Arc<Subscriber>,
     ) -> Result<Arc<Self>, StartError> {
-        let address = settings.http_address;
+        Self::start_with_room(settings, subscriber, RoomPort::unlimited()).await
+    }
+
+    /// Starts the entry with slots from a port; fails if its address is in use.
+    pub async fn start_with_room(
+        settings: &EntrySettings,
+        subscriber: Arc<Subscriber>,
+        room: RoomPort,
+    ) -> Result<Arc<Self>, StartError> {
+        let entry = Entry::new(settings.clone(), subscriber, room);
+        let server = http::start(settings.http_address, settings.body_limit_bytes, |rocket| {
+            rocket
+                .mount("/", routes::routes(&entry))
+                .register("/", routes::catchers())
+        })
+        .await?;
+        tokio::spawn(probes::probe_sidecars(Arc::downgrade(&entry)));
         Ok(Arc::new(Self {
-            subscriber,
-            address,
+            address: server.address,
+            server: Mutex::new(Some(server)),
+            entry,
         }))
     }
 
@@ -33,6 +76,14 @@
 
     /// Waits until no answer is open, then stops the server.
     pub async fn drain(&self) {
-        let _ = &self.subscriber;
+        self.entry.open.wait_for_none().await;
+        let server = self
+            .server
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(server) = server {
+            server.stop().await;
+        }
     }
 }
--- /dev/null
+++ b/src/roles/entry/probes.rs
@@ -0,0 +1,57 @@
+//! Probes of sidecars whose load report is missing or old.
+
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::core::Entry;
+use super::fleet::Peer;
+use crate::rpc::sidecar::ProbeRequest;
+
+/// Time between looks at the ages of reports.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Limit of a probe.
+const PROBE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Probes sidecars until the entry is dropped.
+pub(super) async fn probe_sidecars(entry: Weak<Entry>) {
+    loop {
+        let Some(entry) = entry.upgrade() else {
+            return;
+        };
+        // Builds the connections of new members before the first request needs them.
+        entry.fleet.refresh(&entry.subscriber.view());
+        for peer in entry.fleet.peers() {
+            if peer.load().begin_probe() {
+                tokio::spawn(probe(Arc::clone(&entry), peer));
+            }
+        }
+        drop(entry);
+        sleep(INTERVAL).await;
+    }
+}
+
+async fn probe(entry: Arc<Entry>, peer: Arc<Peer>) {
+    let request = ProbeRequest {
+        stamp: entry.subscriber.stamp(),
+        sender: entry.subscriber.me().clone(),
+    };
+    let answer = peer
+        .calls
+        .call(PROBE_LIMIT, |client, context| async move {
+            client.probe(context, request).await
+        })
+        .await;
+    match answer {
+        Ok(reply) if reply.stamp.sender == peer.instance => {
+            entry.fleet.note(&peer, &reply.stamp, &reply.load);
+        }
+        Ok(_) => peer.load().note_unreachable(),
+        Err(error) => {
+            tracing::debug!(sidecar = %peer.instance.name, %error, "probe failed");
+            peer.load().note_unreachable();
+        }
+    }
+    peer.load().end_probe();
+}
--- /dev/null
+++ b/src/roles/entry/recovery.rs
@@ -0,0 +1,206 @@
+//! Streams that their sidecar no longer brings: taken back from the engine, or ended.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
+
+use super::attempt::{cancel, cancel_later};
+use super::claim::ClaimKey;
+use super::core::Entry;
+use super::failure::Failure;
+use super::fleet::Peer;
+use super::generation::{Attempt, Generation, Job, Step};
+use super::inbox::Trouble;
+use crate::adapters::clock::monotonic_ms;
+use crate::domain::state::Claimed;
+use crate::model::{Incarnation, InstanceRef, Outcome, Refusal, RefusalCode};
+use crate::rpc::sidecar::{CancelReply, Origin, ReadoptReply, ReadoptRequest};
+
+/// Time that a stream whose tokens were shown waits for its sidecar.
+const RECOVERY_LIMIT_MS: u64 = 15_000;
+/// Limit of one readopt; the sidecar asks its engine.
+const READOPT_LIMIT: Duration = Duration::from_secs(3);
+/// Pause between tries.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Time in which a sidecar says that it does not know a generation. A poll that is held longer
+/// means that it knows it.
+const KNOWN_LIMIT: Duration = Duration::from_millis(300);
+/// Looks for a claimed generation before it counts as an orphan: its holder may be about to start.
+const ORPHAN_LOOKS: u32 = 4;
+/// Limit of the cancel that resolves an orphan.
+const ORPHAN_LIMIT: Duration = Duration::from_secs(3);
+
+/// Goes on after trouble: reads on, starts a new attempt, or fails.
+pub(super) async fn recover(
+    generation: &mut Generation,
+    trouble: Trouble,
+) -> Result<Option<Step>, Failure> {
+    let peer = Arc::clone(&generation.attempt.peer);
+    tracing::info!(request = %generation.job.request, generation = %generation.attempt.generation,
+        sidecar = %peer.instance.name, ?trouble, offset = generation.given(), "stream is lost");
+    let is_replaceable =
+        !generation.is_shown() && generation.job.terms.repeatable && generation.job.claim.is_none();
+    if trouble == Trouble::Unreachable && is_replaceable {
+        cancel_later(&generation.entry, &peer, generation.attempt.generation);
+        return lost(generation, "the sidecar does not answer").await;
+    }
+    let give_up_at_ms = monotonic_ms() + RECOVERY_LIMIT_MS.min(generation.job.terms.remaining_ms());
+    let mut trouble = trouble;
+    loop {
+        let result = match &trouble {
+            Trouble::Unknown => readopt(generation, &peer.instance).await,
+            Trouble::Restarted(incarnation) => {
+                let instance = InstanceRef {
+                    name: peer.instance.name.clone(),
+                    incarnation: *incarnation,
+                };
+                readopt(generation, &instance).await
+            }
+            Trouble::Unreachable => {
+                read_on(generation, &peer);
+                return Ok(None);
+            }
+        };
+        match result {
+            Readopted::Adopted => return Ok(None),
+            Readopted::Lost(cause) => return lost(generation, &cause).await,
+            Readopted::Restarted(incarnation) => trouble = Trouble::Restarted(incarnation),
+            Readopted::NoAnswer(cause) if monotonic_ms() >= give_up_at_ms => {
+                return lost(generation, &cause).await;
+            }
+            Readopted::NoAnswer(_) => sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+enum Readopted {
+    Adopted,
+    Lost(String),
+    Restarted(Incarnation),
+    NoAnswer(String),
+}
+
+/// Ends an attempt whose stream will not come back.
+async fn lost(generation: &mut Generation, cause: &str) -> Result<Option<Step>, Failure> {
+    let refusal = Refusal {
+        code: RefusalCode::UpstreamLost,
+        message: cause.to_owned(),
+        retry_after_ms: None,
+    };
+    generation.replace(Outcome::Unknown, refusal).await
+}
+
+/// Reads the generation at a peer from what was handed out on.
+fn read_on(generation: &mut Generation, peer: &Arc<Peer>) {
+    let attempt = &mut generation.attempt;
+    attempt.reader = peer.poller.read(
+        attempt.generation,
+        &generation.job.terms.workspace,
+        attempt.reader.cursor(),
+    );
+    attempt.peer = Arc::clone(peer);
+}
+
+/// Asks an incarnation to take the stream back from its engine.
+async fn readopt(generation: &mut Generation, instance: &InstanceRef) -> Readopted {
+    let attempt = &generation.attempt;
+    let (Some(start), Some(origin)) = (&attempt.start, &attempt.origin) else {
+        return Readopted::Lost("the sidecar lost the stream".to_owned());
+    };
+    let entry = Arc::clone(&generation.entry);
+    let address = entry
+        .fleet
+        .registered(&instance.name)
+        .filter(|(registered, _)| registered == instance)
+        .map_or(attempt.peer.address, |(_, address)| address);
+    let peer = entry.fleet.peer(instance, address);
+    let request = readopt_request(&entry, attempt, origin, start, &peer);
+    let answer = peer
+        .calls
+        .call(READOPT_LIMIT, |client, context| async move {
+            client.readopt(context, request).await
+        })
+        .await;
+    match answer {
+        Ok(ReadoptReply::Adopted { stamp }) => {
+            entry.subscriber.observe(&stamp);
+            read_on(generation, &peer);
+            Readopted::Adopted
+        }
+        Ok(ReadoptReply::Lost { .. }) => Readopted::Lost("the engine lost the stream".to_owned()),
+        Ok(ReadoptReply::WrongIncarnation { stamp }) => {
+            Readopted::Restarted(stamp.sender.incarnation)
+        }
+        Err(error) => Readopted::NoAnswer(error.to_string()),
+    }
+}
+
+fn readopt_request(
+    entry: &Entry,
+    attempt: &Attempt,
+    origin: &Origin,
+    start: &crate::rpc::sidecar::StartRequest,
+    peer: &Peer,
+) -> ReadoptRequest {
+    ReadoptRequest {
+        stamp: entry.subscriber.stamp(),
+        incarnation: peer.instance.incarnation,
+        origin: origin.clone(),
+        start: start.clone(),
+        from_offset: attempt.reader.cursor(),
+    }
+}
+
+/// Reads the generation that holds a claim. Returns none if it has provably not run and the claim
+/// was given up, so that the key may be claimed again.
+pub(super) async fn attach(
+    entry: &Arc<Entry>,
+    job: &Job,
+    claim: &ClaimKey,
+    claimed: &Claimed,
+    finished: bool,
+) -> Result<Option<Attempt>, Failure> {
+    let Some(peer) = entry.fleet.find(&entry.subscriber.view(), &claimed.sidecar) else {
+        return Err(gone());
+    };
+    for _ in 0..ORPHAN_LOOKS {
+        let reader = peer
+            .poller
+            .read(claimed.generation, &job.terms.workspace, 0);
+        match timeout(KNOWN_LIMIT, reader.wait()).await {
+            Ok(Some(Trouble::Unknown)) => {}
+            Ok(Some(Trouble::Restarted(_))) => return Err(gone()),
+            Ok(_) | Err(_) => {
+                return Ok(Some(Attempt {
+                    generation: claimed.generation,
+                    peer,
+                    start: None,
+                    reader,
+                    origin: None,
+                }));
+            }
+        }
+        if finished {
+            return Err(Failure::unknown(
+                RefusalCode::UpstreamLost,
+                "the request of this key has ended; its answer is no longer kept",
+            ));
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+    match cancel(entry, &peer, claimed.generation, ORPHAN_LIMIT).await {
+        Some(CancelReply::NotRun { .. }) => {
+            claim.release(entry, claimed.generation).await;
+            Ok(None)
+        }
+        _ => Err(gone()),
+    }
+}
+
+fn gone() -> Failure {
+    Failure::unknown(
+        RefusalCode::UpstreamLost,
+        "the sidecar that this key was claimed for cannot tell what became of the request",
+    )
+}
