--- a/src/roles/daemon/mod.rs
+++ b/src/roles/daemon/mod.rs
@@ -76,7 +76,7 @@
                 let machine = Machine::new(Arc::clone(&store));
                 let endpoint = Endpoint {
                     name: settings.instance.clone(),
-                    rpc_address,
+                    rpc_address: settings.advertised_rpc_address.unwrap_or(rpc_address),
                 };
                 let (replica, log) =
                     replicated_log(control, endpoint, &machine).map_err(as_daemon_error)?;
@@ -202,10 +202,14 @@
     }
 
     fn register(mut self) -> Self {
+        let address = self
+            .settings
+            .advertised_rpc_address
+            .unwrap_or(self.rpc_address);
         let member = registration::member(
             &self.settings,
             &self.subscriber,
-            self.rpc_address,
+            address,
             self.sidecar.as_ref(),
         );
         let subscriber = Arc::clone(&self.subscriber);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -23,6 +23,8 @@
     pub zone: ZoneName,
     /// Where other processes of the system reach this one.
     pub rpc_address: SocketAddr,
+    /// The address that this process gives to others, if it is not `rpc_address`.
+    pub advertised_rpc_address: Option<SocketAddr>,
     /// Serves metrics, health and readiness, and, with the control role, the operators' API.
     pub admin_address: SocketAddr,
     /// Bearer token of the operators' API.
@@ -92,6 +94,7 @@
                     .as_str(),
             ),
             rpc_address: reader.required(section, "rpc_address").unwrap_or(loopback),
+            advertised_rpc_address: reader.optional(section, "advertised_rpc_address"),
             admin_address: reader
                 .required(section, "admin_address")
                 .unwrap_or(loopback),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -18,6 +18,7 @@
     Incarnation, InstanceName, InstanceRef, KindName, ModelName, ServiceName, TableVersion,
     WorkspaceName,
 };
+use lilacspindle::proxy::Proxy;
 use lilacspindle::roles::subscriber::ControlCalls;
 use lilacspindle::rpc::Stamp;
 use lilacspindle::rpc::sidecar::Lane;
@@ -47,6 +48,7 @@
     /// The version at which the first rows are in force.
     pub rows_version: TableVersion,
     ip: Ipv4Addr,
+    next_port: AtomicU16,
     extra: String,
 }
 
@@ -78,6 +80,8 @@
             peers: Vec::new(),
             rows_version: TableVersion(0),
             ip: Ipv4Addr::new(127, high | 64, low, last),
+            // Below the ports that the system gives to outgoing connections.
+            next_port: AtomicU16::new(20_000),
             extra: String::new(),
         }
     }
@@ -87,10 +91,15 @@
         lines.clone_into(&mut self.extra);
     }
 
-    /// Returns a free address of this test.
+    /// Returns an address that nothing of this test uses.
     pub fn free_address(&self) -> SocketAddr {
-        let listener = TcpListener::bind(SocketAddr::new(IpAddr::V4(self.ip), 0)).unwrap();
-        listener.local_addr().unwrap()
+        loop {
+            let port = self.next_port.fetch_add(1, Ordering::SeqCst);
+            let address = SocketAddr::new(IpAddr::V4(self.ip), port);
+            if TcpListener::bind(address).is_ok() {
+                return address;
+            }
+        }
     }
 
     /// Starts `count` control instances and waits until one of them is ready.
@@ -157,12 +166,39 @@
         engine: SocketAddr,
         service: SocketAddr,
         lines: &str,
+    ) {
+        self.start_sidecar_at(name, None, engine, service, lines);
+    }
+
+    fn start_sidecar_at(
+        &mut self,
+        name: &str,
+        rpc: Option<SocketAddr>,
+        engine: SocketAddr,
+        service: SocketAddr,
+        lines: &str,
     ) {
         let roles = format!(
             "[sidecar]\n{lines}\n[upstream {name}-engine]\nmodel = tutor\nurl = http://{engine}\n\
              checks_fence = true\n[upstream {name}-service]\nservice = cards\nurl = http://{service}\n"
         );
-        self.start(name, None, &roles, None, None);
+        self.start(name, rpc, &roles, None, None);
+    }
+
+    /// Starts a sidecar that other processes reach through a proxy.
+    pub async fn start_proxied_sidecar(
+        &mut self,
+        name: &str,
+        engine: SocketAddr,
+        service: SocketAddr,
+    ) -> Proxy {
+        let rpc = self.free_address();
+        let proxy = Proxy::start(rpc).await.unwrap();
+        let saved = self.extra.clone();
+        self.extra = format!("advertised_rpc_address = {}", proxy.address());
+        self.start_sidecar_at(name, Some(rpc), engine, service, "");
+        self.extra = saved;
+        proxy
     }
 
     /// Starts a daemon with the given role sections.
@@ -487,6 +523,7 @@
     pub error: Option<serde_json::Value>,
     /// True if the connection broke.
     pub broken: bool,
+    buffer: String,
 }
 
 /// Reads a stream until its end, until it breaks, or until `stop` says so.
@@ -495,27 +532,28 @@
     mut stop: impl FnMut(&Streamed) -> bool,
 ) -> Streamed {
     let mut streamed = Streamed::default();
-    let mut buffer = String::new();
-    loop {
+    while streamed.read_chunk(&mut response).await && !stop(&streamed) {}
+    streamed
+}
+
+impl Streamed {
+    /// Reads what comes next; returns false once the stream has ended or broken.
+    pub async fn read_chunk(&mut self, response: &mut reqwest::Response) -> bool {
         match response.chunk().await {
-            Ok(Some(bytes)) => buffer.push_str(&String::from_utf8_lossy(&bytes)),
-            Ok(None) => return streamed,
+            Ok(Some(bytes)) => self.buffer.push_str(&String::from_utf8_lossy(&bytes)),
+            Ok(None) => return false,
             Err(_) => {
-                streamed.broken = true;
-                return streamed;
+                self.broken = true;
+                return false;
             }
         }
-        while let Some(end) = buffer.find("\n\n") {
-            let event: String = buffer.drain(..end + 2).collect();
-            streamed.add(&event);
-        }
-        if stop(&streamed) {
-            return streamed;
+        while let Some(end) = self.buffer.find("\n\n") {
+            let event: String = self.buffer.drain(..end + 2).collect();
+            self.add(&event);
         }
+        true
     }
-}
 
-impl Streamed {
     fn add(&mut self, event: &str) {
         let field = |name: &str| {
             let lines = event.lines();
