--- a/src/roles/entry/completions.rs
+++ b/src/roles/entry/completions.rs
@@ -1,5 +1,6 @@
 //! Requests for generations: whole answers and streams of events.
 
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -7,19 +8,22 @@
 use futures::stream::{self, BoxStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
+use tracing::Instrument;
 
 use super::claim::ClaimKey;
 use super::core::Entry;
 use super::events::{COMMENT, EventId, Shape, error_event};
 use super::failure::Failure;
 use super::generation::{Generation, Job, Step};
-use super::input::Envelope;
-use super::metrics::{Recorder, metrics};
+use super::input::{Envelope, header};
+use super::metrics::Recorder;
 use super::prompt::Prompt;
+use super::recovery;
 use super::reply::Reply;
 use super::terms::generation_terms;
 use crate::adapters::clock::unix_ms;
 use crate::domain::state::View;
+use crate::model::WorkspaceName;
 use crate::rpc::sidecar::Api;
 
 /// Output of a generation whose request and workspace name no limit.
@@ -28,48 +32,65 @@
 /// by sending.
 const COMMENT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Answers a request for a generation.
-pub(super) async fn complete(
-    entry: &Arc<Entry>,
-    api: Api,
-    envelope: &Envelope,
-    body: &[u8],
-    arrived: Instant,
-    recorder: &mut Recorder,
-) -> Result<Reply, Failure> {
-    let view = entry.subscriber.current().await?;
-    let workspace = entry.fleet.workspace(&view, envelope)?;
-    let prompt = Prompt::parse(api, body)?;
+/// A request for a generation.
+pub(super) struct Call<'a> {
+    pub entry: &'a Arc<Entry>,
+    pub api: Api,
+    pub envelope: &'a Envelope,
+    pub body: &'a [u8],
+    pub arrived: Instant,
+}
+
+/// Answers a request for a generation: starts it, or resumes it after the event that the caller
+/// has.
+pub(super) async fn complete(call: &Call<'_>, recorder: &mut Recorder) -> Result<Reply, Failure> {
+    let last_event = call.envelope.last_event.as_deref().map(EventId::from_str);
+    let last_event = last_event
+        .transpose()
+        .map_err(|error| Failure::bad_input(&header("last-event-id"), error))?;
+    let job = Arc::new(job(call, last_event.is_some()).await?);
+    recorder.set_lane(job.terms.lane);
+    let generation = match &last_event {
+        Some(id) => recovery::resume(call.entry, Arc::clone(&job), id).await?,
+        None => Generation::launch(call.entry, Arc::clone(&job)).await?,
+    };
+    let shape = Shape {
+        api: call.api,
+        model: job.model.clone(),
+        created_s: unix_ms() / 1_000,
+    };
+    match job.shown {
+        true => Ok(Reply::events(events(generation, shape, recorder.take()))),
+        false => whole(generation, &shape).await,
+    }
+}
+
+async fn job(call: &Call<'_>, resumes: bool) -> Result<Job, Failure> {
+    let view = call.entry.subscriber.current().await?;
+    let workspace = call.entry.fleet.workspace(&view, call.envelope)?;
+    let prompt = Prompt::parse(call.api, call.body)?;
     let (terms, model) = generation_terms(
         &view,
-        envelope,
+        call.envelope,
         workspace,
         prompt.model.as_deref(),
-        entry.settings.default_deadline_ms,
+        call.entry.settings.default_deadline_ms,
     )?;
-    recorder.set_lane(terms.lane);
-    let claim = ClaimKey::of(envelope, &terms, &[&[api_byte(api)], body])?;
-    let job = Arc::new(Job {
-        request: envelope.request,
+    let claim = match resumes {
+        true => None,
+        false => ClaimKey::of(call.envelope, &terms, &[&[api_byte(call.api)], call.body])?,
+    };
+    Ok(Job {
+        request: call.envelope.request,
         max_tokens: max_tokens(&view, &terms.workspace, prompt.max_tokens),
-        shown: prompt.stream,
-        priority: envelope.priority,
+        shown: resumes || prompt.stream,
+        priority: call.envelope.priority,
         terms,
         prompt,
         model,
         claim,
-        arrived,
-    });
-    let generation = Generation::launch(entry, Arc::clone(&job)).await?;
-    let shape = Shape {
-        api,
-        model: job.model.clone(),
-        created_s: unix_ms() / 1_000,
-    };
-    match job.shown {
-        true => Ok(Reply::events(events(generation, shape, recorder.take()))),
-        false => whole(generation, &shape).await,
-    }
+        arrived: call.arrived,
+    })
 }
 
 fn api_byte(api: Api) -> u8 {
@@ -79,7 +100,7 @@
     }
 }
 
-fn max_tokens(view: &View, workspace: &crate::model::WorkspaceName, asked: Option<u32>) -> u32 {
+fn max_tokens(view: &View, workspace: &WorkspaceName, asked: Option<u32>) -> u32 {
     let limit = view
         .table
         .workspace(workspace)
@@ -116,13 +137,14 @@
 fn events(generation: Generation, shape: Shape, recorder: Recorder) -> BoxStream<'static, Vec<u8>> {
     // One element: the caller's connection decides how fast the stream is read.
     let (sender, receiver) = mpsc::channel(1);
-    tokio::spawn(async move {
+    let writing = async move {
         tokio::select! {
             () = write_events(generation, &shape, &sender, recorder) => {}
             // The generation is dropped, which starts the time to resume.
             () = sender.closed() => {}
         }
-    });
+    };
+    tokio::spawn(writing.in_current_span());
     with_comments(receiver)
 }
 
@@ -176,21 +198,3 @@
     })
     .boxed()
 }
-
-/// Continues a stream after an event that the caller has, whichever entry sent it.
-pub(super) async fn resume(
-    entry: &Arc<Entry>,
-    api: Api,
-    envelope: &Envelope,
-    last_event: &str,
-    body: &[u8],
-    arrived: Instant,
-    recorder: &mut Recorder,
-) -> Result<Reply, Failure> {
-    let _ = (arrived, metrics());
-    let id: EventId = last_event
-        .parse()
-        .map_err(|error: &str| Failure::bad_input(&super::input::header("last-event-id"), error))?;
-    let _ = (entry, api, envelope, body, recorder, id);
-    Err(Failure::not_found("resuming is not available yet"))
-}
--- a/src/roles/entry/generation.rs
+++ b/src/roles/entry/generation.rs
@@ -56,6 +56,8 @@
     pub start: Option<Box<StartRequest>>,
     pub reader: Reader,
     pub origin: Option<Origin>,
+    /// True if the generation is to be cancelled once this request no longer reads it.
+    pub is_ours: bool,
 }
 
 /// What a generation brings next.
@@ -82,36 +84,42 @@
     tries: Tries,
     /// Tokens that were handed out of the current attempt.
     given: u32,
+    /// Since when the sidecar has brought nothing that it could have.
+    pub lost_since_ms: Option<u64>,
     ended: bool,
     times: TokenTimes,
-    _slot: SlotGuard,
+    /// Held until the generation is dropped.
+    slot: Option<SlotGuard>,
 }
 
 impl Generation {
     /// Starts a generation at a replica; tries others as far as the rules for retries allow.
     pub async fn launch(entry: &Arc<Entry>, job: Arc<Job>) -> Result<Self, Failure> {
-        let slot = match job.terms.limited_room {
-            true => {
-                let workspace = job.terms.workspace.clone();
-                (entry.room.acquire)(workspace, job.terms.kind.clone()).await?
-            }
-            false => SlotGuard::default(),
-        };
+        let slot = acquire_slot(entry, &job).await?;
         let mut tries = Tries::default();
         let attempt = match attempt(entry, &job, &mut tries).await {
             Ok(attempt) => attempt,
             Err(failure) => return Err(tries.conclude(failure)),
         };
-        Ok(Self {
+        let mut generation = Self::reading(entry, job, attempt, 0);
+        generation.tries = tries;
+        generation.slot = Some(slot);
+        Ok(generation)
+    }
+
+    /// Returns a generation that runs already and of which the caller has `given` tokens.
+    pub fn reading(entry: &Arc<Entry>, job: Arc<Job>, attempt: Attempt, given: u32) -> Self {
+        Self {
             entry: Arc::clone(entry),
             times: TokenTimes::new(job.arrived),
             job,
             attempt,
-            tries,
-            given: 0,
+            tries: Tries::default(),
+            given,
+            lost_since_ms: None,
             ended: false,
-            _slot: slot,
-        })
+            slot: None,
+        }
     }
 
     /// Waits for the next step. After `Finished` or `Failed` there is none.
@@ -170,11 +178,16 @@
         };
         self.tries.may_have_run |= !is_not_run;
         let is_own = self.attempt.start.is_some();
-        if let Some(claim) = self.job.claim.as_ref().filter(|_| is_own && is_not_run) {
-            claim.release(&self.entry, self.attempt.generation).await;
-        }
         let may_claim_again = self.job.claim.as_ref().is_none_or(|claim| claim.is_callers);
-        if !is_repeated || !may_claim_again || !is_own {
+        let is_repeated = is_repeated && may_claim_again && is_own;
+        match self.job.claim.as_ref().filter(|_| is_own && is_not_run) {
+            Some(claim) if is_repeated => {
+                claim.release(&self.entry, self.attempt.generation).await;
+            }
+            Some(claim) => claim.release_later(&self.entry, self.attempt.generation),
+            None => {}
+        }
+        if !is_repeated {
             return Err(failure);
         }
         self.entry
@@ -200,6 +213,7 @@
 
     fn hand_out(&mut self, offset: u32, tokens: Vec<String>) -> Step {
         let count = tokens.len();
+        self.lost_since_ms = None;
         self.given = self
             .given
             .saturating_add(u32::try_from(count).unwrap_or(u32::MAX));
@@ -239,9 +253,9 @@
         let message = "the deadline passed before the answer was complete";
         let code = RefusalCode::DeadlineExceeded;
         // A generation that another request started is left to that request.
-        let is_own = self.attempt.start.is_some();
-        if self.is_shown() || !is_own {
-            if is_own {
+        let is_ours = self.attempt.is_ours;
+        if self.is_shown() || !is_ours {
+            if is_ours {
                 cancel_later(&self.entry, &self.attempt.peer, self.attempt.generation);
             }
             return match self.is_shown() {
@@ -275,7 +289,7 @@
 
 impl Drop for Generation {
     fn drop(&mut self) {
-        if self.ended || self.attempt.start.is_none() {
+        if self.ended || !self.attempt.is_ours {
             return;
         }
         let entry = Arc::clone(&self.entry);
@@ -294,6 +308,21 @@
     }
 }
 
+async fn acquire_slot(entry: &Entry, job: &Job) -> Result<SlotGuard, Failure> {
+    if !job.terms.limited_room {
+        return Ok(SlotGuard::default());
+    }
+    let slot = (entry.room.acquire)(job.terms.workspace.clone(), job.terms.kind.clone());
+    let remaining = Duration::from_millis(job.terms.remaining_ms());
+    match timeout(remaining, slot).await {
+        Ok(slot) => Ok(slot?),
+        Err(_) => Err(Failure::not_run(
+            RefusalCode::NoRoom,
+            "the workspace used all of its room until the deadline",
+        )),
+    }
+}
+
 /// Sends the request to replicas until one accepts it.
 async fn attempt(
     entry: &Arc<Entry>,
@@ -301,6 +330,10 @@
     tries: &mut Tries,
 ) -> Result<Attempt, Failure> {
     loop {
+        if job.terms.remaining_ms() == 0 {
+            let message = "the deadline passed before a replica accepted the request";
+            return Err(Failure::not_run(RefusalCode::DeadlineExceeded, message));
+        }
         let view = entry.subscriber.current().await?;
         let replica = choose(entry, job, &view, tries)?;
         let peer = Arc::clone(&replica.peer);
@@ -326,6 +359,7 @@
                     start: Some(Box::new(start)),
                     reader,
                     origin: None,
+                    is_ours: true,
                 });
             }
             Sent::NotRun(refusal) => not_run(entry, job, tries, generation, refusal).await?,
--- a/src/roles/entry/poller.rs
+++ b/src/roles/entry/poller.rs
@@ -27,6 +27,8 @@
 const FEW_STREAMS: usize = 4;
 /// Pause after a poll that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
+/// Pause after a reply of which nothing could be applied, so that such replies cause no tight loop.
+const USELESS_PAUSE: Duration = Duration::from_millis(1);
 /// Polls that failed for this long are reported to the readers.
 const UNREACHABLE_LIMIT: Duration = Duration::from_secs(3);
 /// A reader that does not take its news is polled for at this interval, so that the sidecar does
@@ -187,8 +189,8 @@
             };
             tokio::select! {
                 Some(polled) = polls.next() => {
-                    if self.apply(polled) {
-                        sleep(FAILURE_PAUSE).await;
+                    if let Some(pause) = self.apply(polled) {
+                        sleep(pause).await;
                     }
                 }
                 () = self.changed.notified() => {}
@@ -248,8 +250,8 @@
         }))
     }
 
-    /// Applies the outcome of a poll. Returns true if it failed.
-    fn apply(&self, polled: Polled) -> bool {
+    /// Applies the outcome of a poll. Returns a pause before the next one if it was of no use.
+    fn apply(&self, polled: Polled) -> Option<Duration> {
         let mut readers = self.lock();
         for id in &polled.ids {
             if let Some(subscription) = readers.subscriptions.get_mut(id) {
@@ -260,13 +262,16 @@
             Ok(reply) => {
                 readers.failing_since = None;
                 let sender = reply.stamp.sender.incarnation;
-                match sender == self.incarnation {
-                    true => readers.apply(&reply.updates),
-                    false => readers.fail(&polled.ids, &Trouble::Restarted(sender)),
-                }
+                let is_useful = match sender == self.incarnation {
+                    true => readers.apply(&reply.updates) || reply.updates.is_empty(),
+                    false => {
+                        readers.fail(&polled.ids, &Trouble::Restarted(sender));
+                        true
+                    }
+                };
                 drop(readers);
                 (self.note_reply)(&reply);
-                false
+                (!is_useful).then_some(USELESS_PAUSE)
             }
             Err(error) => {
                 tracing::debug!(%error, "poll failed");
@@ -279,14 +284,16 @@
                     }
                     None => {}
                 }
-                true
+                Some(FAILURE_PAUSE)
             }
         }
     }
 }
 
 impl Readers {
-    fn apply(&mut self, updates: &[StreamUpdate]) {
+    /// Applies updates. Returns true if a reader has news by them.
+    fn apply(&mut self, updates: &[StreamUpdate]) -> bool {
+        let mut is_useful = false;
         let updates: BTreeMap<GenerationId, &StreamUpdate> = updates
             .iter()
             .map(|update| (update.generation, update))
@@ -296,8 +303,10 @@
                 && subscription.inbox.apply(update)
             {
                 subscription.ready.notify_one();
+                is_useful = true;
             }
         }
+        is_useful
     }
 
     fn fail(&mut self, ids: &[u64], trouble: &Trouble) {
--- a/src/roles/entry/probes.rs
+++ b/src/roles/entry/probes.rs
@@ -23,7 +23,9 @@
         // Builds the connections of new members before the first request needs them.
         entry.fleet.refresh(&entry.subscriber.view());
         for peer in entry.fleet.peers() {
-            if peer.load().begin_probe() {
+            let registered = entry.fleet.registered(&peer.instance.name);
+            let is_current = registered.is_some_and(|(instance, _)| instance == peer.instance);
+            if is_current && peer.load().begin_probe() {
                 tokio::spawn(probe(Arc::clone(&entry), peer));
             }
         }
--- a/src/roles/entry/recovery.rs
+++ b/src/roles/entry/recovery.rs
@@ -8,6 +8,7 @@
 use super::attempt::{cancel, cancel_later};
 use super::claim::ClaimKey;
 use super::core::Entry;
+use super::events::EventId;
 use super::failure::Failure;
 use super::fleet::Peer;
 use super::generation::{Attempt, Generation, Job, Step};
@@ -15,7 +16,7 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::state::Claimed;
 use crate::model::{Incarnation, InstanceRef, Outcome, Refusal, RefusalCode};
-use crate::rpc::sidecar::{CancelReply, Origin, ReadoptReply, ReadoptRequest};
+use crate::rpc::sidecar::{CancelReply, ReadoptReply, ReadoptRequest};
 
 /// Time that a stream whose tokens were shown waits for its sidecar.
 const RECOVERY_LIMIT_MS: u64 = 15_000;
@@ -45,7 +46,8 @@
         cancel_later(&generation.entry, &peer, generation.attempt.generation);
         return lost(generation, "the sidecar does not answer").await;
     }
-    let give_up_at_ms = monotonic_ms() + RECOVERY_LIMIT_MS.min(generation.job.terms.remaining_ms());
+    let since_ms = *generation.lost_since_ms.get_or_insert_with(monotonic_ms);
+    let give_up_at_ms = since_ms.saturating_add(RECOVERY_LIMIT_MS);
     let mut trouble = trouble;
     loop {
         let result = match &trouble {
@@ -58,6 +60,14 @@
                 readopt(generation, &instance).await
             }
             Trouble::Unreachable => {
+                let is_gone = generation
+                    .entry
+                    .fleet
+                    .registered(&peer.instance.name)
+                    .is_none();
+                if is_gone || monotonic_ms() >= give_up_at_ms {
+                    return lost(generation, "the sidecar does not answer").await;
+                }
                 read_on(generation, &peer);
                 return Ok(None);
             }
@@ -104,18 +114,31 @@
 
 /// Asks an incarnation to take the stream back from its engine.
 async fn readopt(generation: &mut Generation, instance: &InstanceRef) -> Readopted {
-    let attempt = &generation.attempt;
-    let (Some(start), Some(origin)) = (&attempt.start, &attempt.origin) else {
-        return Readopted::Lost("the sidecar lost the stream".to_owned());
-    };
     let entry = Arc::clone(&generation.entry);
+    let attempt = &generation.attempt;
     let address = entry
         .fleet
         .registered(&instance.name)
         .filter(|(registered, _)| registered == instance)
         .map_or(attempt.peer.address, |(_, address)| address);
     let peer = entry.fleet.peer(instance, address);
-    let request = readopt_request(&entry, attempt, origin, start, &peer);
+    let (Some(start), Some(origin)) = (&attempt.start, &attempt.origin) else {
+        // The request that started the generation may have had it taken back.
+        return match attempt.start.is_none() && attempt.peer.instance != *instance {
+            true => {
+                read_on(generation, &peer);
+                Readopted::Adopted
+            }
+            false => Readopted::Lost("the sidecar lost the stream".to_owned()),
+        };
+    };
+    let request = ReadoptRequest {
+        stamp: entry.subscriber.stamp(),
+        incarnation: peer.instance.incarnation,
+        origin: origin.clone(),
+        start: start.as_ref().clone(),
+        from_offset: attempt.reader.cursor(),
+    };
     let answer = peer
         .calls
         .call(READOPT_LIMIT, |client, context| async move {
@@ -136,22 +159,6 @@
     }
 }
 
-fn readopt_request(
-    entry: &Entry,
-    attempt: &Attempt,
-    origin: &Origin,
-    start: &crate::rpc::sidecar::StartRequest,
-    peer: &Peer,
-) -> ReadoptRequest {
-    ReadoptRequest {
-        stamp: entry.subscriber.stamp(),
-        incarnation: peer.instance.incarnation,
-        origin: origin.clone(),
-        start: start.clone(),
-        from_offset: attempt.reader.cursor(),
-    }
-}
-
 /// Reads the generation that holds a claim. Returns none if it has provably not run and the claim
 /// was given up, so that the key may be claimed again.
 pub(super) async fn attach(
@@ -178,6 +185,7 @@
                     start: None,
                     reader,
                     origin: None,
+                    is_ours: false,
                 }));
             }
         }
@@ -198,6 +206,40 @@
     }
 }
 
+/// Reads a generation on from what the caller has, at the sidecar that the caller names or at its
+/// successor.
+pub(super) async fn resume(
+    entry: &Arc<Entry>,
+    job: Arc<Job>,
+    id: &EventId,
+) -> Result<Generation, Failure> {
+    let interrupted = |message: &str| Failure::interrupted(RefusalCode::UpstreamLost, message);
+    let view = entry.subscriber.view();
+    let successor = || {
+        let (instance, address) = entry.fleet.registered(&id.sidecar.name)?;
+        Some(entry.fleet.peer(&instance, address))
+    };
+    let Some(peer) = entry.fleet.find(&view, &id.sidecar).or_else(successor) else {
+        return Err(interrupted("the sidecar of the stream is gone"));
+    };
+    let workspace = &job.terms.workspace;
+    let reader = peer.poller.read(id.generation, workspace, id.offset);
+    if let Ok(Some(Trouble::Unknown)) = timeout(KNOWN_LIMIT, reader.wait()).await {
+        return Err(interrupted(
+            "the stream is not known: it was cancelled, or belongs to another workspace",
+        ));
+    }
+    let attempt = Attempt {
+        generation: id.generation,
+        peer,
+        start: None,
+        reader,
+        origin: None,
+        is_ours: true,
+    };
+    Ok(Generation::reading(entry, job, attempt, id.offset))
+}
+
 fn gone() -> Failure {
     Failure::unknown(
         RefusalCode::UpstreamLost,
--- a/src/roles/entry/routes.rs
+++ b/src/roles/entry/routes.rs
@@ -9,8 +9,9 @@
 use rocket::route::{Handler, Outcome};
 use rocket::{Data, Request, Route};
 use serde_json::json;
+use tracing::Instrument;
 
-use super::completions::{complete, resume};
+use super::completions::{Call, complete};
 use super::core::Entry;
 use super::failure::Failure;
 use super::input::{Envelope, request_id};
@@ -95,7 +96,9 @@
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         let handling = self.entry.open.enter(request_id(request.headers()));
         let mut recorder = Recorder::new();
-        let reply = match self.answer(request, data, &mut recorder).await {
+        let span = tracing::info_span!("request", id = %handling.request());
+        let answer = self.answer(request, data, &mut recorder).instrument(span);
+        let reply = match answer.await {
             Ok(reply) => {
                 recorder.succeed();
                 reply
@@ -128,27 +131,22 @@
         }
         let envelope = Envelope::read(request.headers(), request_id(request.headers()))?;
         let body = self.read_body(data).await?;
-        match (self.endpoint, &envelope.last_event) {
-            (Endpoint::Generation(api), Some(last_event)) => {
-                resume(
-                    &self.entry,
+        match self.endpoint {
+            Endpoint::Generation(api) => {
+                let call = Call {
+                    entry: &self.entry,
                     api,
-                    &envelope,
-                    last_event,
-                    &body,
+                    envelope: &envelope,
+                    body: &body,
                     arrived,
-                    recorder,
-                )
-                .await
+                };
+                complete(&call, recorder).await
             }
-            (Endpoint::Generation(api), None) => {
-                complete(&self.entry, api, &envelope, &body, arrived, recorder).await
-            }
-            (Endpoint::Service, _) => {
+            Endpoint::Service => {
                 let plain = plain_call(request, body)?;
                 call(&self.entry, &envelope, plain, recorder).await
             }
-            (Endpoint::Models, _) => self.models(&envelope).await,
+            Endpoint::Models => self.models(&envelope).await,
         }
     }
 
@@ -192,6 +190,13 @@
     if path.split('/').any(is_dot_segment) {
         return Err(Failure::bad_input("path", "has a segment of dots"));
     }
+    let is_form = request
+        .content_type()
+        .is_some_and(|content_type| content_type.is_form());
+    if is_form && body.starts_with(b"_method=") {
+        // Rocket has taken the field for the method of the request.
+        return Err(Failure::bad_input("body field _method", "is not supported"));
+    }
     let query = uri.query().map(|query| format!("?{}", query.as_str()));
     let headers = request.headers().iter();
     Ok(PlainCall {
--- a/src/rpc/sidecar.rs
+++ b/src/rpc/sidecar.rs
@@ -136,6 +136,9 @@
 }
 
 /// Stops a generation, or prevents that it ever starts.
+///
+/// A generation that another instance than the sender has polled since the sender last did is not
+/// stopped: its caller has resumed there, which the sender cannot know. The answer is `Ended`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CancelRequest {
     pub stamp: Stamp,
--- /dev/null
+++ b/tests/entry_input.rs
@@ -0,0 +1,211 @@
+//! Malformed requests get one clear error that names its place, and nothing runs.
+
+mod entry_support;
+
+use entry_support::*;
+use lilacspindle::domain::table::{Row, RowKey};
+use sha2::{Digest, Sha256};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const GOOD: &str = r#"{"model":"tutor","prompt":"hello"}"#;
+
+/// Guards against faults that are passed on, answered without their place, or that cause a panic.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_bad_input_is_refused_with_its_place() {
+    let sidecar = RunningFake::start(Fake::new("s1", 1, tokens(1)));
+    let control = FakeControl::default().serve().await;
+    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    let long = format!(r#"{{"model":"tutor","prompt":"{}"}}"#, "x".repeat(20_000));
+    let deep = format!(
+        r#"{{"prompt":{}1{}}}"#,
+        "[".repeat(4_000),
+        "]".repeat(4_000)
+    );
+    let bodies = [
+        ("", 400, "body"),
+        ("{", 400, "body"),
+        ("[]", 400, "body"),
+        ("\u{0}", 400, "body"),
+        (deep.as_str(), 400, "body"),
+        (long.as_str(), 413, "body"),
+        (r#"{"model":"tutor"}"#, 400, "body field prompt"),
+        (r#"{"model":"tutor","prompt":7}"#, 400, "body field prompt"),
+        (r#"{"model":7,"prompt":"p"}"#, 400, "body field model"),
+        (r#"{"prompt":"p"}"#, 400, "body field model"),
+        (r#"{"model":"none","prompt":"p"}"#, 404, "no model"),
+        (
+            r#"{"model":"tutor","prompt":"p","max_tokens":-1}"#,
+            400,
+            "body field max_tokens",
+        ),
+        (
+            r#"{"model":"tutor","prompt":"p","max_tokens":1e99}"#,
+            400,
+            "body field max_tokens",
+        ),
+        (
+            r#"{"model":"tutor","prompt":"p","stream":"yes"}"#,
+            400,
+            "body field stream",
+        ),
+        (
+            r#"{"model":"tutor","prompt":"p","n":2}"#,
+            400,
+            "body field n",
+        ),
+    ];
+    for (body, status, place) in bodies {
+        let (got, text) = text_of(post(&entry, "/v1/completions", body)).await;
+        check(got, &text, status, place);
+    }
+    let chats = [
+        (r#"{"model":"tutor"}"#, "body field messages"),
+        (r#"{"model":"tutor","messages":[]}"#, "body field messages"),
+        (
+            r#"{"model":"tutor","messages":[1]}"#,
+            "body field messages[0]",
+        ),
+        (
+            r#"{"model":"tutor","messages":[{"role":1}]}"#,
+            "body field messages[0].role",
+        ),
+        (
+            r#"{"model":"tutor","messages":[{"role":"u","content":1}]}"#,
+            "body field messages[0].content",
+        ),
+    ];
+    for (body, place) in chats {
+        let (got, text) = text_of(post(&entry, "/v1/chat/completions", body)).await;
+        check(got, &text, 400, place);
+    }
+    let headers = [
+        ("Lilac-Deadline-Ms", "soon", 400, "header lilac-deadline-ms"),
+        ("Lilac-Deadline-Ms", "0", 400, "header lilac-deadline-ms"),
+        (
+            "Lilac-Deadline-Ms",
+            "99999999999999999999",
+            400,
+            "header lilac-deadline-ms",
+        ),
+        ("Lilac-Priority", "10", 400, "header lilac-priority"),
+        ("Lilac-Priority", "+1", 400, "header lilac-priority"),
+        ("Lilac-Kind", "none", 404, "no kind"),
+        ("Lilac-Kind", "scan", 400, "header lilac-kind"),
+        ("Lilac-Request-Id", "xyz", 400, "header lilac-request-id"),
+        ("Idempotency-Key", "abc", 400, "header idempotency-key"),
+        ("Last-Event-ID", "s1.2.3", 400, "header last-event-id"),
+        ("Last-Event-ID", "s1.zz.0.1", 400, "header last-event-id"),
+        (
+            "Authorization",
+            "Basic c2VjcmV0",
+            400,
+            "header authorization",
+        ),
+        ("Lilac-Workspace", "b", 400, "header lilac-workspace"),
+    ];
+    for (name, value, status, place) in headers {
+        let (got, text) = text_of(post(&entry, "/v1/completions", GOOD).header(name, value)).await;
+        check(got, &text, status, place);
+        assert!(!text.contains("c2VjcmV0"), "the answer repeats a secret");
+    }
+    for (path, status, place) in [
+        ("/nowhere", 404, "no route"),
+        ("/svc/none/x", 404, "no service"),
+    ] {
+        let (got, text) = text_of(post(&entry, path, GOOD)).await;
+        check(got, &text, status, place);
+    }
+    let seen = sidecar.fake.seen();
+    assert!(
+        seen.starts.is_empty() && seen.calls.is_empty(),
+        "bad input was passed on"
+    );
+}
+
+fn check(got: u16, text: &str, status: u16, place: &str) {
+    let (outcome, code, message) = error_of(text);
+    assert_eq!(
+        (got, outcome.as_str(), code.as_str()),
+        (status, "not_run", "bad_request"),
+        "{text}"
+    );
+    assert!(
+        message.starts_with(place),
+        "{place} is not named first in: {message}"
+    );
+}
+
+/// Guards against paths that lead out of a service, which clients' libraries remove themselves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn dot_segments_are_refused() {
+    let sidecar = RunningFake::start(Fake::new("s1", 1, tokens(1)));
+    let control = FakeControl::default().serve().await;
+    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    for path in ["/svc/cards/a/%2e%2E/b", "/svc/cards/../b", "/svc/cards/./b"] {
+        let mut stream = TcpStream::connect(entry.role.address()).await.unwrap();
+        let head = "Host: e\r\nLilac-Workspace: a\r\nConnection: close\r\n\r\n";
+        let request = format!("GET {path} HTTP/1.1\r\n{head}");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 400"), "{path}: {answer}");
+        check(400, answer.split("\r\n\r\n").nth(1).unwrap(), 400, "path");
+    }
+    assert!(sidecar.fake.seen().calls.is_empty());
+}
+
+/// Guards against a server that answers bytes that are not HTTP with a panic, or stops.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bytes_that_are_not_http_do_no_harm() {
+    let sidecar = RunningFake::start(Fake::new("s1", 1, tokens(1)));
+    let control = FakeControl::default().serve().await;
+    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    for bytes in [
+        &b"\x16\x03\x01\x00"[..],
+        b"GET\r\n\r\n",
+        b"POST /v1/completions HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+    ] {
+        let mut stream = TcpStream::connect(entry.role.address()).await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+        stream.shutdown().await.unwrap();
+        let mut answer = Vec::new();
+        // The server may reset the connection instead of answering.
+        let _ = stream.read_to_end(&mut answer).await;
+        assert!(
+            !answer.starts_with(b"HTTP/1.1 2"),
+            "{}",
+            String::from_utf8_lossy(&answer)
+        );
+    }
+    assert_eq!(text_of(post(&entry, "/v1/completions", GOOD)).await.0, 200);
+}
+
+/// Guards against callers without a key once a workspace has one, and against unknown names.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_are_known_by_key_or_by_name() {
+    let sidecar = RunningFake::start(Fake::new("s1", 1, tokens(1)));
+    let control = FakeControl::default().serve().await;
+    let open = start_entry("e1", view(&[&sidecar]), control).await;
+    let mut keyed = view(&[&sidecar]);
+    if let Some((_, Row::Workspace(row))) = keyed.table.rows.get_mut(&RowKey::Workspace("a".into()))
+    {
+        row.api_key_sha256 = Some(format!("{:x}", Sha256::digest("right")));
+    }
+    let closed = start_entry("e2", keyed, control).await;
+    let ask = |entry: &RunningEntry, header: &'static str, value: &'static str| {
+        let request = reqwest::Client::new().get(format!("{}/v1/models", entry.url));
+        text_of(request.header(header, value))
+    };
+    for (entry, header, value, status) in [
+        (&open, "Lilac-Workspace", "a", 200),
+        (&open, "Lilac-Workspace", "nobody", 401),
+        (&open, "Accept", "*/*", 401),
+        (&closed, "Lilac-Workspace", "a", 401),
+        (&closed, "Authorization", "Bearer wrong", 401),
+        (&closed, "Authorization", "Bearer right", 200),
+    ] {
+        let (got, text) = ask(entry, header, value).await;
+        assert_eq!(got, status, "{header}: {value}: {text}");
+    }
+}
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -51,6 +51,7 @@
 #[derive(Debug, Default)]
 struct Produced {
     workspace: Option<WorkspaceName>,
+    reader: Option<InstanceRef>,
     tokens: Vec<String>,
     end: Option<End>,
 }
@@ -218,6 +219,9 @@
         let mut has_news = false;
         let mut updates = Vec::new();
         for cursor in &request.cursors {
+            if let Some(produced) = seen.produced.get_mut(&cursor.generation) {
+                produced.reader = Some(request.stamp.sender.clone());
+            }
             let known = seen.produced.get(&cursor.generation);
             let known = known.filter(|it| it.workspace.as_ref() == Some(&cursor.workspace));
             let mut update = StreamUpdate {
@@ -335,7 +339,11 @@
             return CancelReply::NotRun { stamp };
         };
         let produced_tokens = u32::try_from(produced.tokens.len()).unwrap();
-        if produced.end.is_some() {
+        let is_read_elsewhere = produced
+            .reader
+            .as_ref()
+            .is_some_and(|reader| *reader != request.stamp.sender);
+        if produced.end.is_some() || is_read_elsewhere {
             return CancelReply::Ended { stamp };
         }
         produced.end = Some(End::Failed {
@@ -413,6 +421,7 @@
         let tokens = (0..from).map(|index| format!("t{index} ")).collect();
         let produced = Produced {
             workspace: Some(workspace),
+            reader: None,
             tokens,
             end: None,
         };
