--- a/src/roles/entry/plain.rs
+++ b/src/roles/entry/plain.rs
@@ -1,7 +1,7 @@
 //! Plain calls, passed through to a service.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::random;
 use rocket::http::Status;
@@ -25,6 +25,11 @@
 
 /// Pause before the state of a call is asked for again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which the state of a call that may not be repeated is asked for: a silent connection
+/// is noticed and replaced within 3 s.
+const DOUBT_LIMIT: Duration = Duration::from_secs(5);
+/// The same for a call that may be repeated elsewhere.
+const SHORT_DOUBT_LIMIT: Duration = Duration::from_millis(250);
 /// Time kept of the deadline to ask for a tombstone.
 const PROOF_LIMIT: Duration = Duration::from_millis(200);
 /// Headers that concern one connection, are set anew, or hold a caller's secret for this system.
@@ -156,6 +161,11 @@
         }
     }
 
+    /// Returns whether the call may run more than once: no claim names one attempt of it.
+    fn runs_again(&self) -> bool {
+        self.terms.repeatable && self.claim.is_none()
+    }
+
     /// Sends the call under the generation that holds the key: its sidecar answers with the first
     /// answer, or runs it now if it never arrived.
     async fn repeat_claimed(
@@ -226,7 +236,7 @@
         let ended = Ended {
             proof,
             shown: false,
-            runs_again: self.terms.repeatable && self.claim.is_none(),
+            runs_again: self.runs_again(),
             overloaded: failure.refusal.code == RefusalCode::Overload,
             overloaded_before: tries.overloaded,
         };
@@ -255,7 +265,17 @@
     /// generation again, which never runs it a second time.
     async fn send(&self, peer: &Peer, upstream: &UpstreamName, generation: GenerationId) -> Called {
         let mut doubt: Option<String> = None;
+        let mut doubted_at: Option<Instant> = None;
+        let doubt_limit = match self.runs_again() {
+            true => SHORT_DOUBT_LIMIT,
+            false => DOUBT_LIMIT,
+        };
         loop {
+            if let Some(cause) = &doubt
+                && doubted_at.get_or_insert_with(Instant::now).elapsed() >= doubt_limit
+            {
+                return Called::Doubt(cause.clone());
+            }
             let remaining = Duration::from_millis(self.terms.remaining_ms());
             let Some(limit) = remaining
                 .checked_sub(PROOF_LIMIT)
--- /dev/null
+++ b/tests/route_choice.rs
@@ -0,0 +1,241 @@
+//! The choice of replica, in randomised runs. `LILAC_SEEDS=n` runs n seeds.
+
+use std::collections::BTreeSet;
+
+use lilacspindle::domain::route::{Ask, Load, Place, choose, name_hash, preferred};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const REPLICAS: usize = 20;
+const ASK: Ask = Ask {
+    prompt_tokens: 100.0,
+    prefix: None,
+};
+
+fn seeds() -> std::ops::Range<u64> {
+    let count = std::env::var("LILAC_SEEDS")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    0..count.unwrap_or(20)
+}
+
+fn places(count: usize) -> Vec<Place> {
+    let place = |index: usize| Place {
+        hash: name_hash(&format!("engine-{index}")),
+        same_zone: index.is_multiple_of(3),
+    };
+    (0..count).map(place).collect()
+}
+
+fn load(demand_tokens: f64, token_ms: f64, age_ms: f64) -> Load {
+    Load {
+        open: demand_tokens / 100.0,
+        queued: 0.0,
+        demand_tokens,
+        capacity_tokens: 10_000.0,
+        token_ms: Some(token_ms),
+        age_ms,
+    }
+}
+
+/// Guards against choosing a replica that may not be used, and against finding none while one is
+/// left.
+#[test]
+fn only_usable_replicas_are_chosen() {
+    for seed in seeds() {
+        let mut random = StdRng::seed_from_u64(seed);
+        let places = places(REPLICAS);
+        for _ in 0..200 {
+            let usable: BTreeSet<usize> =
+                (0..REPLICAS).filter(|_| random.random_bool(0.1)).collect();
+            let ask = Ask {
+                prompt_tokens: 500.0,
+                prefix: Some(random.random()),
+            };
+            let demand: f64 = random.random_range(0.0..12_000.0);
+            let loads = |index| usable.contains(&index).then(|| load(demand, 20.0, 10.0));
+            let chosen = choose(&places, &ask, loads, || random.random());
+            match chosen {
+                Some(index) => assert!(usable.contains(&index), "seed {seed}: {index} {usable:?}"),
+                None => assert!(usable.is_empty(), "seed {seed}: none of {usable:?}"),
+            }
+        }
+    }
+}
+
+/// Requests between two reports.
+const INTERVAL: u32 = 50;
+
+/// Sends requests while reports are stale. Returns the most that one replica got in one interval,
+/// and the highest demand that any replica had.
+fn overload(seed: u64, prefix: Option<u64>) -> (u32, f64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let places = places(REPLICAS);
+    let mut demand = [0.0_f64; REPLICAS];
+    let (mut most, mut highest) = (0, 0.0_f64);
+    for _ in 0..40 {
+        let reported = demand;
+        let mut sent = [0; REPLICAS];
+        for _ in 0..INTERVAL {
+            let ask = Ask {
+                prompt_tokens: 100.0,
+                prefix,
+            };
+            let loads = |index: usize| Some(load(reported[index], 20.0, 100.0));
+            let index = choose(&places, &ask, loads, || random.random()).unwrap();
+            sent[index] += 1;
+            demand[index] += 100.0;
+            highest = highest.max(demand[index]);
+            for demand in &mut demand {
+                *demand = (*demand - 5.0).max(0.0);
+            }
+        }
+        most = most.max(sent.into_iter().max().unwrap());
+    }
+    (most, highest)
+}
+
+/// Guards against sending everything to the replica that looked best in a stale report. A replica
+/// is chosen only if it is among 2 drawn of 20, so it gets 5 of 50 requests on average; 20 or more
+/// have a probability below 1e-8.
+#[test]
+fn stale_reports_cause_no_herd() {
+    for seed in seeds() {
+        let (most, _) = overload(seed, None);
+        assert!(
+            most < 20,
+            "seed {seed}: a replica got {most} of {INTERVAL} requests"
+        );
+    }
+}
+
+/// Guards against a prefix that fills its preferred replica. Each request finishes elsewhere as
+/// one comes, so without the bound the replica would pass its memory of 10,000 tokens.
+#[test]
+fn a_popular_prefix_is_bounded() {
+    for seed in seeds() {
+        let (_, highest) = overload(seed, Some(seed.wrapping_mul(77)));
+        assert!(
+            highest < 10_000.0,
+            "seed {seed}: a replica had {highest} tokens"
+        );
+    }
+}
+
+/// Guards against prompts with a common prefix that miss the cache of an idle fleet, and against
+/// moving more than the prefixes of a replica that leaves.
+#[test]
+fn prefixes_keep_their_replica() {
+    for seed in seeds() {
+        let mut random = StdRng::seed_from_u64(seed);
+        let places = places(REPLICAS);
+        let prefix = random.random();
+        let ask = Ask {
+            prompt_tokens: 1_000.0,
+            prefix: Some(prefix),
+        };
+        let home = preferred(&places, prefix, |_| true).unwrap();
+        let hits = (0..200)
+            .filter(|_| {
+                let loads = |_| Some(load(0.0, 20.0, 10.0));
+                choose(&places, &ask, loads, || random.random()) == Some(home)
+            })
+            .count();
+        assert!(
+            hits >= 180,
+            "seed {seed}: {hits} of 200 went to the preferred replica"
+        );
+        for leaving in 0..REPLICAS {
+            let other = preferred(&places, prefix, |index| index != leaving).unwrap();
+            assert!(
+                leaving == home || other == home,
+                "seed {seed}: {leaving} moved {home}"
+            );
+        }
+    }
+}
+
+/// Returns the share of requests that one replica gets.
+fn share(seed: u64, loads: impl Fn(usize) -> Option<Load>, replica: usize) -> f64 {
+    let mut random = StdRng::seed_from_u64(seed);
+    let places = places(10);
+    let chosen =
+        (0..10_000).filter(|_| choose(&places, &ASK, &loads, || random.random()) == Some(replica));
+    f64::from(u32::try_from(chosen.count()).unwrap()) / 10_000.0
+}
+
+/// Guards against a slow replica that keeps its share, one that is never measured again, and one
+/// that does not recover. A tenth of the requests is the even share, and a replica of the own zone gets
+/// more. A probe goes to it with a chance of 1 in 640, so none in 10,000 has a chance below 1e-6.
+#[test]
+fn a_slow_replica_is_probed_and_recovers() {
+    for seed in seeds() {
+        let with_speed = |token_ms: f64| {
+            move |index: usize| {
+                let speed = if index == 3 { token_ms } else { 20.0 };
+                Some(Load {
+                    open: 0.0,
+                    ..load(0.0, speed, 10.0)
+                })
+            }
+        };
+        let slow = share(seed, with_speed(200.0), 3);
+        assert!(slow < 0.02, "seed {seed}: the slow replica gets {slow}");
+        assert!(
+            slow > 0.0,
+            "seed {seed}: the slow replica is never measured again"
+        );
+        let recovered = share(seed, with_speed(20.0), 3);
+        assert!(
+            recovered > 0.1,
+            "seed {seed}: the recovered replica gets {recovered}"
+        );
+    }
+}
+
+/// Guards against filling small replicas as much as large ones.
+#[test]
+fn unequal_replicas_fill_by_their_size() {
+    for seed in seeds() {
+        let mut random = StdRng::seed_from_u64(seed);
+        let places = places(10);
+        let capacity = |index: usize| if index < 5 { 10_000.0 } else { 40_000.0 };
+        let mut demand = [0.0_f64; 10];
+        for _ in 0..1_500 {
+            let loads = |index: usize| {
+                Some(Load {
+                    capacity_tokens: capacity(index),
+                    ..load(demand[index], 20.0, 5.0)
+                })
+            };
+            let index = choose(&places, &ASK, loads, || random.random()).unwrap();
+            demand[index] += 100.0;
+        }
+        let fill = |index: usize| demand[index] / capacity(index);
+        let small: f64 = (0..5).map(fill).sum::<f64>() / 5.0;
+        let large: f64 = (5..10).map(fill).sum::<f64>() / 5.0;
+        assert!(
+            small < 1.5 * large,
+            "seed {seed}: small {small}, large {large}"
+        );
+    }
+}
+
+/// Guards against crossing zones while replicas of the own zone are as good.
+#[test]
+fn the_zone_breaks_near_ties() {
+    for seed in seeds() {
+        let mut random = StdRng::seed_from_u64(seed);
+        let places = places(9);
+        let own = (0..3_000)
+            .filter(|_| {
+                let loads = |_| Some(load(1_000.0, 20.0, 10.0));
+                choose(&places, &ASK, loads, || random.random())
+                    .is_some_and(|index| places[index].same_zone)
+            })
+            .count();
+        // A third is local; a sample of two has a local one in five of nine cases (18 of 36 pairs
+        // have one, 3 have two).
+        assert!(own > 1_600, "seed {seed}: {own} of 3000 stayed in the zone");
+    }
+}
