--- a/tests/members_random.rs
+++ b/tests/members_random.rs
@@ -108,6 +108,12 @@
                     (*fence, *phase),
                     "seed {seed}"
                 );
+                if let Some((1.., upstreams)) = model.reports.get(member.name.as_str()) {
+                    assert_eq!(
+                        member.upstreams, *upstreams,
+                        "seed {seed}: an old report won"
+                    );
+                }
             }
             let alive = model
                 .current
--- a/tests/state_support/mod.rs
+++ b/tests/state_support/mod.rs
@@ -23,6 +23,7 @@
     pub rng: StdRng,
     pub now_ms: u64,
     edits: u64,
+    claims: Vec<(KeyId, Claimed)>,
 }
 
 impl Source {
@@ -31,6 +32,7 @@
             rng: StdRng::seed_from_u64(seed),
             now_ms: 1_700_000_000_000,
             edits: 0,
+            claims: Vec::new(),
         }
     }
 
@@ -130,7 +132,7 @@
 
     pub fn claimed(&mut self) -> Claimed {
         Claimed {
-            generation: GenerationId(self.rng.random_range(0..40)),
+            generation: GenerationId(self.rng.random_range(0..8)),
             sidecar: self.instance(),
         }
     }
@@ -147,7 +149,18 @@
     }
 
     pub fn ledger_command(&mut self) -> Command {
-        let (key, claimed, now_ms) = (self.key(), self.claimed(), self.proposed_ms());
+        let (mut key, mut claimed, now_ms) = (self.key(), self.claimed(), self.proposed_ms());
+        // Half of the commands are about one of the last claims.
+        if let Some(last) = self.claims.choose(&mut self.rng).cloned()
+            && self.chance(50)
+        {
+            key = last.0;
+            claimed = if self.chance(70) { last.1 } else { claimed };
+        }
+        self.claims.push((key.clone(), claimed.clone()));
+        if self.claims.len() > 10 {
+            self.claims.remove(0);
+        }
         let generation = claimed.generation;
         match self.rng.random_range(0..6) {
             0 => Command::Finish {
@@ -191,7 +204,13 @@
         let (instance, now_ms) = (self.instance(), self.proposed_ms());
         match self.rng.random_range(0..4) {
             0 => {
-                let phases = [Phase::Live, Phase::Leaving, Phase::Gone];
+                let phases = [
+                    Phase::Live,
+                    Phase::Live,
+                    Phase::Leaving,
+                    Phase::Leaving,
+                    Phase::Gone,
+                ];
                 let phase = *phases.choose(&mut self.rng).unwrap();
                 Command::SetPhase {
                     instance,
