--- /dev/null
+++ b/src/bin/lilacspindle/cmd/check.rs
@@ -0,0 +1,30 @@
+//! `check`: every fault of settings files.
+
+use std::path::PathBuf;
+
+use lilacspindle::findings::Finding;
+use lilacspindle::settings::Settings;
+use serde_json::json;
+
+use super::{Exit, print_json};
+use crate::cli::Options;
+
+pub fn run(options: &Options, files: &[PathBuf]) -> Exit {
+    let faults: Vec<Finding> = files
+        .iter()
+        .filter_map(|file| Settings::load(file).err())
+        .flat_map(|findings| findings.0)
+        .collect();
+    if options.json {
+        print_json(&json!({ "findings": faults }));
+    } else {
+        for fault in &faults {
+            println!("{}: {}", fault.place, fault.reason);
+        }
+    }
+    if faults.is_empty() {
+        Exit::Ok
+    } else {
+        Exit::Refused
+    }
+}
--- /dev/null
+++ b/src/bin/lilacspindle/cmd/mod.rs
@@ -0,0 +1,88 @@
+//! The commands.
+
+mod check;
+mod drain;
+mod status;
+mod table;
+
+use std::env;
+use std::time::Duration;
+
+use lilacspindle::roles::control::operator_api::{Client, ClientError, ErrorReply};
+use serde::Serialize;
+use serde_json::json;
+
+use crate::cli::{Cli, Command, Options};
+
+/// How the program ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exit {
+    Ok = 0,
+    Refused = 1,
+    Usage = 2,
+    Unreachable = 3,
+    Undecided = 4,
+}
+
+/// Runs a command.
+pub async fn run(cli: &Cli) -> Exit {
+    let options = &cli.options;
+    match &cli.command {
+        Command::Table(command) => table::run(options, command).await,
+        Command::Status => status::run(options).await,
+        Command::Drain { instance } => drain::run(options, instance).await,
+        Command::Check { files } => check::run(options, files),
+        Command::Bench { .. } => missing("bench"),
+        Command::Capacity { .. } => missing("capacity"),
+    }
+}
+
+fn missing(command: &str) -> Exit {
+    eprintln!("lilacspindle: the command {command} is not part of this build yet");
+    Exit::Usage
+}
+
+/// Returns a client, or prints what it lacks.
+fn client(options: &Options) -> Result<Client, Exit> {
+    let from_env = env::var("LILAC_CONTROL").unwrap_or_default();
+    let addresses: Vec<String> = match options.control.as_slice() {
+        [] => from_env.split(',').map(str::to_owned).collect(),
+        given => given.to_vec(),
+    };
+    let addresses: Vec<String> = addresses
+        .into_iter()
+        .filter(|address| !address.trim().is_empty())
+        .collect();
+    let token = options
+        .token
+        .clone()
+        .or_else(|| env::var("LILAC_TOKEN").ok());
+    let limit = Duration::from_millis(options.limit_ms);
+    Client::new(&addresses, &token.unwrap_or_default(), limit)
+        .map_err(|error| failed(options, &error))
+}
+
+/// Prints why a request has no answer and returns the exit code.
+fn failed(options: &Options, error: &ClientError) -> Exit {
+    let (exit, name) = match error {
+        ClientError::Refused(_) => (Exit::Refused, "refused"),
+        ClientError::Unreachable(_) => (Exit::Unreachable, "unreachable"),
+        ClientError::Undecided(_) => (Exit::Undecided, "undecided"),
+        ClientError::Usage(_) => (Exit::Usage, "usage"),
+    };
+    if options.json {
+        match error {
+            ClientError::Refused(reply) => print_json::<ErrorReply>(reply),
+            _ => print_json(&json!({ "error": name, "message": error.to_string() })),
+        }
+    }
+    eprintln!("lilacspindle: {error}");
+    exit
+}
+
+fn print_json<T: Serialize>(value: &T) {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => println!("{text}"),
+        Err(error) => eprintln!("lilacspindle: cannot print the answer as JSON: {error}"),
+    }
+}
--- a/src/domain/table/edits.rs
+++ b/src/domain/table/edits.rs
@@ -35,9 +35,10 @@
 }
 
 impl Edit<'_> {
-    /// Tells two edits under one id apart.
+    /// Tells two edits under one id apart. The base does not count: a tool that lost the answer
+    /// and was started again has read a newer version.
     fn fingerprint(&self) -> u64 {
-        let bytes = encode(&(self.author, self.base, self.changes)).unwrap_or_default();
+        let bytes = encode(&(self.author, self.changes)).unwrap_or_default();
         xxhash_rust::xxh3::xxh3_64(&bytes)
     }
 }
@@ -86,7 +87,7 @@
             Some(kept) if kept.fingerprint == fingerprint => {
                 return (kept.answer.clone(), Vec::new());
             }
-            Some(_) => return (Err(id_taken(edit.id)), Vec::new()),
+            Some(kept) => return (Err(id_taken(edit.id, &kept.answer)), Vec::new()),
             None => {}
         }
         let checked = self.check(edit, table, members, versions.current);
@@ -227,11 +228,18 @@
     pub next: TableVersion,
 }
 
-fn id_taken(id: &EditId) -> EditRefusal {
+fn id_taken(id: &EditId, answer: &EditAnswer) -> EditRefusal {
+    let outcome = match answer {
+        Ok(version) => format!("was accepted at version {version}"),
+        Err(_) => "was refused".to_owned(),
+    };
     let mut findings = Findings::default();
     findings.add(
         "id",
-        format!("{:?} was used for another edit; choose a new one", id.0),
+        format!(
+            "{:?} is the id of another edit, which {outcome}; choose a new id",
+            id.0
+        ),
     );
     EditRefusal::Invalid(findings)
 }
