--- a/tests/api_support/mod.rs
+++ b/tests/api_support/mod.rs
@@ -49,9 +49,16 @@
             Box::pin(async move { answer })
         }),
         read: Box::new(move |task| {
-            let answer = match &read_role {
-                Role::Follower(leader) => Err(ControlError::NotLeader { leader: *leader }),
-                _ => Ok(task(&for_read.lock().unwrap().0)),
+            let leader = match &read_role {
+                Role::Follower(leader) => Some(*leader),
+                Role::Leader | Role::Forgetful => None,
+            };
+            let answer = match leader {
+                Some(leader) => Err(ControlError::NotLeader { leader }),
+                None => {
+                    task(&for_read.lock().unwrap().0);
+                    Ok(())
+                }
             };
             Box::pin(async move { answer })
         }),
