--- a/src/roles/control/mod.rs
+++ b/src/roles/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control role: the replicated log and the services on it.
 
 mod machine;
+pub mod operator_api;
 mod port;
 pub mod replica;
 mod replicated;
