--- a/src/adapters/disk/folder.rs
+++ b/src/adapters/disk/folder.rs
@@ -9,7 +9,7 @@
 use crate::domain::log::{HardState, Persist, Recovered, Snapshot, SnapshotWrite};
 
 /// A new segment is begun when the present one has reached this size.
-const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
+pub(super) const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
 
 /// Prefix of files that a crash may leave incomplete.
 pub(super) const UNFINISHED: &str = "unfinished-";
@@ -32,6 +32,7 @@
     pub(super) length: u64,
     pub(super) last_index: u64,
     pub(super) snapshot_path: Option<PathBuf>,
+    pub(super) segment_bytes: u64,
 }
 
 /// What a folder held.
@@ -52,6 +53,11 @@
         recovery::open(folder, ops, new_identity)
     }
 
+    /// Sets the size at which a new segment is begun.
+    pub fn set_segment_bytes(&mut self, segment_bytes: u64) {
+        self.segment_bytes = segment_bytes;
+    }
+
     /// Writes and syncs everything in `persist`.
     pub fn write(&mut self, persist: &Persist) -> Result<(), DiskError> {
         let replaced = persist.snapshot.as_ref().filter(|s| s.replaces_log);
@@ -77,7 +83,7 @@
         if records.is_empty() {
             return Ok(());
         }
-        if self.length >= SEGMENT_BYTES {
+        if self.length >= self.segment_bytes {
             self.begin_segment(&[])?;
         }
         let path = self.segment_path(self.number);
@@ -134,7 +140,7 @@
     fn write_own_snapshot(&mut self, write: &SnapshotWrite) -> Result<(), DiskError> {
         self.write_snapshot(&write.snapshot)?;
         // Segments are removed whole; a new one lets the present one go with the next snapshot.
-        if self.length >= SEGMENT_BYTES / 4 {
+        if self.length >= self.segment_bytes / 4 {
             self.begin_segment(&[])?;
         }
         self.remove_closed(write.keep_after)
--- a/src/adapters/disk/recovery.rs
+++ b/src/adapters/disk/recovery.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::error::DiskError;
-use super::folder::{Closed, Disk, Opened, UNFINISHED};
+use super::folder::{Closed, Disk, Opened, SEGMENT_BYTES, UNFINISHED};
 use super::ops::FileOps;
 use super::segment::{FORMAT_VERSION, Record, decode_snapshot, scan_segment};
 use crate::domain::log::{Entry, HardState, Recovered, Snapshot};
@@ -32,6 +32,7 @@
         length: 0,
         last_index: 0,
         snapshot_path: None,
+        segment_bytes: SEGMENT_BYTES,
     };
     (disk.ops.create_folder)(folder).map_err(|e| DiskError::io("create", folder, e))?;
     disk.take_lock()?;
--- a/src/domain/log/core.rs
+++ b/src/domain/log/core.rs
@@ -15,6 +15,9 @@
 };
 use crate::model::InstanceName;
 
+/// No cluster reaches this term; a message that names a higher one is damaged.
+const MAX_TERM: u64 = u64::MAX / 2;
+
 /// One replica.
 #[derive(Debug)]
 pub struct Core {
@@ -227,7 +230,7 @@
             (Some(_), None) => matches!(packet.body, Body::Vote { .. } | Body::Append { .. }),
             (None, _) => false,
         };
-        if foreign || from == self.id {
+        if foreign || from == self.id || packet.term > MAX_TERM {
             return;
         }
         match packet.body {
--- a/src/domain/log/election.rs
+++ b/src/domain/log/election.rs
@@ -96,10 +96,10 @@
     /// Starts an election, with a pre-vote unless the leader asked for it.
     pub(super) fn campaign(&mut self, now_ms: u64, transfer: bool) {
         self.reset_election_timer(now_ms);
+        self.leader = None;
         if !self.config().is_some_and(|config| config.is_voter(self.id)) {
             return;
         }
-        self.leader = None;
         self.start_votes(self.options.pre_vote && !transfer, transfer, now_ms);
     }
 
--- a/src/domain/log/reads.rs
+++ b/src/domain/log/reads.rs
@@ -96,7 +96,7 @@
             }
             let progress = leading.progress.get(&voter);
             let acked = progress.and_then(|progress| progress.acked_sent_ms);
-            acked.map_or(0, |sent_ms| sent_ms + lease_ms)
+            acked.map_or(0, |sent_ms| sent_ms.saturating_add(lease_ms))
         });
         now_ms < until
     }
--- a/src/roles/control/replica/formation.rs
+++ b/src/roles/control/replica/formation.rs
@@ -32,7 +32,8 @@
         if status.stopped.is_some() {
             return;
         }
-        if is_member(&status, &own) {
+        // The entry that added this replica may have been replaced by a new leader's.
+        if is_member(&status, &own) && status.leader.is_some() {
             sleep(CHECK).await;
             continue;
         }
--- a/tests/log_replicas.rs
+++ b/tests/log_replicas.rs
@@ -3,7 +3,10 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use lilacspindle::adapters::disk::FileOps;
 use lilacspindle::bench::log::{Cluster, ClusterOptions};
+use lilacspindle::model::InstanceName;
+use lilacspindle::roles::control::replica::{Replica, SubmitError};
 
 const LIMIT: Duration = Duration::from_secs(20);
 /// The stated bound on failover of control.
@@ -97,3 +100,147 @@
     assert!(index >= 311);
     assert_eq!(distinct(&cluster, follower), 311);
 }
+
+/// Waits until every instance is a voter with one identity, and the given one has a new identity.
+async fn repaired(cluster: &Cluster, replicas: usize, number: usize) -> bool {
+    let name = InstanceName::from(format!("control-{number}").as_str());
+    let done = |cluster: &Cluster| {
+        let Some(own) = cluster
+            .replica(number)
+            .map(|replica| replica.status().identity.0)
+        else {
+            return false;
+        };
+        let Some(leader) = cluster.leader() else {
+            return false;
+        };
+        let voters = cluster.voters(leader);
+        let status = cluster.replica(leader).map(Replica::status);
+        voters.len() == replicas
+            && voters.values().all(|identities| identities.len() == 1)
+            && voters.get(&name) == Some(&vec![own])
+            && status.is_some_and(|status| status.learners.is_empty())
+    };
+    cluster.wait(LIMIT, done).await
+}
+
+/// Runs hundreds of commands, loses one disk, and right after the repair loses another instance
+/// for good; in a cluster of five a third one is lost as well, which a quorum of three bears.
+async fn lose_disk_then_another(replicas: usize) {
+    let folder = Folder::new("repair");
+    let mut cluster = Cluster::start(&folder.0, options(replicas)).await.unwrap();
+    submit_all(&cluster, 0..300).await;
+    let lost = cluster.leader().unwrap();
+    let old = cluster.replica(lost).unwrap().status().identity;
+    cluster.kill(lost).await;
+    cluster.lose_disk(lost).unwrap();
+    cluster.open(lost).unwrap();
+    assert_ne!(cluster.replica(lost).unwrap().status().identity, old);
+    assert!(
+        repaired(&cluster, replicas, lost).await,
+        "the lost disk was not repaired"
+    );
+    for gone in 1..=replicas / 2 {
+        let gone = (lost + gone) % replicas;
+        cluster.kill(gone).await;
+        cluster.lose_disk(gone).unwrap();
+    }
+    assert!(
+        cluster
+            .submit(&300u64.to_le_bytes(), FAILOVER)
+            .await
+            .is_some(),
+        "no quorum in 5 s"
+    );
+    let index = cluster.replica(lost).unwrap().confirm(LIMIT).await.unwrap();
+    assert!(index > 300);
+    assert_eq!(distinct(&cluster, lost), 301, "commands were lost");
+}
+
+/// Guards against a repair that leaves the new replica without the data, three voters.
+#[tokio::test(flavor = "multi_thread")]
+async fn three_voters_lose_a_disk_and_then_an_instance() {
+    lose_disk_then_another(3).await;
+}
+
+/// Guards against a repair that leaves the new replica without the data, five voters.
+#[tokio::test(flavor = "multi_thread")]
+async fn five_voters_lose_a_disk_and_then_two_instances() {
+    lose_disk_then_another(5).await;
+}
+
+/// Guards against a hand-over that loses commands or leaves no leader, and followers that answer
+/// reads without the leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn hand_over_and_reads_on_followers() {
+    let folder = Folder::new("hand-over");
+    let mut cluster = Cluster::start(&folder.0, options(3)).await.unwrap();
+    submit_all(&cluster, 0..20).await;
+    let before = cluster.leader().unwrap();
+    assert!(cluster.replica(before).unwrap().hand_over().await);
+    let moved = |cluster: &Cluster| cluster.leader().is_some_and(|leader| leader != before);
+    assert!(
+        cluster.wait(FAILOVER, moved).await,
+        "leadership was not handed over"
+    );
+    submit_all(&cluster, 20..30).await;
+    for number in 0..3 {
+        cluster
+            .replica(number)
+            .unwrap()
+            .confirm(LIMIT)
+            .await
+            .unwrap();
+        assert_eq!(distinct(&cluster, number), 30);
+    }
+    let refused = cluster
+        .replica(before)
+        .unwrap()
+        .submit(vec![1], LIMIT)
+        .await;
+    let leader = cluster
+        .replica(before)
+        .unwrap()
+        .status()
+        .leader
+        .map(|leader| leader.address);
+    assert_eq!(refused, Err(SubmitError::NotLeader { leader }));
+    // Without a quorum nothing is confirmed.
+    cluster.kill((before + 1) % 3).await;
+    cluster.kill((before + 2) % 3).await;
+    let alone = cluster.replica(before).unwrap();
+    let unconfirmed = alone.confirm(Duration::from_secs(2)).await;
+    assert_eq!(unconfirmed, Err(SubmitError::Undecided));
+}
+
+/// Guards against a replica that goes on after a failed sync, and against a failure that takes the
+/// cluster with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_sync_stops_only_the_replica() {
+    let folder = Folder::new("sync");
+    let mut cluster = Cluster::bind(&folder.0, options(3)).await.unwrap();
+    let mut ops = FileOps::real();
+    let mut real_sync = std::mem::replace(&mut ops.sync, Box::new(|_| Ok(())));
+    let mut syncs = 0;
+    ops.sync = Box::new(move |path| {
+        syncs += 1;
+        if syncs > 30 {
+            return Err(std::io::Error::other("input/output error"));
+        }
+        real_sync(path)
+    });
+    cluster.open_with(0, ops).unwrap();
+    cluster.open(1).unwrap();
+    cluster.open(2).unwrap();
+    submit_all(&cluster, 0..60).await;
+    let stopped = |cluster: &Cluster| cluster.replica(0).unwrap().status().stopped.is_some();
+    assert!(cluster.wait(LIMIT, stopped).await);
+    let reason = cluster.replica(0).unwrap().status().stopped.unwrap();
+    assert!(
+        reason.contains("cannot sync") && reason.contains("check the disk"),
+        "{reason}"
+    );
+    let refused = cluster.replica(0).unwrap().submit(vec![1], LIMIT).await;
+    assert_eq!(refused, Err(SubmitError::Stopped));
+    submit_all(&cluster, 60..70).await;
+}
