Bound the events written at once by the engine stand-in

Cause: resuming a long stream from offset 0 built all its events in memory, about 7 MB for 40,000 tokens by size of one event. Change: at most 256 tokens are written at once. Result: the 8 tests of standin_http pass. Conclusion: memory per reader is bounded.

--- a/src/roles/standin/http.rs
+++ b/src/roles/standin/http.rs
@@ -20,6 +20,8 @@
 
 /// A comment is sent on a silent stream this often, so that a closed connection is noticed.
 const COMMENT_INTERVAL: Duration = Duration::from_secs(1);
+/// Tokens written at once when a reader is behind; it bounds the memory of a resumed stream.
+const TOKENS_AT_ONCE: u32 = 256;
 /// How often a hung engine looks whether it still hangs.
 const HANG_POLL: Duration = Duration::from_millis(20);
 
@@ -157,10 +159,11 @@
                 continue;
             }
             if offset < now.produced {
-                let events = (offset..now.produced)
+                let end = now.produced.min(offset + TOKENS_AT_ONCE);
+                let events = (offset..end)
                     .map(|offset| guard.stream.token_event(offset))
                     .collect::<String>();
-                return Some((events, Some((guard, progress, now.produced))));
+                return Some((events, Some((guard, progress, end))));
             }
             match now.end {
                 Some(reason @ (EndReason::Stop | EndReason::Length)) => {
