Test a resent id with a newer base and the exit codes of drain

Cause: with the base in the fingerprint of an edit, or connection errors taken for doubtful, no test failed. Change: a case for each.

--- a/tests/api_support/mod.rs
+++ b/tests/api_support/mod.rs
@@ -49,17 +49,12 @@
             Box::pin(async move { answer })
         }),
         read: Box::new(move |task| {
-            let leader = match &read_role {
-                Role::Follower(leader) => Some(*leader),
-                Role::Leader | Role::Forgetful => None,
-            };
-            let answer = match leader {
-                Some(leader) => Err(ControlError::NotLeader { leader }),
-                None => {
-                    task(&for_read.lock().unwrap().0);
-                    Ok(())
-                }
-            };
+            let mut answer = Ok(());
+            if let Role::Follower(leader) = &read_role {
+                answer = Err(ControlError::NotLeader { leader: *leader });
+            } else {
+                task(&for_read.lock().unwrap().0);
+            }
             Box::pin(async move { answer })
         }),
         status: Box::new(|| Box::pin(async { json!({ "role": "test" }) })),
--- a/tests/cli_commands.rs
+++ b/tests/cli_commands.rs
@@ -245,12 +245,18 @@
     let set = ["table", "set", "workspace/a", "weight=1", "max_tokens=9"];
     expect(&run(&[closed], &set), 3, &["no control instance answered"]);
     expect(&run(&[closed], &["table", "get"]), 3, &[]);
+    expect(&run(&[closed], &["drain", "x"]), 3, &[]);
     expect(&run(&[closed], &["status"]), 3, &[]);
     expect(&run(&[], &["table", "get"]), 2, &["LILAC_CONTROL"]);
     let shared = Shared::default();
     let alone = serve(&shared, &Role::Follower(None));
     expect(&run(&[alone], &set), 3, &["another control instance leads"]);
     let leader = serve(&shared, &Role::Leader);
+    expect(
+        &run(&[break_answers(leader)], &["drain", "x"]),
+        4,
+        &["undecided"],
+    );
     let wrong = ["--token", "wrong-secret", "table", "get"];
     let text = expect(&run(&[leader], &wrong), 1, &["Authorization"]);
     assert!(!text.contains("wrong-secret"));
--- a/tests/table_api.rs
+++ b/tests/table_api.rs
@@ -139,6 +139,20 @@
     assert_eq!(answer, expected);
     let (_, answer) = post(&client, &edit("ann", 1, false).to_string());
     assert_eq!(answer, json!({ "result": "accepted", "version": 1 }));
+    // A tool that is started again has read a newer version.
+    let resent = edit("ann", 1, false)
+        .to_string()
+        .replace("\"base\":0", "\"base\":1");
+    assert_eq!(
+        post(&client, &resent).1,
+        json!({ "result": "accepted", "version": 1 })
+    );
+    let (_, answer) = post(&client, &edit("ann", 7, false).to_string());
+    let reason = answer["findings"][0]["reason"].as_str().unwrap();
+    assert!(
+        reason.contains("another edit, which was accepted at version 1"),
+        "{reason}"
+    );
 }
 
 /// Guards against a panic on any input, and a table that INI or JSON does not bring back.
