--- a/src/roles/control/service.rs
+++ b/src/roles/control/service.rs
@@ -1,15 +1,16 @@
 //! The control service on the replicated log, and the relay that other processes offer.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tarpc::context::Context;
 use tokio::time::sleep;
 
-use super::{LogError, LogPort, Machine};
+use super::{LogError, LogPort, Machine, RoomBroker};
 use crate::adapters::clock::monotonic_ms;
 use crate::call_handler;
-use crate::domain::state::Response;
+use crate::domain::state::{Command, Response};
 use crate::roles::subscriber::Subscriber;
 use crate::rpc::control::{
     Control, ControlError, PermitReply, PermitRequest, RoomReply, RoomRequest, SubmitRequest,
@@ -22,11 +23,17 @@
 /// Time between confirmations that this instance's view is current.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
 
+/// No term has this number.
+const NO_TERM: u64 = u64::MAX;
+
 /// A running control role.
 pub struct ControlRole {
     log: LogPort,
     machine: Arc<Machine>,
     subscriber: Arc<Subscriber>,
+    rooms: RoomBroker,
+    /// The term in which this leader's view was last confirmed.
+    confirmed_term: AtomicU64,
 }
 
 impl ControlRole {
@@ -36,6 +43,8 @@
             log,
             machine,
             subscriber,
+            rooms: RoomBroker::default(),
+            confirmed_term: AtomicU64::new(NO_TERM),
         })
     }
 
@@ -44,6 +53,11 @@
         &self.machine
     }
 
+    /// Returns the applied view of this process and its way to the other control instances.
+    pub fn subscriber(&self) -> &Arc<Subscriber> {
+        &self.subscriber
+    }
+
     /// Returns the log.
     pub fn log(&self) -> &LogPort {
         &self.log
@@ -68,18 +82,43 @@
         }
     }
 
-    async fn submit(&self, request: &SubmitRequest) -> Result<Response, ControlError> {
-        let command = encode(&request.command).map_err(|error| invalid(&error))?;
+    /// Answers a holder of slots. A new leader first confirms its view, because the broker must know
+    /// every entry that an earlier leader may have granted slots to.
+    async fn room(&self, request: &RoomRequest) -> Result<RoomReply, ControlError> {
+        self.subscriber.observe(&request.stamp);
+        let term = (self.log.leadership)().term;
+        if self.confirmed_term.load(Ordering::SeqCst) != term {
+            (self.log.confirm)(SUBMIT_LIMIT)
+                .await
+                .map_err(|error| control_error(&error))?;
+            self.confirmed_term.store(term, Ordering::SeqCst);
+        }
+        let mut leadership = (self.log.leadership)();
+        leadership.leads &= leadership.term == term;
+        let view = self.subscriber.view();
+        let stamp = self.subscriber.stamp();
+        self.rooms.answer(leadership, &view, stamp, request)
+    }
+
+    /// Commits a command if this instance leads.
+    pub(super) async fn submit(&self, command: &Command) -> Result<Response, ControlError> {
+        let command = encode(command).map_err(|error| invalid(&error))?;
         match (self.log.submit)(command, SUBMIT_LIMIT).await {
             Ok(response) => decode(&response).map_err(|error| invalid(&error)),
-            Err(LogError::NotLeader { leader }) => Err(ControlError::NotLeader { leader }),
-            Err(LogError::Undecided) => Err(ControlError::Undecided),
-            Err(LogError::Stopped) => Err(ControlError::Stopped),
-            Err(LogError::TooLarge) => Err(invalid(&"the command is too large for the log")),
+            Err(error) => Err(control_error(&error)),
         }
     }
 }
 
+fn control_error(error: &LogError) -> ControlError {
+    match error {
+        LogError::NotLeader { leader } => ControlError::NotLeader { leader: *leader },
+        LogError::Undecided => ControlError::Undecided,
+        LogError::Stopped => ControlError::Stopped,
+        LogError::TooLarge => invalid(&"the command is too large for the log"),
+    }
+}
+
 fn invalid(error: &impl ToString) -> ControlError {
     ControlError::Invalid {
         reason: error.to_string(),
@@ -95,15 +134,15 @@
     async fn ping(self, _: Context) {}
 
     async fn submit(self, _: Context, request: SubmitRequest) -> Result<Response, ControlError> {
-        self.role.submit(&request).await
+        self.role.submit(&request.command).await
     }
 
     async fn watch(self, _: Context, request: WatchRequest) -> WatchReply {
         self.role.subscriber.answer_watch(request).await
     }
 
-    async fn room(self, _: Context, _request: RoomRequest) -> Result<RoomReply, ControlError> {
-        Err(ControlError::Stopped)
+    async fn room(self, _: Context, request: RoomRequest) -> Result<RoomReply, ControlError> {
+        self.role.room(&request).await
     }
 
     async fn permit(
--- a/src/roles/daemon/mod.rs
+++ b/src/roles/daemon/mod.rs
@@ -9,15 +9,18 @@
 use std::time::Duration;
 
 use rand::random;
+use rocket::{Build, Rocket};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use super::control::operator_api::{self, OperatorPort};
 use super::control::replica::Endpoint;
-use super::control::{ControlRole, Machine, RelayService, replicated_log};
-use super::entry::EntryRole;
+use super::control::{ControlRole, Machine, RelayService, operator_port, replicated_log};
+use super::entry::{EntryRole, RoomPort};
+use super::rooms::Rooms;
 use super::sidecar::SidecarRole;
 use super::standin::{EngineOptions, Running, start_engine, start_service};
 use super::subscriber::{Subscriber, SubscriberSettings, ViewStore, Watchers};
@@ -71,6 +74,7 @@
         let subscriber = subscriber(&settings, rpc_address, &store);
         let mut services = Services::default();
         let mut tasks = Vec::new();
+        let mut operators = None;
         let control = match &settings.control {
             Some(control) => {
                 let machine = Machine::new(Arc::clone(&store));
@@ -84,7 +88,9 @@
                     Service::Peer,
                     call_handler!(Service::Peer, replica.server()),
                 );
-                Some(ControlRole::new(log, machine, Arc::clone(&subscriber)))
+                let role = ControlRole::new(log, machine, Arc::clone(&subscriber));
+                operators = Some(operator_port(&role, &replica, settings.admin_token.clone()));
+                Some(role)
             }
             None => None,
         };
@@ -108,12 +114,14 @@
         tasks.push(tokio::spawn(serve(listener, services)));
         let entry = match &settings.entry {
             Some(entry) => {
-                let starting = EntryRole::start(entry, Arc::clone(&subscriber));
+                let rooms = Rooms::start(Arc::clone(&subscriber));
+                let room = RoomPort::leases(&rooms);
+                let starting = EntryRole::start_with_room(entry, Arc::clone(&subscriber), room);
                 Some(starting.await.map_err(as_daemon_error)?)
             }
             None => None,
         };
-        let admin = start_admin(&settings, &subscriber).await?;
+        let admin = start_admin(&settings, &subscriber, operators).await?;
         let daemon = Self {
             settings,
             subscriber,
@@ -269,6 +277,7 @@
 async fn start_admin(
     settings: &Settings,
     subscriber: &Arc<Subscriber>,
+    operators: Option<OperatorPort>,
 ) -> Result<Server, DaemonError> {
     let observed = Arc::clone(subscriber);
     let readiness = Readiness(Box::new(move || {
@@ -278,9 +287,17 @@
             _ => Ok(()),
         }
     }));
-    http::start(settings.admin_address, ADMIN_BODY_LIMIT_BYTES, |rocket| {
-        rocket.manage(readiness).mount("/", admin_routes())
-    })
-    .await
-    .map_err(as_daemon_error)
+    let build = |rocket: Rocket<Build>| {
+        let rocket = rocket.manage(readiness).mount("/", admin_routes());
+        match operators {
+            Some(port) => rocket
+                .manage(port)
+                .mount("/", operator_api::routes())
+                .register("/v1", operator_api::catchers()),
+            None => rocket,
+        }
+    };
+    http::start(settings.admin_address, ADMIN_BODY_LIMIT_BYTES, build)
+        .await
+        .map_err(as_daemon_error)
 }
--- a/src/roles/entry/room.rs
+++ b/src/roles/entry/room.rs
@@ -4,7 +4,12 @@
 
 use futures::future::BoxFuture;
 
+use crate::adapters::clock::monotonic_ms;
 use crate::model::{KindName, Refusal, WorkspaceName};
+use crate::roles::rooms::Rooms;
+
+/// Upper bound on the time that a request waits for a slot.
+const WAIT_LIMIT_MS: u64 = 10_000;
 
 /// Waits for a slot of a workspace and kind, or says why there is none.
 pub type Acquire = Arc<
@@ -18,6 +23,21 @@
 }
 
 impl RoomPort {
+    /// Returns a port to leases on slots. The entry bounds the time that it waits.
+    pub fn leases(rooms: &Arc<Rooms>) -> Self {
+        let rooms = Arc::clone(rooms);
+        Self {
+            acquire: Arc::new(move |workspace, kind| {
+                let rooms = Arc::clone(&rooms);
+                Box::pin(async move {
+                    let deadline_at_ms = monotonic_ms() + WAIT_LIMIT_MS;
+                    let lease = rooms.acquire(&workspace, &kind, deadline_at_ms).await?;
+                    Ok(SlotGuard::new(move || drop(lease)))
+                })
+            }),
+        }
+    }
+
     /// Returns a port that always grants.
     pub fn unlimited() -> Self {
         Self {
--- a/tests/faults_path.rs
+++ b/tests/faults_path.rs
@@ -239,7 +239,10 @@
                 Ok(answer) if answer.status() == 200 => served += 1,
                 Ok(answer) => {
                     let body = answer.text().await.unwrap();
-                    assert!(round >= 3 && body.contains("outcome"), "round {round}: {body}");
+                    assert!(
+                        round >= 3 && body.contains("outcome"),
+                        "round {round}: {body}"
+                    );
                 }
                 Err(_) => assert_eq!(round, 3, "only a killed entry breaks a connection"),
             }
