Measure the state machine and test the table's rules and bounds

Cause: neither the size of the state nor the bounds of what is kept were known to hold. The count of rows after an edit no longer walks the whole table.

--- a/src/bin/lilacspindle/cli.rs
+++ b/src/bin/lilacspindle/cli.rs
@@ -53,7 +53,7 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
-    /// Run the load tool
+    /// Run the load tool; `bench state` measures the replicated state machine
     Bench {
         #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
         arguments: Vec<String>,
--- a/src/bin/lilacspindle/cmd/mod.rs
+++ b/src/bin/lilacspindle/cmd/mod.rs
@@ -32,11 +32,24 @@
         Command::Status => status::run(options).await,
         Command::Drain { instance } => drain::run(options, instance).await,
         Command::Check { files } => check::run(options, files),
-        Command::Bench { .. } => missing("bench"),
+        Command::Bench { arguments } => bench(options, arguments),
         Command::Capacity { .. } => missing("capacity"),
     }
 }
 
+fn bench(options: &Options, arguments: &[String]) -> Exit {
+    if arguments != ["state"] {
+        return missing("bench");
+    }
+    let report = lilacspindle::bench::state::run();
+    if options.json {
+        print_json(&report);
+    } else {
+        print!("{report}");
+    }
+    Exit::Ok
+}
+
 fn missing(command: &str) -> Exit {
     eprintln!("lilacspindle: the command {command} is not part of this build yet");
     Exit::Usage
--- a/src/domain/table/audit.rs
+++ b/src/domain/table/audit.rs
@@ -79,7 +79,8 @@
         self.entries.push_back(Sized { bytes, entry });
         while self.entries.len() > 1 && self.is_over(now_ms) {
             let oldest = self.entries.pop_front();
-            self.total_bytes -= oldest.map_or(0, |oldest| oldest.bytes);
+            let dropped = oldest.map_or(0, |oldest| oldest.bytes);
+            self.total_bytes = self.total_bytes.saturating_sub(dropped);
         }
     }
 
--- a/src/domain/table/edits.rs
+++ b/src/domain/table/edits.rs
@@ -216,7 +216,8 @@
         {
             let oldest = self.answer_order.pop_front();
             let dropped = oldest.and_then(|id| self.answers.remove(&id));
-            self.answer_bytes -= dropped.map_or(0, |kept| kept.bytes);
+            let dropped = dropped.map_or(0, |kept| kept.bytes);
+            self.answer_bytes = self.answer_bytes.saturating_sub(dropped);
         }
     }
 }
--- a/src/domain/table/validate.rs
+++ b/src/domain/table/validate.rs
@@ -134,8 +134,14 @@
             findings.add(change.key.to_string(), "is changed twice in one edit");
         }
     }
-    let set = after.changes.values().filter(|row| row.is_some()).count();
-    let rows = after.untouched().count() + set;
+    let existed = |key: &RowKey| after.table.rows.contains_key(key);
+    let count = |set: bool| {
+        let changes = after.changes.iter();
+        changes
+            .filter(|(key, row)| row.is_some() == set && existed(key) != set)
+            .count()
+    };
+    let rows = after.table.rows.len() + count(true) - count(false);
     if rows > MAX_ROWS {
         findings.add(
             "changes",
--- /dev/null
+++ b/tests/table_rules.rs
@@ -0,0 +1,255 @@
+//! The table case by case: what a refusal says, and the bounds of what is kept.
+
+use lilacspindle::domain::members::{Member, Phase, Role, Serves, UpstreamInfo};
+use lilacspindle::domain::state::{
+    Command, EditAnswer, EditId, EditRefusal, Response, RowChange, State,
+};
+use lilacspindle::domain::table::{
+    AuditOutcome, MAX_ANSWERS, MAX_AUDIT_BYTES, MAX_EDITORS, MAX_FINDINGS, ModelRow, Row, RowKey,
+    Rows, from_ini,
+};
+use lilacspindle::model::{Fence, Incarnation, TableVersion};
+
+const TABLE: &str = "\
+[model/tutor]
+version = 1
+[workspace/a]
+weight = 1
+max_tokens = 10
+[kind/a/essay]
+lane = long
+repeatable = true
+deadline_ms = 1000
+model = tutor
+";
+
+struct World {
+    state: State,
+    index: u64,
+    now_ms: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut world = Self {
+            state: State::default(),
+            index: 0,
+            now_ms: 1_000,
+        };
+        world.edit("first", 0, set(&rows(TABLE))).unwrap();
+        world
+    }
+
+    fn edit(&mut self, id: &str, base: u64, changes: Vec<RowChange>) -> EditAnswer {
+        self.index += 1;
+        let command = Command::Edit {
+            id: EditId(id.to_owned()),
+            author: "ann".to_owned(),
+            base: TableVersion(base),
+            changes,
+            now_ms: self.now_ms,
+        };
+        match self.state.apply(self.index, &command).0 {
+            Response::Edit(answer) => answer,
+            other => panic!("not an answer to an edit: {other:?}"),
+        }
+    }
+
+    fn refusal(&mut self, id: &str, changes: Vec<RowChange>) -> String {
+        let base = self.state.view().version.0;
+        let answer = self.edit(id, base, changes);
+        answer.unwrap_err().to_string()
+    }
+
+    fn register(&mut self, versions: &[&str]) {
+        self.index += 1;
+        let member = Member {
+            name: "i".into(),
+            incarnation: Incarnation(self.index),
+            fence: Fence(0),
+            roles: vec![Role::Sidecar],
+            zone: "z".into(),
+            rpc_address: ([127, 0, 0, 1], 1).into(),
+            phase: Phase::Live,
+            upstreams: vec![UpstreamInfo {
+                name: "u".into(),
+                serves: Serves::Model("tutor".into()),
+                versions: versions
+                    .iter()
+                    .map(|version| (*version).to_owned())
+                    .collect(),
+            }],
+        };
+        let command = Command::Register {
+            member,
+            now_ms: self.now_ms,
+        };
+        self.state.apply(self.index, &command);
+    }
+}
+
+fn rows(ini: &str) -> Rows {
+    from_ini("test", ini).unwrap()
+}
+
+fn set(rows: &Rows) -> Vec<RowChange> {
+    let changes = rows.iter().map(|(key, row)| RowChange {
+        key: key.clone(),
+        row: Some(row.clone()),
+    });
+    changes.collect()
+}
+
+fn delete(key: &str) -> Vec<RowChange> {
+    let key = key.parse().unwrap();
+    vec![RowChange { key, row: None }]
+}
+
+fn limit(value: u64) -> Vec<RowChange> {
+    set(&rows(&format!("[limit/x]\nvalue = {value}")))
+}
+
+/// Guards against a validation that stops at the first fault or does not name the field.
+#[test]
+fn every_fault_is_reported_with_its_place() {
+    let mut world = World::new();
+    let text = world.refusal(
+        "bad",
+        set(&rows(
+            "[workspace/b]\nweight = 0\nmax_tokens = 0\napi_key_sha256 = short\n\
+             [kind/none/k]\nlane = small\nrepeatable = true\ndeadline_ms = 0\nservice = gone\n\
+             [limit/-x]\nvalue = 1\n",
+        )),
+    );
+    for place in [
+        "workspace/b weight: is 0, outside 1 to 1000000",
+        "workspace/b max_tokens: is 0",
+        "workspace/b api_key_sha256: must have 64",
+        "kind/none/k deadline_ms: is 0",
+        "kind/none/k workspace: names workspace/none, which would not exist",
+        "kind/none/k target: names service/gone, which would not exist",
+        "limit/-x: \"-x\" must have 1 to 64 letters",
+    ] {
+        assert!(text.contains(place), "{place} is missing in:\n{text}");
+    }
+    assert_eq!(text.lines().count(), 7, "{text}");
+    assert!(
+        world
+            .refusal("used", delete("model/tutor"))
+            .contains("is used by kind/a/essay")
+    );
+    assert!(
+        world
+            .refusal("empty", Vec::new())
+            .contains("changes: is empty")
+    );
+    let many = (0..=MAX_FINDINGS).map(|n| RowChange {
+        key: RowKey::Limit(format!("n{n}")),
+        row: None,
+    });
+    let text = world.refusal("many", many.collect());
+    assert!(text.ends_with("changes: has 1 more findings"), "{text}");
+}
+
+/// Guards against a version in force that no replica has, and a refusal without the way out.
+#[test]
+fn a_version_must_be_loaded_before_it_is_in_force() {
+    let mut world = World::new();
+    let version = |version: &str| set(&rows(&format!("[model/tutor]\nversion = {version}")));
+    assert!(
+        world.edit("alone", 1, version("2")).is_ok(),
+        "no replica is registered"
+    );
+    world.register(&["2"]);
+    let text = world.refusal("early", version("3"));
+    assert!(
+        text.contains("model/tutor version: \"3\" is not loaded on any of 1 replicas"),
+        "{text}"
+    );
+    assert!(text.contains("set prepare_version to it first"), "{text}");
+    world.register(&["2", "3"]);
+    let base = world.state.view().version.0;
+    assert!(world.edit("loaded", base, version("3")).is_ok());
+}
+
+/// Guards against a conflict that hides who won, and one without a common row.
+#[test]
+fn a_conflict_names_the_winner() {
+    let mut world = World::new();
+    assert_eq!(world.edit("ann-1", 1, limit(1)), Ok(TableVersion(2)));
+    let refusal = world.edit("bob-1", 1, limit(2)).unwrap_err();
+    let expected = EditRefusal::Conflict {
+        winner: EditId("ann-1".to_owned()),
+        author: "ann".to_owned(),
+        version: TableVersion(2),
+        rows: vec!["limit/x".parse().unwrap()],
+    };
+    assert_eq!(refusal, expected);
+    let other = set(&rows("[limit/y]\nvalue = 1"));
+    assert_eq!(
+        world.edit("bob-2", 1, other),
+        Ok(TableVersion(4)),
+        "another row is no conflict"
+    );
+    let newest = world.state.edits().audit.newest().nth(1).unwrap();
+    let refused = matches!(&newest.outcome, AuditOutcome::Refused { reason, .. }
+        if reason.contains("ann-1"));
+    assert!(
+        refused,
+        "a refused edit belongs into the history: {newest:?}"
+    );
+}
+
+/// Guards against memory that grows with the number of edits, and an edit that is made again once
+/// its answer is no longer kept.
+#[test]
+fn answers_editors_and_history_are_bounded() {
+    let mut world = World::new();
+    assert!(world.edit("old", 1, limit(1)).is_ok());
+    assert!(world.edit("gone", 2, delete("limit/x")).is_ok());
+    let total = u64::try_from(MAX_EDITORS.max(MAX_ANSWERS)).unwrap() + 10;
+    for number in 0..total {
+        let base = world.state.view().version.0;
+        let change = set(&rows(&format!("[limit/y]\nvalue = {number}")));
+        world.edit(&format!("e{number}"), base, change).unwrap();
+    }
+    // The answer and the deletion are forgotten, but not that something was.
+    let refusal = world.edit("old", 1, limit(1)).unwrap_err().to_string();
+    assert!(
+        refusal.contains("limit/x: may have been deleted after version 1"),
+        "{refusal}"
+    );
+    let refusal = world
+        .edit("e0", 3, set(&rows("[limit/y]\nvalue = 0")))
+        .unwrap_err();
+    assert!(
+        matches!(refusal, EditRefusal::Conflict { .. }),
+        "{refusal:?}"
+    );
+    let mut largest = 0;
+    for version in 100..170 {
+        let row = Row::Model(ModelRow {
+            version: version.to_string().repeat(40),
+            prepare_version: None,
+            adapter: Some("a".repeat(128)),
+        });
+        let models = (0..1_000).map(|number| RowChange {
+            key: RowKey::Model(format!("m{number}").as_str().into()),
+            row: Some(row.clone()),
+        });
+        let base = world.state.view().version.0;
+        let answer = world.edit(&format!("m{version}"), base, models.collect());
+        answer.unwrap();
+        largest = largest.max(world.state.edits().audit.total_bytes());
+    }
+    assert!(
+        largest <= MAX_AUDIT_BYTES,
+        "the history takes {largest} bytes"
+    );
+    assert!(
+        largest > MAX_AUDIT_BYTES / 2,
+        "the bound was not reached: {largest} bytes"
+    );
+    let restored = State::restore(&world.state.snapshot()).unwrap();
+    assert!(restored == world.state);
+}
