--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -22,3 +22,4 @@
 };
 pub use plot::write_plots;
 pub use report::Report;
+pub mod state;
