--- a/src/domain/stream/generations.rs
+++ b/src/domain/stream/generations.rs
@@ -14,6 +14,9 @@
 #[derive(Debug, Clone)]
 pub struct NewStream {
     pub workspace: WorkspaceName,
+    /// False if nothing may be given out before the answer is complete, so that it can be
+    /// restarted until then.
+    pub shown: bool,
     /// True for a generation taken back after a restart: it was sent by the former incarnation.
     pub sent: bool,
     /// Offset up to which the reader has tokens of the former incarnation.
@@ -24,7 +27,10 @@
 #[derive(Debug)]
 struct Stream {
     workspace: WorkspaceName,
+    shown: bool,
     stage: Stage,
+    /// Counts the times that it was sent.
+    run: u32,
     log: TokenLog,
     origin: Origin,
     /// When a reader last asked; at first, when it was accepted.
@@ -72,8 +78,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Violation {
     Unknown,
-    /// A generation was started twice.
+    /// A generation was started twice, or a restart does not fit its stage.
     Restarted(Stage),
+    /// The token is of a run that was replaced.
+    FormerRun {
+        run: u32,
+        current: u32,
+    },
     Log(LogError),
 }
 
@@ -82,6 +93,9 @@
         match self {
             Self::Unknown => f.write_str("the generation is not known"),
             Self::Restarted(stage) => write!(f, "the generation is at the stage {stage:?}"),
+            Self::FormerRun { run, current } => {
+                write!(f, "token of run {run}; the current one is {current}")
+            }
             Self::Log(error) => error.fmt(f),
         }
     }
@@ -138,6 +152,8 @@
         log.acknowledge(new.read_to);
         let stream = Stream {
             workspace: new.workspace,
+            shown: new.shown,
+            run: u32::from(new.sent),
             stage: match new.sent {
                 true => Stage::Sent,
                 false => Stage::Queued,
@@ -166,32 +182,43 @@
         self.past.insert(now_ms, generation, record);
     }
 
-    /// Notes that a generation is about to be sent to an upstream and returns true, or returns
-    /// false if it was cancelled or has ended and must not be sent.
-    pub fn send(&mut self, generation: GenerationId, origin: Origin) -> bool {
-        match self.streams.get_mut(&generation) {
-            Some(stream) if stream.stage < Stage::Ended => {
-                stream.stage = Stage::Sent;
-                stream.origin = origin;
-                true
-            }
-            _ => false,
-        }
+    /// Notes that a generation is about to be sent to an upstream and returns the number of the
+    /// run, or returns none if it is no longer waiting and must not be sent.
+    pub fn send(&mut self, generation: GenerationId, origin: Origin) -> Option<u32> {
+        let waits = |stream: &&mut Stream| stream.stage < Stage::Sent;
+        let stream = self.streams.get_mut(&generation).filter(waits)?;
+        stream.stage = Stage::Sent;
+        stream.origin = origin;
+        stream.run += 1;
+        Some(stream.run)
     }
 
-    /// Appends a token.
+    /// Appends a token of the current run.
     pub fn append(
         &mut self,
         generation: GenerationId,
+        run: u32,
         offset: u32,
         token: String,
     ) -> Result<(), Violation> {
-        Ok(self.stream(generation)?.log.append(offset, token)?)
+        let stream = self.stream(generation)?;
+        match stream.run {
+            current if current != run => Err(Violation::FormerRun { run, current }),
+            _ => Ok(stream.log.append(offset, token)?),
+        }
     }
 
-    /// Empties the log of a generation of which nothing was given out, for another run.
+    /// Empties the log of a generation of which nothing was given out. Tokens of the run so far
+    /// are no longer accepted.
     pub fn restart(&mut self, generation: GenerationId) -> Result<(), Violation> {
-        Ok(self.stream(generation)?.log.restart()?)
+        let stream = self.stream(generation)?;
+        if stream.stage != Stage::Sent {
+            return Err(Violation::Restarted(stream.stage));
+        }
+        stream.log.restart()?;
+        stream.stage = Stage::Requeued;
+        stream.run += 1;
+        Ok(())
     }
 
     /// Ends a generation.
@@ -220,9 +247,9 @@
                 self.refuse(now_ms, generation, RefusalCode::Cancelled, None);
                 Cancelled::NotRun
             }
-            Known::Stream(Stage::Sent) => {
+            Known::Stream(Stage::Requeued | Stage::Sent) => {
                 let produced_tokens = self.progress(generation).map_or(0, |(len, _)| len);
-                // A stream that was sent has no end yet, so this cannot fail.
+                // A stream at this stage has no end yet, so this cannot fail.
                 let _ = self.finish(generation, end);
                 if let Some(stream) = self.streams.get_mut(&generation) {
                     stream.end_read_at_ms = Some(now_ms);
@@ -254,8 +281,10 @@
         stream.read_at_ms = now_ms;
         stream.log.acknowledge(cursor.from_offset);
         let room_bytes = limit_bytes.saturating_sub(view.size_bytes);
+        let ready = stream.shown || stream.stage == Stage::Ended;
         let chunk = match room_bytes {
             0 => None,
+            _ if !ready => None,
             _ => stream.log.give(cursor.from_offset, room_bytes),
         };
         let given_to = chunk.as_ref().map_or(cursor.from_offset, |chunk| {
@@ -297,7 +326,9 @@
                 Stage::Ended if unread && stream.end_read_at_ms.is_none() => {
                     dropped.push(*generation);
                 }
-                Stage::Queued | Stage::Sent if unread => removed.orphans.push(*generation),
+                Stage::Queued | Stage::Requeued | Stage::Sent if unread => {
+                    removed.orphans.push(*generation);
+                }
                 _ => {}
             }
         }
--- a/src/domain/stream/token_log.rs
+++ b/src/domain/stream/token_log.rs
@@ -9,6 +9,8 @@
 pub enum Stage {
     /// Nothing was sent to an upstream.
     Queued,
+    /// A run was stopped, its tokens are gone, and it waits to be sent again.
+    Requeued,
     /// The upstream may be running it.
     Sent,
     Ended,
--- a/src/roles/sidecar/run.rs
+++ b/src/roles/sidecar/run.rs
@@ -24,18 +24,18 @@
         stop: CancellationToken,
     ) {
         let generation = request.generation;
-        let sent = {
+        let run = {
             let mut shard = self.shard(generation);
             shard
                 .generations
                 .send(generation, origin(&request, &upstream))
         };
-        if !sent {
+        let Some(run) = run else {
             return;
-        }
+        };
         upstream.running.fetch_add(1, Ordering::Relaxed);
         let stopped = tokio::select! {
-            end = self.stream(&upstream, &request) => {
+            end = self.stream(&upstream, &request, run) => {
                 self.finish(generation, end);
                 false
             }
@@ -47,7 +47,7 @@
         upstream.running.fetch_sub(1, Ordering::Relaxed);
     }
 
-    async fn stream(&self, upstream: &Upstream, request: &StartRequest) -> End {
+    async fn stream(&self, upstream: &Upstream, request: &StartRequest, run: u32) -> End {
         let engine_request = EngineRequest {
             stream: request.generation,
             api: request.api,
@@ -61,7 +61,7 @@
             Ok(tokens) => tokens,
             Err(error) => return self.failed(request.generation, &error),
         };
-        match self.read_tokens(request.generation, &mut tokens).await {
+        match self.read_tokens(request.generation, run, &mut tokens).await {
             Ok(reason) => End::Finished { reason },
             Err(error) => self.failed(request.generation, &error),
         }
@@ -70,6 +70,7 @@
     async fn read_tokens(
         &self,
         generation: GenerationId,
+        run: u32,
         tokens: &mut TokenStream,
     ) -> Result<String, UpstreamError> {
         let mut offset = 0;
@@ -80,7 +81,7 @@
                 match event {
                     StreamEvent::Token(token) => {
                         // Fails if the generation was cancelled; the run is being stopped then.
-                        let _ = shard.generations.append(generation, offset, token);
+                        let _ = shard.generations.append(generation, run, offset, token);
                         offset += 1;
                     }
                     StreamEvent::Finish(reason) => return Ok(reason),
--- a/src/roles/sidecar/start.rs
+++ b/src/roles/sidecar/start.rs
@@ -114,6 +114,7 @@
         };
         let new = NewStream {
             workspace: request.workspace.clone(),
+            shown: request.shown,
             sent: false,
             read_to: 0,
             origin: origin(&request, &upstream),
