--- a/src/roles/control/service.rs
+++ b/src/roles/control/service.rs
@@ -5,24 +5,28 @@
 use std::time::Duration;
 
 use tarpc::context::Context;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::{LogError, LogPort, Machine, RoomBroker};
 use crate::adapters::clock::monotonic_ms;
 use crate::call_handler;
+use crate::domain::members::Phase;
 use crate::domain::state::Response;
-use crate::roles::subscriber::Subscriber;
+use crate::model::TableVersion;
+use crate::roles::subscriber::{InForce, Subscriber};
 use crate::rpc::control::{
-    Control, ControlError, PermitReply, PermitRequest, RoomReply, RoomRequest, SubmitRequest,
-    WatchReply, WatchRequest,
+    Control, ControlClient, ControlError, PermitReply, PermitRequest, RoomReply, RoomRequest,
+    SubmitRequest, WatchReply, WatchRequest,
 };
-use crate::rpc::{Service, Services, decode, encode};
+use crate::rpc::{Link, Service, Services, control_link, decode, encode};
 
 /// Upper bound on the time that a command waits for its commit.
 const SUBMIT_LIMIT: Duration = Duration::from_millis(1_200);
 /// Time between confirmations that this instance's view is current.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time between looks at where a version is in force.
+const IN_FORCE_INTERVAL: Duration = Duration::from_millis(20);
 /// No term has this number.
 const NO_TERM: u64 = u64::MAX;
 
@@ -95,6 +99,56 @@
         self.rooms.answer(leadership, &view, stamp, request)
     }
 
+    /// Returns on how many processes a version is in force. Exact at the leader, which the other
+    /// control instances report to; a registered process that no instance has heard of lately
+    /// counts as known.
+    pub fn in_force(&self, version: TableVersion) -> InForce {
+        let store = self.subscriber.store();
+        let mut in_force = self
+            .subscriber
+            .watchers()
+            .in_force(store.version(), version);
+        let members = self.subscriber.view();
+        let live = members.members.members.values();
+        let live = live.filter(|member| member.phase == Phase::Live).count();
+        in_force.known = in_force.known.max(u32::try_from(live).unwrap_or(u32::MAX));
+        in_force
+    }
+
+    /// Waits until a version is in force on all known processes, or until `limit` has passed.
+    pub async fn wait_in_force(&self, version: TableVersion, limit: Duration) -> InForce {
+        let end = Instant::now() + limit;
+        loop {
+            let in_force = self.in_force(version);
+            if in_force.processes >= in_force.known || Instant::now() >= end {
+                return in_force;
+            }
+            sleep(IN_FORCE_INTERVAL).await;
+        }
+    }
+
+    /// Keeps telling the leader, while another instance leads, what is in force below this one.
+    /// Does not return.
+    pub async fn report_subtree(self: Arc<Self>) {
+        let mut link: Option<Arc<Link<ControlClient>>> = None;
+        loop {
+            let leadership = (self.log.leadership)();
+            let leader = leadership.leader.filter(|_| !leadership.leads);
+            link = match (leader, link) {
+                (Some(leader), Some(link)) if link.address() == leader => Some(link),
+                (Some(leader), _) => Some(control_link(leader)),
+                (None, _) => None,
+            };
+            let reported = match &link {
+                Some(link) => self.subscriber.report(link).await,
+                None => false,
+            };
+            if !reported {
+                sleep(CONFIRM_INTERVAL).await;
+            }
+        }
+    }
+
     async fn submit(&self, request: &SubmitRequest) -> Result<Response, ControlError> {
         let command = encode(&request.command).map_err(|error| invalid(&error))?;
         match (self.log.submit)(command, SUBMIT_LIMIT).await {
--- a/src/roles/subscriber/control_calls.rs
+++ b/src/roles/subscriber/control_calls.rs
@@ -16,6 +16,8 @@
 
 /// Limit of one try; a try at an instance that is cut off must leave time for others.
 const TRY_LIMIT: Duration = Duration::from_millis(1_500);
+/// A link that was not used for this long is closed.
+const IDLE_LINK_LIMIT: Duration = Duration::from_secs(10);
 /// Pause between rounds over all control instances.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
 
@@ -39,10 +41,15 @@
 
 impl std::error::Error for SubmitError {}
 
+struct UsedLink {
+    used_at: Instant,
+    link: Arc<Link<ControlClient>>,
+}
+
 /// Links to the control instances and the one that was last known to lead.
 pub struct ControlCalls {
     configured: Vec<SocketAddr>,
-    links: Mutex<BTreeMap<SocketAddr, Arc<Link<ControlClient>>>>,
+    links: Mutex<BTreeMap<SocketAddr, UsedLink>>,
     leader: Mutex<Option<SocketAddr>>,
 }
 
@@ -64,11 +71,21 @@
     /// Returns the link to an address, shared by all callers.
     pub fn link(&self, address: SocketAddr) -> Arc<Link<ControlClient>> {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(
-            links
-                .entry(address)
-                .or_insert_with(|| control_link(address)),
-        )
+        let now = Instant::now();
+        let used = links.entry(address).or_insert_with(|| UsedLink {
+            used_at: now,
+            link: control_link(address),
+        });
+        used.used_at = now;
+        Arc::clone(&used.link)
+    }
+
+    /// Closes links that were not used lately. Their heartbeats would cost control instances work
+    /// in proportion to the fleet.
+    pub fn close_idle_links(&self) {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        links.retain(|_, used| now < used.used_at + IDLE_LINK_LIMIT);
     }
 
     /// Puts a command into the replicated log. Resends it until `limit` has passed; commands are
--- a/src/roles/subscriber/follow.rs
+++ b/src/roles/subscriber/follow.rs
@@ -10,9 +10,9 @@
 use super::{ControlCalls, SubmitError, ViewStore, Watchers, answer_watch};
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::state::{Command, Response, View};
-use crate::model::{InstanceRef, Refusal, RefusalCode, TableVersion};
-use crate::rpc::control::{Freshness, SnapshotCursor, WatchReply, WatchRequest};
-use crate::rpc::{CallError, Stamp, decode};
+use crate::model::{InstanceName, InstanceRef, Refusal, RefusalCode, TableVersion};
+use crate::rpc::control::{ControlClient, Freshness, SnapshotCursor, WatchReply, WatchRequest};
+use crate::rpc::{CallError, Link, Stamp, control_link, decode};
 use crate::settings::StalePolicy;
 
 /// Time that a watch is held while there is no change.
@@ -23,6 +23,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// A relay whose view is older is left for the configured control instances.
 const RELAY_AGE_LIMIT_MS: u64 = 5_000;
+/// Redirects that are followed in a row before another control instance is asked, because relays
+/// with old news of each other may redirect in a circle.
+const MAX_REDIRECTS: usize = 8;
 /// Time that new work waits for a version that a peer has applied.
 const CATCH_UP_LIMIT: Duration = Duration::from_secs(1);
 
@@ -44,7 +47,8 @@
     started_at_ms: u64,
     required_version: AtomicU64,
     leaving: AtomicBool,
-    source: Mutex<Option<SocketAddr>>,
+    /// Where the view comes from: address and name.
+    source: Mutex<Option<(SocketAddr, InstanceName)>>,
 }
 
 impl Subscriber {
@@ -170,12 +174,24 @@
     /// Answers a watch call of another process.
     pub async fn answer_watch(&self, request: WatchRequest) -> WatchReply {
         self.observe(&request.stamp);
+        // Two processes that feed each other would both lag behind control.
+        if self.is_source(&request.stamp.sender.name) {
+            return WatchReply::Unconfirmed {
+                stamp: self.stamp(),
+            };
+        }
         answer_watch(&self.store, &self.watchers, || self.stamp(), request).await
     }
 
     /// Returns where the view currently comes from.
     pub fn source(&self) -> Option<SocketAddr> {
-        *self.source.lock().unwrap_or_else(PoisonError::into_inner)
+        let source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
+        source.as_ref().map(|(address, _)| *address)
+    }
+
+    fn is_source(&self, name: &InstanceName) -> bool {
+        let source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
+        source.as_ref().is_some_and(|(_, source)| source == name)
     }
 
     /// Keeps the view current. Does not return.
@@ -191,74 +207,82 @@
             };
             next += 1;
             let mut source = Some(address);
-            while let Some(address) = source {
-                source = self.follow(address).await;
+            for _ in 0..MAX_REDIRECTS {
+                source = match source {
+                    Some(address) => self.follow(address).await,
+                    None => break,
+                };
             }
-            sleep(RETRY_PAUSE).await;
+            // Spreads processes that lost the same source at the same time.
+            sleep(RETRY_PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
         }
     }
 
     /// Watches one source until it fails; returns the relay that it redirects to, if it does.
     async fn follow(&self, address: SocketAddr) -> Option<SocketAddr> {
-        let mut piece = None;
-        let mut pieces = Pieces::default();
+        // Not shared with other calls, so that its heartbeats end with the watch.
+        let link = control_link(address);
+        let mut fetch = Fetch::default();
         loop {
+            self.calls.close_idle_links();
             let sent_at_ms = monotonic_ms();
-            match self.watch(address, piece).await {
-                Ok(WatchReply::Deltas {
+            let reply = match self.watch(&link, fetch.cursor).await {
+                Ok(Some(reply)) => reply,
+                Ok(None) => continue,
+                Err(error) => {
+                    tracing::debug!(%address, %error, "watch failed");
+                    return None;
+                }
+            };
+            let stamp = reply.stamp();
+            self.observe(stamp);
+            let leaving = stamp.leaving;
+            match reply {
+                WatchReply::Deltas {
                     stamp,
                     deltas,
                     freshness,
-                }) => {
-                    self.set_source(address);
-                    self.observe(&stamp);
+                } => {
+                    self.set_source(address, &stamp);
                     self.store.apply(&deltas);
-                    let confirmed_at_ms = confirmed_at_ms(sent_at_ms, freshness);
-                    self.confirm(stamp.table_version, confirmed_at_ms);
+                    self.confirm(stamp.table_version, confirmed_at_ms(sent_at_ms, freshness));
                     if freshness.confirmed_age_ms > RELAY_AGE_LIMIT_MS {
                         return None;
                     }
                 }
-                Ok(WatchReply::Snapshot {
+                WatchReply::Snapshot {
                     stamp,
                     version,
                     bytes,
                     next,
                     freshness,
-                }) => {
-                    self.set_source(address);
-                    self.observe(&stamp);
-                    pieces.add(
-                        version,
-                        bytes,
-                        piece,
-                        confirmed_at_ms(sent_at_ms, freshness),
-                    );
-                    piece = next;
-                    if next.is_none() && !self.restore(address, &std::mem::take(&mut pieces)) {
+                } => {
+                    self.set_source(address, &stamp);
+                    let confirmed_at_ms = confirmed_at_ms(sent_at_ms, freshness);
+                    fetch.add(version, bytes, stamp.table_version, confirmed_at_ms);
+                    fetch.cursor = next;
+                    if next.is_none() && !self.restore(address, &std::mem::take(&mut fetch)) {
                         return None;
                     }
                 }
-                Ok(WatchReply::Redirect { relay, .. }) => {
+                WatchReply::Redirect { relay, .. } => {
                     return Some(relay).filter(|relay| *relay != address);
                 }
-                Ok(WatchReply::Unconfirmed { stamp }) => {
-                    self.observe(&stamp);
-                    return None;
-                }
-                Err(error) => {
-                    tracing::debug!(%address, %error, "watch failed");
-                    return None;
-                }
+                WatchReply::Unconfirmed { .. } => return None,
+            }
+            if leaving {
+                return None;
             }
         }
     }
 
+    /// Sends one watch call. Returns none if it was cut short because the version in force in the
+    /// whole subtree has risen, which the source should hear of at once.
     async fn watch(
         &self,
-        address: SocketAddr,
+        link: &Link<ControlClient>,
         piece: Option<SnapshotCursor>,
-    ) -> Result<WatchReply, CallError> {
+    ) -> Result<Option<WatchReply>, CallError> {
         let version = self.store.version();
         let subtree = self.watchers.subtree(version);
         let request = WatchRequest {
@@ -269,11 +293,28 @@
             subtree_count: subtree.count,
             hold_ms: HOLD_MS,
         };
-        let link = self.calls.link(address);
-        link.call(WATCH_LIMIT, |client, context| async move {
+        let call = link.call(WATCH_LIMIT, |client, context| async move {
             client.watch(context, request).await
-        })
-        .await
+        });
+        tokio::select! {
+            reply = call => reply.map(Some),
+            () = self.watchers.raised_above(subtree.version, version) => Ok(None),
+        }
+    }
+
+    /// Reports this process and its watchers to another one, without taking the view from it.
+    /// Returns false if the report got no answer.
+    pub(crate) async fn report(&self, link: &Link<ControlClient>) -> bool {
+        match self.watch(link, None).await {
+            Ok(reply) => {
+                let is_watched = |reply: &WatchReply| matches!(reply, WatchReply::Deltas { .. });
+                reply.is_none_or(|reply| is_watched(&reply))
+            }
+            Err(error) => {
+                tracing::debug!(%error, "the leader does not know what is in force here");
+                false
+            }
+        }
     }
 
     /// Confirms the applied view if it is at least as new as what the source had applied.
@@ -283,12 +324,11 @@
         }
     }
 
-    fn restore(&self, address: SocketAddr, pieces: &Pieces) -> bool {
-        match decode::<View>(&pieces.bytes) {
+    fn restore(&self, address: SocketAddr, fetch: &Fetch) -> bool {
+        match decode::<View>(&fetch.bytes) {
             Ok(view) => {
-                let version = view.version;
                 self.store.replace(view);
-                self.confirm(version, pieces.confirmed_at_ms);
+                self.confirm(fetch.source_version, fetch.confirmed_at_ms);
                 true
             }
             Err(error) => {
@@ -298,36 +338,43 @@
         }
     }
 
-    fn set_source(&self, address: SocketAddr) {
-        *self.source.lock().unwrap_or_else(PoisonError::into_inner) = Some(address);
+    fn set_source(&self, address: SocketAddr, stamp: &Stamp) {
+        let mut source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
+        *source = Some((address, stamp.sender.name.clone()));
     }
 }
 
-/// The pieces of a snapshot so far.
+/// A snapshot of which some pieces have arrived.
 #[derive(Default)]
-struct Pieces {
+struct Fetch {
+    cursor: Option<SnapshotCursor>,
     version: TableVersion,
     bytes: Vec<u8>,
+    /// What the source had applied when it sent the first piece; the snapshot may be older.
+    source_version: TableVersion,
     confirmed_at_ms: u64,
 }
 
-impl Pieces {
+impl Fetch {
     /// Adds a piece; one of another version, or without a cursor, starts again.
     fn add(
         &mut self,
         version: TableVersion,
         bytes: Vec<u8>,
-        cursor: Option<SnapshotCursor>,
+        source_version: TableVersion,
         confirmed_at_ms: u64,
     ) {
+        let cursor = self.cursor;
         if cursor.is_some_and(|cursor| cursor.version == version && self.version == version) {
             self.bytes.extend(bytes);
             return;
         }
         // Later pieces do not renew the confirmation: the source may have moved on meanwhile.
         *self = Self {
+            cursor,
             version,
             bytes,
+            source_version,
             confirmed_at_ms,
         };
     }
--- a/src/roles/subscriber/mod.rs
+++ b/src/roles/subscriber/mod.rs
@@ -9,4 +9,4 @@
 pub use control_calls::{ControlCalls, SubmitError};
 pub use follow::{Subscriber, SubscriberSettings};
 pub use store::ViewStore;
-pub use watchers::{MAX_WATCHERS, Subtree, Watchers, answer_watch};
+pub use watchers::{InForce, MAX_WATCHERS, Subtree, Watchers, answer_watch};
--- a/src/roles/subscriber/store.rs
+++ b/src/roles/subscriber/store.rs
@@ -10,15 +10,29 @@
 use crate::domain::state::{View, ViewDelta};
 use crate::model::TableVersion;
 
-/// Deltas kept for watchers that lag; one that lags further gets a snapshot.
-const KEPT_DELTAS: usize = 1_024;
+/// Changes kept for watchers that lag; one that lags further gets a snapshot. Bounds the memory of
+/// the kept deltas, and the size of a reply well below the largest frame.
+const KEPT_CHANGES: usize = 2_048;
 
 struct Inner {
     view: Arc<View>,
     deltas: VecDeque<ViewDelta>,
+    kept_changes: usize,
     confirmed_at_ms: Option<u64>,
 }
 
+impl Inner {
+    fn keep(&mut self, delta: &ViewDelta) {
+        self.kept_changes += delta.changes.len();
+        self.deltas.push_back(delta.clone());
+        while self.kept_changes > KEPT_CHANGES
+            && let Some(oldest) = self.deltas.pop_front()
+        {
+            self.kept_changes -= oldest.changes.len();
+        }
+    }
+}
+
 /// The applied view. It only moves forward.
 pub struct ViewStore {
     inner: Mutex<Inner>,
@@ -31,6 +45,7 @@
         let inner = Inner {
             view: Arc::default(),
             deltas: VecDeque::new(),
+            kept_changes: 0,
             confirmed_at_ms: None,
         };
         Self {
@@ -71,11 +86,9 @@
         let mut inner = self.lock();
         for delta in deltas {
             if Arc::make_mut(&mut inner.view).apply(delta) {
-                inner.deltas.push_back(delta.clone());
+                inner.keep(delta);
             }
         }
-        let surplus = inner.deltas.len().saturating_sub(KEPT_DELTAS);
-        inner.deltas.drain(..surplus);
         let version = inner.view.version;
         drop(inner);
         self.announce(version);
@@ -90,6 +103,7 @@
         let version = view.version;
         inner.view = Arc::new(view);
         inner.deltas.clear();
+        inner.kept_changes = 0;
         drop(inner);
         self.announce(version);
     }
--- a/src/rpc/control.rs
+++ b/src/rpc/control.rs
@@ -85,6 +85,18 @@
     Unconfirmed { stamp: Stamp },
 }
 
+impl WatchReply {
+    /// Returns the stamp of the answering process.
+    pub fn stamp(&self) -> &Stamp {
+        match self {
+            Self::Deltas { stamp, .. }
+            | Self::Snapshot { stamp, .. }
+            | Self::Redirect { stamp, .. }
+            | Self::Unconfirmed { stamp } => stamp,
+        }
+    }
+}
+
 /// What a holder of slots wants for one row, and what it uses.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoomWant {
--- a/tests/cluster_support/mod.rs
+++ b/tests/cluster_support/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)] // Each test file uses a part of it.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use lilacspindle::domain::members::{Member, Phase, Role};
@@ -11,7 +11,9 @@
 use lilacspindle::model::{
     Fence, Incarnation, InstanceName, InstanceRef, TableVersion, WorkspaceName, ZoneName,
 };
-use lilacspindle::roles::control::{ControlRole, Machine, RelayService, memory_log};
+use lilacspindle::roles::control::{
+    ControlRole, Leadership, LogError, LogPort, Machine, RelayService,
+};
 use lilacspindle::roles::subscriber::{Subscriber, SubscriberSettings, ViewStore, Watchers};
 use lilacspindle::rpc::{Services, serve};
 use lilacspindle::settings::StalePolicy;
@@ -65,23 +67,79 @@
 
 /// Starts a control instance over a log in memory.
 pub async fn control(max_watchers: usize) -> Process {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let subscriber = subscriber("control", 1, vec![address], max_watchers);
-    let machine = Machine::new(Arc::clone(subscriber.store()));
-    let log = memory_log(&machine);
-    let role = ControlRole::new(log, machine, Arc::clone(&subscriber));
-    let mut services = Services::default();
-    role.offer(&mut services);
-    let tasks = vec![
-        tokio::spawn(Arc::clone(&role).confirm_view()),
-        tokio::spawn(serve(listener, services)),
-    ];
-    Process {
-        subscriber,
-        address,
-        control: Some(role),
-        tasks,
+    let mut controls = controls(1, max_watchers).await;
+    controls.remove(0)
+}
+
+/// Starts control instances over one log in memory; the first one leads.
+pub async fn controls(count: usize, max_watchers: usize) -> Vec<Process> {
+    let mut listeners = Vec::new();
+    for _ in 0..count {
+        listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+    }
+    let leader = listeners[0].local_addr().unwrap();
+    let subscribers: Vec<_> = (0..count)
+        .map(|number| subscriber(&format!("control-{number}"), 1, vec![leader], max_watchers))
+        .collect();
+    let machines: Vec<_> = subscribers
+        .iter()
+        .map(|subscriber| Machine::new(Arc::clone(subscriber.store())))
+        .collect();
+    let index = Arc::new(Mutex::new(0));
+    let mut processes = Vec::new();
+    for (number, (listener, subscriber)) in listeners.into_iter().zip(subscribers).enumerate() {
+        let log = shared_log(&index, &machines, number == 0, leader);
+        let machine = Arc::clone(&machines[number]);
+        let address = listener.local_addr().unwrap();
+        let role = ControlRole::new(log, machine, Arc::clone(&subscriber));
+        let mut services = Services::default();
+        role.offer(&mut services);
+        let tasks = vec![
+            tokio::spawn(Arc::clone(&role).confirm_view()),
+            tokio::spawn(Arc::clone(&role).report_subtree()),
+            tokio::spawn(serve(listener, services)),
+        ];
+        processes.push(Process {
+            subscriber,
+            address,
+            control: Some(role),
+            tasks,
+        });
+    }
+    processes
+}
+
+fn shared_log(
+    index: &Arc<Mutex<u64>>,
+    machines: &[Arc<Machine>],
+    leads: bool,
+    leader: SocketAddr,
+) -> LogPort {
+    let (submit_index, confirm_index) = (Arc::clone(index), Arc::clone(index));
+    let machines = machines.to_vec();
+    LogPort {
+        submit: Box::new(move |command, _| {
+            if !leads {
+                let leader = Some(leader);
+                return Box::pin(async move { Err(LogError::NotLeader { leader }) });
+            }
+            let mut index = submit_index.lock().unwrap();
+            *index += 1;
+            let mut responses = machines.iter().map(|one| one.apply(*index, &command));
+            let response = responses.next().unwrap();
+            responses.for_each(drop);
+            Box::pin(async move { Ok(response) })
+        }),
+        confirm: Box::new(move |_| {
+            let index = *confirm_index.lock().unwrap();
+            Box::pin(async move { Ok(index) })
+        }),
+        leadership: Box::new(move || Leadership {
+            leads,
+            term: 1,
+            leader: Some(leader),
+        }),
+        hand_over: Box::new(|| Box::pin(async {})),
     }
 }
 
--- /dev/null
+++ b/tests/distribution_relays.rs
@@ -0,0 +1,119 @@
+//! Distribution of the view through relays, in one process over real TCP.
+
+mod cluster_support;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cluster_support::{Process, applied, control, controls, daemon, edit, workspace_change};
+use lilacspindle::domain::members::Role;
+use lilacspindle::model::TableVersion;
+use lilacspindle::roles::control::ControlRole;
+use lilacspindle::roles::subscriber::InForce;
+
+/// Stated bound: an accepted edit is in force on 100 subscribers within 2 s.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(2);
+const WAIT: Duration = Duration::from_secs(20);
+
+async fn daemons(count: u64, control: &[SocketAddr], max_watchers: usize) -> Vec<Process> {
+    let mut processes = Vec::new();
+    for number in 0..count {
+        let name = format!("d{number}");
+        let roles = [Role::Sidecar];
+        processes.push(daemon(&name, number, &roles, control, max_watchers).await);
+    }
+    processes
+}
+
+async fn all_ready(processes: &[Process], version: TableVersion) {
+    for process in processes {
+        assert!(applied(process, version, WAIT).await);
+        let end = Instant::now() + WAIT;
+        while !process.subscriber.is_ready() {
+            assert!(
+                Instant::now() < end,
+                "{:?} is not ready",
+                process.subscriber.me()
+            );
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// Waits until the control instance counts exactly these processes, each once.
+async fn all_counted(role: &ControlRole, version: TableVersion, count: u32) {
+    let expected = InForce {
+        processes: count,
+        known: count,
+    };
+    let end = Instant::now() + WAIT;
+    while role.in_force(version) != expected {
+        assert!(Instant::now() < end, "{:?}", role.in_force(version));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against relays that delay edits, a control instance that serves more watchers than its
+/// limit, and an answer that says "in force" too early or never.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_edit_is_in_force_on_100_subscribers_within_two_seconds() {
+    let control = control(8).await;
+    let processes = daemons(100, &[control.address], 8).await;
+    let version = edit(&control, "first", vec![workspace_change("w", None, 1)]).await;
+    all_ready(&processes, version).await;
+    let role = control.control.as_ref().unwrap();
+    all_counted(role, version, 101).await;
+    for number in 2..6 {
+        let began = Instant::now();
+        let change = workspace_change("w", None, number);
+        let version = edit(&control, &format!("edit-{number}"), vec![change]).await;
+        let in_force = role.wait_in_force(version, IN_FORCE_LIMIT).await;
+        let took = began.elapsed();
+        let behind = processes
+            .iter()
+            .filter(|process| process.subscriber.store().version() < version);
+        assert_eq!(behind.count(), 0, "after {took:?}");
+        assert_eq!((in_force.processes, in_force.known), (101, 101));
+        println!("edit {number}: known to be in force on 100 subscribers after {took:?}");
+    }
+}
+
+/// Guards against a leader that does not know what is in force below other control instances.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_leader_counts_the_subtrees_of_all_control_instances() {
+    let controls = controls(3, 4).await;
+    let addresses: Vec<_> = controls.iter().map(|control| control.address).collect();
+    let processes = daemons(30, &addresses, 4).await;
+    let version = edit(&controls[0], "first", vec![workspace_change("w", None, 1)]).await;
+    all_ready(&processes, version).await;
+    let role = controls[0].control.as_ref().unwrap();
+    all_counted(role, version, 33).await;
+}
+
+/// Guards against subscribers that stay with a relay that has stopped.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn subscribers_leave_a_relay_that_stopped() {
+    let control = control(2).await;
+    let mut processes = daemons(12, &[control.address], 2).await;
+    let version = edit(&control, "first", vec![workspace_change("w", None, 1)]).await;
+    all_ready(&processes, version).await;
+    let relay = processes
+        .iter()
+        .position(|process| {
+            let others = processes.iter();
+            let source = Some(process.address);
+            others
+                .filter(|other| other.subscriber.source() == source)
+                .count()
+                > 0
+        })
+        .expect("some process is a relay");
+    // A handed-over listener keeps accepted connections open, so the relay also says that it leaves.
+    let stopped = processes.remove(relay);
+    stopped.subscriber.set_leaving();
+    stopped.stop();
+    let version = edit(&control, "second", vec![workspace_change("w", None, 2)]).await;
+    for process in &processes {
+        assert!(applied(process, version, Duration::from_secs(12)).await);
+    }
+}
