--- a/src/roles/control/service.rs
+++ b/src/roles/control/service.rs
@@ -10,15 +10,10 @@
 use super::{LogError, LogPort, Machine, RoomBroker};
 use crate::adapters::clock::monotonic_ms;
 use crate::call_handler;
-<<<<<<< HEAD
-use crate::domain::state::{Command, Response};
-use crate::roles::subscriber::Subscriber;
-=======
 use crate::domain::members::Phase;
-use crate::domain::state::Response;
+use crate::domain::state::{Command, Response};
 use crate::model::TableVersion;
 use crate::roles::subscriber::{InForce, Subscriber};
->>>>>>> room
 use crate::rpc::control::{
     Control, ControlClient, ControlError, PermitReply, PermitRequest, RoomReply, RoomRequest,
     SubmitRequest, WatchReply, WatchRequest,
@@ -109,11 +104,6 @@
         self.rooms.answer(leadership, &view, stamp, request)
     }
 
-<<<<<<< HEAD
-    /// Commits a command if this instance leads.
-    pub(super) async fn submit(&self, command: &Command) -> Result<Response, ControlError> {
-        let command = encode(command).map_err(|error| invalid(&error))?;
-=======
     /// Returns on how many processes a version is in force. Exact at the leader, which the other
     /// control instances report to; a registered process that no instance has heard of lately
     /// counts as known.
@@ -164,9 +154,9 @@
         }
     }
 
-    async fn submit(&self, request: &SubmitRequest) -> Result<Response, ControlError> {
-        let command = encode(&request.command).map_err(|error| invalid(&error))?;
->>>>>>> room
+    /// Commits a command if this instance leads.
+    pub(super) async fn submit(&self, command: &Command) -> Result<Response, ControlError> {
+        let command = encode(command).map_err(|error| invalid(&error))?;
         match (self.log.submit)(command, SUBMIT_LIMIT).await {
             Ok(response) => decode(&response).map_err(|error| invalid(&error)),
             Err(error) => Err(control_error(&error)),
--- a/src/roles/daemon/mod.rs
+++ b/src/roles/daemon/mod.rs
@@ -99,6 +99,7 @@
                 control.offer(&mut services);
                 tasks.push(tokio::spawn(Arc::clone(control).confirm_view()));
                 tasks.push(tokio::spawn(Arc::clone(control).report_subtree()));
+                tasks.push(tokio::spawn(Arc::clone(control).report_subtree()));
             }
             None => {
                 RelayService::offer(Arc::clone(&subscriber), &mut services);
