Drive the sidecar by the scheduler and make it survive faults

Cause: the thin path sent every accepted generation at once, ended answers on a broken or silent connection, lost generations with a restart, and gave engines no orders. Change: accepted generations wait in the scheduler of their upstream; streams that break or go silent are resumed at the engine by offset; readopt reads a generation back from its first token; lost ones end as interrupted, unknown or not_run by what is proved; plain calls are sent at most once and repeats get the first answer; engines are probed and get load orders with the fencing number, with permits as a port; a drain waits for readers; metrics lilac_sidecar_*. Conclusion: SidecarRole::start keeps its signature; with_permits takes the permits.

--- a/src/adapters/upstream/engine.rs
+++ b/src/adapters/upstream/engine.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use super::{SseParser, UpstreamError};
-use crate::model::{Fence, GenerationId, ModelName};
+use crate::model::{Fence, ModelName};
 use crate::rpc::sidecar::Api;
 
 /// Time to open a connection to an engine.
@@ -22,7 +22,8 @@
 /// A generation as the engine is asked for it.
 #[derive(Debug, Clone)]
 pub struct EngineRequest {
-    pub stream: GenerationId,
+    /// The name under which the engine keeps the generation.
+    pub stream: String,
     pub api: Api,
     pub model: ModelName,
     pub version: String,
@@ -211,7 +212,7 @@
     fields.insert("stream".to_owned(), json!(true));
     fields.insert("max_tokens".to_owned(), json!(request.max_tokens));
     fields.insert("priority".to_owned(), json!(request.priority));
-    fields.insert("stream_id".to_owned(), json!(request.stream.to_string()));
+    fields.insert("stream_id".to_owned(), json!(request.stream));
     Ok(body)
 }
 
--- a/src/adapters/upstream/service.rs
+++ b/src/adapters/upstream/service.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use reqwest::{Client, Method};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use super::UpstreamError;
 use crate::rpc::sidecar::ServiceResponse;
@@ -60,6 +62,19 @@
         }
     }
 
+    /// Returns true if the service accepts connections. Sends nothing, because there is no path
+    /// that every service answers.
+    pub async fn reachable(&self) -> bool {
+        let Ok(url) = reqwest::Url::parse(&self.base) else {
+            return false;
+        };
+        let (Some(host), Some(port)) = (url.host_str(), url.port_or_known_default()) else {
+            return false;
+        };
+        let connecting = TcpStream::connect((host, port));
+        matches!(timeout(CONNECT_LIMIT, connecting).await, Ok(Ok(_)))
+    }
+
     /// Calls the service once.
     pub async fn call(
         &self,
--- a/src/domain/schedule/policy.rs
+++ b/src/domain/schedule/policy.rs
@@ -6,7 +6,7 @@
 /// Standard deviations that a forecast is kept below capacity. For a sum of many generations
 /// 1.64 is the 95 % quantile. Below it preemptions rise steeply, above it memory stays unused:
 /// `tests/schedule_runs.rs` compares both with the targets of the design page.
-const DEVIATIONS: f64 = 1.64;
+pub const DEVIATIONS: f64 = 1.64;
 
 /// What a policy knows when it decides on a candidate.
 #[derive(Debug)]
--- a/src/domain/stream/generations.rs
+++ b/src/domain/stream/generations.rs
@@ -193,6 +193,16 @@
         Some(stream.run)
     }
 
+    /// Returns the number of the current run; zero before the first.
+    pub fn run(&self, generation: GenerationId) -> Option<u32> {
+        self.streams.get(&generation).map(|stream| stream.run)
+    }
+
+    /// Remembers a generation that ran without a log here.
+    pub fn note_ran(&mut self, now_ms: u64, generation: GenerationId) {
+        self.past.insert(now_ms, generation, PastRecord::Ran);
+    }
+
     /// Appends a token of the current run.
     pub fn append(
         &mut self,
--- /dev/null
+++ b/src/roles/sidecar/call.rs
@@ -0,0 +1,278 @@
+//! Plain calls to services. A call is sent at most once.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::core::{Core, Shard, refusal};
+use super::metrics::metrics;
+use super::start::NotTaken;
+use super::upstream::Upstream;
+use crate::adapters::clock::monotonic_ms;
+use crate::adapters::upstream::PlainCall;
+use crate::domain::stream::{Cancelled, Known, PastRecord, STREAM_KEPT_MS};
+use crate::model::{GenerationId, Outcome, Refusal, RefusalCode};
+use crate::rpc::sidecar::{CallReply, CallRequest, ServiceResponse};
+
+type Answer = Result<ServiceResponse, (Outcome, Refusal)>;
+
+/// A call between its arrival and some time after its answer.
+pub(super) struct CallEntry {
+    answer: watch::Receiver<Option<Answer>>,
+    /// Once sent, the call may have run.
+    sent: bool,
+    answered_at_ms: Option<u64>,
+}
+
+impl Core {
+    /// Passes a plain call through. A repeat gets the answer of the first.
+    pub(super) async fn call(self: &Arc<Self>, request: CallRequest) -> CallReply {
+        self.subscriber.observe(&request.stamp);
+        let stamp = self.subscriber.stamp();
+        if request.incarnation != stamp.sender.incarnation {
+            return CallReply::WrongIncarnation { stamp };
+        }
+        let known = self
+            .shard(request.generation)
+            .known_call(request.generation);
+        let answer = match known {
+            Some(answer) => answer,
+            None => match self.takes_work(&request.stamp).await {
+                Ok(()) => self.begin_call(request),
+                Err(NotTaken::Behind) => return CallReply::Behind { stamp },
+                Err(NotTaken::Refused(refusal)) => self
+                    .shard(request.generation)
+                    .refuse_call(request.generation, refusal),
+            },
+        };
+        self.call_reply(wait(answer).await)
+    }
+
+    fn call_reply(&self, answer: Answer) -> CallReply {
+        let (stamp, load) = (self.subscriber.stamp(), self.load());
+        match answer {
+            Ok(response) => CallReply::Response {
+                stamp,
+                response,
+                load,
+            },
+            Err((outcome, refusal)) => {
+                let code = format!("{:?}", refusal.code);
+                metrics().refusals.with_label_values(&[&code]).inc();
+                CallReply::Refused {
+                    stamp,
+                    outcome,
+                    refusal,
+                    load,
+                }
+            }
+        }
+    }
+
+    /// Registers a call and spawns it, so that it goes on if the entry goes away.
+    fn begin_call(self: &Arc<Self>, request: CallRequest) -> watch::Receiver<Option<Answer>> {
+        let generation = request.generation;
+        let mut shard = self.shard(generation);
+        if let Some(answer) = shard.known_call(generation) {
+            return answer;
+        }
+        let Some(upstream) = self.upstreams.get(&request.upstream).cloned() else {
+            let message = format!("no upstream {} here", request.upstream);
+            return shard.refuse_call(generation, refusal(RefusalCode::NoReplica, &message));
+        };
+        let wait_ms = upstream.call_wait_ms();
+        if wait_ms > request.remaining_ms {
+            let message = format!("the queue takes {wait_ms} ms");
+            let refusal = Refusal {
+                retry_after_ms: Some(wait_ms - request.remaining_ms),
+                ..refusal(RefusalCode::Overload, &message)
+            };
+            return shard.refuse_call(generation, refusal);
+        }
+        let (sender, answer) = watch::channel(None);
+        shard.calls.insert(
+            generation,
+            CallEntry {
+                answer: answer.clone(),
+                sent: false,
+                answered_at_ms: None,
+            },
+        );
+        drop(shard);
+        let core = Arc::clone(self);
+        tokio::spawn(async move {
+            let answer = core.run_call(&upstream, request).await;
+            let mut shard = core.shard(generation);
+            if let Some(entry) = shard.calls.get_mut(&generation) {
+                entry.answered_at_ms = Some(monotonic_ms());
+            }
+            sender.send_replace(Some(answer));
+        });
+        answer
+    }
+
+    async fn run_call(&self, upstream: &Upstream, request: CallRequest) -> Answer {
+        let limit = Duration::from_millis(request.remaining_ms);
+        let began = Instant::now();
+        let queued = Counted::new(&upstream.calls_queued);
+        let late = || refusal(RefusalCode::DeadlineExceeded, "no slot was free in time");
+        let Ok(Ok(_slot)) = timeout(limit, upstream.slots.acquire()).await else {
+            return Err((Outcome::NotRun, late()));
+        };
+        drop(queued);
+        let _running = Counted::new(&upstream.calls_running);
+        if !self.shard(request.generation).send_call(request.generation) {
+            let cancelled = refusal(RefusalCode::Cancelled, "the call was cancelled");
+            return Err((Outcome::NotRun, cancelled));
+        }
+        let client = match request.repeatable {
+            true => &upstream.service,
+            false => &upstream.service_once,
+        };
+        let call = PlainCall {
+            method: request.method,
+            path_and_query: request.path_and_query,
+            headers: request.headers,
+            body: request.body,
+        };
+        let sent = Instant::now();
+        let result = client
+            .call(&call, limit.saturating_sub(began.elapsed()))
+            .await;
+        match result {
+            Ok(response) => {
+                upstream.succeeded();
+                upstream.called(sent.elapsed().as_secs_f64() * 1_000.0);
+                Ok(response)
+            }
+            Err(error) => {
+                upstream.failed(&error);
+                tracing::warn!(
+                    request = %request.request, upstream = %upstream.settings.name, %error,
+                    "call failed"
+                );
+                let outcome = match error.proves_not_run() {
+                    true => Outcome::NotRun,
+                    false => Outcome::Unknown,
+                };
+                let refusal = refusal(RefusalCode::UpstreamLost, &error.to_string());
+                Err((outcome, refusal))
+            }
+        }
+    }
+}
+
+impl Shard {
+    /// Returns the answer of a call that is known or was refused before.
+    fn known_call(&self, generation: GenerationId) -> Option<watch::Receiver<Option<Answer>>> {
+        if let Some(entry) = self.calls.get(&generation) {
+            return Some(entry.answer.clone());
+        }
+        let (outcome, code) = match self.generations.known(generation) {
+            Known::New => return None,
+            Known::Past(PastRecord::Refused { code, .. }) => (Outcome::NotRun, code),
+            Known::Past(_) | Known::Stream(_) => (Outcome::Unknown, RefusalCode::UpstreamLost),
+        };
+        let message = "this call was made before; its answer is not kept";
+        Some(answered(Err((outcome, refusal(code, message)))))
+    }
+
+    fn refuse_call(
+        &mut self,
+        generation: GenerationId,
+        refusal: Refusal,
+    ) -> watch::Receiver<Option<Answer>> {
+        let (code, retry_after_ms) = (refusal.code, refusal.retry_after_ms);
+        self.generations
+            .refuse(monotonic_ms(), generation, code, retry_after_ms);
+        answered(Err((Outcome::NotRun, refusal)))
+    }
+
+    /// Notes that a call is about to be sent. Returns false if it was cancelled.
+    fn send_call(&mut self, generation: GenerationId) -> bool {
+        match self.calls.get_mut(&generation) {
+            Some(entry) => {
+                entry.sent = true;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Cancels a call; returns none if there is none. A call that was sent runs on.
+    pub(super) fn cancel_call(
+        &mut self,
+        now_ms: u64,
+        generation: GenerationId,
+    ) -> Option<Cancelled> {
+        let entry = self.calls.get(&generation)?;
+        match (entry.answered_at_ms, entry.sent) {
+            (None, false) => {
+                self.calls.remove(&generation);
+                self.generations
+                    .refuse(now_ms, generation, RefusalCode::Cancelled, None);
+                Some(Cancelled::NotRun)
+            }
+            (None, true) => Some(Cancelled::Stop { produced_tokens: 0 }),
+            (Some(_), _) => Some(Cancelled::Ended),
+        }
+    }
+
+    /// Forgets old answers, but not that the calls were made.
+    pub(super) fn expire_calls(&mut self, now_ms: u64) {
+        let old = |entry: &CallEntry| {
+            let answered_at_ms = entry.answered_at_ms;
+            answered_at_ms.is_some_and(|at_ms| at_ms + STREAM_KEPT_MS <= now_ms)
+        };
+        let entries = self.calls.iter();
+        let old: Vec<_> = entries
+            .filter(|(_, entry)| old(entry))
+            .map(|(generation, _)| *generation)
+            .collect();
+        for generation in old {
+            self.calls.remove(&generation);
+            self.generations.note_ran(now_ms, generation);
+        }
+    }
+
+    /// Returns the number of calls without an answer.
+    pub(super) fn open_calls(&self) -> usize {
+        let open = |entry: &&CallEntry| entry.answered_at_ms.is_none();
+        self.calls.values().filter(open).count()
+    }
+}
+
+fn answered(answer: Answer) -> watch::Receiver<Option<Answer>> {
+    watch::channel(Some(answer)).1
+}
+
+async fn wait(mut answer: watch::Receiver<Option<Answer>>) -> Answer {
+    let found = match answer.wait_for(Option::is_some).await {
+        Ok(found) => found.clone(),
+        Err(_) => None,
+    };
+    // The sender is dropped without an answer only if the process stops.
+    found.unwrap_or_else(|| {
+        let lost = refusal(RefusalCode::UpstreamLost, "the sidecar is stopping");
+        Err((Outcome::Unknown, lost))
+    })
+}
+
+/// Counts up while it exists.
+struct Counted<'a>(&'a AtomicU32);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a AtomicU32) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/src/roles/sidecar/core.rs
+++ b/src/roles/sidecar/core.rs
@@ -1,21 +1,23 @@
 //! State shared by all calls: shards of generations, and the upstreams.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use super::call::CallEntry;
+use super::metrics::metrics;
+use super::orders::Permits;
+use super::upstream::Upstream;
 use crate::adapters::clock::monotonic_ms;
-use crate::adapters::upstream::{EngineClient, ServiceClient};
-use crate::domain::stream::{Generations, MAX_PAST};
+use crate::domain::stream::{Cancelled, Generations, MAX_PAST};
 use crate::model::{GenerationId, Outcome, Refusal, RefusalCode, UpstreamName};
 use crate::roles::subscriber::Subscriber;
-use crate::rpc::sidecar::{End, LoadReport, UpstreamLoad};
-use crate::settings::{SidecarSettings, UpstreamSettings};
+use crate::rpc::sidecar::{End, LoadReport, StartRequest};
+use crate::settings::SidecarSettings;
 
 /// Shards of generations, each with its own lock.
 const SHARDS: usize = 16;
@@ -27,73 +29,30 @@
 /// a repeat of a lost one, is answered.
 const DRAIN_LINGER: Duration = Duration::from_millis(500);
 
-/// One upstream instance.
-pub(super) struct Upstream {
-    pub(super) settings: UpstreamSettings,
-    pub(super) engine: EngineClient,
-    pub(super) service: ServiceClient,
-    pub(super) running: AtomicU32,
-    versions: Mutex<Vec<String>>,
-}
-
-impl Upstream {
-    fn new(settings: &UpstreamSettings) -> Arc<Self> {
-        Arc::new(Self {
-            engine: EngineClient::new(&settings.url),
-            service: ServiceClient::new(&settings.url, true),
-            settings: settings.clone(),
-            running: AtomicU32::new(0),
-            versions: Mutex::default(),
-        })
-    }
-
-    /// Returns the versions that the engine was last seen to have loaded.
-    pub(super) fn versions(&self) -> Vec<String> {
-        let versions = self.versions.lock();
-        versions.unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
-    /// Notes the versions that the engine has loaded.
-    pub(super) fn set_versions(&self, versions: Vec<String>) {
-        *self.versions.lock().unwrap_or_else(PoisonError::into_inner) = versions;
-    }
-
-    fn load(&self, leaving: bool) -> UpstreamLoad {
-        UpstreamLoad {
-            upstream: self.settings.name.clone(),
-            healthy: true,
-            leaving,
-            versions: self.versions(),
-            running: self.running.load(Ordering::Relaxed),
-            queued: 0,
-            used_tokens: 0,
-            capacity_tokens: self.settings.capacity_tokens,
-            backlog_tokens: 0,
-            tokens_per_s: 0,
-        }
-    }
+/// What is needed to run a generation.
+pub(super) struct Work {
+    pub(super) request: Arc<StartRequest>,
+    pub(super) upstream: Arc<Upstream>,
+    /// Stops the current run.
+    pub(super) stop: CancellationToken,
 }
 
 /// Generations of one shard, and who waits for their news.
 pub(super) struct Shard {
     pub(super) generations: Generations,
-    pub(super) waiters: BTreeMap<GenerationId, Vec<Arc<Notify>>>,
-    /// Stops the run of a generation.
-    pub(super) stops: BTreeMap<GenerationId, CancellationToken>,
+    pub(super) waiters: BTreeMap<GenerationId, Vec<Weak<Notify>>>,
+    /// Generations that have not ended.
+    pub(super) works: BTreeMap<GenerationId, Work>,
+    pub(super) calls: BTreeMap<GenerationId, CallEntry>,
 }
 
 impl Shard {
     /// Wakes the polls that wait for a generation.
     pub(super) fn wake(&mut self, generation: GenerationId) {
         for waiter in self.waiters.remove(&generation).unwrap_or_default() {
-            waiter.notify_one();
-        }
-    }
-
-    /// Stops the run of a generation, if there is one.
-    pub(super) fn stop(&mut self, generation: GenerationId) {
-        if let Some(stop) = self.stops.remove(&generation) {
-            stop.cancel();
+            if let Some(waiter) = waiter.upgrade() {
+                waiter.notify_one();
+            }
         }
     }
 }
@@ -103,25 +62,33 @@
     pub(super) settings: SidecarSettings,
     pub(super) subscriber: Arc<Subscriber>,
     pub(super) upstreams: BTreeMap<UpstreamName, Arc<Upstream>>,
+    pub(super) permits: Permits,
     shards: Vec<Mutex<Shard>>,
 }
 
 impl Core {
-    pub(super) fn new(settings: &SidecarSettings, subscriber: Arc<Subscriber>) -> Arc<Self> {
+    pub(super) fn new(
+        settings: &SidecarSettings,
+        subscriber: Arc<Subscriber>,
+        permits: Permits,
+    ) -> Arc<Self> {
         let shard = |_| {
             Mutex::new(Shard {
                 generations: Generations::new(settings.orphan_ms, MAX_PAST),
                 waiters: BTreeMap::new(),
-                stops: BTreeMap::new(),
+                works: BTreeMap::new(),
+                calls: BTreeMap::new(),
             })
         };
-        let upstreams = settings.upstreams.iter();
+        let upstreams = settings.upstreams.iter().map(|upstream| {
+            let name = upstream.name.clone();
+            (name, Upstream::new(upstream, &settings.policy))
+        });
         Arc::new(Self {
             settings: settings.clone(),
             subscriber,
-            upstreams: upstreams
-                .map(|upstream| (upstream.name.clone(), Upstream::new(upstream)))
-                .collect(),
+            upstreams: upstreams.collect(),
+            permits,
             shards: (0..SHARDS).map(shard).collect(),
         })
     }
@@ -152,25 +119,54 @@
         let mut shard = self.shard(generation);
         // It may have been cancelled meanwhile; the first end stands.
         let _ = shard.generations.finish(generation, end);
-        shard.stops.remove(&generation);
+        shard.works.remove(&generation);
+        shard.wake(generation);
+    }
+
+    /// Stops a generation, or prevents that it ever starts. Its run, if any, frees the engine.
+    pub(super) fn cancel(self: &Arc<Self>, generation: GenerationId) -> Cancelled {
+        let now_ms = monotonic_ms();
+        let mut shard = self.shard(generation);
+        if let Some(cancelled) = shard.cancel_call(now_ms, generation) {
+            return cancelled;
+        }
+        let cancelled = shard
+            .generations
+            .cancel(now_ms, generation, cancelled_end());
+        let work = shard.works.remove(&generation);
         shard.wake(generation);
+        drop(shard);
+        if let Some(work) = work {
+            work.stop.cancel();
+            if work.upstream.scheduler().cancel(now_ms, generation) {
+                self.drive(&work.upstream);
+            }
+        }
+        cancelled
     }
 
     /// Cancels orphans and drops old logs. Does not return.
     pub(super) async fn expire(self: Arc<Self>) {
         loop {
             sleep(EXPIRE_INTERVAL).await;
-            for shard in &self.shards {
-                let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
-                let now_ms = monotonic_ms();
-                for generation in shard.generations.expire(now_ms).orphans {
+            for index in 0..self.shards.len() {
+                let orphans = {
+                    let mut shard = self.shards[index]
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner);
+                    let now_ms = monotonic_ms();
+                    shard.expire_calls(now_ms);
+                    shard.generations.expire(now_ms).orphans
+                };
+                for generation in orphans {
                     tracing::info!(%generation, "cancelled: nobody reads it");
-                    shard
-                        .generations
-                        .cancel(now_ms, generation, cancelled_end());
-                    shard.stop(generation);
+                    metrics().orphans.inc();
+                    self.cancel(generation);
                 }
             }
+            for upstream in self.upstreams.values() {
+                upstream.publish();
+            }
         }
     }
 
@@ -179,15 +175,12 @@
         let open = || {
             let count = |shard: &Mutex<Shard>| {
                 let shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
-                shard.generations.open()
+                shard.generations.open() + shard.open_calls()
             };
             self.shards.iter().map(count).sum::<usize>()
         };
-        let started_at_ms = monotonic_ms();
-        let deadline_ms = self
-            .settings
-            .drain_limit_ms
-            .map(|limit_ms| started_at_ms.saturating_add(limit_ms));
+        let limit_ms = self.settings.drain_limit_ms;
+        let deadline_ms = limit_ms.map(|limit_ms| monotonic_ms().saturating_add(limit_ms));
         while open() > 0 {
             if deadline_ms.is_some_and(|deadline_ms| deadline_ms <= monotonic_ms()) {
                 tracing::warn!(open = open(), "drain_limit_ms has passed; stopping anyway");
@@ -203,10 +196,14 @@
 pub(super) fn cancelled_end() -> End {
     End::Failed {
         outcome: Outcome::Interrupted,
-        refusal: Refusal {
-            code: RefusalCode::Cancelled,
-            message: "the generation was cancelled".to_owned(),
-            retry_after_ms: None,
-        },
+        refusal: refusal(RefusalCode::Cancelled, "the generation was cancelled"),
+    }
+}
+
+pub(super) fn refusal(code: RefusalCode, message: &str) -> Refusal {
+    Refusal {
+        code,
+        message: message.to_owned(),
+        retry_after_ms: None,
     }
 }
--- a/src/roles/sidecar/mod.rs
+++ b/src/roles/sidecar/mod.rs
@@ -1,11 +1,16 @@
 //! The sidecar role: the only way to its upstreams.
 
+mod call;
 mod core;
+mod drive;
+mod metrics;
 mod observe;
+mod orders;
 mod poll;
 mod run;
 mod service;
 mod start;
+mod upstream;
 
 use std::sync::Arc;
 
@@ -19,6 +24,8 @@
 use self::core::Core;
 use self::service::SidecarService;
 
+pub use self::orders::{Load, Permits};
+
 /// A running sidecar.
 pub struct SidecarRole {
     core: Arc<Core>,
@@ -27,7 +34,16 @@
 impl SidecarRole {
     /// Starts the sidecar's tasks.
     pub fn start(settings: &SidecarSettings, subscriber: Arc<Subscriber>) -> Arc<Self> {
-        let core = Core::new(settings, subscriber);
+        Self::with_permits(settings, subscriber, Permits::unlimited())
+    }
+
+    /// Starts the sidecar's tasks; loads from the weight store need a permit.
+    pub fn with_permits(
+        settings: &SidecarSettings,
+        subscriber: Arc<Subscriber>,
+        permits: Permits,
+    ) -> Arc<Self> {
+        let core = Core::new(settings, subscriber, permits);
         tokio::spawn(Arc::clone(&core).expire());
         tokio::spawn(Arc::clone(&core).observe_upstreams());
         Arc::new(Self { core })
--- a/src/roles/sidecar/observe.rs
+++ b/src/roles/sidecar/observe.rs
@@ -5,7 +5,9 @@
 
 use tokio::time::sleep;
 
-use super::core::{Core, Upstream};
+use super::core::Core;
+use super::orders::InFlight;
+use super::upstream::Upstream;
 use crate::adapters::clock::unix_ms;
 use crate::domain::members::{Serves, UpstreamInfo};
 use crate::domain::state::Command;
@@ -33,8 +35,14 @@
     /// Keeps the versions of all engines current, here and at control. Does not return.
     pub(super) async fn observe_upstreams(self: Arc<Self>) {
         for upstream in self.upstreams.values() {
-            if let UpstreamKind::Model(_) = &upstream.settings.kind {
-                tokio::spawn(observe_engine(Arc::clone(upstream)));
+            match upstream.model() {
+                Some(_) => {
+                    tokio::spawn(Arc::clone(&self).observe_engine(Arc::clone(upstream)));
+                    tokio::spawn(Arc::clone(&self).drive_queue(Arc::clone(upstream)));
+                }
+                None => {
+                    tokio::spawn(observe_service(Arc::clone(upstream)));
+                }
             }
         }
         loop {
@@ -63,19 +71,38 @@
             tracing::warn!(%error, "control does not know the loaded versions yet");
         }
     }
-}
 
-async fn observe_engine(upstream: Arc<Upstream>) {
-    let UpstreamKind::Model(model) = &upstream.settings.kind else {
-        return;
-    };
-    loop {
-        match upstream.engine.versions(model).await {
-            Ok(versions) => upstream.set_versions(versions),
-            Err(error) => {
-                tracing::debug!(upstream = %upstream.settings.name, %error, "engine not observed");
+    /// Probes an engine, notes what it has loaded and gives it orders. Does not return.
+    async fn observe_engine(self: Arc<Self>, upstream: Arc<Upstream>) {
+        let Some(model) = upstream.model() else {
+            return;
+        };
+        let mut in_flight = InFlight::default();
+        loop {
+            match upstream.engine.versions(model).await {
+                Ok(versions) => {
+                    upstream.succeeded();
+                    upstream.set_versions(versions.clone());
+                    self.order(&upstream, &versions, &mut in_flight).await;
+                }
+                Err(error) => {
+                    upstream.failed(&error);
+                    tracing::debug!(
+                        upstream = %upstream.settings.name, %error, "engine does not answer"
+                    );
+                }
             }
+            sleep(OBSERVE_INTERVAL).await;
         }
+    }
+}
+
+/// Probes a service that failed, so that calls come back to it. Does not return.
+async fn observe_service(upstream: Arc<Upstream>) {
+    loop {
         sleep(OBSERVE_INTERVAL).await;
+        if !upstream.healthy() && upstream.service.reachable().await {
+            upstream.succeeded();
+        }
     }
 }
--- a/src/roles/sidecar/poll.rs
+++ b/src/roles/sidecar/poll.rs
@@ -1,12 +1,13 @@
 //! Long polls over many generations.
 
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 use super::core::Core;
+use super::metrics::metrics;
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::stream::PollView;
 use crate::rpc::MAX_FRAME_BYTES;
@@ -49,9 +50,11 @@
                 .generations
                 .read(now_ms, cursor, REPLY_BYTES, &mut view);
             let waiters = shard.waiters.entry(cursor.generation).or_default();
-            let waits = waiters.iter().any(|waiter| Arc::ptr_eq(waiter, news));
+            let waits = waiters.iter().any(|waiter| is(waiter, news));
             if view.updates.len() == before && !waits {
-                waiters.push(Arc::clone(news));
+                // A poll whose caller went away is dropped without leaving the list.
+                waiters.retain(|waiter| waiter.strong_count() > 0);
+                waiters.push(Arc::downgrade(news));
             }
         }
         view.updates
@@ -61,7 +64,7 @@
         for cursor in cursors {
             let mut shard = self.shard(cursor.generation);
             if let Some(waiters) = shard.waiters.get_mut(&cursor.generation) {
-                waiters.retain(|waiter| !Arc::ptr_eq(waiter, news));
+                waiters.retain(|waiter| !is(waiter, news));
                 if waiters.is_empty() {
                     shard.waiters.remove(&cursor.generation);
                 }
@@ -70,6 +73,10 @@
     }
 
     fn reply(&self, updates: Vec<StreamUpdate>) -> PollReply {
+        let tokens = updates.iter().filter_map(|update| update.chunk.as_ref());
+        let tokens: usize = tokens.map(|chunk| chunk.tokens.len()).sum();
+        let tokens = f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
+        metrics().poll_tokens.observe(tokens);
         PollReply {
             stamp: self.subscriber.stamp(),
             updates,
@@ -78,6 +85,11 @@
     }
 }
 
+/// Returns true if a waiter is that of this poll.
+fn is(waiter: &Weak<Notify>, news: &Arc<Notify>) -> bool {
+    std::ptr::eq(waiter.as_ptr(), Arc::as_ptr(news))
+}
+
 fn unknown(cursor: &Cursor) -> StreamUpdate {
     StreamUpdate {
         generation: cursor.generation,
--- a/src/roles/sidecar/service.rs
+++ b/src/roles/sidecar/service.rs
@@ -4,8 +4,7 @@
 
 use tarpc::context::Context;
 
-use super::core::{Core, cancelled_end};
-use crate::adapters::clock::monotonic_ms;
+use super::core::Core;
 use crate::domain::stream::Cancelled;
 use crate::rpc::sidecar::{
     CallReply, CallRequest, CancelReply, CancelRequest, PollReply, PollRequest, ProbeReply,
@@ -34,14 +33,7 @@
         if request.incarnation != stamp.sender.incarnation {
             return CancelReply::WrongIncarnation { stamp };
         }
-        let mut shard = self.core.shard(request.generation);
-        let end = cancelled_end();
-        let cancelled = shard
-            .generations
-            .cancel(monotonic_ms(), request.generation, end);
-        shard.stop(request.generation);
-        shard.wake(request.generation);
-        match cancelled {
+        match self.core.cancel(request.generation) {
             Cancelled::NotRun => CancelReply::NotRun { stamp },
             Cancelled::Stop { produced_tokens } => CancelReply::Stopped {
                 stamp,
@@ -56,7 +48,7 @@
     }
 
     async fn readopt(self, _: Context, request: ReadoptRequest) -> ReadoptReply {
-        self.core.readopt(&request)
+        self.core.readopt(request).await
     }
 
     async fn probe(self, _: Context, request: ProbeRequest) -> ProbeReply {
--- /dev/null
+++ b/tests/sidecar_faults.rs
@@ -0,0 +1,254 @@
+//! Faults of engines, services, readers and the sidecar itself, over real TCP.
+
+mod sidecar_support;
+
+use std::time::{Duration, Instant};
+
+use lilacspindle::domain::state::{View, ViewChange, ViewDelta};
+use lilacspindle::domain::table::{ModelRow, Row, RowKey};
+use lilacspindle::model::{Outcome, RefusalCode, TableVersion};
+use lilacspindle::rpc::sidecar::{
+    CallReply, CancelReply, End, Origin, ReadoptReply, StartReply, StartRequest,
+};
+use sidecar_support::engine::fake_engine;
+use sidecar_support::{Read, TestSidecar, start_before, start_request, start_sidecar, text, until};
+
+fn outcome(read: &Read) -> Outcome {
+    match &read.end {
+        Some(End::Failed { outcome, .. }) => *outcome,
+        end => panic!("{end:?}"),
+    }
+}
+
+fn origin(generation: u128) -> Origin {
+    Origin {
+        upstream: "e1".into(),
+        engine_stream: format!("{generation:032x}"),
+    }
+}
+
+async fn accepted(sidecar: &TestSidecar, request: StartRequest) {
+    let reply = sidecar.start(request).await;
+    assert!(matches!(reply, StartReply::Accepted { .. }), "{reply:?}");
+}
+
+/// Guards against a broken connection that ends an answer although the engine goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_is_resumed_at_its_offset() {
+    let sidecar = start_sidecar("").await;
+    let script = r#"{"tokens": 40, "step_ms": 2, "break_after": 7}"#;
+    accepted(&sidecar, start_request(1, script)).await;
+    let read = sidecar.read(1, 0).await;
+    assert_eq!(read.text, text(0, 40));
+    assert!(matches!(read.end, Some(End::Finished { .. })));
+    assert_eq!(sidecar.engine.state.started.lock().unwrap().len(), 1);
+}
+
+/// Guards against a silent connection that holds an answer up for longer than the read deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_stream_is_resumed() {
+    let sidecar = start_sidecar("").await;
+    let script = r#"{"tokens": 40, "step_ms": 2, "silent_after": 7}"#;
+    accepted(&sidecar, start_request(1, script)).await;
+    assert_eq!(sidecar.read(1, 0).await.text, text(0, 40));
+    assert_eq!(sidecar.engine.state.started.lock().unwrap().len(), 1);
+}
+
+/// Guards against a second run behind shown tokens, and against a wrong outcome: with tokens
+/// shown it is `interrupted`, without `unknown`, and `not_run` only if the engine refused it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_generation_has_a_true_outcome() {
+    let sidecar = start_sidecar("").await;
+    let script = r#"{"tokens": 40, "step_ms": 20, "break_after": 5, "forget": true}"#;
+    accepted(&sidecar, start_request(1, script)).await;
+    let shown = sidecar.read(1, 0).await;
+    assert_eq!(
+        (outcome(&shown), shown.text),
+        (Outcome::Interrupted, text(0, 5))
+    );
+    let script = r#"{"tokens": 40, "break_after": 0, "forget": true}"#;
+    accepted(&sidecar, start_request(2, script)).await;
+    assert_eq!(outcome(&sidecar.read(2, 0).await), Outcome::Unknown);
+    let mut refused = start_request(3, r#"{"tokens": 5}"#);
+    refused.version = "v0".to_owned();
+    accepted(&sidecar, refused).await;
+    assert_eq!(outcome(&sidecar.read(3, 0).await), Outcome::NotRun);
+    assert_eq!(sidecar.engine.state.started.lock().unwrap().len(), 2);
+}
+
+/// Guards against generations that run on although nobody reads them.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unread_generation_is_cancelled() {
+    let sidecar = start_sidecar("orphan_ms = 1000").await;
+    accepted(
+        &sidecar,
+        start_request(1, r#"{"tokens": 100000, "step_ms": 5}"#),
+    )
+    .await;
+    let cancelled = &sidecar.engine.state.cancelled;
+    until("cancel of the orphan", || {
+        !cancelled.lock().unwrap().is_empty()
+    })
+    .await;
+    assert!(matches!(sidecar.cancel(1).await, CancelReply::Ended { .. }));
+}
+
+/// Guards against a planned stop that cuts an answer off or takes new work. The drain must wait
+/// for the reader of the last token.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_waits_for_running_answers() {
+    let sidecar = start_sidecar("").await;
+    accepted(
+        &sidecar,
+        start_request(1, r#"{"tokens": 100, "step_ms": 10}"#),
+    )
+    .await;
+    sidecar.subscriber.set_leaving();
+    let role = std::sync::Arc::clone(&sidecar.role);
+    let drained = tokio::spawn(async move { role.drain().await });
+    match sidecar.start(start_request(2, r#"{"tokens": 1}"#)).await {
+        StartReply::Refused { refusal, .. } => assert_eq!(refusal.code, RefusalCode::Leaving),
+        reply => panic!("{reply:?}"),
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert!(!drained.is_finished(), "the end was not read yet");
+    assert_eq!(sidecar.read(1, 0).await.text, text(0, 100));
+    tokio::time::timeout(sidecar_support::LIMIT, drained)
+        .await
+        .unwrap()
+        .unwrap();
+}
+
+/// Guards against a drain without end when a limit is set.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_ends_at_its_limit() {
+    let sidecar = start_sidecar("drain_limit_ms = 300").await;
+    accepted(
+        &sidecar,
+        start_request(1, r#"{"tokens": 100000, "step_ms": 100}"#),
+    )
+    .await;
+    let began = Instant::now();
+    sidecar.role.drain().await;
+    assert!(began.elapsed() >= Duration::from_millis(300));
+}
+
+/// Guards against answers lost with a sidecar whose engine runs on, and against a log that does
+/// not start at the first token. A generation that the engine does not have is `Lost`.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_sidecar_takes_generations_back() {
+    let engine = fake_engine().await;
+    let former = start_before(engine, "", 1).await;
+    let request = start_request(1, r#"{"tokens": 60, "step_ms": 10}"#);
+    accepted(&former, request.clone()).await;
+    let first = former.poll(1, 0, 1_000).await;
+    assert_eq!(first.updates[0].origin, Some(origin(1)));
+    // The former sidecar's process is gone as far as the reader can tell.
+    let sidecar = start_before(former.engine, "", 2).await;
+    let stale = sidecar.start(request.clone()).await;
+    assert!(
+        matches!(stale, StartReply::WrongIncarnation { .. }),
+        "{stale:?}"
+    );
+    let reply = sidecar.readopt(request.clone(), origin(1), 1).await;
+    assert!(matches!(reply, ReadoptReply::Adopted { .. }), "{reply:?}");
+    assert_eq!(sidecar.read(1, 1).await.text, text(1, 60));
+    assert_eq!(sidecar.read(1, 0).await.text, text(0, 60));
+    let mut other = request;
+    other.generation.0 = 2;
+    let reply = sidecar.readopt(other, origin(2), 0).await;
+    assert!(matches!(reply, ReadoptReply::Lost { .. }), "{reply:?}");
+}
+
+/// Guards against a plain call that is sent twice, and against wrong outcomes of lost ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_runs_once_and_has_a_true_outcome() {
+    let sidecar = start_sidecar("").await;
+    let calls = &sidecar.engine.state.calls;
+    for _ in 0..3 {
+        match sidecar.call(1, "s1", "/echo").await {
+            CallReply::Response { response, .. } => assert_eq!(response.body, b"body"),
+            reply => panic!("{reply:?}"),
+        }
+    }
+    assert_eq!(*calls.lock().unwrap(), 1);
+    for (generation, upstream, path, expected) in [
+        (2, "s1", "/cut", Outcome::Unknown),
+        (3, "gone", "/echo", Outcome::NotRun),
+    ] {
+        for _ in 0..2 {
+            match sidecar.call(generation, upstream, path).await {
+                CallReply::Refused { outcome, .. } => assert_eq!(outcome, expected),
+                reply => panic!("{reply:?}"),
+            }
+        }
+    }
+    assert_eq!(*calls.lock().unwrap(), 2);
+    assert!(matches!(
+        sidecar.cancel(4).await,
+        CancelReply::NotRun { .. }
+    ));
+    match sidecar.call(4, "s1", "/echo").await {
+        CallReply::Refused {
+            outcome, refusal, ..
+        } => {
+            assert_eq!(
+                (outcome, refusal.code),
+                (Outcome::NotRun, RefusalCode::Cancelled)
+            );
+        }
+        reply => panic!("{reply:?}"),
+    }
+    assert_eq!(*calls.lock().unwrap(), 2);
+}
+
+/// Guards against work that waits for ever in a full sidecar, and against a queue whose order or
+/// count leaks: more requests than slots all end.
+#[tokio::test(flavor = "multi_thread")]
+async fn more_requests_than_slots_all_end() {
+    let sidecar = start_sidecar("").await;
+    for generation in 1..=40 {
+        accepted(
+            &sidecar,
+            start_request(generation, r#"{"tokens": 20, "step_ms": 2}"#),
+        )
+        .await;
+    }
+    for generation in 1..=40 {
+        assert_eq!(sidecar.read(generation, 0).await.text, text(0, 20));
+    }
+    let load = sidecar.poll(1, 20, 0).await.load;
+    let engine = &load.upstreams[0];
+    assert_eq!(
+        (engine.running, engine.queued, engine.used_tokens),
+        (0, 0, 0)
+    );
+}
+
+/// Guards against versions that are never prepared, orders without the fencing number, and
+/// orders that are repeated although the version is there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prepared_version_is_ordered_once_with_the_fence() {
+    let sidecar = start_sidecar("").await;
+    let row = Row::Model(ModelRow {
+        version: "v1".to_owned(),
+        prepare_version: Some("v2".to_owned()),
+        adapter: None,
+    });
+    let delta = ViewDelta {
+        base: View::clone(&sidecar.subscriber.view()).version,
+        version: TableVersion(2),
+        changes: vec![ViewChange::SetRow {
+            key: RowKey::Model("tutor".into()),
+            row,
+        }],
+    };
+    sidecar.subscriber.store().apply(&[delta]);
+    let role = &sidecar.role;
+    until("v2 loaded", || role.upstreams()[0].versions == ["v1", "v2"]).await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let orders = sidecar.engine.state.orders.lock().unwrap().clone();
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    assert_eq!(orders[0]["fence"], 7);
+    assert_eq!(orders[0]["action"], "load");
+}
--- a/tests/sidecar_support/engine.rs
+++ b/tests/sidecar_support/engine.rs
@@ -46,6 +46,8 @@
     pub cancelled: Mutex<Vec<String>>,
     pub orders: Mutex<Vec<Value>>,
     pub versions: Mutex<Vec<String>>,
+    /// Plain calls that ran.
+    pub calls: Mutex<u32>,
 }
 
 pub struct FakeEngine {
@@ -58,7 +60,7 @@
     state.versions.lock().unwrap().push("v1".to_owned());
     let managed = Arc::clone(&state);
     let server = http::start(([127, 0, 0, 1], 0).into(), 1_000_000, |rocket| {
-        let routes = routes![completions, resume, cancel, models, load, orders];
+        let routes = routes![completions, resume, cancel, models, load, orders, echo, cut];
         rocket.manage(managed).mount("/", routes)
     });
     FakeEngine {
@@ -185,3 +187,17 @@
     state.versions.lock().unwrap().push(version);
     Status::Ok
 }
+
+#[post("/echo", data = "<body>")]
+fn echo(state: &State<Arc<EngineState>>, body: String) -> String {
+    *state.calls.lock().unwrap() += 1;
+    body
+}
+
+/// Runs the call and answers after the caller has given up.
+#[post("/cut", data = "<body>")]
+async fn cut(state: &State<Arc<EngineState>>, body: String) -> String {
+    *state.calls.lock().unwrap() += 1;
+    sleep(Duration::from_secs(3)).await;
+    body
+}
--- a/tests/sidecar_support/mod.rs
+++ b/tests/sidecar_support/mod.rs
@@ -72,12 +72,15 @@
     view.members.members.insert(me.name.clone(), member);
     store.replace(view);
     store.confirm(monotonic_ms() + 1);
+    let service = engine.server.address;
     let text = format!(
         "[instance]\nname = sidecar-1\nzone = z\nrpc_address = {address}\n\
          admin_address = 127.0.0.1:0\ncontrol_addresses = 127.0.0.1:1\n\
          [sidecar]\n{settings}\n\
          [upstream e1]\nmodel = tutor\nurl = http://{engine}\nmax_running = 8\n\
-         capacity_tokens = 10000\n",
+         capacity_tokens = 10000\n\
+         [upstream s1]\nservice = cards\nurl = http://{service}\n\
+         [upstream gone]\nservice = gone\nurl = http://127.0.0.1:1\n",
         engine = engine.server.address
     );
     let settings = Settings::parse("test", &text).unwrap();
@@ -169,6 +172,40 @@
         self.link.call(LIMIT, call).await.unwrap()
     }
 
+    pub async fn call(&self, generation: u128, upstream: &str, path: &str) -> CallReply {
+        let request = CallRequest {
+            stamp: stamp(),
+            incarnation: Incarnation(1),
+            request: RequestId(generation),
+            generation: GenerationId(generation),
+            workspace: "w".into(),
+            service: "cards".into(),
+            upstream: upstream.into(),
+            method: "POST".to_owned(),
+            path_and_query: path.to_owned(),
+            headers: vec![("content-type".to_owned(), "text/plain".to_owned())],
+            body: b"body".to_vec(),
+            remaining_ms: 1_000,
+            repeatable: false,
+        };
+        let call =
+            |client: SidecarClient, context| async move { client.call(context, request).await };
+        self.link.call(LIMIT, call).await.unwrap()
+    }
+
+    pub async fn readopt(&self, start: StartRequest, origin: Origin, from: u32) -> ReadoptReply {
+        let request = ReadoptRequest {
+            stamp: stamp(),
+            incarnation: self.subscriber.me().incarnation,
+            origin,
+            start,
+            from_offset: from,
+        };
+        let call =
+            |client: SidecarClient, context| async move { client.readopt(context, request).await };
+        self.link.call(LIMIT, call).await.unwrap()
+    }
+
     pub async fn cancel(&self, generation: u128) -> CancelReply {
         let request = CancelRequest {
             stamp: stamp(),
