Repeat a claimed call at an upstream of its holder; pass the idempotency key on

Cause: tests/faults_path.rs found that a repeat of a key named an upstream of another sidecar; the refusal left a tombstone that stopped the first caller's request, and 3 of 6 callers got no answer. The key itself was not passed to the service, so that the service could not recognise it. Ruled out: the claim itself; the service ran each key at most once in every run. Change: the repeat goes to an upstream of the holder, a tombstoned claim is released, and Idempotency-Key is passed on.

--- a/src/roles/entry/plain.rs
+++ b/src/roles/entry/plain.rs
@@ -33,13 +33,12 @@
 /// Time kept of the deadline to ask for a tombstone.
 const PROOF_LIMIT: Duration = Duration::from_millis(200);
 /// Headers that concern one connection, are set anew, or hold a caller's secret for this system.
-const NOT_PASSED_ON: [&str; 14] = [
+const NOT_PASSED_ON: [&str; 13] = [
     "authorization",
     "connection",
     "content-length",
     "expect",
     "host",
-    "idempotency-key",
     "keep-alive",
     "last-event-id",
     "proxy-authenticate",
@@ -149,8 +148,15 @@
                             "the sidecar that this key was claimed for is gone",
                         ));
                     };
+                    // The holder may be about to send the call, so it must name an upstream that its
+                    // sidecar has.
+                    let holder = replicas
+                        .replicas
+                        .iter()
+                        .find(|replica| replica.peer.instance == claimed.sidecar)
+                        .unwrap_or(&replica);
                     return self
-                        .repeat_claimed(peer, &replica, claimed.generation)
+                        .repeat_claimed(peer, holder, claim, claimed.generation)
                         .await;
                 }
             }
@@ -172,6 +178,7 @@
         &self,
         peer: Arc<Peer>,
         replica: &Replica,
+        claim: &ClaimKey,
         generation: GenerationId,
     ) -> Result<ServiceResponse, Failure> {
         let replica = Replica {
@@ -180,7 +187,14 @@
         };
         match self.attempt(&replica, generation).await {
             Called::Response(response) => Ok(response),
-            Called::Refused { outcome, refusal } => Err(Failure::new(outcome, refusal)),
+            Called::Refused { outcome, refusal } => {
+                // A tombstone stands under the claimed generation; without the release every
+                // repeat of the key would be refused until the claim expires.
+                if outcome == Outcome::NotRun {
+                    claim.release_later(self.entry, generation);
+                }
+                Err(Failure::new(outcome, refusal))
+            }
             // The first request may have run it.
             Called::NotRun(refusal) => Err(Failure::unknown(refusal.code, refusal.message)),
             Called::Doubt(cause) => Err(Failure::unknown(RefusalCode::UpstreamLost, cause)),
