Report expired requests apart from refusals

Cause: a request whose deadline passed while it waited counted as refused, so the refusal latency of gated policies read 10 s. Change: a separate ending; plots label quantiles with four digits. Conclusion: refusal latency now means refusals only.

--- a/src/bench/client.rs
+++ b/src/bench/client.rs
@@ -276,7 +276,9 @@
 }
 
 fn outcome(body: &Value) -> Option<Ending> {
-    match body["error"]["outcome"].as_str()? {
+    let error = &body["error"];
+    match error["outcome"].as_str()? {
+        "not_run" if error["code"] == "deadline_exceeded" => Some(Ending::Expired),
         "not_run" => Some(Ending::NotRun),
         "interrupted" => Some(Ending::Interrupted),
         "unknown" => Some(Ending::Unknown),
--- a/src/bench/plot.rs
+++ b/src/bench/plot.rs
@@ -71,7 +71,8 @@
         .configure_mesh()
         .x_desc("quantile")
         .y_desc("ms")
-        .x_label_formatter(&|nines| format!("{}", 1.0 - 10f64.powf(-nines)))
+        .x_labels(5)
+        .x_label_formatter(&|nines| format!("{:.4}", 1.0 - 10f64.powf(-nines)))
         .draw()?;
     for (index, run) in runs.iter().enumerate() {
         let color = Palette99::pick(index).to_rgba();
--- a/src/bench/recorder.rs
+++ b/src/bench/recorder.rs
@@ -22,8 +22,10 @@
     Complete,
     /// Whole and right, but after its deadline.
     Late,
-    /// Not run.
+    /// Refused and not run.
     NotRun,
+    /// Not run, because its deadline passed while it waited.
+    Expired,
     Interrupted,
     Unknown,
     /// The checker found a fault.
@@ -39,6 +41,7 @@
             Self::Complete => "complete",
             Self::Late => "late",
             Self::NotRun => "not_run",
+            Self::Expired => "expired",
             Self::Interrupted => "interrupted",
             Self::Unknown => "unknown",
             Self::Wrong => "wrong",
--- a/src/bench/sim/run.rs
+++ b/src/bench/sim/run.rs
@@ -324,7 +324,7 @@
 
     fn broken_ending(&self, index: usize) -> Ending {
         match self.jobs[index].trace.tokens {
-            0 => Ending::NotRun,
+            0 => Ending::Expired,
             _ => Ending::Interrupted,
         }
     }
--- a/tests/bench_sim.rs
+++ b/tests/bench_sim.rs
@@ -72,6 +72,8 @@
             assert!(none.preemptions > 0, "no memory pressure without a gate");
             assert!(fixed.preemptions < none.preemptions);
             assert_eq!(worst.preemptions, 0);
+            assert!(count(worst, "expired") > 0, "no wait under overload");
+            assert_eq!(count(worst, "not_run"), 0, "baselines refuse nothing");
             assert!(none.goodput_tokens_per_s > 0.0);
         }
     }
