Print a table per kind; start stand-ins with Rocket's release profile

Cause: the table hid which kind was slow; Rocket's debug profile warns of a custom runtime at each start. Change: times per kind in the report; the release profile for the stand-ins.

--- a/src/bench/report.rs
+++ b/src/bench/report.rs
@@ -174,9 +174,32 @@
             writeln!(f, "wrong answer: {fault}")?;
         }
     }
+    write_kinds(f, runs)?;
     write_shares(f, runs)
 }
 
+fn write_kinds(f: &mut fmt::Formatter<'_>, runs: &[RunReport]) -> fmt::Result {
+    writeln!(
+        f,
+        "\n| policy | kind | count | time to the end p50/p95/p99/p99.9 ms |"
+    )?;
+    writeln!(f, "|---|---|---|---|")?;
+    for run in runs {
+        for (kind, times) in &run.kinds {
+            writeln!(
+                f,
+                "| {} {} {:.2} | {kind} | {} | {} |",
+                run.policy,
+                run.mix,
+                run.load,
+                times.count,
+                four(times)
+            )?;
+        }
+    }
+    Ok(())
+}
+
 fn write_shares(f: &mut fmt::Formatter<'_>, runs: &[RunReport]) -> fmt::Result {
     writeln!(f, "\n| policy | workspace | weight share | token share |")?;
     writeln!(f, "|---|---|---|---|")?;
--- a/src/roles/standin/server.rs
+++ b/src/roles/standin/server.rs
@@ -141,7 +141,7 @@
         keep_alive: KEEP_ALIVE_S,
         limits,
         shutdown,
-        ..Config::debug_default()
+        ..Config::release_default()
     })
 }
 
