Look for unread and ended streams at most every 50 ms

Cause: the engine stand-in looked at all streams of the last 30 s on every step and every new request. Conclusion: the cost of a step no longer grows with ended streams.

--- a/src/roles/standin/shared.rs
+++ b/src/roles/standin/shared.rs
@@ -17,6 +17,8 @@
 
 /// How long an ended stream can still be read.
 const KEEP_ENDED_US: u64 = 30_000_000;
+/// Time between two searches for unread and ended streams, which look at all streams.
+const EXPIRY_INTERVAL_US: u64 = 50_000;
 /// Longest sleep of the engine's clock, so that streams time out while the engine is idle.
 const IDLE_SLEEP: Duration = Duration::from_millis(50);
 
@@ -74,6 +76,7 @@
     pub(super) streams: BTreeMap<String, Arc<Stream>>,
     by_id: BTreeMap<SequenceId, Arc<Stream>>,
     next_tag: u64,
+    next_expiry_us: u64,
 }
 
 /// An engine that is served over HTTP.
@@ -111,6 +114,7 @@
             by_id: BTreeMap::new(),
             // Two engines, or two lives of one, must not give generations the same tag.
             next_tag: rand::random(),
+            next_expiry_us: 0,
         };
         Self {
             started: Instant::now(),
@@ -216,7 +220,10 @@
         for event in events.drain(..) {
             state.deliver(event);
         }
-        self.expire(&mut state, now_us);
+        if state.next_expiry_us <= now_us {
+            state.next_expiry_us = now_us + EXPIRY_INTERVAL_US;
+            self.expire(&mut state, now_us);
+        }
         state.engine.due_us()
     }
 
