Limit the time of commands and test the bound of claims

Cause: one proposer with a clock far ahead would make every key expire, and the bound of claims and its refusal were not tested. println! panics when the reader has gone away. Change: Command::limit_now_ms for the leader, tests for both, and output that ignores a closed pipe.

--- a/src/bin/lilacspindle/cmd/check.rs
+++ b/src/bin/lilacspindle/cmd/check.rs
@@ -19,7 +19,7 @@
         print_json(&json!({ "findings": faults }));
     } else {
         for fault in &faults {
-            println!("{}: {}", fault.place, fault.reason);
+            say!("{}: {}", fault.place, fault.reason);
         }
     }
     if faults.is_empty() {
--- a/src/bin/lilacspindle/cmd/drain.rs
+++ b/src/bin/lilacspindle/cmd/drain.rs
@@ -12,9 +12,11 @@
     };
     match drain(&client, instance).await {
         Ok(reply) if options.json => print_json(&reply),
-        Ok(reply) => println!(
+        Ok(reply) => say!(
             "{} ({}) is {}",
-            reply.instance, reply.incarnation, reply.phase
+            reply.instance,
+            reply.incarnation,
+            reply.phase
         ),
         Err(error) => return failed(options, &error),
     }
--- a/src/bin/lilacspindle/cmd/mod.rs
+++ b/src/bin/lilacspindle/cmd/mod.rs
@@ -1,5 +1,21 @@
 //! The commands.
 
+/// Prints a line. A reader that has gone away, such as `head`, is no fault.
+macro_rules! say {
+    ($($text:tt)*) => {{
+        use std::io::Write;
+        let _ = writeln!(std::io::stdout(), $($text)*);
+    }};
+}
+
+/// Prints text as it is.
+macro_rules! say_raw {
+    ($($text:tt)*) => {{
+        use std::io::Write;
+        let _ = write!(std::io::stdout(), $($text)*);
+    }};
+}
+
 mod check;
 mod drain;
 mod status;
@@ -45,7 +61,7 @@
     if options.json {
         print_json(&report);
     } else {
-        print!("{report}");
+        say_raw!("{report}");
     }
     Exit::Ok
 }
@@ -95,7 +111,7 @@
 
 fn print_json<T: Serialize>(value: &T) {
     match serde_json::to_string_pretty(value) {
-        Ok(text) => println!("{text}"),
+        Ok(text) => say!("{text}"),
         Err(error) => eprintln!("lilacspindle: cannot print the answer as JSON: {error}"),
     }
 }
--- a/src/bin/lilacspindle/cmd/status.rs
+++ b/src/bin/lilacspindle/cmd/status.rs
@@ -22,7 +22,7 @@
         for (address, status) in &statuses {
             match status {
                 Ok(status) => print_status(address, status),
-                Err(error) => println!("{address}: {error}"),
+                Err(error) => say!("{address}: {error}"),
             }
         }
     }
@@ -34,13 +34,13 @@
 }
 
 fn print_status(address: &str, status: &Value) {
-    println!("{address}");
+    say!("{address}");
     match status {
         Value::Object(fields) => {
             for (name, value) in fields {
-                println!("  {name}: {value}");
+                say!("  {name}: {value}");
             }
         }
-        other => println!("  {other}"),
+        other => say!("  {other}"),
     }
 }
--- a/src/bin/lilacspindle/cmd/table.rs
+++ b/src/bin/lilacspindle/cmd/table.rs
@@ -65,8 +65,8 @@
     }
     match table.rows() {
         Ok(rows) => {
-            println!("# table at version {}", table.version);
-            print!("{}", to_ini(&rows));
+            say!("# table at version {}", table.version);
+            say_raw!("{}", to_ini(&rows));
             Exit::Ok
         }
         Err(findings) => malformed(options, &findings),
@@ -130,15 +130,15 @@
         ..
     } = entry;
     match (entry.version, &entry.reason) {
-        (Some(version), _) => println!("version {version}: {author}, edit {id}, at {at_ms} ms"),
+        (Some(version), _) => say!("version {version}: {author}, edit {id}, at {at_ms} ms"),
         (None, reason) => {
             let reason = reason.as_deref().unwrap_or_default();
-            println!("refused: {author}, edit {id}, base {base}, at {at_ms} ms: {reason}");
+            say!("refused: {author}, edit {id}, base {base}, at {at_ms} ms: {reason}");
         }
     }
     for row in &entry.rows {
         let side = |fields: &Option<_>| json!(fields).to_string();
-        println!(
+        say!(
             "  {}: {} -> {}",
             row.row,
             side(&row.before),
@@ -163,7 +163,7 @@
             if options.json {
                 print_json(&json!({ "result": "no_change", "version": version }));
             } else {
-                println!("no change; the table says so at version {version}");
+                say!("no change; the table says so at version {version}");
             }
             return Exit::Ok;
         }
@@ -179,7 +179,7 @@
     if options.json {
         print_json(&reply);
     } else {
-        print!("{}", render_diff(&before, &changes));
+        say_raw!("{}", render_diff(&before, &changes));
         print_reply(&reply);
     }
     match reply {
@@ -190,17 +190,17 @@
 
 fn print_reply(reply: &EditReply) {
     match reply {
-        EditReply::Accepted { version } => println!("accepted at version {version}"),
+        EditReply::Accepted { version } => say!("accepted at version {version}"),
         EditReply::WouldBeAccepted { version, rows } => {
-            println!(
+            say!(
                 "would be accepted at version {version}: {} rows",
                 rows.len()
             );
         }
         EditReply::Invalid { findings } => {
-            println!("refused:");
+            say!("refused:");
             for finding in findings {
-                println!("  {}: {}", finding.place, finding.reason);
+                say!("  {}: {}", finding.place, finding.reason);
             }
         }
         EditReply::Conflict {
@@ -209,9 +209,9 @@
             version,
             rows,
         } => {
-            println!("refused: {author} changed it first (edit {winner}, version {version}):");
+            say!("refused: {author} changed it first (edit {winner}, version {version}):");
             for row in rows {
-                println!("  {row}");
+                say!("  {row}");
             }
         }
     }
@@ -223,7 +223,7 @@
             findings: findings.0.clone(),
         });
     } else {
-        println!("{findings}");
+        say!("{findings}");
     }
     Exit::Refused
 }
--- a/src/domain/state/command.rs
+++ b/src/domain/state/command.rs
@@ -100,6 +100,21 @@
             | Self::SetUpstreams { now_ms, .. } => *now_ms,
         }
     }
+
+    /// Lowers the command's time to `limit_ms`. The leader does this before it appends a command:
+    /// time in the state never runs backwards, so one proposer whose clock is far ahead would make
+    /// every key expire until the other clocks have caught up.
+    pub fn limit_now_ms(&mut self, limit_ms: u64) {
+        match self {
+            Self::Edit { now_ms, .. }
+            | Self::Claim { now_ms, .. }
+            | Self::Finish { now_ms, .. }
+            | Self::Release { now_ms, .. }
+            | Self::Register { now_ms, .. }
+            | Self::SetPhase { now_ms, .. }
+            | Self::SetUpstreams { now_ms, .. } => *now_ms = limit_ms.min(*now_ms),
+        }
+    }
 }
 
 /// The answer to an edit.
--- a/tests/ledger_random.rs
+++ b/tests/ledger_random.rs
@@ -4,11 +4,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use lilacspindle::domain::ledger::{KeyError, parse_key};
+use lilacspindle::domain::ledger::{KeyError, Ledger, MAX_CLAIMS, parse_key};
 use lilacspindle::domain::state::{
     ClaimAnswer, ClaimRefusal, Claimed, Command, KeyId, Response, State,
 };
-use lilacspindle::model::GenerationId;
+use lilacspindle::model::{GenerationId, Incarnation, InstanceRef};
 use state_support::{Source, seeds};
 
 const WINDOW_MS: u64 = 600_000;
@@ -202,3 +202,69 @@
             as fn(String) -> bool,
     );
 }
+
+fn fresh_claim(number: u64, created_at_ms: u64) -> (KeyId, Claimed) {
+    let claimed = Claimed {
+        generation: GenerationId(number.into()),
+        sidecar: InstanceRef {
+            name: "i".into(),
+            incarnation: Incarnation(1),
+        },
+    };
+    let text = format!("{created_at_ms}-{number}");
+    (parse_key(&"w".into(), &text).unwrap(), claimed)
+}
+
+/// Guards against memory without a bound, and records that stay after their time.
+#[test]
+fn the_number_of_claims_is_bounded() {
+    let now_ms = 1_700_000_000_000;
+    let mut ledger = Ledger::default();
+    for number in 0..MAX_CLAIMS as u64 {
+        let (key, claimed) = fresh_claim(number, now_ms);
+        assert_eq!(
+            ledger.claim(&key, 1, &claimed, now_ms),
+            ClaimAnswer::Granted
+        );
+    }
+    let (first, claimed) = fresh_claim(0, now_ms);
+    let (more, other) = fresh_claim(u64::MAX, now_ms);
+    let full = ClaimAnswer::Refused(ClaimRefusal::Full);
+    assert_eq!(ledger.claim(&more, 1, &other, now_ms), full);
+    ledger.release(&more, other.generation, now_ms);
+    assert_eq!(ledger.len(), MAX_CLAIMS);
+    assert_eq!(
+        ledger.claim(&first, 1, &claimed, now_ms),
+        ClaimAnswer::Granted,
+        "known keys stay"
+    );
+    ledger.expire(now_ms + WINDOW_MS);
+    assert_eq!(ledger.len(), MAX_CLAIMS);
+    ledger.expire(now_ms + WINDOW_MS + 1);
+    assert!(ledger.is_empty());
+}
+
+/// Guards against one proposer with a wrong clock that makes the keys of all others expire.
+#[test]
+fn a_clock_far_ahead_is_limited_by_the_leader() {
+    let now_ms = 1_700_000_000_000;
+    let (key, claimed) = fresh_claim(1, now_ms);
+    let mut ahead = Command::Finish {
+        key: key.clone(),
+        generation: claimed.generation,
+        now_ms: now_ms + 86_400_000,
+    };
+    ahead.limit_now_ms(now_ms + 60_000);
+    let mut state = State::default();
+    state.apply(1, &ahead);
+    let claim = Command::Claim {
+        key,
+        fingerprint: 1,
+        claimed,
+        now_ms,
+    };
+    assert_eq!(
+        state.apply(2, &claim).0,
+        Response::Claim(ClaimAnswer::Granted)
+    );
+}
