Measure the replicated log; replace silent connections in a test

Cause: there were no figures, and nothing proved that a silent connection is replaced. A replica whose thread has panicked says so in its status.

--- a/src/bench/log/cluster.rs
+++ b/src/bench/log/cluster.rs
@@ -4,10 +4,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use futures::StreamExt;
+use serde::{Deserialize, Serialize};
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpListener;
 use tokio::task::{AbortHandle, JoinSet};
@@ -21,33 +23,47 @@
 use crate::rpc::{decode, encode, listen, wrap};
 use crate::settings::{ControlSettings, PeerAddress};
 
-/// A state machine for measurements and tests: it keeps every command in order, and answers a
-/// command with the number of commands before it.
+/// The state of a register.
+#[derive(Clone, Default, Serialize, Deserialize)]
+struct Commands {
+    count: u64,
+    /// Empty unless commands are kept.
+    kept: Vec<Vec<u8>>,
+}
+
+/// A state machine for measurements and tests: it counts commands, keeps them in order if asked,
+/// and answers a command with the number of commands before it.
 #[derive(Clone, Default)]
-pub struct Register(Arc<Mutex<Vec<Vec<u8>>>>);
+pub struct Register(Arc<Mutex<Commands>>);
 
 impl Register {
+    fn lock(&self) -> MutexGuard<'_, Commands> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the commands applied so far.
     pub fn commands(&self) -> Vec<Vec<u8>> {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.lock().kept.clone()
+    }
+
+    /// Returns the number of commands applied so far.
+    pub fn count(&self) -> u64 {
+        self.lock().count
     }
 
-    fn machine(&self) -> StateMachine {
+    fn machine(&self, keep: bool) -> StateMachine {
         let (applied, saved, restored) = (self.clone(), self.clone(), self.clone());
         StateMachine {
             apply: Box::new(move |_, command| {
-                let mut commands = applied.0.lock().unwrap_or_else(PoisonError::into_inner);
-                commands.push(command.to_vec());
-                encode(&(commands.len() as u64 - 1)).unwrap_or_default()
-            }),
-            snapshot: Box::new(move || encode(&saved.commands()).unwrap_or_default()),
-            restore: Box::new(move |bytes| {
-                let commands = decode(bytes).unwrap_or_default();
-                *restored.0.lock().unwrap_or_else(PoisonError::into_inner) = commands;
+                let mut state = applied.lock();
+                if keep {
+                    state.kept.push(command.to_vec());
+                }
+                state.count += 1;
+                encode(&(state.count - 1)).unwrap_or_default()
             }),
+            snapshot: Box::new(move || encode(&*saved.lock()).unwrap_or_default()),
+            restore: Box::new(move |bytes| *restored.lock() = decode(bytes).unwrap_or_default()),
         }
     }
 }
@@ -58,6 +74,8 @@
     pub replicas: usize,
     pub election_ms: u64,
     pub snapshot_entries: u64,
+    /// True to keep every command in the state machines.
+    pub keep_commands: bool,
 }
 
 /// The listener of an instance outlives its replica, so that no port is bound twice.
@@ -74,6 +92,8 @@
 struct Served {
     server: Option<PeerServer>,
     connections: Vec<AbortHandle>,
+    /// Set to silence the connections accepted so far: they stay open, and nothing is answered.
+    silenced: Arc<AtomicBool>,
 }
 
 /// Several instances that form one cluster.
@@ -93,8 +113,17 @@
         let Ok(transport) = wrap(stream) else {
             continue;
         };
+        let silenced = served.silenced.clone();
         let requests = BaseChannel::with_defaults(transport).execute(peer.serve());
-        let task = tokio::spawn(requests.for_each(|response| response));
+        let task = tokio::spawn(requests.for_each(move |response| {
+            let silent = silenced.load(Ordering::Relaxed);
+            async move {
+                if silent {
+                    std::future::pending::<()>().await;
+                }
+                response.await;
+            }
+        }));
         served.connections.push(task.abort_handle());
     }
 }
@@ -160,7 +189,7 @@
             name: instance.name.clone(),
             rpc_address: instance.address,
         };
-        let machine = instance.register.machine();
+        let machine = instance.register.machine(self.options.keep_commands);
         let replica = Replica::open_with(&settings, endpoint, machine, ops, Options::default())?;
         let mut served = instance
             .served
@@ -188,6 +217,16 @@
         }
     }
 
+    /// Makes the connections that an instance has accepted go silent for good; new ones work.
+    pub fn silence(&self, number: usize) {
+        let mut served = self.instances[number]
+            .served
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        served.silenced.store(true, Ordering::Relaxed);
+        served.silenced = Arc::default();
+    }
+
     /// Deletes the data folder of a stopped replica.
     pub fn lose_disk(&self, number: usize) -> io::Result<()> {
         std::fs::remove_dir_all(&self.instances[number].folder)
--- a/src/domain/log/members.rs
+++ b/src/domain/log/members.rs
@@ -72,6 +72,10 @@
         if let Some(config) = change {
             self.propose_payload(Payload::Config(config));
             self.follow_config(now_ms);
+            let pending = self.configs.range(self.commit + 1..).count();
+            self.check(pending == 1, "one_membership_change", || {
+                format!("{pending} are pending")
+            });
         }
     }
 
--- a/src/roles/control/replica/mod.rs
+++ b/src/roles/control/replica/mod.rs
@@ -123,7 +123,12 @@
 
     /// Returns the present status.
     pub fn status(&self) -> ReplicaStatus {
-        self.status.borrow().clone()
+        let mut status = self.status.borrow().clone();
+        // A thread that panicked has left no reason.
+        if status.stopped.is_none() && self.status.has_changed().is_err() {
+            status.stopped = Some("the thread of the log has ended; see the log lines".to_owned());
+        }
+        status
     }
 
     /// Returns a receiver of every change of the status.
--- a/tests/log_replicas.rs
+++ b/tests/log_replicas.rs
@@ -11,6 +11,8 @@
 const LIMIT: Duration = Duration::from_secs(20);
 /// The stated bound on failover of control.
 const FAILOVER: Duration = Duration::from_secs(5);
+/// The stated time after which a silent connection is replaced.
+const SILENCE: Duration = Duration::from_secs(2);
 
 /// A folder that is removed when the test ends.
 struct Folder(PathBuf);
@@ -39,6 +41,7 @@
         replicas,
         election_ms: 500,
         snapshot_entries: 64,
+        keep_commands: true,
     }
 }
 
@@ -244,3 +247,31 @@
     assert_eq!(refused, Err(SubmitError::Stopped));
     submit_all(&cluster, 60..70).await;
 }
+
+/// Guards against replicas that wait for ever on connections that stay open and never answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_are_replaced() {
+    let folder = Folder::new("silent");
+    let cluster = Cluster::start(&folder.0, options(3)).await.unwrap();
+    submit_all(&cluster, 0..20).await;
+    for number in 0..3 {
+        cluster.silence(number);
+    }
+    let answer = cluster
+        .submit(&20u64.to_le_bytes(), SILENCE + FAILOVER)
+        .await;
+    assert!(
+        answer.is_some(),
+        "no command was committed after the connections went silent"
+    );
+    // A majority may recover over connections that it had not used before; all have to.
+    for number in 0..3 {
+        let confirmed = cluster
+            .replica(number)
+            .unwrap()
+            .confirm(SILENCE + FAILOVER)
+            .await;
+        assert!(confirmed.is_ok(), "instance {number}: {confirmed:?}");
+        assert_eq!(distinct(&cluster, number), 21);
+    }
+}
--- a/tests/log_simulation.rs
+++ b/tests/log_simulation.rs
@@ -80,11 +80,10 @@
 }
 
 fn find_fault(count: u64, faults: Faults, options: Options) -> Option<(u64, String)> {
-    (0..count).find_map(|seed| {
-        run_seed(seed, faults, options)
-            .err()
-            .map(|fault| (seed, fault))
-    })
+    let fault = |seed| Some((seed, run_seed(seed, faults, options).err()?));
+    let found = (0..count).find_map(fault);
+    println!("{found:?}");
+    found
 }
 
 /// Guards against every fault that breaks linearizability, the log's invariants, or recovery.
@@ -121,6 +120,17 @@
     assert!(find_fault(60, faults, options).is_some());
 }
 
+/// Shows that the runs find a voter that lost its disk and votes again under its old identity.
+#[test]
+fn runs_find_lost_disks_under_an_old_identity() {
+    let faults = Faults {
+        lose_disk: 5,
+        keep_identity: true,
+        ..Faults::all()
+    };
+    assert!(find_fault(60, faults, Options::default()).is_some());
+}
+
 /// Shows that the runs find reads that a deposed leader answers from its old lease.
 #[test]
 fn runs_find_reads_without_lease() {
--- a/tests/log_support/mod.rs
+++ b/tests/log_support/mod.rs
@@ -54,6 +54,8 @@
     pub lose_disk: u64,
     pub hand_over: u64,
     pub join: u64,
+    /// True to let an instance keep its identity when its disk is lost, which is wrong.
+    pub keep_identity: bool,
 }
 
 impl Faults {
@@ -70,6 +72,7 @@
             lose_disk: 1,
             hand_over: 2,
             join: 1,
+            keep_identity: false,
         }
     }
 }
@@ -268,9 +271,10 @@
     pub fn lose_disk(&mut self, number: usize) {
         self.crash(number, 0);
         let id = NodeId(self.random.next());
+        let keep_identity = self.faults.keep_identity;
         let node = &mut self.nodes[number];
         node.disk = Disk::default();
-        node.id = id;
+        node.id = if keep_identity { node.id } else { id };
         self.lost_disks += 1;
         self.repairing = Some(self.nodes[number].name.clone());
     }
