Record latencies of the log's measurement over the whole range

Cause: the histogram resized on record only, so saturating_record cut latencies at about 2 ms. Change: set the range to 60 s.

--- a/src/bench/log.rs
+++ b/src/bench/log.rs
@@ -20,6 +20,9 @@
 /// Time after which a measurement is given up.
 const LIMIT: Duration = Duration::from_mins(1);
 
+/// Largest latency that is told apart.
+const MAX_MICROSECONDS: u64 = 60_000_000;
+
 /// What to measure.
 #[derive(Debug, Clone)]
 pub struct LogOptions {
@@ -184,7 +187,8 @@
     let begun = Instant::now();
     tokio::time::sleep(Duration::from_secs(options.seconds)).await;
     stop.store(true, Ordering::Relaxed);
-    let mut histogram = Histogram::<u64>::new(3).map_err(io::Error::other)?;
+    let mut histogram =
+        Histogram::<u64>::new_with_bounds(1, MAX_MICROSECONDS, 3).map_err(io::Error::other)?;
     let mut failures = 0;
     for task in tasks {
         let (latencies, failed) = task.await?;
