Measure the distribution of the view and test single rules of room

Cause: the cost of control per daemon was unknown, and rules such as turns and adoption were only covered by randomised runs. Change: bench::distribution runs control instances and daemons in one process and reports time to in force, bytes, frames, CPU and memory; its fleet also serves the tests. Frames are counted in lilac_rpc_frames_total. room_rules checks each rule in a fixed sequence of steps. Result: room_rules (7), room_random (3), room_leases (3), distribution_relays (3) and distribution_faults (6) pass in a debug build.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,1 +1,3 @@
 //! The load tool: seeded arrivals, measured results.
+
+pub mod distribution;
--- a/src/rpc/codec.rs
+++ b/src/rpc/codec.rs
@@ -16,6 +16,46 @@
 pub const MAX_FRAME_BYTES: usize = 4 * 1024 * 1024;
 
 static FRAME_BYTES: OnceLock<IntCounterVec> = OnceLock::new();
+static FRAMES: OnceLock<IntCounterVec> = OnceLock::new();
+
+/// Frames of a service that this process has sent, and their bytes without length prefixes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    pub frames: u64,
+    pub bytes: u64,
+}
+
+/// Returns what this process has sent for a service.
+pub fn sent_traffic(service: &str) -> Traffic {
+    Traffic {
+        frames: frame_counters().with_label_values(&[service, "sent"]).get(),
+        bytes: byte_counters().with_label_values(&[service, "sent"]).get(),
+    }
+}
+
+fn byte_counters() -> &'static IntCounterVec {
+    let help = "Bytes of frames between processes, by service and direction.";
+    counters(&FRAME_BYTES, "lilac_rpc_bytes_total", help)
+}
+
+fn frame_counters() -> &'static IntCounterVec {
+    let help = "Frames between processes, by service and direction.";
+    counters(&FRAMES, "lilac_rpc_frames_total", help)
+}
+
+fn counters(
+    cell: &'static OnceLock<IntCounterVec>,
+    name: &str,
+    help: &str,
+) -> &'static IntCounterVec {
+    cell.get_or_init(|| {
+        let counters = IntCounterVec::new(Opts::new(name, help), &["service", "direction"])
+            .expect("constant options are valid");
+        // Registration fails only if the name is taken, which the OnceLock rules out.
+        let _ = registry().register(Box::new(counters.clone()));
+        counters
+    })
+}
 
 /// Encodes a value, for frames and for files.
 pub fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, postcard::Error> {
@@ -33,41 +73,47 @@
 /// The codec of all frames between processes.
 #[derive(Debug, Clone)]
 pub struct Postcard {
-    sent_bytes: IntCounter,
-    received_bytes: IntCounter,
+    sent: Counted,
+    received: Counted,
+}
+
+#[derive(Debug, Clone)]
+struct Counted {
+    frames: IntCounter,
+    bytes: IntCounter,
+}
+
+impl Counted {
+    fn new(service: &str, direction: &str) -> Self {
+        let labels = [service, direction];
+        Self {
+            frames: frame_counters().with_label_values(&labels),
+            bytes: byte_counters().with_label_values(&labels),
+        }
+    }
+
+    fn add(&self, length: usize) {
+        self.frames.inc();
+        self.bytes.inc_by(u64::try_from(length).unwrap_or(u64::MAX));
+    }
 }
 
 impl Postcard {
     /// Returns a codec that counts its bytes under the name of a service.
     pub(super) fn counted(service: &str) -> Self {
-        let counters = FRAME_BYTES.get_or_init(|| {
-            let opts = Opts::new(
-                "lilac_rpc_bytes_total",
-                "Bytes of frames between processes, by service and direction.",
-            );
-            let counters = IntCounterVec::new(opts, &["service", "direction"])
-                .expect("constant options are valid");
-            // Registration fails only if the name is taken, which the OnceLock rules out.
-            let _ = registry().register(Box::new(counters.clone()));
-            counters
-        });
         Self {
-            sent_bytes: counters.with_label_values(&[service, "sent"]),
-            received_bytes: counters.with_label_values(&[service, "received"]),
+            sent: Counted::new(service, "sent"),
+            received: Counted::new(service, "received"),
         }
     }
 }
 
-fn count(counter: &IntCounter, length: usize) {
-    counter.inc_by(u64::try_from(length).unwrap_or(u64::MAX));
-}
-
 impl<T: Serialize> Serializer<T> for Postcard {
     type Error = io::Error;
 
     fn serialize(self: Pin<&mut Self>, item: &T) -> Result<Bytes, io::Error> {
         let bytes = encode(item).map_err(io::Error::other)?;
-        count(&self.sent_bytes, bytes.len());
+        self.sent.add(bytes.len());
         Ok(bytes.into())
     }
 }
@@ -76,7 +122,7 @@
     type Error = io::Error;
 
     fn deserialize(self: Pin<&mut Self>, source: &BytesMut) -> Result<T, io::Error> {
-        count(&self.received_bytes, source.len());
+        self.received.add(source.len());
         decode(source).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
     }
 }
--- a/src/rpc/mod.rs
+++ b/src/rpc/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::model::{InstanceRef, TableVersion};
 
-pub use codec::{MAX_FRAME_BYTES, Postcard, decode, encode};
+pub use codec::{MAX_FRAME_BYTES, Postcard, Traffic, decode, encode, sent_traffic};
 pub use connection::{ConnectError, FramedTransport, Service, deadline_after, wrap};
 pub use link::{CallError, Link, control_link, peer_link, sidecar_link};
 pub use server::{Handler, Services, serve};
--- a/tests/distribution_faults.rs
+++ b/tests/distribution_faults.rs
@@ -1,13 +1,13 @@
 //! Distribution of the view under faults: lagging relays, silent connections, loss of control.
 
-mod cluster_support;
-
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use cluster_support::{Process, applied, control, daemon, edit, instance, workspace_change};
 use lilacspindle::adapters::clock::monotonic_ms;
+use lilacspindle::bench::distribution::fleet::{
+    DaemonSpec, Process, applied, control, daemon, edit, instance, workspace_change,
+};
 use lilacspindle::domain::members::Role;
 use lilacspindle::domain::state::View;
 use lilacspindle::model::{RefusalCode, TableVersion};
@@ -86,11 +86,11 @@
 }
 
 async fn edited_control(rows: u32) -> (Process, TableVersion) {
-    let control = control(32).await;
+    let control = control(32).await.unwrap();
     let changes = (0..rows)
         .map(|number| workspace_change(&format!("w{number}"), None, 1))
         .collect();
-    let version = edit(&control, "rows", changes).await;
+    let version = edit(&control, "rows", changes).await.unwrap();
     (control, version)
 }
 
@@ -101,7 +101,9 @@
     let (control, _) = edited_control(1).await;
     let old_view = (*control.subscriber.view()).clone();
     let (relay, _store) = lagging_relay(old_view.clone(), 2_000).await;
-    let newer = edit(&control, "newer", vec![workspace_change("w0", None, 9)]).await;
+    let newer = edit(&control, "newer", vec![workspace_change("w0", None, 9)])
+        .await
+        .unwrap();
     let former = start("d", vec![control.address], 12_000);
     assert!(ready_within(&former, WAIT).await);
     assert!(former.current().await.unwrap().version >= newer);
@@ -129,7 +131,9 @@
             sleep(Duration::from_millis(100)).await;
         }
     });
-    let newer = edit(&control, "newer", vec![workspace_change("w0", None, 9)]).await;
+    let newer = edit(&control, "newer", vec![workspace_change("w0", None, 9)])
+        .await
+        .unwrap();
     let subscriber = start("d", vec![control.address, relay], 12_000);
     assert!(ready_within(&subscriber, WAIT).await);
     control.stop();
@@ -159,7 +163,9 @@
     });
     let refusal = subscriber.current().await.unwrap_err();
     assert_eq!(refusal.code, RefusalCode::StaleTable);
-    edit(&control, "next", vec![workspace_change("w0", None, 2)]).await;
+    edit(&control, "next", vec![workspace_change("w0", None, 2)])
+        .await
+        .unwrap();
     assert!(subscriber.current().await.is_ok());
 }
 
@@ -215,15 +221,18 @@
 async fn a_process_far_behind_gets_a_snapshot_in_pieces() {
     let (control, _) = edited_control(20_000).await;
     let addresses = [control.address];
-    let first = daemon("d1", 1, &[Role::Sidecar], &addresses, 32).await;
+    let [one, two] = ["d1", "d2"].map(|name| DaemonSpec::new(name, 1, Role::Sidecar));
+    let first = daemon(&one, &addresses).await.unwrap();
     let editing = async {
         for number in 0..20 {
             let change = workspace_change("w1", None, 100 + number);
-            edit(&control, &format!("edit-{number}"), vec![change]).await;
+            edit(&control, &format!("edit-{number}"), vec![change])
+                .await
+                .unwrap();
             sleep(Duration::from_millis(5)).await;
         }
     };
-    let second = async { daemon("d2", 1, &[Role::Sidecar], &addresses, 32).await };
+    let second = async { daemon(&two, &addresses).await.unwrap() };
     let ((), second) = tokio::join!(editing, second);
     let version = control.subscriber.store().version();
     for process in [&first, &second] {
--- a/tests/distribution_relays.rs
+++ b/tests/distribution_relays.rs
@@ -1,11 +1,11 @@
 //! Distribution of the view through relays, in one process over real TCP.
 
-mod cluster_support;
-
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use cluster_support::{Process, applied, control, controls, daemon, edit, workspace_change};
+use lilacspindle::bench::distribution::fleet::{
+    DaemonSpec, Process, applied, control, controls, daemon, edit, workspace_change,
+};
 use lilacspindle::domain::members::Role;
 use lilacspindle::model::TableVersion;
 use lilacspindle::roles::control::ControlRole;
@@ -18,9 +18,11 @@
 async fn daemons(count: u64, control: &[SocketAddr], max_watchers: usize) -> Vec<Process> {
     let mut processes = Vec::new();
     for number in 0..count {
-        let name = format!("d{number}");
-        let roles = [Role::Sidecar];
-        processes.push(daemon(&name, number, &roles, control, max_watchers).await);
+        let spec = DaemonSpec {
+            max_watchers,
+            ..DaemonSpec::new(&format!("d{number}"), number, Role::Sidecar)
+        };
+        processes.push(daemon(&spec, control).await.unwrap());
     }
     processes
 }
@@ -57,16 +59,20 @@
 /// limit, and an answer that says "in force" too early or never.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn an_edit_is_in_force_on_100_subscribers_within_two_seconds() {
-    let control = control(8).await;
+    let control = control(8).await.unwrap();
     let processes = daemons(100, &[control.address], 8).await;
-    let version = edit(&control, "first", vec![workspace_change("w", None, 1)]).await;
+    let version = edit(&control, "first", vec![workspace_change("w", None, 1)])
+        .await
+        .unwrap();
     all_ready(&processes, version).await;
     let role = control.control.as_ref().unwrap();
     all_counted(role, version, 101).await;
     for number in 2..6 {
         let began = Instant::now();
         let change = workspace_change("w", None, number);
-        let version = edit(&control, &format!("edit-{number}"), vec![change]).await;
+        let version = edit(&control, &format!("edit-{number}"), vec![change])
+            .await
+            .unwrap();
         let in_force = role.wait_in_force(version, IN_FORCE_LIMIT).await;
         let took = began.elapsed();
         let behind = processes
@@ -81,10 +87,12 @@
 /// Guards against a leader that does not know what is in force below other control instances.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn the_leader_counts_the_subtrees_of_all_control_instances() {
-    let controls = controls(3, 4).await;
+    let controls = controls(3, 4).await.unwrap();
     let addresses: Vec<_> = controls.iter().map(|control| control.address).collect();
     let processes = daemons(30, &addresses, 4).await;
-    let version = edit(&controls[0], "first", vec![workspace_change("w", None, 1)]).await;
+    let version = edit(&controls[0], "first", vec![workspace_change("w", None, 1)])
+        .await
+        .unwrap();
     all_ready(&processes, version).await;
     let role = controls[0].control.as_ref().unwrap();
     all_counted(role, version, 33).await;
@@ -93,9 +101,11 @@
 /// Guards against subscribers that stay with a relay that has stopped.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn subscribers_leave_a_relay_that_stopped() {
-    let control = control(2).await;
+    let control = control(2).await.unwrap();
     let mut processes = daemons(12, &[control.address], 2).await;
-    let version = edit(&control, "first", vec![workspace_change("w", None, 1)]).await;
+    let version = edit(&control, "first", vec![workspace_change("w", None, 1)])
+        .await
+        .unwrap();
     all_ready(&processes, version).await;
     let relay = processes
         .iter()
@@ -112,7 +122,9 @@
     let stopped = processes.remove(relay);
     stopped.subscriber.set_leaving();
     stopped.stop();
-    let version = edit(&control, "second", vec![workspace_change("w", None, 2)]).await;
+    let version = edit(&control, "second", vec![workspace_change("w", None, 2)])
+        .await
+        .unwrap();
     for process in &processes {
         assert!(applied(process, version, Duration::from_secs(12)).await);
     }
--- a/tests/room_leases.rs
+++ b/tests/room_leases.rs
@@ -1,12 +1,12 @@
 //! Leases on slots between entries and the control leader, over real TCP.
 
-mod cluster_support;
-
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use cluster_support::{Process, applied, control, daemon, edit, workspace_change};
 use lilacspindle::adapters::clock::monotonic_ms;
+use lilacspindle::bench::distribution::fleet::{
+    DaemonSpec, Process, applied, control, daemon, edit, workspace_change,
+};
 use lilacspindle::domain::members::Role;
 use lilacspindle::model::{KindName, Refusal, RefusalCode, WorkspaceName};
 use lilacspindle::roles::rooms::{Rooms, SlotGuard};
@@ -34,14 +34,18 @@
 
 /// Starts control in its first term, which has no leader grace, and two entries over a row of `room_slots`.
 async fn start(room_slots: u32) -> (Process, [Process; 2], [Arc<Rooms>; 2]) {
-    let control = control(32).await;
+    let control = control(32).await.unwrap();
     let addresses = [control.address];
     let entries = [
-        daemon("e1", 1, &[Role::Entry], &addresses, 32).await,
-        daemon("e2", 1, &[Role::Entry], &addresses, 32).await,
+        daemon(&DaemonSpec::new("e1", 1, Role::Entry), &addresses)
+            .await
+            .unwrap(),
+        daemon(&DaemonSpec::new("e2", 1, Role::Entry), &addresses)
+            .await
+            .unwrap(),
     ];
     let change = workspace_change("w", Some(room_slots), 1);
-    let version = edit(&control, "room", vec![change]).await;
+    let version = edit(&control, "room", vec![change]).await.unwrap();
     for entry in &entries {
         assert!(applied(entry, version, WAIT).await);
     }
--- a/tests/room_support/mod.rs
+++ b/tests/room_support/mod.rs
@@ -1,5 +1,6 @@
 //! A discrete run of broker, holders and sidecars under faults, with an oracle that counts the
 //! generations that truly run.
+#![allow(dead_code)] // Each test file uses a part of it.
 
 use std::collections::BTreeMap;
 
