Return idle slots of a leaving entry with its next request

Cause: a partial request listed only urgent rows, so idle slots stayed for up to a second. Change: leaving marks every limited row urgent; the broker of a term outlasts a pause of the leader's lease within that term. Conclusion: none beyond the change.

--- a/src/domain/room/holder.rs
+++ b/src/domain/room/holder.rs
@@ -201,12 +201,15 @@
         }
     }
 
-    /// Gives back the slots of a generation that ran for `ran_ms`.
-    pub fn release(&mut self, demands: &[Demand], ran_ms: u64) {
+    /// Gives back the slots of a generation that ran for `ran_ms`. Returns true if the broker
+    /// should hear of it before the next renewal.
+    pub fn release(&mut self, demands: &[Demand], ran_ms: u64) -> bool {
+        let mut is_urgent = false;
         for demand in demands {
             if let Some(slots) = self.rows.get_mut(&demand.row) {
                 // More is used than granted, so this slot goes to another holder.
                 slots.urgent |= slots.limited && slots.used > slots.granted;
+                is_urgent |= slots.urgent;
                 slots.used = slots.used.saturating_sub(1);
                 slots.mean_use_ms = match slots.mean_use_ms {
                     0 => ran_ms.max(1),
@@ -214,6 +217,7 @@
                 };
             }
         }
+        is_urgent
     }
 
     /// Asks to move the slots of a generation from a silent holder. `adopted` tells when they are.
@@ -259,9 +263,12 @@
         self.adoptions.remove(&id);
     }
 
-    /// From now on only slots in use are kept.
+    /// From now on only slots in use are kept; the next request returns all others.
     pub fn leave(&mut self) {
         self.leaving = true;
+        for slots in self.rows.values_mut() {
+            slots.urgent |= slots.limited;
+        }
     }
 
     /// Returns true if a row or an adoption should not wait for the next renewal.
--- a/src/roles/control/rooms.rs
+++ b/src/roles/control/rooms.rs
@@ -34,7 +34,6 @@
         let now_ms = monotonic_ms();
         let mut term = self.term.lock().unwrap_or_else(PoisonError::into_inner);
         if !leadership.leads {
-            *term = None;
             return Err(ControlError::NotLeader {
                 leader: leadership.leader,
             });
--- a/src/roles/rooms/mod.rs
+++ b/src/roles/rooms/mod.rs
@@ -246,11 +246,7 @@
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         let ran_ms = monotonic_ms().saturating_sub(self.taken_at_ms);
-        let is_urgent = {
-            let mut holder = self.rooms.lock();
-            holder.release(&self.demands, ran_ms);
-            holder.is_urgent()
-        };
+        let is_urgent = self.rooms.lock().release(&self.demands, ran_ms);
         if is_urgent {
             self.rooms.urgent.notify_one();
         }
--- a/tests/room_support/mod.rs
+++ b/tests/room_support/mod.rs
@@ -321,7 +321,9 @@
                     self.adopted += 1;
                 }
                 (true, false) => entry.adopting.push((id, index)),
-                (false, true) => holder.release(&demands, 0),
+                (false, true) => {
+                    holder.release(&demands, 0);
+                }
                 (false, false) => holder.abandon(id),
             }
         }
