Always admit control instances as watchers

Cause: a new leader with 32 watchers would have redirected the reports of the other control instances, so it would not have known what is in force below them. Change: members with the control role do not count against the limit; the measured fleet registers its control instances; the report holds the size and the cost of a copy of the view.

--- a/src/bench/distribution/fleet.rs
+++ b/src/bench/distribution/fleet.rs
@@ -137,6 +137,12 @@
             tasks,
         });
     }
+    for process in &processes {
+        let name = process.subscriber.me().name.as_str();
+        let command = DaemonSpec::new(name, 1, Role::Control).registration(process.address);
+        let leader = &processes[0].subscriber;
+        leader.submit(&command, COMMAND_LIMIT).await?;
+    }
     Ok(processes)
 }
 
--- a/src/bench/distribution/mod.rs
+++ b/src/bench/distribution/mod.rs
@@ -12,12 +12,15 @@
 use tokio::time::sleep;
 
 use crate::domain::members::{Role, Serves, UpstreamInfo};
+use crate::domain::state::View;
 use crate::model::{ModelName, TableVersion, UpstreamName};
-use crate::rpc::{Traffic, sent_traffic};
+use crate::rpc::{Traffic, encode, sent_traffic};
 pub use broker::BrokerPoint;
 use fleet::{DaemonSpec, FleetError, Process, applied, controls, daemon, edit, workspace_change};
 use resources::{cpu_seconds, resident_kb};
 
+/// Copies of the view that are made to measure one.
+const COPIES: usize = 10;
 /// Rows per edit while the table is filled.
 const FILL_ROWS: u32 = 1_000;
 /// Limit of the wait for one version on all subscribers.
@@ -90,6 +93,11 @@
     pub editing: Cost,
     /// Resident memory that each subscriber added, after the edits.
     pub memory_kb: f64,
+    /// Size of the encoded view, which a starting process fetches.
+    pub snapshot_bytes: usize,
+    /// Time and memory of one copy of the view. An edit makes a copy where the old view is in use.
+    pub copy_ms: f64,
+    pub copy_kb: f64,
 }
 
 /// All measurements.
@@ -104,7 +112,8 @@
     pub fn to_table(&self) -> String {
         let mut text = String::from(
             "subscribers   rows  in force p50/p99/max ms   idle: B/s wire B/s frames/s cpu%   \
-             editing: B/s wire B/s frames/s cpu%   memory KB\n",
+             editing: B/s wire B/s frames/s cpu%   memory KB   \
+             snapshot bytes   copy ms/KB\n",
         );
         for point in &self.points {
             let cost = |cost: &Cost| {
@@ -116,7 +125,7 @@
             // Writing to a string does not fail.
             let _ = writeln!(
                 text,
-                "{:>11} {:>6} {:>9.1}/{:.1}/{:.1}   {}   {}   {:>9.0}",
+                "{:>11} {:>6} {:>9.1}/{:.1}/{:.1}   {}   {}   {:>9.0} {:>16} {:>9.2}/{:.0}",
                 point.subscribers,
                 point.rows,
                 point.in_force_p50_ms,
@@ -124,7 +133,10 @@
                 point.in_force_max_ms,
                 cost(&point.idle),
                 cost(&point.editing),
-                point.memory_kb
+                point.memory_kb,
+                point.snapshot_bytes,
+                point.copy_ms,
+                point.copy_kb
             );
         }
         text.push_str("entries workspaces  renewal ms  broker cpu%  request bytes\n");
@@ -195,6 +207,7 @@
         sleep(Duration::from_millis(50)).await;
     }
     let memory_kb = (resident_kb() - before_kb) / as_f64(count);
+    let copy = measure_copy(leader);
     Ok(Point {
         subscribers: count,
         rows,
@@ -206,9 +219,21 @@
         idle,
         editing,
         memory_kb,
+        snapshot_bytes: encode(&*leader.subscriber.view()).map_or(0, |bytes| bytes.len()),
+        copy_ms: copy.0,
+        copy_kb: copy.1,
     })
 }
 
+/// Returns the time in milliseconds and the kilobytes of one copy of the view.
+fn measure_copy(process: &Process) -> (f64, f64) {
+    let view = process.subscriber.view();
+    let (before_kb, began) = (resident_kb(), Instant::now());
+    let copies: Vec<View> = (0..COPIES).map(|_| (*view).clone()).collect();
+    let copy_ms = began.elapsed().as_secs_f64() * 1_000.0 / as_f64(copies.len());
+    (copy_ms, (resident_kb() - before_kb) / as_f64(copies.len()))
+}
+
 /// Fills the table and registers the members that have no process in this measurement.
 async fn fill(
     leader: &Process,
--- a/src/roles/subscriber/watchers.rs
+++ b/src/roles/subscriber/watchers.rs
@@ -10,7 +10,7 @@
 
 use super::ViewStore;
 use crate::adapters::clock::monotonic_ms;
-use crate::domain::members::Phase;
+use crate::domain::members::{Phase, Role};
 use crate::domain::state::View;
 use crate::model::{InstanceName, TableVersion};
 use crate::rpc::control::{Freshness, SnapshotCursor, WatchReply, WatchRequest};
@@ -140,11 +140,13 @@
         watchers
     }
 
-    /// Notes the call of a watcher, or returns none if there are enough others.
-    fn admit(&self, request: &WatchRequest) -> Option<Call<'_>> {
+    /// Notes the call of a watcher, or returns none if there are enough others. Control instances
+    /// are always admitted: they report what is in force below them.
+    fn admit(&self, request: &WatchRequest, is_control: bool) -> Option<Call<'_>> {
         let mut watchers = self.lock();
         let name = &request.stamp.sender.name;
-        if !watchers.contains_key(name) && watchers.len() >= self.limit.unwrap_or(MAX_WATCHERS) {
+        let is_full = watchers.len() >= self.limit.unwrap_or(MAX_WATCHERS);
+        if is_full && !is_control && !watchers.contains_key(name) {
             return None;
         }
         let calls = watchers.get(name).map_or(0, |watcher| watcher.calls);
@@ -244,7 +246,7 @@
     if !can_answer(store, &request) {
         return WatchReply::Unconfirmed { stamp: stamp() };
     }
-    let call = watchers.admit(&request);
+    let call = watchers.admit(&request, is_control(&store.view(), &request));
     if call.is_none() {
         let relay = watchers.relay_for(&store.view(), &request.stamp.sender.name);
         if let Some(relay) = relay {
@@ -286,6 +288,11 @@
     }
 }
 
+fn is_control(view: &View, request: &WatchRequest) -> bool {
+    let member = view.members.members.get(&request.stamp.sender.name);
+    member.is_some_and(|member| member.roles.contains(&Role::Control))
+}
+
 /// Returns false if the watcher is ahead of this process, or this process is cut off.
 fn can_answer(store: &ViewStore, request: &WatchRequest) -> bool {
     let age_ms = store.confirmed_age_ms();
