--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -23,3 +23,4 @@
 pub use plot::write_plots;
 pub use report::Report;
 pub mod state;
+pub mod distribution;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -120,9 +120,37 @@
         }
     }
 
+    /// Starts `count` control instances that everybody reaches through proxies.
+    pub async fn start_proxied_control(&mut self, count: usize) -> BTreeMap<String, Proxy> {
+        let mut proxies = BTreeMap::new();
+        let mut own = Vec::new();
+        for number in 1..=count {
+            let name = format!("control-{number}");
+            let rpc = self.free_address();
+            let proxy = Proxy::start(rpc).await.unwrap();
+            self.peers.push((name.clone(), proxy.address()));
+            own.push((name.clone(), rpc));
+            proxies.insert(name, proxy);
+        }
+        self.control = self.peers.iter().map(|(_, address)| *address).collect();
+        for (name, rpc) in &own {
+            self.instance_lines(&format!("advertised_rpc_address = {}", proxies[name].address()));
+            self.start_control_at(name, *rpc);
+        }
+        self.instance_lines("");
+        for (name, _) in &own {
+            self.wait_ready(name).await;
+        }
+        proxies
+    }
+
     /// Starts one of the control instances, for the first time or again.
     pub fn start_control_instance(&mut self, name: &str) {
         let rpc = self.peers.iter().find(|(peer, _)| peer == name).unwrap().1;
+        self.start_control_at(name, rpc);
+    }
+
+    fn start_control_at(&mut self, name: &str, rpc: SocketAddr) {
         let peers: Vec<String> = self
             .peers
             .iter()
--- a/tests/room_support/mod.rs
+++ b/tests/room_support/mod.rs
@@ -1,5 +1,6 @@
 //! A discrete run of broker, holders and sidecars under faults, with an oracle that counts the
 //! generations that truly run.
+#![allow(dead_code)] // Each test file uses a part of it.
 
 use std::collections::BTreeMap;
 
@@ -320,7 +321,9 @@
                     self.adopted += 1;
                 }
                 (true, false) => entry.adopting.push((id, index)),
-                (false, true) => holder.release(&demands, 0),
+                (false, true) => {
+                    holder.release(&demands, 0);
+                }
                 (false, false) => holder.abandon(id),
             }
         }
