Hold slots while a dropped generation runs; accept versions just registered

Cause: a slot was free during the time to resume; a version that was just registered was not used until the next load report. Change: both; an invariant on offsets; tests of silent connections, leaving stamps and tokens served elsewhere. Conclusion: no change of the messages was needed.

--- a/src/roles/entry/generation.rs
+++ b/src/roles/entry/generation.rs
@@ -18,6 +18,7 @@
 use super::recovery;
 use super::room::SlotGuard;
 use super::terms::Terms;
+use crate::adapters::telemetry::invariant;
 use crate::domain::retry::{Ended, Proof};
 use crate::domain::route::Ask;
 use crate::domain::state::View;
@@ -213,6 +214,12 @@
 
     fn hand_out(&mut self, offset: u32, tokens: Vec<String>) -> Step {
         let count = tokens.len();
+        invariant(offset == self.given, "stream_follows_its_offset", || {
+            format!(
+                "generation {}: tokens at {offset} after {}",
+                self.attempt.generation, self.given
+            )
+        });
         self.lost_since_ms = None;
         self.given = self
             .given
@@ -299,7 +306,9 @@
             true => entry.settings.reconnect_grace_ms,
             false => 0,
         };
+        let slot = self.slot.take();
         tokio::spawn(async move {
+            let _held_while_it_runs = slot;
             tokio::time::sleep(Duration::from_millis(grace_ms)).await;
             if !peer.poller.is_read(generation) {
                 cancel_later(&entry, &peer, generation);
--- a/src/roles/entry/load.rs
+++ b/src/roles/entry/load.rs
@@ -153,8 +153,10 @@
         }
         let known = self.upstreams.get(upstream);
         let reported = known.and_then(|known| known.reported.as_ref());
-        let versions = reported.map_or(registered, |(_, load)| &load.versions);
-        if version.is_some_and(|version| !versions.iter().any(|loaded| loaded == version)) {
+        // Either may be the newer one; a sidecar that has dropped the version refuses the start.
+        let reported_versions = reported.map_or(&[][..], |(_, load)| &load.versions);
+        let mut versions = registered.iter().chain(reported_versions);
+        if version.is_some_and(|version| !versions.any(|loaded| loaded == version)) {
             return None;
         }
         if reported.is_some_and(|(_, load)| load.leaving || !load.healthy) {
--- a/tests/entry_recovery.rs
+++ b/tests/entry_recovery.rs
@@ -161,3 +161,60 @@
         );
     }
 }
+
+/// Guards against streams that end, repeat or skip when connections go silent: a connection is
+/// given up after 2 s without an answer to its heartbeat.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_survives_silent_connections() {
+    let sidecar = RunningFake::start(Fake::new("s1", 1, slow(100)));
+    let control = FakeControl::default().serve().await;
+    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    let reading = tokio::spawn(text_of(post(&entry, "/v1/completions", STREAM)));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    sidecar.freeze(Duration::from_millis(4_000));
+    let (status, text) = reading.await.unwrap();
+    assert_eq!(status, 200, "{text}");
+    assert_eq!(shown(&parse_events(&text)), expected(100));
+    assert_eq!(sidecar.fake.seen().starts.len(), 1);
+}
+
+/// Guards against new work at a sidecar whose replies say that it leaves, while the member list
+/// does not know yet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_stamp_counts_at_once() {
+    let leaving = RunningFake::start(Fake::new("s1", 1, tokens(3)));
+    let other = RunningFake::start(Fake::new("s2", 1, tokens(3)));
+    let control = FakeControl::default().serve().await;
+    let entry = start_entry("e1", view(&[&leaving, &other]), control).await;
+    *leaving.fake.leaving.lock().unwrap() = true;
+    for _ in 0..40 {
+        assert_eq!(text_of(post(&entry, "/v1/completions", WHOLE)).await.0, 200);
+    }
+    let starts = leaving.fake.seen().starts.len();
+    assert!(starts <= 1, "{starts} starts at the leaving sidecar");
+}
+
+/// Guards against shares that forget what a workspace was served at other sidecars.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn starts_tell_what_was_served_elsewhere() {
+    let fakes = ["s1", "s2"].map(|name| RunningFake::start(Fake::new(name, 1, tokens(10))));
+    let control = FakeControl::default().serve().await;
+    let entry = start_entry("e1", view(&[&fakes[0], &fakes[1]]), control).await;
+    let mut last_start = [None; 2];
+    for turn in 0..20_u64 {
+        let before = fakes.each_ref().map(|fake| fake.fake.seen().starts.len());
+        assert_eq!(text_of(post(&entry, "/v1/completions", WHOLE)).await.0, 200);
+        for (index, fake) in fakes.iter().enumerate() {
+            let seen = fake.fake.seen();
+            if let Some(start) = seen.starts.get(before[index]) {
+                let elsewhere = last_start[index].map_or(0, |last| (turn - last - 1) * 10);
+                assert_eq!(start.served_elsewhere_tokens, elsewhere, "turn {turn}");
+                last_start[index] = Some(turn);
+            }
+        }
+    }
+    assert!(
+        last_start.iter().all(Option::is_some),
+        "one sidecar got all requests"
+    );
+}
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -484,6 +484,13 @@
         }
     }
 
+    /// Stops everything in the sidecar for a while; its connections stay open and silent.
+    pub fn freeze(&self, time: Duration) {
+        if let Some(runtime) = &self.runtime {
+            runtime.spawn(async move { std::thread::sleep(time) });
+        }
+    }
+
     pub fn member(&self) -> Member {
         let upstream = |name: UpstreamName, serves| UpstreamInfo {
             name,
