--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -22,5 +22,5 @@
 };
 pub use plot::write_plots;
 pub use report::Report;
-pub mod state;
 pub mod distribution;
+pub mod state;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -134,7 +134,10 @@
         }
         self.control = self.peers.iter().map(|(_, address)| *address).collect();
         for (name, rpc) in &own {
-            self.instance_lines(&format!("advertised_rpc_address = {}", proxies[name].address()));
+            self.instance_lines(&format!(
+                "advertised_rpc_address = {}",
+                proxies[name].address()
+            ));
             self.start_control_at(name, *rpc);
         }
         self.instance_lines("");
--- a/tests/faults_control.rs
+++ b/tests/faults_control.rs
@@ -25,7 +25,11 @@
 /// Calls the operators' API of an instance; none if it does not answer with 200 in time.
 async fn get(fleet: &Fleet, name: &str, path: &str) -> Option<Value> {
     let url = format!("http://{}{path}", fleet.daemons[name].admin);
-    let call = client().get(url).bearer_auth("secret").timeout(Duration::from_secs(4)).send();
+    let call = client()
+        .get(url)
+        .bearer_auth("secret")
+        .timeout(Duration::from_secs(4))
+        .send();
     let answer = call.await.ok()?;
     match answer.status().as_u16() {
         200 => answer.json().await.ok(),
@@ -52,8 +56,14 @@
 /// Returns the names of the voters as an instance sees them.
 async fn voters(fleet: &Fleet, name: &str) -> Vec<String> {
     let status = get(fleet, name, "/v1/status").await.unwrap_or_default();
-    let voters = status["log"]["voters"].as_array().cloned().unwrap_or_default();
-    voters.iter().map(|voter| voter.as_str().unwrap().to_owned()).collect()
+    let voters = status["log"]["voters"]
+        .as_array()
+        .cloned()
+        .unwrap_or_default();
+    voters
+        .iter()
+        .map(|voter| voter.as_str().unwrap().to_owned())
+        .collect()
 }
 
 /// Returns the room of a workspace in a confirmed read at an instance.
@@ -72,11 +82,21 @@
     fleet.start_control(3).await;
     let mut base = TableVersion(0);
     for number in 0..150 {
-        base = fleet.edit(&format!("a{number}"), base, vec![change("steady", number + 1)]).await.unwrap();
+        base = fleet
+            .edit(
+                &format!("a{number}"),
+                base,
+                vec![change("steady", number + 1)],
+            )
+            .await
+            .unwrap();
     }
     let first = leader(&fleet, &[], FAILOVER).await;
     fleet.kill(&first);
-    base = fleet.edit("after-kill", base, vec![change("kill", 7)]).await.unwrap();
+    base = fleet
+        .edit("after-kill", base, vec![change("kill", 7)])
+        .await
+        .unwrap();
 
     // The killed leader comes back without its disk, as an identity that has never voted.
     std::fs::remove_dir_all(fleet.data_folder(&first)).unwrap();
@@ -89,15 +109,30 @@
         if now.len() == 3 && now != before {
             break;
         }
-        assert!(start.elapsed() < Duration::from_secs(20), "the new identity does not vote: {now:?}");
+        assert!(
+            start.elapsed() < Duration::from_secs(20),
+            "the new identity does not vote: {now:?}"
+        );
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     fleet.kill(&second);
     let start = Instant::now();
-    base = fleet.edit("after-second-loss", base, vec![change("second", 8)]).await.unwrap();
+    base = fleet
+        .edit("after-second-loss", base, vec![change("second", 8)])
+        .await
+        .unwrap();
     assert!(start.elapsed() < FAILOVER, "{:?}", start.elapsed());
+    let mut last_base = base;
     for number in 0..150 {
-        base = fleet.edit(&format!("b{number}"), base, vec![change("steady", number + 1_000)]).await.unwrap();
+        last_base = base;
+        base = fleet
+            .edit(
+                &format!("b{number}"),
+                base,
+                vec![change("steady", number + 1_000)],
+            )
+            .await
+            .unwrap();
     }
     for (name, _) in fleet.peers.clone() {
         fleet.restart(&name);
@@ -109,9 +144,13 @@
         assert_eq!(room(&fleet, &name, "second").await, Some(8), "{name}");
     }
     // The audit trail is there, and a resent edit gets its first answer.
-    let history = get(&fleet, "control-1", "/v1/table/history?limit=5").await.unwrap();
+    let history = get(&fleet, "control-1", "/v1/table/history?limit=5")
+        .await
+        .unwrap();
     assert_eq!(history["entries"].as_array().unwrap().len(), 5);
-    let resent = fleet.edit("b149", base, vec![change("steady", 1_149)]).await;
+    let resent = fleet
+        .edit("b149", last_base, vec![change("steady", 1_149)])
+        .await;
     assert!(resent.is_ok(), "{resent:?}");
     fleet.assert_no_violations().await;
 }
@@ -122,19 +161,32 @@
 async fn a_frozen_leader_serves_nothing_stale() {
     let mut fleet = Fleet::new();
     fleet.start_control(3).await;
-    let mut base = fleet.edit("first", TableVersion(0), vec![change("frozen", 1)]).await.unwrap();
+    let mut base = fleet
+        .edit("first", TableVersion(0), vec![change("frozen", 1)])
+        .await
+        .unwrap();
     for round in 2..4 {
         let old = leader(&fleet, &[], FAILOVER).await;
         fleet.signal(&old, "STOP");
         let start = Instant::now();
         leader(&fleet, &[&old], FAILOVER).await;
         assert!(start.elapsed() < FAILOVER);
-        base = fleet.edit(&format!("round-{round}"), base, vec![change("frozen", round)]).await.unwrap();
+        base = fleet
+            .edit(
+                &format!("round-{round}"),
+                base,
+                vec![change("frozen", round)],
+            )
+            .await
+            .unwrap();
         fleet.signal(&old, "CONT");
         for _ in 0..20 {
             // Refusing is allowed; an older room is not.
             let seen = room(&fleet, &old, "frozen").await;
-            assert!(seen.is_none_or(|seen| seen == u64::from(round)), "round {round}: {seen:?}");
+            assert!(
+                seen.is_none_or(|seen| seen == u64::from(round)),
+                "round {round}: {seen:?}"
+            );
         }
     }
     fleet.assert_no_violations().await;
@@ -146,7 +198,10 @@
 async fn racing_edits_have_one_winner_and_resends_get_the_first_answer() {
     let mut fleet = Fleet::new();
     fleet.start_control(3).await;
-    let base = fleet.edit("first", TableVersion(0), vec![change("raced", 1)]).await.unwrap();
+    let base = fleet
+        .edit("first", TableVersion(0), vec![change("raced", 1)])
+        .await
+        .unwrap();
     let fleet = std::sync::Arc::new(fleet);
     let racers: Vec<_> = (0..8u32)
         .map(|number| {
@@ -154,10 +209,17 @@
             tokio::spawn(async move {
                 let id = format!("racer-{number}");
                 let answers = [
-                    fleet.edit(&id, base, vec![change("raced", 10 + number)]).await,
-                    fleet.edit(&id, base, vec![change("raced", 10 + number)]).await,
+                    fleet
+                        .edit(&id, base, vec![change("raced", 10 + number)])
+                        .await,
+                    fleet
+                        .edit(&id, base, vec![change("raced", 10 + number)])
+                        .await,
                 ];
-                assert_eq!(answers[0], answers[1], "a resend of {id} has another answer");
+                assert_eq!(
+                    answers[0], answers[1],
+                    "a resend of {id} has another answer"
+                );
                 let [answer, _] = answers;
                 answer
             })
@@ -173,7 +235,10 @@
         }
     }
     assert_eq!(winners.len(), 1);
-    assert!(named.iter().all(|winner| *winner == winners[0]), "{named:?}");
+    assert!(
+        named.iter().all(|winner| *winner == winners[0]),
+        "{named:?}"
+    );
     fleet.assert_no_violations().await;
 }
 
@@ -183,21 +248,35 @@
 async fn an_isolated_instance_neither_disturbs_nor_answers() {
     let mut fleet = Fleet::new();
     let proxies = fleet.start_proxied_control(3).await;
-    let mut base = fleet.edit("first", TableVersion(0), vec![change("cut", 1)]).await.unwrap();
+    let mut base = fleet
+        .edit("first", TableVersion(0), vec![change("cut", 1)])
+        .await
+        .unwrap();
     let old = leader(&fleet, &[], FAILOVER).await;
     // A one-way cut: what the others send does not reach the leader, what it sends reaches them.
     proxies[&old].drop_silently(Direction::Both);
-    fleet.control.retain(|address| *address != proxies[&old].address());
-    base = fleet.edit("while-cut", base, vec![change("cut", 2)]).await.unwrap();
+    fleet
+        .control
+        .retain(|address| *address != proxies[&old].address());
+    base = fleet
+        .edit("while-cut", base, vec![change("cut", 2)])
+        .await
+        .unwrap();
     let term = |status: Value| status["log"]["term"].as_u64().unwrap();
     let new = leader(&fleet, &[&old], FAILOVER).await;
     let before = term(get(&fleet, &new, "/v1/status").await.unwrap());
     tokio::time::sleep(Duration::from_secs(4)).await;
     let stale = room(&fleet, &old, "cut").await;
-    assert!(stale.is_none_or(|seen| seen == 2), "read {stale:?} at the isolated instance");
+    assert!(
+        stale.is_none_or(|seen| seen == 2),
+        "read {stale:?} at the isolated instance"
+    );
     proxies[&old].heal();
     tokio::time::sleep(Duration::from_secs(2)).await;
-    fleet.edit("after", base, vec![change("cut", 3)]).await.unwrap();
+    fleet
+        .edit("after", base, vec![change("cut", 3)])
+        .await
+        .unwrap();
     let after = term(get(&fleet, &new, "/v1/status").await.unwrap());
     assert_eq!(before, after, "the returning instance forced an election");
     fleet.assert_no_violations().await;
