Grant slots at once while no earlier leader can have granted any; simulate the project's policy

Cause: tests/path.rs was refused with 429 for 35 s after the first start. The broker skipped the grace of a new leader only in term 1, and the first leader of a replicated log has a higher term. Ruled out: the entries' reports; they arrive within a second. Change: the registry keeps the first registration of an entry; a leader whose term began before it needs no grace. The simulated comparison runs the sidecar's scheduler with the entry's choice of replica, and variants with one mechanism off. Conclusion: a new site can use room_slots from the first second.

--- a/src/bench/distribution/fleet.rs
+++ b/src/bench/distribution/fleet.rs
@@ -174,6 +174,7 @@
         leadership: Box::new(move || Leadership {
             leads,
             term: 1,
+            term_first_index: Some(0),
             leader: Some(leader),
         }),
         hand_over: Box::new(|| Box::pin(async {})),
--- a/src/bench/options.rs
+++ b/src/bench/options.rs
@@ -11,7 +11,7 @@
 use super::plot::write_plots;
 use super::recorder::Recorder;
 use super::report::Report;
-use super::sim::{Comparison, NamedPolicy, baselines};
+use super::sim::{Comparison, NamedPolicy, ablations, adaptive, baselines};
 use super::workload::{Mix, Workload, WorkloadOptions};
 use crate::roles::standin::EngineConfig;
 
@@ -174,18 +174,21 @@
     /// Kills one engine and slows another threefold halfway.
     #[arg(long)]
     pub failure: bool,
+    /// Runs variants of the project's own policy as well, each with one mechanism off.
+    #[arg(long)]
+    pub ablations: bool,
     #[arg(long, default_value_t = 4)]
     pub threads: usize,
     #[command(flatten)]
     pub output: OutputOptions,
 }
 
-/// Runs the load tool; simulations compare the baselines.
+/// Runs the load tool; simulations compare the baselines and the project's own policy.
 pub fn run(options: &Options) -> Result<Report, BenchError> {
     run_with(options, Vec::new())
 }
 
-/// Runs the load tool; simulations compare the baselines and `policies`.
+/// Runs the load tool; simulations compare the baselines, the project's own policy and `policies`.
 pub fn run_with(options: &Options, policies: Vec<NamedPolicy>) -> Result<Report, BenchError> {
     let (report, output) = match &options.command {
         Command::Load(load) => (run_load(load)?, &load.output),
@@ -268,6 +271,10 @@
         threads: options.threads,
     };
     let mut all = baselines();
+    all.push(adaptive());
+    if options.ablations {
+        all.extend(ablations());
+    }
     all.extend(policies);
     let results = comparison.run(&all);
     Report::Runs(results.iter().map(Recorder::report).collect())
--- a/src/bench/sim/mod.rs
+++ b/src/bench/sim/mod.rs
@@ -1,5 +1,6 @@
 //! Compares admission policies in simulated time: the engine core, several engines, no network.
 
+mod adaptive;
 mod baselines;
 mod policy;
 mod run;
@@ -12,6 +13,7 @@
 use super::workload::{Mix, Workload, WorkloadOptions};
 use crate::roles::standin::{EngineConfig, tokens};
 
+pub use adaptive::{ablations, adaptive};
 pub use baselines::{baselines, fixed_concurrency, no_gate, worst_case};
 pub use policy::{EngineView, Job, JobEnd, NamedPolicy, Policy, Setup, Start, Verdict};
 
--- a/src/domain/log/core.rs
+++ b/src/domain/log/core.rs
@@ -170,6 +170,10 @@
             commit: self.commit,
             applied: self.applied,
             synced: self.synced,
+            term_first_index: match &self.role {
+                Role::Leader(leading) => Some(leading.first_index),
+                Role::Follower | Role::Candidate { .. } => None,
+            },
         }
     }
 
--- a/src/domain/log/state.rs
+++ b/src/domain/log/state.rs
@@ -79,6 +79,8 @@
     pub commit: u64,
     pub applied: u64,
     pub synced: u64,
+    /// The first entry of the term, at its leader.
+    pub term_first_index: Option<u64>,
 }
 
 /// What a leader knows of another replica.
--- a/src/domain/members/registry.rs
+++ b/src/domain/members/registry.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Member, Members, Phase, UpstreamInfo};
+use super::{Member, Members, Phase, Role, UpstreamInfo};
 use crate::domain::state::{RegisterAnswer, ViewChange};
 use crate::model::{Fence, Incarnation, InstanceName, InstanceRef};
 
@@ -42,6 +42,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registry {
     lives: BTreeMap<InstanceName, Life>,
+    /// The first registration of an entry in the life of the cluster.
+    first_entry: Option<Fence>,
 }
 
 impl Registry {
@@ -50,6 +52,12 @@
         self.lives.get(name).map(|life| life.registered_at_ms)
     }
 
+    /// Returns the first registration of an entry in the life of the cluster. A leader whose term
+    /// began before it has no predecessor that granted slots to anybody.
+    pub fn first_entry(&self) -> Option<Fence> {
+        self.first_entry
+    }
+
     /// Registers an incarnation. A new one replaces the old one for good.
     pub fn register(
         &mut self,
@@ -77,6 +85,9 @@
         life.gone_at_ms = (member.phase == Phase::Gone).then_some(now_ms);
         let mut member = member.clone();
         member.fence = Fence(index);
+        if member.roles.contains(&Role::Entry) {
+            self.first_entry.get_or_insert(member.fence);
+        }
         let answer = RegisterAnswer::Registered(member.fence);
         (answer, vec![ViewChange::SetMember(member)])
     }
--- a/src/roles/control/port.rs
+++ b/src/roles/control/port.rs
@@ -28,6 +28,8 @@
     /// True if this instance leads and its lease is valid.
     pub leads: bool,
     pub term: u64,
+    /// The index of the first entry of the term, if this instance leads.
+    pub term_first_index: Option<u64>,
     pub leader: Option<SocketAddr>,
 }
 
@@ -65,6 +67,7 @@
         leadership: Box::new(|| Leadership {
             leads: true,
             term: 1,
+            term_first_index: Some(0),
             leader: None,
         }),
         hand_over: Box::new(|| Box::pin(async {})),
--- a/src/roles/control/replica/status.rs
+++ b/src/roles/control/replica/status.rs
@@ -28,6 +28,8 @@
     pub commit: u64,
     pub applied: u64,
     pub synced: u64,
+    /// The first entry of the term, at its leader.
+    pub term_first_index: Option<u64>,
     /// Why the replica has stopped.
     pub stopped: Option<String>,
 }
@@ -69,6 +71,7 @@
             commit: status.commit,
             applied: status.applied,
             synced: status.synced,
+            term_first_index: status.term_first_index,
             stopped,
         }
     }
--- a/src/roles/control/replicated.rs
+++ b/src/roles/control/replicated.rs
@@ -50,6 +50,7 @@
             Leadership {
                 leads: status.role == RoleName::Leader && status.stopped.is_none(),
                 term: status.term,
+                term_first_index: status.term_first_index,
                 leader: status.leader.map(|leader| leader.address),
             }
         }),
--- a/src/roles/control/rooms.rs
+++ b/src/roles/control/rooms.rs
@@ -8,13 +8,10 @@
 use crate::domain::members::{Members, Phase, Role};
 use crate::domain::room::{Broker, EntryMember, RoomKey, RoomTimes, Violation};
 use crate::domain::state::View;
-use crate::model::InstanceRef;
+use crate::model::{Fence, InstanceRef};
 use crate::rpc::Stamp;
 use crate::rpc::control::{ControlError, RoomReply, RoomRequest};
 
-/// The term of the first leader of a cluster.
-const FIRST_TERM: u64 = 1;
-
 /// The broker of the current term, if this instance leads.
 #[derive(Default)]
 pub struct RoomBroker {
@@ -23,10 +20,12 @@
 }
 
 impl RoomBroker {
-    /// Answers a holder's request. `view` was confirmed current by the leader in its term.
+    /// Answers a holder's request. `view` was confirmed current by the leader in its term;
+    /// `first_entry` is the first registration of an entry in the life of the cluster.
     pub fn answer(
         &self,
         leadership: Leadership,
+        first_entry: Option<Fence>,
         view: &View,
         stamp: Stamp,
         request: &RoomRequest,
@@ -44,7 +43,7 @@
         {
             *term = Some((
                 leadership.term,
-                Broker::new(self.times_in(leadership.term), now_ms),
+                Broker::new(self.times_in(leadership, first_entry), now_ms),
             ));
         }
         let Some((_, broker)) = term.as_mut() else {
@@ -68,14 +67,15 @@
 }
 
 impl RoomBroker {
-    /// In the first term of a cluster there is no earlier leader whose grants may be in use.
-    fn times_in(&self, term: u64) -> RoomTimes {
-        match term <= FIRST_TERM {
-            true => RoomTimes {
+    /// Without an entry before the term there is no earlier leader whose grants may be in use.
+    fn times_in(&self, leadership: Leadership, first_entry: Option<Fence>) -> RoomTimes {
+        let began = leadership.term_first_index.unwrap_or_default();
+        match first_entry {
+            Some(fence) if fence.0 < began => self.times,
+            _ => RoomTimes {
                 grace_ms: 0,
                 ..self.times
             },
-            false => self.times,
         }
     }
 }
--- a/src/roles/control/service.rs
+++ b/src/roles/control/service.rs
@@ -101,7 +101,9 @@
         leadership.leads &= leadership.term == term;
         let view = self.subscriber.view();
         let stamp = self.subscriber.stamp();
-        self.rooms.answer(leadership, &view, stamp, request)
+        let first_entry = self.machine.read(|state| state.registry().first_entry());
+        self.rooms
+            .answer(leadership, first_entry, &view, stamp, request)
     }
 
     /// Returns on how many processes a version is in force. Exact at the leader, which the other
