Do not walk the table for edits that set no new API key hash

Cause: an edit of a workspace with a key compared its hash with those of all 20,000 workspaces. The measurement of 12,000 such edits took most of a run of over a minute, and commands behind an edit waited for it. Change: only hashes that an edit sets anew are compared. The measurement keeps its copies and bounds its histogram, which had recorded zeros.

--- a/src/bench/state.rs
+++ b/src/bench/state.rs
@@ -1,5 +1,6 @@
 //! Measures the replicated state machine at the size designed for.
 
+use std::any::Any;
 use std::fmt;
 use std::fs;
 use std::time::Instant;
@@ -8,10 +9,10 @@
 use serde::Serialize;
 
 use crate::domain::members::{Member, Phase, Role, Serves, UpstreamInfo};
-use crate::domain::state::{Claimed, Command, EditId, KeyId, RowChange, State, ViewDelta};
+use crate::domain::state::{Claimed, Command, EditId, KeyId, RowChange, State, View, ViewDelta};
 use crate::domain::table::{ModelRow, Row, RowKey, WorkspaceRow};
 use crate::model::{Fence, GenerationId, Incarnation, InstanceRef};
-use crate::rpc::encode;
+use crate::rpc::{decode, encode};
 
 const WORKSPACES: usize = 20_000;
 const MEMBERS: usize = 400;
@@ -20,6 +21,7 @@
 /// Configuration changes of a day.
 const EDITS: usize = 12_000;
 const CLAIMS: usize = 200_000;
+const COPIES: usize = 4;
 
 /// 2023-11-14; any time does.
 const START_MS: u64 = 1_700_000_000_000;
@@ -53,6 +55,7 @@
         state: State::default(),
         index: 0,
         report: StateReport::default(),
+        kept: Vec::new(),
     };
     bench.workspaces();
     bench.members();
@@ -70,6 +73,9 @@
     state: State,
     index: u64,
     report: StateReport,
+    /// Copies whose memory was measured. They stay, so that their memory is not used again and
+    /// missed in the next measurement.
+    kept: Vec<Box<dyn Any>>,
 }
 
 impl Bench {
@@ -137,12 +143,14 @@
 
     /// Measures the view alone, which every process keeps, and the whole state, from copies.
     fn memory_of_the_design_size(&mut self) {
-        let (view, kib) = grown_kib(|| self.state.view().clone());
-        drop(view);
-        self.add("memory of a copy of the view", kib, "KiB");
-        let (state, kib) = grown_kib(|| self.state.clone());
-        drop(state);
-        self.add("memory of a copy of the whole state", kib, "KiB");
+        let view = encode(self.state.view()).unwrap_or_default();
+        let (views, kib) = grown_kib(|| copies(|| decode::<View>(&view).ok()));
+        self.kept.push(Box::new(views));
+        self.add("memory of the view", kib / count(COPIES), "KiB");
+        let snapshot = self.state.snapshot();
+        let (states, kib) = grown_kib(|| copies(|| State::restore(&snapshot).ok()));
+        self.kept.push(Box::new(states));
+        self.add("memory of the whole state", kib / count(COPIES), "KiB");
         let view_bytes = bytes(self.state.view());
         self.add("encoded view", view_bytes, "bytes");
     }
@@ -241,6 +249,11 @@
     }
 }
 
+/// Several copies, so that memory that was freed before matters less.
+fn copies<T>(make: impl Fn() -> T) -> Vec<T> {
+    (0..COPIES).map(|_| make()).collect()
+}
+
 fn workspace(number: usize, weight: u32) -> RowChange {
     RowChange {
         key: RowKey::Workspace(format!("workspace-{number:05}").as_str().into()),
@@ -299,7 +312,8 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three significant digits are valid")
+    const MAX_NANOS: u64 = 60_000_000_000;
+    Histogram::new_with_bounds(1, MAX_NANOS, 3).expect("the bounds are valid")
 }
 
 fn record(times: &mut Histogram<u64>, started: Instant) {
--- a/src/domain/table/edits.rs
+++ b/src/domain/table/edits.rs
@@ -259,7 +259,7 @@
     }
     let after = After::new(edit.changes, table);
     keys.extend(after.users_of_deleted().map(|(user, _)| user.clone()));
-    keys.extend(after.key_hash_owners());
+    keys.extend(after.key_hash_owners().into_values().cloned());
     keys
 }
 
--- a/src/domain/table/validate.rs
+++ b/src/domain/table/validate.rs
@@ -68,19 +68,25 @@
         })
     }
 
-    /// Returns untouched workspaces that have an API key hash which the edit sets elsewhere.
-    pub(super) fn key_hash_owners(&self) -> Vec<RowKey> {
-        let hashes: BTreeSet<&str> = self
-            .changes
-            .values()
-            .filter_map(|row| key_hash((*row)?))
+    /// Returns untouched workspaces that have an API key hash which the edit sets elsewhere. An edit
+    /// that sets no new hash, like most, does not walk the table.
+    pub(super) fn key_hash_owners(&self) -> BTreeMap<&'a str, &'a RowKey> {
+        let is_new = |key: &RowKey, hash: &str| {
+            let old = self.table.rows.get(key);
+            old.and_then(|(_, row)| key_hash(row)) != Some(hash)
+        };
+        let changes = self.changes.iter();
+        let new_hashes: BTreeSet<&str> = changes
+            .filter_map(|(key, row)| Some((*key, key_hash((*row)?)?)))
+            .filter(|(key, hash)| is_new(key, hash))
+            .map(|(_, hash)| hash)
             .collect();
-        if hashes.is_empty() {
-            return Vec::new();
+        if new_hashes.is_empty() {
+            return BTreeMap::new();
         }
         self.untouched()
-            .filter(|(_, row)| key_hash(row).is_some_and(|hash| hashes.contains(hash)))
-            .map(|(key, _)| key.clone())
+            .filter_map(|(key, row)| Some((key_hash(row)?, key)))
+            .filter(|(hash, _)| new_hashes.contains(hash))
             .collect()
     }
 }
@@ -328,20 +334,9 @@
 }
 
 fn check_key_hashes(after: &After, findings: &mut Findings) {
-    let mut owners: BTreeMap<&str, &RowKey> = BTreeMap::new();
-    let changed = after
-        .changes
-        .iter()
-        .filter_map(|(key, row)| Some((*key, (*row)?)));
-    let has_hash = |row: &Row| key_hash(row).is_some();
-    if !changed.clone().any(|(_, row)| has_hash(row)) {
-        return;
-    }
-    for (key, row) in after.untouched() {
-        if let Some(hash) = key_hash(row) {
-            owners.insert(hash, key);
-        }
-    }
+    let mut owners = after.key_hash_owners();
+    let rows = after.changes.iter();
+    let changed = rows.filter_map(|(key, row)| Some((*key, (*row)?)));
     for (key, row) in changed {
         let Some(hash) = key_hash(row) else { continue };
         if let Some(owner) = owners.insert(hash, key) {
