Hold the first order back until a former incarnation cannot send any

Change: an order book sends nothing for that time after its registration; the simulation lets former incarnations run on.

--- a/src/domain/orders/engine.rs
+++ b/src/domain/orders/engine.rs
@@ -126,12 +126,16 @@
 impl OrderBook {
     /// Returns the book of an engine of a sidecar that has registered with a fencing number. An
     /// order without an answer for `order_limit_ms` is in doubt.
+    ///
+    /// No order is sent before a former incarnation, if it still runs, can no longer take its own
+    /// number for current. Engines that ignore fencing numbers rely on this.
     pub fn new(
         own: InstanceRef,
         fence: Fence,
         replica: Replica,
         model: ModelName,
         order_limit_ms: u64,
+        registered_at_ms: u64,
     ) -> Self {
         Self {
             own,
@@ -148,7 +152,7 @@
             in_flight: None,
             reading: None,
             permit: None,
-            quiet_until_ms: 0,
+            quiet_until_ms: registered_at_ms + FENCE_VALID_MS,
             last_sequence: 0,
         }
     }
--- a/tests/orders_random.rs
+++ b/tests/orders_random.rs
@@ -37,6 +37,7 @@
     view: View,
     reports: u64,
     sent_without_read: bool,
+    sends: usize,
     permit_deadline_ms: u64,
 }
 
@@ -47,7 +48,10 @@
     broker: PermitBroker,
     engines: Vec<Engine>,
     sidecars: Vec<Sidecar>,
+    /// Replaced incarnations that still run, with the number of their engine.
+    former: Vec<(usize, Sidecar)>,
     loads: usize,
+    former_sends: usize,
     unloads: usize,
 }
 
@@ -78,7 +82,9 @@
             broker,
             engines,
             sidecars: Vec::new(),
+            former: Vec::new(),
             loads: 0,
+            former_sends: 0,
             unloads: 0,
         };
         world.edit("1", None);
@@ -143,11 +149,19 @@
             upstream: "u".into(),
         };
         Sidecar {
-            book: OrderBook::new(own.clone(), fence, replica, model(), ORDER_LIMIT_MS),
+            book: OrderBook::new(
+                own.clone(),
+                fence,
+                replica,
+                model(),
+                ORDER_LIMIT_MS,
+                self.source.now_ms,
+            ),
             own,
             view: self.state.view().clone(),
             reports: 0,
             sent_without_read: false,
+            sends: 0,
             permit_deadline_ms: 0,
         }
     }
@@ -195,6 +209,7 @@
             "an order was sent before the state was read back"
         );
         sidecar.sent_without_read = true;
+        sidecar.sends += 1;
         let engine = &mut self.engines[number];
         if let Order::Load { .. } = order {
             assert!(
@@ -319,6 +334,39 @@
         }
     }
 
+    /// Lets a replaced incarnation go on as if it got every permit. Its orders are dropped.
+    fn step_former(&mut self, position: usize) {
+        let now_ms = self.source.now_ms;
+        let (number, former) = &mut self.former[position];
+        match former.book.step(&former.view, now_ms) {
+            Action::Confirm if self.source.rng.random() => {
+                former.view = self.state.view().clone();
+                former.book.confirmed(&former.view, now_ms);
+            }
+            Action::Read { sequence } => {
+                let state = self.engines[*number].state.clone();
+                former.book.state_read(sequence, state, now_ms);
+            }
+            Action::AskPermit {
+                model,
+                version,
+                recovery,
+                ..
+            } => {
+                let deadline_ms = now_ms + 5_000;
+                former.book.permitted(model, version, recovery, deadline_ms);
+            }
+            Action::Send { sequence, .. } => {
+                let sends = self.sidecars[*number].sends;
+                assert_eq!(sends, 0, "two incarnations send orders to one engine");
+                let answer = EngineAnswer::Doubtful;
+                former.book.answered(sequence, answer, now_ms);
+                self.former_sends += 1;
+            }
+            _ => {}
+        }
+    }
+
     /// The replicas that have the version in force and are not about to unload it.
     fn serving(&self) -> usize {
         let version = &self.state.view().table.model(&model()).unwrap().version;
@@ -331,6 +379,9 @@
 
     fn step(&mut self) {
         self.source.now_ms += STEP_MS;
+        for position in 0..self.former.len() {
+            self.step_former(position);
+        }
         for number in 0..self.engines.len() {
             self.run_engine(number);
             self.step_sidecar(number);
@@ -342,10 +393,13 @@
             self.broker = PermitBroker::new(MAX_LOADS, self.source.now_ms);
         }
         if self.source.chance(1) {
-            // The former process is dead, and its order ends before the new one registers.
+            // The former process runs on, and its last order ends before the new one registers.
             let number = self.source.rng.random_range(0..self.engines.len());
             self.engines[number].work = None;
-            self.sidecars[number] = self.start_sidecar(number);
+            let sidecar = self.start_sidecar(number);
+            let former = std::mem::replace(&mut self.sidecars[number], sidecar);
+            self.former.retain(|(other, _)| *other != number);
+            self.former.push((number, former));
         }
         if self.source.chance(2) {
             let row = self.state.view().table.model(&model()).unwrap().clone();
@@ -370,7 +424,7 @@
 /// flight or in doubt, a load without a permit, more loads than allowed, and rollouts that stall.
 #[test]
 fn rollouts_keep_the_version_in_force() {
-    let (mut loads, mut unloads) = (0, 0);
+    let (mut loads, mut unloads, mut former_sends) = (0, 0, 0);
     for seed in seeds() {
         let mut world = World::new(seed, 1 + usize::try_from(seed % 6).unwrap());
         let mut served = false;
@@ -400,9 +454,10 @@
         assert!(settled, "seed {seed}: the rollout does not end");
         loads += world.loads;
         unloads += world.unloads;
+        former_sends += world.former_sends;
     }
     assert!(
-        loads > 100 && unloads > 50,
-        "{loads} loads, {unloads} unloads"
+        loads > 100 && unloads > 50 && former_sends > 10,
+        "{loads} loads, {unloads} unloads, {former_sends} orders of former incarnations"
     );
 }
--- a/tests/orders_rules.rs
+++ b/tests/orders_rules.rs
@@ -181,7 +181,7 @@
         instance: own.name.clone(),
         upstream: "u".into(),
     };
-    let mut book = OrderBook::new(own, member.fence, replica, model(), ORDER_LIMIT_MS);
+    let mut book = OrderBook::new(own, member.fence, replica, model(), ORDER_LIMIT_MS, 0);
     let old_view = View::default();
     assert_eq!(book.step(state.view(), 0), Action::Confirm);
     book.confirmed(&old_view, 0);
