Test rules of the log core that random runs rarely reach

Change: add directed tests of the commit rule, reads after a freeze, votes during a lease and the promotion of learners.

--- /dev/null
+++ b/tests/log_core.rs
@@ -0,0 +1,276 @@
+//! Rules of the log core that random runs rarely reach, each on one replica.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use lilacspindle::domain::log::{
+    Body, Config, Core, Echo, Entry, HardState, Limits, Member, NodeId, Options, Packet, Payload,
+    Recovered,
+};
+use lilacspindle::model::InstanceName;
+
+const ELECTION_MS: u64 = 100;
+
+fn address(id: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], id))
+}
+
+fn config(voters: u16) -> Config {
+    let member = |id: u16| {
+        let name = InstanceName::from(format!("n{id}").as_str());
+        let member = Member {
+            name,
+            address: address(id),
+            voter: true,
+            since: 1,
+        };
+        (NodeId(id.into()), member)
+    };
+    Config {
+        cluster: 9,
+        members: (1..=voters).map(member).collect(),
+    }
+}
+
+/// Returns replica 1 of three with a configuration entry and a command of term 2.
+fn replica() -> Core {
+    let entry = |index, term, payload| Entry {
+        index,
+        term,
+        payload,
+    };
+    let recovered = Recovered {
+        hard_state: HardState {
+            term: 3,
+            vote: None,
+        },
+        snapshot: None,
+        entries: vec![
+            entry(1, 1, Payload::Config(config(3))),
+            entry(2, 2, Payload::Command(b"old".to_vec())),
+        ],
+    };
+    let limits = Limits {
+        election_ms: ELECTION_MS,
+        snapshot_entries: 100,
+    };
+    Core::new(
+        NodeId(1),
+        address(1),
+        limits,
+        Options::default(),
+        recovered,
+        1,
+        0,
+    )
+}
+
+fn packet(from: u64, term: u64, body: Body) -> Packet {
+    let port = u16::try_from(from).unwrap();
+    Packet {
+        cluster: Some(9),
+        address: address(port),
+        term,
+        body,
+    }
+}
+
+/// Carries out all outputs and returns the messages by receiver.
+fn settle(core: &mut Core, now_ms: u64) -> BTreeMap<NodeId, Vec<Body>> {
+    let mut sent: BTreeMap<NodeId, Vec<Body>> = BTreeMap::new();
+    loop {
+        let output = core.output(now_ms);
+        if output.is_empty() {
+            return sent;
+        }
+        assert_eq!(output.violations, Vec::new());
+        if !output.persist.is_empty() {
+            core.synced();
+        }
+        for (to, packet) in output.early.into_iter().chain(output.late) {
+            sent.entry(to).or_default().push(packet.body);
+        }
+    }
+}
+
+/// Returns replica 1 as the leader of term 4, at 300 ms.
+fn leader() -> Core {
+    let mut core = replica();
+    core.tick(300);
+    settle(&mut core, 300);
+    for pre in [true, false] {
+        let reply = Body::VoteReply { pre, granted: true };
+        core.step(NodeId(2), packet(2, 4, reply), 300);
+        settle(&mut core, 300);
+    }
+    assert!(core.is_leader());
+    core
+}
+
+fn appended(core: &mut Core, from: u64, matched: u64, echo: Echo, now_ms: u64) {
+    core.step(
+        NodeId(from),
+        packet(from, 4, Body::Appended { matched, echo }),
+        now_ms,
+    );
+}
+
+/// Guards against committing an entry of an older term because a majority holds it: another leader
+/// could still replace it.
+#[test]
+fn entries_of_older_terms_commit_only_with_one_of_the_present() {
+    let mut core = leader();
+    let echo = Echo {
+        sent_ms: 300,
+        round: 2,
+    };
+    appended(&mut core, 2, 2, echo, 301);
+    settle(&mut core, 301);
+    assert_eq!(core.status().commit, 0);
+    appended(&mut core, 2, 3, echo, 302);
+    settle(&mut core, 302);
+    assert_eq!(core.status().commit, 3);
+}
+
+/// Guards against a leader that answers a read from a lease that ended while it was frozen.
+#[test]
+fn read_after_a_freeze_needs_a_new_round() {
+    let mut core = leader();
+    appended(
+        &mut core,
+        2,
+        3,
+        Echo {
+            sent_ms: 300,
+            round: 2,
+        },
+        301,
+    );
+    settle(&mut core, 301);
+    let reads = |core: &mut Core, now_ms| {
+        let output = core.output(now_ms);
+        let round = output
+            .early
+            .iter()
+            .find_map(|(_, packet)| match packet.body {
+                Body::Append { echo, .. } => Some(echo),
+                _ => None,
+            });
+        (output.reads.len(), round)
+    };
+    core.read(1, 350);
+    let (answered, older) = reads(&mut core, 350);
+    assert_eq!(answered, 1, "the lease holds");
+    let frozen_until_ms = 350 + ELECTION_MS;
+    core.read(2, frozen_until_ms);
+    let (answered, echo) = reads(&mut core, frozen_until_ms);
+    assert_eq!(answered, 0, "the lease has ended");
+    appended(&mut core, 2, 3, older.unwrap(), frozen_until_ms);
+    assert_eq!(
+        reads(&mut core, frozen_until_ms).0,
+        0,
+        "an old answer confirms nothing"
+    );
+    appended(&mut core, 2, 3, echo.unwrap(), frozen_until_ms + 1);
+    assert_eq!(reads(&mut core, frozen_until_ms + 1).0, 1);
+}
+
+/// Guards against a vote in a term learned from elsewhere while the lease of the leader stands.
+#[test]
+fn voters_respect_a_lease_after_learning_a_new_term() {
+    for (transfer, expected) in [(false, false), (true, true)] {
+        let mut core = replica();
+        let heartbeat = Body::Append {
+            prev_index: 2,
+            prev_term: 2,
+            commit: 2,
+            echo: Echo::default(),
+            entries: Vec::new(),
+        };
+        core.step(NodeId(2), packet(2, 5, heartbeat), 200);
+        let refusal = Body::VoteReply {
+            pre: false,
+            granted: false,
+        };
+        core.step(NodeId(3), packet(3, 6, refusal), 210);
+        settle(&mut core, 210);
+        let vote = Body::Vote {
+            pre: false,
+            transfer,
+            last_index: 9,
+            last_term: 5,
+        };
+        core.step(NodeId(3), packet(3, 6, vote), 220);
+        let sent = settle(&mut core, 220);
+        let granted = sent[&NodeId(3)].contains(&Body::VoteReply {
+            pre: false,
+            granted: true,
+        });
+        assert_eq!(granted, expected, "transfer {transfer}");
+    }
+}
+
+/// Guards against a learner that becomes a voter before it has synced what is committed.
+#[test]
+fn learner_votes_only_once_it_has_caught_up() {
+    let mut core = leader();
+    appended(
+        &mut core,
+        2,
+        3,
+        Echo {
+            sent_ms: 300,
+            round: 2,
+        },
+        301,
+    );
+    settle(&mut core, 301);
+    let join = Body::Join {
+        name: InstanceName::from("n4"),
+    };
+    core.step(NodeId(4), packet(4, 0, join), 302);
+    core.tick(303);
+    settle(&mut core, 303);
+    let member = |core: &Core| core.config().map(|config| config.is_voter(NodeId(4)));
+    assert!(
+        core.config()
+            .is_some_and(|config| config.members.contains_key(&NodeId(4)))
+    );
+    appended(
+        &mut core,
+        2,
+        4,
+        Echo {
+            sent_ms: 303,
+            round: 2,
+        },
+        304,
+    );
+    settle(&mut core, 304);
+    core.tick(305);
+    settle(&mut core, 305);
+    appended(
+        &mut core,
+        4,
+        3,
+        Echo {
+            sent_ms: 305,
+            round: 2,
+        },
+        306,
+    );
+    core.tick(307);
+    assert_eq!(member(&core), Some(false), "it lacks entry 4");
+    appended(
+        &mut core,
+        4,
+        4,
+        Echo {
+            sent_ms: 305,
+            round: 2,
+        },
+        308,
+    );
+    core.tick(309);
+    assert_eq!(member(&core), Some(true));
+}
