--- a/tests/log_support/mod.rs
+++ b/tests/log_support/mod.rs
@@ -4,129 +4,22 @@
 #![allow(dead_code, clippy::cast_possible_truncation)]
 
 pub mod history;
+mod operations;
+mod parts;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use history::History;
-use lilacspindle::domain::log::{
-    Config, Core, Entry, HardState, Limits, NodeId, Options, Output, Packet, Payload, Persist,
-    Recovered, Snapshot,
-};
+use lilacspindle::domain::log::{Core, Entry, Limits, NodeId, Options, Output, Packet};
 use lilacspindle::model::InstanceName;
 
+pub use parts::{Disk, Faults, Random, Register};
+
 pub const ELECTION_MS: u64 = 100;
 const TICK_MS: u64 = 5;
 
-/// `SplitMix64`, so that seeds mean the same with every version of every library.
-pub struct Random(pub u64);
-
-impl Random {
-    pub fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let mut z = self.0;
-        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        z ^ (z >> 31)
-    }
-
-    pub fn below(&mut self, bound: u64) -> u64 {
-        self.next() % bound
-    }
-
-    pub fn chance(&mut self, per_mille: u64) -> bool {
-        self.below(1000) < per_mille
-    }
-}
-
-/// Probabilities per thousand; the last group is per tick of the whole simulation.
-#[derive(Clone, Copy, Default)]
-pub struct Faults {
-    pub loss: u64,
-    pub duplicate: u64,
-    pub max_delay_ms: u64,
-    pub crash_before_sync: u64,
-    pub crash_after_sync: u64,
-    pub crash: u64,
-    pub isolate: u64,
-    pub freeze: u64,
-    pub lose_disk: u64,
-    pub hand_over: u64,
-    pub join: u64,
-    /// True to let an instance keep its identity when its disk is lost, which is wrong.
-    pub keep_identity: bool,
-}
-
-impl Faults {
-    pub fn all() -> Self {
-        Self {
-            loss: 20,
-            duplicate: 20,
-            max_delay_ms: 20,
-            crash_before_sync: 3,
-            crash_after_sync: 3,
-            crash: 2,
-            isolate: 4,
-            freeze: 4,
-            lose_disk: 1,
-            hand_over: 2,
-            join: 1,
-            keep_identity: false,
-        }
-    }
-}
-
-/// The synced content of a data folder.
-#[derive(Clone, Default)]
-struct Disk {
-    hard: HardState,
-    snapshot: Option<Arc<Snapshot>>,
-    entries: Vec<Arc<Entry>>,
-}
-
-impl Disk {
-    fn write(&mut self, persist: &Persist, entries: usize) {
-        if let Some(write) = persist.snapshot.as_ref().filter(|s| s.replaces_log) {
-            self.snapshot = Some(write.snapshot.clone());
-            self.entries.clear();
-        }
-        self.hard = persist.hard_state.unwrap_or(self.hard);
-        for entry in persist.entries.iter().take(entries) {
-            self.entries.retain(|held| held.index < entry.index);
-            self.entries.push(entry.clone());
-        }
-        if let Some(write) = persist.snapshot.as_ref().filter(|s| !s.replaces_log) {
-            self.snapshot = Some(write.snapshot.clone());
-            self.entries.retain(|entry| entry.index > write.keep_after);
-        }
-    }
-
-    fn holds(&self, entry: &Entry) -> bool {
-        self.snapshot
-            .as_ref()
-            .is_some_and(|s| s.index >= entry.index)
-            || self.entries.iter().any(|held| **held == *entry)
-    }
-
-    fn recovered(&self) -> Recovered {
-        let after = self.snapshot.as_ref().map_or(0, |s| s.index);
-        let entries = self.entries.iter().filter(|entry| entry.index > after);
-        Recovered {
-            hard_state: self.hard,
-            snapshot: self.snapshot.clone(),
-            entries: entries.map(|entry| (**entry).clone()).collect(),
-        }
-    }
-}
-
-/// A register that an edit changes only if it names the present version.
-#[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
-pub struct Register {
-    pub version: u64,
-    pub value: u64,
-}
-
 pub struct Node {
     pub id: NodeId,
     pub name: InstanceName,
@@ -366,32 +259,6 @@
         }
     }
 
-    fn committed_config(&self) -> Option<&Config> {
-        self.committed
-            .values()
-            .rev()
-            .find_map(|entry| match &entry.payload {
-                Payload::Config(config) => Some(config),
-                _ => None,
-            })
-    }
-
-    fn check_repair(&mut self) {
-        let (Some(name), Some(config)) = (&self.repairing, self.committed_config()) else {
-            return;
-        };
-        let same: Vec<NodeId> = config
-            .members
-            .iter()
-            .filter(|(_, member)| member.name == *name)
-            .map(|(id, _)| *id)
-            .collect();
-        let node = self.nodes.iter().find(|node| node.name == *name);
-        if node.is_some_and(|node| same == [node.id] && config.is_voter(node.id)) {
-            self.repairing = None;
-        }
-    }
-
     fn wake(&mut self, number: usize) {
         if self.nodes[number].core.is_none() && self.now_ms >= self.nodes[number].down_until_ms {
             self.start(number);
@@ -567,116 +434,4 @@
             }
         }
     }
-
-    fn apply(&mut self, number: usize, entry: &Arc<Entry>) {
-        let first = self
-            .committed
-            .entry(entry.index)
-            .or_insert_with(|| entry.clone());
-        if *first != *entry {
-            self.violations.push(format!(
-                "entry {} differs: {first:?} and {entry:?}",
-                entry.index
-            ));
-        }
-        self.check_synced(number, entry);
-        self.check_repair();
-        let Payload::Command(bytes) = &entry.payload else {
-            return;
-        };
-        let (operation, base): (u64, u64) = postcard::from_bytes(bytes).unwrap();
-        let node = &mut self.nodes[number];
-        let accepted = node.register.version == base;
-        if accepted {
-            node.register = Register {
-                version: base + 1,
-                value: operation,
-            };
-        }
-        let register = node.register;
-        self.history.observed(register);
-        if let Some((term, proposed)) = self.nodes[number].proposed.remove(&entry.index)
-            && term == entry.term
-        {
-            self.history
-                .returned(proposed, self.now_ms, register, accepted);
-        }
-    }
-
-    /// A committed entry is on the synced disks of a majority, unless one was lost since.
-    fn check_synced(&mut self, number: usize, entry: &Entry) {
-        let core = self.nodes[number].core.as_ref();
-        let Some(config) = core.filter(|c| c.is_leader()).and_then(Core::config) else {
-            return;
-        };
-        let holders = self
-            .nodes
-            .iter()
-            .filter(|n| config.is_voter(n.id) && n.disk.holds(entry));
-        if self.lost_disks == 0 && holders.count() < config.quorum() {
-            self.violations
-                .push(format!("entry {} is not on a quorum", entry.index));
-        }
-    }
-
-    fn check_leader(&mut self, number: usize) {
-        let node = &self.nodes[number];
-        let Some(core) = node.core.as_ref().filter(|core| core.is_leader()) else {
-            return;
-        };
-        let term = core.status().term;
-        let first = *self.leaders.entry(term).or_insert(node.id);
-        if first != node.id {
-            self.violations.push(format!("two leaders in term {term}"));
-        }
-    }
-
-    /// Begins an edit or a read at a random node, often at one that believes to lead.
-    fn operate(&mut self) {
-        if !self.random.chance(400) {
-            return;
-        }
-        let leads = |node: &Node| node.core.as_ref().is_some_and(Core::is_leader);
-        let leaders: Vec<usize> = (0..self.nodes.len())
-            .filter(|n| leads(&self.nodes[*n]))
-            .collect();
-        let mut number = self.random.below(self.nodes.len() as u64) as usize;
-        if !leaders.is_empty() && self.random.chance(700) {
-            number = leaders[self.random.below(leaders.len() as u64) as usize];
-        }
-        // A request to a frozen node is not handled before it wakes.
-        if self.now_ms < self.nodes[number].frozen_until_ms {
-            return;
-        }
-        let now_ms = self.clock(number);
-        let read = self.random.chance(500);
-        let stale = u64::from(self.random.chance(100));
-        let id = self.history.began(self.now_ms, !read);
-        let node = &mut self.nodes[number];
-        let Some(core) = &mut node.core else {
-            return self.history.forget(id);
-        };
-        if read {
-            node.reads.insert(id);
-            core.read(id, now_ms);
-        } else {
-            let command = (id, node.register.version.saturating_sub(stale));
-            match core.propose(postcard::to_stdvec(&command).unwrap()) {
-                Some((index, term)) => drop(node.proposed.insert(index, (term, id))),
-                None => self.history.forget(id),
-            }
-        }
-        self.carry_out(number);
-    }
-
-    /// Checks that the logs agree wherever two of them hold the same entry.
-    pub fn check_logs(&mut self) {
-        let mut held: BTreeMap<(u64, u64), &Entry> = BTreeMap::new();
-        for entry in self.nodes.iter().flat_map(|node| &node.disk.entries) {
-            if **held.entry((entry.index, entry.term)).or_insert(entry) != **entry {
-                self.violations
-                    .push(format!("logs differ at {}", entry.index));
-            }
-        }
-    }
 }
