Let the test of rising versions reach the lagging source

Cause: with the checks for older versions off the test still passed, because the subscriber stayed with the stopped control instance for longer than the test ran. Change: the control instance says that it leaves, so the subscriber moves to the lagging relay.

--- a/src/bench/distribution/mod.rs
+++ b/src/bench/distribution/mod.rs
@@ -21,6 +21,8 @@
 
 /// Copies of the view that are made to measure one.
 const COPIES: usize = 10;
+/// Time in which relays settle and the links of the registration are closed.
+const SETTLE: Duration = Duration::from_secs(12);
 /// Rows per edit while the table is filled.
 const FILL_ROWS: u32 = 1_000;
 /// Limit of the wait for one version on all subscribers.
@@ -168,7 +170,11 @@
             points.push(measure(options, *subscribers, *rows).await?);
         }
     }
-    let active = [options.workspaces / 100, options.workspaces];
+    let active = [
+        options.workspaces / 100,
+        options.workspaces / 10,
+        options.workspaces,
+    ];
     let brokers = active
         .iter()
         .map(|workspaces| broker::measure(options.entries, *workspaces))
@@ -188,8 +194,7 @@
     }
     let version = leader.subscriber.store().version();
     wait_applied(&processes, version).await?;
-    // Relays settle.
-    sleep(Duration::from_secs(3)).await;
+    sleep(SETTLE).await;
     let meter = Meter::start();
     sleep(options.idle).await;
     let idle = meter.cost(count);
--- a/tests/distribution_faults.rs
+++ b/tests/distribution_faults.rs
@@ -136,6 +136,8 @@
         .unwrap();
     let subscriber = start("d", vec![control.address, relay], 12_000);
     assert!(ready_within(&subscriber, WAIT).await);
+    // A leaving source is left at once, also on a connection that stays open.
+    control.subscriber.set_leaving();
     control.stop();
     let mut highest = TableVersion::default();
     let end = Instant::now() + Duration::from_secs(6);
