Reduce the lookups of the broker and name a missing lease in refusals

Cause: each row of a renewal took eight lookups; a refusal said that slots are in use although control had not answered. Change: rows are looked up three times and merged in order; the refusal tells the two cases apart. Conclusion: none beyond the change.

--- a/src/domain/room/broker.rs
+++ b/src/domain/room/broker.rs
@@ -132,22 +132,21 @@
         }
         self.expire(now_ms);
         let (number, repeated) = self.note_request(request, now_ms)?;
+        let rows: Vec<RoomKey> = request.wants.iter().map(key_of).collect();
         if !request.partial {
-            self.drop_unlisted(number, &request.wants);
+            self.drop_unlisted(number, &rows);
         }
         let mut answer = Answer::default();
-        let limits: Vec<Option<u32>> = request
-            .wants
-            .iter()
-            .map(|want| limit(&key_of(want)))
-            .collect();
-        for (want, limit) in request.wants.iter().zip(&limits) {
-            match limit {
-                Some(_) => {
-                    self.note_want(number, want, repeated, now_ms, &mut answer.violations);
+        let limits: Vec<Option<u32>> = rows.iter().map(&limit).collect();
+        for ((want, row), limit) in request.wants.iter().zip(&rows).zip(&limits) {
+            let violation = match limit {
+                Some(_) => self.note_want(number, row, want, repeated, now_ms),
+                None => {
+                    self.drop_share(number, row);
+                    None
                 }
-                None => self.drop_share(number, &key_of(want)),
-            }
+            };
+            answer.violations.extend(violation);
         }
         self.forget_adoptions(number, &request.adopts);
         self.end_grace_early(entries, now_ms);
@@ -156,8 +155,7 @@
                 answer.adopted.push(adopt.id);
             }
         }
-        for (want, limit) in request.wants.iter().zip(limits) {
-            let row = key_of(want);
+        for ((want, row), limit) in request.wants.iter().zip(rows).zip(limits) {
             let granted_slots = match limit {
                 Some(limit) => self.grant(number, &row, limit, now_ms, &mut answer.violations),
                 None => want.wanted_slots,
@@ -226,8 +224,8 @@
         Ok((number, repeated))
     }
 
-    fn drop_unlisted(&mut self, number: u32, wants: &[RoomWant]) {
-        let listed: BTreeSet<RoomKey> = wants.iter().map(key_of).collect();
+    fn drop_unlisted(&mut self, number: u32, rows: &[RoomKey]) {
+        let listed: BTreeSet<RoomKey> = rows.iter().cloned().collect();
         let Some(known) = self.holders.get_mut(&number) else {
             return;
         };
@@ -235,8 +233,8 @@
         let adopted: BTreeSet<&RoomKey> = known.adopted.values().collect();
         let unlisted: Vec<RoomKey> = known
             .rows
-            .iter()
-            .filter(|row| !listed.contains(row) && !adopted.contains(row))
+            .difference(&listed)
+            .filter(|row| !adopted.contains(row))
             .cloned()
             .collect();
         for row in &unlisted {
@@ -259,14 +257,13 @@
     fn note_want(
         &mut self,
         number: u32,
+        row: &RoomKey,
         want: &RoomWant,
         repeated: bool,
         now_ms: u64,
-        violations: &mut Vec<Violation>,
-    ) {
-        let row = key_of(want);
+    ) -> Option<Violation> {
         let lease_end_ms = now_ms + self.times.lease_ms;
-        let share = self.share(number, &row);
+        let share = self.share(number, row);
         let charged = share.charge();
         // A silent holder may have lost slots to an adoption that it has not heard of.
         let was_current = !share.is_silent(now_ms);
@@ -278,26 +275,23 @@
         if !repeated {
             share.granted = 0;
         }
-        if was_current && want.used_slots > charged {
-            violations.push(Violation::UsedAboveGranted {
-                row,
-                used: want.used_slots,
-                charged,
-            });
-        }
+        (was_current && want.used_slots > charged).then(|| Violation::UsedAboveGranted {
+            row: row.clone(),
+            used: want.used_slots,
+            charged,
+        })
     }
 
     fn share(&mut self, number: u32, row: &RoomKey) -> &mut Share {
-        if let Some(known) = self.holders.get_mut(&number)
-            && !known.rows.contains(row)
-        {
-            known.rows.insert(row.clone());
-        }
-        if !self.rows.contains_key(row) {
-            self.rows.insert(row.clone(), Shares::new());
-        }
-        let shares = self.rows.get_mut(row).expect("inserted above");
-        shares.entry(number).or_default()
+        let holders = &mut self.holders;
+        let note_row = || {
+            if let Some(known) = holders.get_mut(&number) {
+                known.rows.insert(row.clone());
+            }
+            Share::default()
+        };
+        let shares = self.rows.entry(row.clone()).or_default();
+        shares.entry(number).or_insert_with(note_row)
     }
 
     /// Forgets adoptions that the holder no longer lists: it has counted them as its own, or has
--- a/src/domain/room/holder.rs
+++ b/src/domain/room/holder.rs
@@ -33,6 +33,8 @@
 pub struct Shortage {
     pub row: RoomKey,
     pub retry_after_ms: u64,
+    /// False if the broker could not be asked for longer than a lease.
+    pub has_lease: bool,
     /// True if the broker may have a slot; false if it has just said that it has none.
     pub may_ask: bool,
 }
@@ -156,6 +158,7 @@
                 shortage = Some(Shortage {
                     row: demand.row.clone(),
                     retry_after_ms: slots.retry_after_ms(),
+                    has_lease,
                     may_ask: !(has_lease && slots.short_at_ms.is_some_and(refused)),
                 });
             }
--- a/src/roles/rooms/mod.rs
+++ b/src/roles/rooms/mod.rs
@@ -231,7 +231,10 @@
 fn no_room(shortage: &Shortage) -> Refusal {
     Refusal {
         code: RefusalCode::NoRoom,
-        message: format!("all room_slots of {} are in use", shortage.row),
+        message: match shortage.has_lease {
+            true => format!("all room_slots of {} are in use", shortage.row),
+            false => format!("control has not renewed the lease on {}", shortage.row),
+        },
         retry_after_ms: Some(shortage.retry_after_ms),
     }
 }
