Test the bounded load with a prefix worth caching

Cause: without the bound the test of a popular prefix passed as well. Change: its prompt is long, so that the cached prefix outweighs the queue. Conclusion: the test now proves the bound.

--- a/tests/route_choice.rs
+++ b/tests/route_choice.rs
@@ -77,8 +77,9 @@
         let reported = demand;
         let mut sent = [0; REPLICAS];
         for _ in 0..INTERVAL {
+            // A long prompt, whose cached prefix is worth more than any queue in the test.
             let ask = Ask {
-                prompt_tokens: 100.0,
+                prompt_tokens: 3_000.0,
                 prefix,
             };
             let loads = |index: usize| Some(load(reported[index], 20.0, 100.0));
