--- a/tests/entry_input.rs
+++ b/tests/entry_input.rs
@@ -10,41 +10,55 @@
 
 const GOOD: &str = r#"{"model":"tutor","prompt":"hello"}"#;
 
+/// Header, value, status and place.
+const HEADERS: &str = "\
+Lilac-Deadline-Ms|soon|400|header lilac-deadline-ms
+Lilac-Deadline-Ms|0|400|header lilac-deadline-ms
+Lilac-Deadline-Ms|99999999999999999999|400|header lilac-deadline-ms
+Lilac-Priority|10|400|header lilac-priority
+Lilac-Priority|+1|400|header lilac-priority
+Lilac-Kind|none|404|no kind
+Lilac-Kind|scan|400|header lilac-kind
+Lilac-Request-Id|xyz|400|header lilac-request-id
+Idempotency-Key|abc|400|header idempotency-key
+Last-Event-ID|s1.2.3|400|header last-event-id
+Last-Event-ID|s1.zz.0.1|400|header last-event-id
+Authorization|Basic c2VjcmV0|400|header authorization
+Lilac-Workspace|b|400|header lilac-workspace
+";
+/// Body, status and place.
+const BODIES: &str = r#"[]|400|body
+{"model":"tutor"}|400|body field prompt
+{"model":"tutor","prompt":7}|400|body field prompt
+{"model":7,"prompt":"p"}|400|body field model
+{"prompt":"p"}|400|body field model
+{"model":"none","prompt":"p"}|404|no model
+{"model":"tutor","prompt":"p","max_tokens":-1}|400|body field max_tokens
+{"model":"tutor","prompt":"p","max_tokens":1e99}|400|body field max_tokens
+{"model":"tutor","prompt":"p","stream":"yes"}|400|body field stream
+{"model":"tutor","prompt":"p","n":2}|400|body field n
+"#;
+/// Body and place.
+const CHATS: &str = r#"{"model":"tutor"}|body field messages
+{"model":"tutor","messages":[]}|body field messages
+{"model":"tutor","messages":[1]}|body field messages[0]
+{"model":"tutor","messages":[{"role":1}]}|body field messages[0].role
+{"model":"tutor","messages":[{"role":"u","content":1}]}|body field messages[0].content
+"#;
+
+fn rows<const N: usize>(table: &'static str) -> impl Iterator<Item = [&'static str; N]> {
+    let cells = |line: &'static str| line.split('|').collect::<Vec<_>>().try_into().unwrap();
+    table.lines().map(cells)
+}
+
 /// Guards against faults that are passed on, answered without their place, or that cause a panic.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn every_bad_input_is_refused_with_its_place() {
-    let sidecar = RunningFake::start(Fake::new("s1", 1, tokens(1)));
-    let control = FakeControl::default().serve().await;
-    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    let (sidecar, entry) = start_one(tokens(1)).await;
     refuses_bad_bodies(&entry).await;
-    let headers = [
-        ("Lilac-Deadline-Ms", "soon", 400, "header lilac-deadline-ms"),
-        ("Lilac-Deadline-Ms", "0", 400, "header lilac-deadline-ms"),
-        (
-            "Lilac-Deadline-Ms",
-            "99999999999999999999",
-            400,
-            "header lilac-deadline-ms",
-        ),
-        ("Lilac-Priority", "10", 400, "header lilac-priority"),
-        ("Lilac-Priority", "+1", 400, "header lilac-priority"),
-        ("Lilac-Kind", "none", 404, "no kind"),
-        ("Lilac-Kind", "scan", 400, "header lilac-kind"),
-        ("Lilac-Request-Id", "xyz", 400, "header lilac-request-id"),
-        ("Idempotency-Key", "abc", 400, "header idempotency-key"),
-        ("Last-Event-ID", "s1.2.3", 400, "header last-event-id"),
-        ("Last-Event-ID", "s1.zz.0.1", 400, "header last-event-id"),
-        (
-            "Authorization",
-            "Basic c2VjcmV0",
-            400,
-            "header authorization",
-        ),
-        ("Lilac-Workspace", "b", 400, "header lilac-workspace"),
-    ];
-    for (name, value, status, place) in headers {
+    for [name, value, status, place] in rows(HEADERS) {
         let (got, text) = text_of(post(&entry, "/v1/completions", GOOD).header(name, value)).await;
-        check(got, &text, status, place);
+        check(got, &text, status.parse().unwrap(), place);
         assert!(!text.contains("c2VjcmV0"), "the answer repeats a secret");
     }
     for (path, status, place) in [
@@ -68,60 +82,22 @@
         "[".repeat(4_000),
         "]".repeat(4_000)
     );
-    let bodies = [
-        ("", 400, "body"),
-        ("{", 400, "body"),
-        ("[]", 400, "body"),
-        ("\u{0}", 400, "body"),
-        (deep.as_str(), 400, "body"),
-        (long.as_str(), 413, "body"),
-        (r#"{"model":"tutor"}"#, 400, "body field prompt"),
-        (r#"{"model":"tutor","prompt":7}"#, 400, "body field prompt"),
-        (r#"{"model":7,"prompt":"p"}"#, 400, "body field model"),
-        (r#"{"prompt":"p"}"#, 400, "body field model"),
-        (r#"{"model":"none","prompt":"p"}"#, 404, "no model"),
-        (
-            r#"{"model":"tutor","prompt":"p","max_tokens":-1}"#,
-            400,
-            "body field max_tokens",
-        ),
-        (
-            r#"{"model":"tutor","prompt":"p","max_tokens":1e99}"#,
-            400,
-            "body field max_tokens",
-        ),
-        (
-            r#"{"model":"tutor","prompt":"p","stream":"yes"}"#,
-            400,
-            "body field stream",
-        ),
-        (
-            r#"{"model":"tutor","prompt":"p","n":2}"#,
-            400,
-            "body field n",
-        ),
+    let odd = [
+        ("", 400),
+        ("{", 400),
+        ("\u{0}", 400),
+        (deep.as_str(), 400),
+        (long.as_str(), 413),
     ];
-    for (body, status, place) in bodies {
+    for (body, status) in odd {
         let (got, text) = text_of(post(entry, "/v1/completions", body)).await;
-        check(got, &text, status, place);
+        check(got, &text, status, "body");
     }
-    let chats = [
-        (r#"{"model":"tutor"}"#, "body field messages"),
-        (r#"{"model":"tutor","messages":[]}"#, "body field messages"),
-        (
-            r#"{"model":"tutor","messages":[1]}"#,
-            "body field messages[0]",
-        ),
-        (
-            r#"{"model":"tutor","messages":[{"role":1}]}"#,
-            "body field messages[0].role",
-        ),
-        (
-            r#"{"model":"tutor","messages":[{"role":"u","content":1}]}"#,
-            "body field messages[0].content",
-        ),
-    ];
-    for (body, place) in chats {
+    for [body, status, place] in rows(BODIES) {
+        let (got, text) = text_of(post(entry, "/v1/completions", body)).await;
+        check(got, &text, status.parse().unwrap(), place);
+    }
+    for [body, place] in rows(CHATS) {
         let (got, text) = text_of(post(entry, "/v1/chat/completions", body)).await;
         check(got, &text, 400, place);
     }
@@ -143,9 +119,7 @@
 /// Guards against paths that lead out of a service, which clients' libraries remove themselves.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn dot_segments_are_refused() {
-    let sidecar = RunningFake::start(Fake::new("s1", 1, tokens(1)));
-    let control = FakeControl::default().serve().await;
-    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    let (sidecar, entry) = start_one(tokens(1)).await;
     for path in ["/svc/cards/a/%2e%2E/b", "/svc/cards/../b", "/svc/cards/./b"] {
         let mut stream = TcpStream::connect(entry.role.address()).await.unwrap();
         let head = "Host: e\r\nLilac-Workspace: a\r\nConnection: close\r\n\r\n";
@@ -162,9 +136,7 @@
 /// Guards against a server that answers bytes that are not HTTP with a panic, or stops.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bytes_that_are_not_http_do_no_harm() {
-    let sidecar = RunningFake::start(Fake::new("s1", 1, tokens(1)));
-    let control = FakeControl::default().serve().await;
-    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    let (_sidecar, entry) = start_one(tokens(1)).await;
     for bytes in [
         &b"\x16\x03\x01\x00"[..],
         b"GET\r\n\r\n",
@@ -189,7 +161,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn callers_are_known_by_key_or_by_name() {
     let sidecar = RunningFake::start(Fake::new("s1", 1, tokens(1)));
-    let control = FakeControl::default().serve().await;
+    let control = FakeControl::default().listen().await;
     let open = start_entry("e1", view(&[&sidecar]), control).await;
     let mut keyed = view(&[&sidecar]);
     if let Some((_, Row::Workspace(row))) = keyed.table.rows.get_mut(&RowKey::Workspace("a".into()))
--- a/tests/entry_latency.rs
+++ b/tests/entry_latency.rs
@@ -44,14 +44,12 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 #[ignore = "measures times; needs a release build and a quiet machine"]
 async fn the_entry_adds_little_to_a_call() {
-    let plan = Plan::Tokens {
+    let engine = Plan::Tokens {
         count: 5,
         step_ms: 0,
         stall_at: None,
     };
-    let sidecar = RunningFake::start(Fake::new("s1", 1, plan));
-    let control = FakeControl::default().serve().await;
-    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    let (_sidecar, entry) = start_one(engine).await;
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let direct_url = format!("http://{}", listener.local_addr().unwrap());
     tokio::spawn(serve_directly(listener));
@@ -79,7 +77,10 @@
     let direct = report("direct call", direct);
     let plain = report("plain call", plain);
     report("first token, 1 to 2 ms of them in the fake sidecar", first);
-    let added = (plain.0 - direct.0, plain.1.saturating_sub(direct.1));
+    let added = (
+        plain.0.saturating_sub(direct.0),
+        plain.1.saturating_sub(direct.1),
+    );
     println!("added to a plain call: p50 {:?} p99 {:?}", added.0, added.1);
     assert!(added.0 <= Duration::from_micros(500) && added.1 <= Duration::from_millis(2));
 }
--- a/tests/entry_plain.rs
+++ b/tests/entry_plain.rs
@@ -11,9 +11,7 @@
 /// Guards against calls that lose their method, path, query, status or body on the way.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_plain_call_passes_through() {
-    let sidecar = RunningFake::start(Fake::new("s1", 1, tokens(1)));
-    let control = FakeControl::default().serve().await;
-    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    let (sidecar, entry) = start_one(tokens(1)).await;
     let call = post(&entry, "/svc/cards/users/7?x=1", "{}").header("Authorization", "Bearer key");
     let (status, text) = text_of(call).await;
     assert_eq!((status, text.as_str()), (201, "run 0 of POST /users/7?x=1"));
@@ -53,7 +51,7 @@
 async fn a_lost_answer_is_asked_for_and_never_run_again() {
     let mut sidecar = RunningFake::start(Fake::new("s1", 1, tokens(1)));
     let other = RunningFake::start(Fake::new("s2", 1, tokens(1)));
-    let control = FakeControl::default().serve().await;
+    let control = FakeControl::default().listen().await;
     let mut only_first = view(&[&sidecar]);
     let entry = start_entry("e1", only_first.clone(), control).await;
     *sidecar.fake.mute_calls.lock().unwrap() = 1;
@@ -84,7 +82,7 @@
         .map(|name| RunningFake::start(Fake::new(name, 1, tokens(5))))
         .into();
     let fleet: Vec<_> = fakes.iter().collect();
-    let control = FakeControl::default().serve().await;
+    let control = FakeControl::default().listen().await;
     let entries = [
         start_entry("e1", view(&fleet), control).await,
         start_entry("e2", view(&fleet), control).await,
@@ -113,7 +111,7 @@
 async fn keys_that_cannot_be_claimed_are_not_run() {
     let sidecar = RunningFake::start(Fake::new("s1", 1, tokens(1)));
     let fake_control = FakeControl::default();
-    let control = fake_control.serve().await;
+    let control = fake_control.listen().await;
     let entry = start_entry("e1", view(&[&sidecar]), control).await;
     let key = new_key("used");
     assert_eq!(text_of(scan(&entry, Some(&key), "{}")).await.0, 201);
@@ -150,7 +148,7 @@
 async fn an_orphaned_claim_is_resolved() {
     let sidecar = RunningFake::start(Fake::new("s1", 1, tokens(5)));
     let control = FakeControl::default();
-    let address = control.serve().await;
+    let address = control.listen().await;
     let entry = start_entry("e1", view(&[&sidecar]), address).await;
     let body = r#"{"prompt":"p"}"#;
     let key = new_key("orphan");
@@ -203,7 +201,7 @@
         .map(|name| RunningFake::start(Fake::new(name, 1, tokens(1))))
         .into();
     let fleet: Vec<_> = fakes.iter().collect();
-    let control = FakeControl::default().serve().await;
+    let control = FakeControl::default().listen().await;
     let entry = start_entry("e1", view(&fleet), control).await;
     for fake in &fakes {
         *fake.fake.refuse_calls.lock().unwrap() = true;
--- a/tests/entry_recovery.rs
+++ b/tests/entry_recovery.rs
@@ -6,6 +6,7 @@
 
 use entry_support::*;
 use lilacspindle::model::{Outcome, RefusalCode};
+use tokio::time::timeout;
 
 const STREAM: &str = r#"{"model":"tutor","prompt":"hello","stream":true}"#;
 const WHOLE: &str = r#"{"model":"tutor","prompt":"hello"}"#;
@@ -22,7 +23,7 @@
 /// number of readopts.
 async fn stream_over_restart(adopts: bool) -> (Vec<Event>, usize) {
     let mut first = RunningFake::start(Fake::new("s1", 1, slow(100)));
-    let control = FakeControl::default().serve().await;
+    let control = FakeControl::default().listen().await;
     let entry = start_entry("e1", view(&[&first]), control).await;
     let reading = tokio::spawn(text_of(post(&entry, "/v1/completions", STREAM)));
     tokio::time::sleep(Duration::from_millis(400)).await;
@@ -80,7 +81,7 @@
     ] {
         let bad = RunningFake::start(Fake::new("s1", 1, plan.clone()));
         let good = RunningFake::start(Fake::new("s2", 1, tokens(10)));
-        let control = FakeControl::default().serve().await;
+        let control = FakeControl::default().listen().await;
         let entry = start_entry("e1", view(&[&bad, &good]), control).await;
         for _ in 0..8 {
             let (status, text) = text_of(post(&entry, "/v1/completions", WHOLE)).await;
@@ -107,7 +108,7 @@
     let fakes: Vec<_> = ["s1", "s2", "s3"]
         .map(|name| RunningFake::start(Fake::new(name, 1, plan.clone())))
         .into();
-    let control = FakeControl::default().serve().await;
+    let control = FakeControl::default().listen().await;
     let entry = start_entry("e1", view(&fakes.iter().collect::<Vec<_>>()), control).await;
     let response = post(&entry, "/v1/completions", WHOLE).send().await.unwrap();
     assert_eq!(response.status().as_u16(), 429);
@@ -123,7 +124,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_whole_answer_survives_the_loss_of_its_sidecar() {
     let mut doomed = RunningFake::start(Fake::new("s1", 1, slow(500)));
-    let control = FakeControl::default().serve().await;
+    let control = FakeControl::default().listen().await;
     let entry = start_entry("e1", view(&[&doomed]), control).await;
     let reading = tokio::spawn(text_of(post(&entry, "/v1/completions", WHOLE)));
     until("the start", || !doomed.fake.seen().starts.is_empty()).await;
@@ -149,9 +150,7 @@
             },
             false => Plan::Swallow { runs },
         };
-        let sidecar = RunningFake::start(Fake::new("s1", 1, plan));
-        let control = FakeControl::default().serve().await;
-        let entry = start_entry("e1", view(&[&sidecar]), control).await;
+        let (_sidecar, entry) = start_one(plan).await;
         let request = post(&entry, "/v1/completions", WHOLE).header("Lilac-Deadline-Ms", "600");
         let (got, text) = text_of(request).await;
         assert_eq!(
@@ -162,17 +161,25 @@
     }
 }
 
-/// Guards against streams that end, repeat or skip when connections go silent: a connection is
-/// given up after 2 s without an answer to its heartbeat.
+/// Guards against streams that hang, repeat or skip when open connections go silent for good while
+/// new ones work.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_survives_silent_connections() {
     let sidecar = RunningFake::start(Fake::new("s1", 1, slow(100)));
-    let control = FakeControl::default().serve().await;
-    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    let proxy = Proxy::start(sidecar.address).await;
+    let mut view = view(&[&sidecar]);
+    for member in view.members.members.values_mut() {
+        member.rpc_address = proxy.address;
+    }
+    let control = FakeControl::default().listen().await;
+    let entry = start_entry("e1", view, control).await;
     let reading = tokio::spawn(text_of(post(&entry, "/v1/completions", STREAM)));
     tokio::time::sleep(Duration::from_millis(300)).await;
-    sidecar.freeze(Duration::from_millis(4_000));
-    let (status, text) = reading.await.unwrap();
+    proxy.mute();
+    let (status, text) = timeout(Duration::from_secs(10), reading)
+        .await
+        .unwrap()
+        .unwrap();
     assert_eq!(status, 200, "{text}");
     assert_eq!(shown(&parse_events(&text)), expected(100));
     assert_eq!(sidecar.fake.seen().starts.len(), 1);
@@ -184,7 +191,7 @@
 async fn a_leaving_stamp_counts_at_once() {
     let leaving = RunningFake::start(Fake::new("s1", 1, tokens(3)));
     let other = RunningFake::start(Fake::new("s2", 1, tokens(3)));
-    let control = FakeControl::default().serve().await;
+    let control = FakeControl::default().listen().await;
     let entry = start_entry("e1", view(&[&leaving, &other]), control).await;
     *leaving.fake.leaving.lock().unwrap() = true;
     for _ in 0..40 {
@@ -198,7 +205,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn starts_tell_what_was_served_elsewhere() {
     let fakes = ["s1", "s2"].map(|name| RunningFake::start(Fake::new(name, 1, tokens(10))));
-    let control = FakeControl::default().serve().await;
+    let control = FakeControl::default().listen().await;
     let entry = start_entry("e1", view(&[&fakes[0], &fakes[1]]), control).await;
     let mut last_start = [None; 2];
     for turn in 0..20_u64 {
--- a/tests/entry_resume.rs
+++ b/tests/entry_resume.rs
@@ -38,7 +38,7 @@
         stall_at: None,
     };
     let sidecar = RunningFake::start(Fake::new("s1", 1, plan));
-    let control = FakeControl::default().serve().await;
+    let control = FakeControl::default().listen().await;
     let first = start_entry("e1", view(&[&sidecar]), control).await;
     let second = start_entry("e2", view(&[&sidecar]), control).await;
     let mut events = read_some(post(&first, "/v1/completions", STREAM), 20).await;
@@ -74,9 +74,7 @@
         step_ms: 10,
         stall_at: None,
     };
-    let sidecar = RunningFake::start(Fake::new("s1", 1, plan));
-    let control = FakeControl::default().serve().await;
-    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    let (sidecar, entry) = start_one(plan).await;
     read_some(post(&entry, "/v1/completions", STREAM), 5).await;
     sleep(Duration::from_millis(250)).await;
     assert!(
@@ -94,9 +92,7 @@
         step_ms: 10,
         stall_at: None,
     };
-    let sidecar = RunningFake::start(Fake::new("s1", 1, plan));
-    let control = FakeControl::default().serve().await;
-    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    let (sidecar, entry) = start_one(plan).await;
     let open = tokio::spawn(text_of(post(&entry, "/v1/completions", STREAM)));
     until("the start", || !sidecar.fake.seen().starts.is_empty()).await;
     entry.subscriber.set_leaving();
--- a/tests/entry_streams.rs
+++ b/tests/entry_streams.rs
@@ -12,9 +12,7 @@
 /// Guards against answers that are not in the shape of the standard API, and lost tokens.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_and_whole_answers_are_complete() {
-    let sidecar = RunningFake::start(Fake::new("s1", 1, tokens(20)));
-    let control = FakeControl::default().serve().await;
-    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    let (_sidecar, entry) = start_one(tokens(20)).await;
     for (path, body) in [("/v1/completions", STREAM), ("/v1/chat/completions", CHAT)] {
         let (status, text) = text_of(post(&entry, path, body)).await;
         assert_eq!(status, 200, "{text}");
@@ -41,7 +39,7 @@
     let mut fake = Fake::new("s1", 1, tokens(60));
     fake.scrambles = true;
     let sidecar = RunningFake::start(fake);
-    let control = FakeControl::default().serve().await;
+    let control = FakeControl::default().listen().await;
     let entry = start_entry("e1", view(&[&sidecar]), control).await;
     let requests = (0..8).map(|_| text_of(post(&entry, "/v1/completions", STREAM)));
     for (status, text) in futures::future::join_all(requests).await {
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -22,7 +22,7 @@
 use lilacspindle::rpc::{Service, Services, Stamp, serve};
 use lilacspindle::settings::{EntrySettings, StalePolicy};
 use tarpc::context::Context;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
@@ -484,13 +484,6 @@
         }
     }
 
-    /// Stops everything in the sidecar for a while; its connections stay open and silent.
-    pub fn freeze(&self, time: Duration) {
-        if let Some(runtime) = &self.runtime {
-            runtime.spawn(async move { std::thread::sleep(time) });
-        }
-    }
-
     pub fn member(&self) -> Member {
         let upstream = |name: UpstreamName, serves| UpstreamInfo {
             name,
@@ -560,7 +553,7 @@
         state.1.apply(index, command).0
     }
 
-    pub async fn serve(&self) -> SocketAddr {
+    pub async fn listen(&self) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let mut services = Services::default();
@@ -679,6 +672,47 @@
     }
 }
 
+/// Returns one sidecar and an entry before it.
+pub async fn start_one(plan: Plan) -> (RunningFake, RunningEntry) {
+    let sidecar = RunningFake::start(Fake::new("s1", 1, plan));
+    let control = FakeControl::default().listen().await;
+    let entry = start_entry("e1", view(&[&sidecar]), control).await;
+    (sidecar, entry)
+}
+
+/// Forwards connections. Those that are open when it is muted stay open and bring nothing more;
+/// new ones work.
+pub struct Proxy {
+    pub address: SocketAddr,
+    mutes: tokio::sync::watch::Sender<u64>,
+}
+
+impl Proxy {
+    pub async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mutes = tokio::sync::watch::Sender::new(0);
+        let subscribed = mutes.clone();
+        tokio::spawn(async move {
+            while let Ok((mut near, _)) = listener.accept().await {
+                let mut mutes = subscribed.subscribe();
+                tokio::spawn(async move {
+                    let mut far = TcpStream::connect(target).await.unwrap();
+                    tokio::select! {
+                        _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
+                        _ = mutes.changed() => sleep(Duration::from_mins(1)).await,
+                    }
+                });
+            }
+        });
+        Self { address, mutes }
+    }
+
+    pub fn mute(&self) {
+        self.mutes.send_modify(|mutes| *mutes += 1);
+    }
+}
+
 /// One event of a stream.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Event {
