Test stops for memory in the role, and a drain whose last end was not read

Cause: with a drain that does not wait for readers, the drain test still passed, because it looked before the drain could have ended; stops for memory were only tested in the scheduler. Change: the drain test looks a second later; a test lets three unseen answers overflow the memory; accepted requests are logged with their request id.

--- a/src/roles/sidecar/call.rs
+++ b/src/roles/sidecar/call.rs
@@ -92,6 +92,10 @@
             };
             return shard.refuse_call(generation, refusal);
         }
+        tracing::info!(
+            request = %request.request, %generation, workspace = %request.workspace,
+            upstream = %request.upstream, "call accepted"
+        );
         let (sender, answer) = watch::channel(None);
         shard.calls.insert(
             generation,
--- a/src/roles/sidecar/start.rs
+++ b/src/roles/sidecar/start.rs
@@ -122,6 +122,10 @@
             read_to: 0,
             origin: origin(&request, upstream),
         };
+        tracing::info!(
+            request = %request.request, generation = %request.generation,
+            workspace = %request.workspace, upstream = %upstream.settings.name, "accepted"
+        );
         // `known` said that the generation is new, under the same lock.
         let _ = shard.generations.accept(now_ms, request.generation, new);
         let work = Work {
--- a/tests/length_estimates.rs
+++ b/tests/length_estimates.rs
@@ -31,8 +31,8 @@
 }
 
 /// Guards against estimates that ignore how far an answer has come: of the answers that reached
-/// a length, the stated share must end within the estimate. The estimate of a generation that
-/// ignores its produced tokens covers under half of them at 400.
+/// a length, the stated share must end within the estimate. An estimate that ignores the produced
+/// tokens covers 82 % of those that reached 400 instead of 90 %.
 #[test]
 fn quantiles_cover_the_answers_that_came_this_far() {
     for seed in 0..seeds() {
--- a/tests/schedule_runs.rs
+++ b/tests/schedule_runs.rs
@@ -3,7 +3,7 @@
 
 mod schedule_support;
 
-use lilacspindle::domain::schedule::{Policy, SchedulerConfig};
+use lilacspindle::domain::schedule::{Policy, SchedulerConfig, Shares};
 use lilacspindle::rpc::sidecar::Lane;
 use rand::RngExt;
 use schedule_support::{Outcome, STEP_MS, Sim, draw, seeds};
@@ -115,6 +115,20 @@
     }
 }
 
+/// Guards against service elsewhere that does not count here, or that starves a workspace here.
+#[test]
+fn tokens_served_elsewhere_count_up_to_a_bound() {
+    let mut shares = Shares::default();
+    let (a, b) = ("a".into(), "b".into());
+    shares.join(&a, 2);
+    shares.join(&b, 1);
+    shares.charge_elsewhere(&a, 100.0, 80.0);
+    assert!((shares.virtual_time(&a) - 50.0).abs() < 1e-9);
+    shares.charge_elsewhere(&a, 1e9, 80.0);
+    assert!((shares.virtual_time(&a) - 80.0).abs() < 1e-9);
+    assert!(shares.virtual_time(&b) < 1e-9);
+}
+
 fn p99(values: &mut [u64]) -> u64 {
     values.sort_unstable();
     values[values.len() * 99 / 100]
--- a/tests/sidecar_faults.rs
+++ b/tests/sidecar_faults.rs
@@ -110,7 +110,8 @@
         StartReply::Refused { refusal, .. } => assert_eq!(refusal.code, RefusalCode::Leaving),
         reply => panic!("{reply:?}"),
     }
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    // The engine is done after a second.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
     assert!(!drained.is_finished(), "the end was not read yet");
     assert_eq!(sidecar.read(1, 0).await.text, text(0, 100));
     tokio::time::timeout(sidecar_support::LIMIT, drained)
@@ -225,6 +226,33 @@
     );
 }
 
+/// Guards against a stop for memory that loses an answer, mixes two runs of it, or leaves the
+/// first one at the engine. Three unseen answers need 10,800 tokens of memory; there are 10,000.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unseen_answer_is_stopped_for_memory_and_runs_again() {
+    let sidecar = start_sidecar("").await;
+    for generation in 1..=3 {
+        let mut request = start_request(generation, r#"{"tokens": 1500, "step_ms": 1}"#);
+        request.shown = false;
+        request.prompt_tokens = 2_100;
+        request.max_tokens = 2_000;
+        accepted(&sidecar, request).await;
+    }
+    for generation in 1..=3 {
+        let read = sidecar.read(generation, 0).await;
+        assert_eq!(read.text, text(0, 1_500));
+        assert!(matches!(read.end, Some(End::Finished { .. })));
+    }
+    let started = sidecar.engine.state.started.lock().unwrap().clone();
+    let cancelled = sidecar.engine.state.cancelled.lock().unwrap().clone();
+    assert_eq!(
+        started.len(),
+        3 + cancelled.len(),
+        "{started:?}, {cancelled:?}"
+    );
+    assert!(!cancelled.is_empty());
+}
+
 /// Guards against versions that are never prepared, orders without the fencing number, and
 /// orders that are repeated although the version is there.
 #[tokio::test(flavor = "multi_thread")]
