--- a/src/bench/sim/run.rs
+++ b/src/bench/sim/run.rs
@@ -177,11 +177,11 @@
         self.jobs[index].engine = engine;
         self.jobs[index].phase = Phase::Queued;
         self.engines[engine].queued += 1;
-        self.pump(now_us, engine);
+        self.apply_policy(now_us, engine);
     }
 
     /// Lets the policy pause and start jobs of one engine.
-    fn pump(&mut self, now_us: u64, engine: usize) {
+    fn apply_policy(&mut self, now_us: u64, engine: usize) {
         let now_ms = now_us / 1_000;
         if !self.engines[engine].alive {
             return;
@@ -264,7 +264,7 @@
             }
         }
         self.events = events;
-        self.pump(now_us, engine);
+        self.apply_policy(now_us, engine);
     }
 
     fn job_of(&self, engine: usize, id: SequenceId) -> usize {
@@ -285,7 +285,7 @@
             }
             self.leave(now_us, index, JobEnd::Deadline);
             self.end(now_us, index, self.broken_ending(index));
-            self.pump(now_us, engine);
+            self.apply_policy(now_us, engine);
         }
     }
 
