Pace loads from the weight store by permits of the control leader

Cause: Control.permit was a stub and sidecars loaded without a permit. Conclusion: a rollout can no longer take the whole weight store.

--- a/src/domain/orders/permits.rs
+++ b/src/domain/orders/permits.rs
@@ -86,6 +86,11 @@
         }
     }
 
+    /// Changes the number of loads at once; permits that hold are not taken back.
+    pub fn set_max_loads(&mut self, max_loads: usize) {
+        self.max_loads = max_loads;
+    }
+
     /// Returns the number of permits that hold.
     pub fn held(&self, now_ms: u64) -> usize {
         let holds = |permit: &&Permit| permit.deadline_ms > now_ms;
--- a/src/roles/control/mod.rs
+++ b/src/roles/control/mod.rs
@@ -3,6 +3,7 @@
 mod machine;
 pub mod operator_api;
 mod operators;
+mod permits;
 mod port;
 pub mod replica;
 mod replicated;
@@ -11,6 +12,7 @@
 
 pub use machine::Machine;
 pub use operators::{Status, operator_port};
+pub use permits::{LOADS_LIMIT, Permits};
 pub use port::{Leadership, LogError, LogPort, memory_log};
 pub use replicated::replicated_log;
 pub use rooms::RoomBroker;
--- a/src/roles/control/service.rs
+++ b/src/roles/control/service.rs
@@ -7,7 +7,7 @@
 use tarpc::context::Context;
 use tokio::time::{Instant, sleep};
 
-use super::{LogError, LogPort, Machine, RoomBroker};
+use super::{LogError, LogPort, Machine, Permits, RoomBroker};
 use crate::adapters::clock::monotonic_ms;
 use crate::call_handler;
 use crate::domain::members::Phase;
@@ -36,6 +36,7 @@
     machine: Arc<Machine>,
     subscriber: Arc<Subscriber>,
     rooms: RoomBroker,
+    permits: Permits,
     /// The term in which this leader's view was last confirmed.
     confirmed_term: AtomicU64,
 }
@@ -48,6 +49,7 @@
             machine,
             subscriber,
             rooms: RoomBroker::default(),
+            permits: Permits::default(),
             confirmed_term: AtomicU64::new(NO_TERM),
         })
     }
@@ -86,6 +88,15 @@
         }
     }
 
+    /// Answers a sidecar that wants to load from the weight store.
+    fn permit(&self, request: &PermitRequest) -> Result<PermitReply, ControlError> {
+        self.subscriber.observe(&request.stamp);
+        let view = self.subscriber.view();
+        let stamp = self.subscriber.stamp();
+        self.permits
+            .answer((self.log.leadership)(), &view, stamp, request)
+    }
+
     /// Answers a holder of slots. A new leader first confirms its view, because the broker must know
     /// every entry that an earlier leader may have granted slots to.
     async fn room(&self, request: &RoomRequest) -> Result<RoomReply, ControlError> {
@@ -204,9 +215,9 @@
     async fn permit(
         self,
         _: Context,
-        _request: PermitRequest,
+        request: PermitRequest,
     ) -> Result<PermitReply, ControlError> {
-        Err(ControlError::Stopped)
+        self.role.permit(&request)
     }
 }
 
--- a/src/roles/daemon/mod.rs
+++ b/src/roles/daemon/mod.rs
@@ -21,7 +21,7 @@
 use super::control::{ControlRole, Machine, RelayService, operator_port, replicated_log};
 use super::entry::{EntryRole, RoomPort};
 use super::rooms::Rooms;
-use super::sidecar::SidecarRole;
+use super::sidecar::{Permits, SidecarRole};
 use super::standin::{EngineOptions, Running, start_engine, start_service};
 use super::subscriber::{Subscriber, SubscriberSettings, ViewStore, Watchers};
 use crate::adapters::admin::{Readiness, admin_routes};
@@ -109,7 +109,10 @@
         let sidecar = settings
             .sidecar
             .as_ref()
-            .map(|sidecar| SidecarRole::start(sidecar, Arc::clone(&subscriber)));
+            .map(|sidecar| {
+                let permits = Permits::of_control(&subscriber);
+                SidecarRole::with_permits(sidecar, Arc::clone(&subscriber), permits)
+            });
         if let Some(sidecar) = &sidecar {
             sidecar.offer(&mut services);
         }
--- a/src/roles/sidecar/orders.rs
+++ b/src/roles/sidecar/orders.rs
@@ -1,6 +1,7 @@
 //! Orders to engines, fenced by the registration of this incarnation.
 
-use std::sync::Arc;
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use futures::future::BoxFuture;
@@ -10,9 +11,13 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::adapters::upstream::{Order, OrderAnswer};
 use crate::model::{Fence, ModelName, UpstreamName};
+use crate::roles::subscriber::Subscriber;
+use crate::rpc::control::{PermitReply, PermitRequest};
 
 /// Time for the answer to an order.
 const ORDER_LIMIT: Duration = Duration::from_secs(5);
+/// Time for the answer to a question for a permit.
+const PERMIT_LIMIT: Duration = Duration::from_secs(2);
 /// An order whose effect is not seen for this long is given again.
 const ORDER_AGAIN_MS: u64 = 60_000;
 
@@ -40,6 +45,38 @@
 }
 
 impl Permits {
+    /// Returns permits that the control leader grants.
+    pub fn of_control(subscriber: &Arc<Subscriber>) -> Self {
+        let (asker, giver) = (Arc::clone(subscriber), Arc::clone(subscriber));
+        let held = Arc::new(Mutex::new(BTreeSet::new()));
+        let given = Arc::clone(&held);
+        Self {
+            ask: Box::new(move |load| {
+                let (subscriber, held) = (Arc::clone(&asker), Arc::clone(&held));
+                Box::pin(async move {
+                    let holds = lock(&held).contains(&load.upstream);
+                    let request = permit_request(&subscriber, &load, holds, false);
+                    let answer = subscriber.calls().permit(&request, PERMIT_LIMIT).await;
+                    let granted = matches!(answer, Ok(PermitReply::Granted { .. }));
+                    match granted {
+                        true => lock(&held).insert(load.upstream),
+                        false => lock(&held).remove(&load.upstream),
+                    };
+                    granted
+                })
+            }),
+            give_back: Box::new(move |load| {
+                let (subscriber, held) = (Arc::clone(&giver), Arc::clone(&given));
+                Box::pin(async move {
+                    lock(&held).remove(&load.upstream);
+                    let request = permit_request(&subscriber, &load, false, true);
+                    // Without an answer the permit ends with its lease.
+                    let _ = subscriber.calls().permit(&request, PERMIT_LIMIT).await;
+                })
+            }),
+        }
+    }
+
     /// Returns permits that are always granted.
     pub fn unlimited() -> Self {
         Self {
@@ -49,6 +86,23 @@
     }
 }
 
+fn lock(held: &Mutex<BTreeSet<UpstreamName>>) -> MutexGuard<'_, BTreeSet<UpstreamName>> {
+    held.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn permit_request(subscriber: &Subscriber, load: &Load, held: bool, done: bool) -> PermitRequest {
+    PermitRequest {
+        stamp: subscriber.stamp(),
+        fence: load.fence,
+        upstream: load.upstream.clone(),
+        model: load.model.clone(),
+        version: load.version.clone(),
+        recovery: load.recovery,
+        held,
+        done,
+    }
+}
+
 /// The order that an upstream has been given and whose effect is not seen yet.
 #[derive(Default)]
 pub(super) struct InFlight(Option<(Load, u64)>);
