Judge the coverage of length estimates by its sampling error

Change: each seed within four standard deviations (0.052), and the mean of all seeds within 0.015, which the old check did not ask. The median length of a queued request is computed once. Conclusion: the new check is stricter on any bias of the estimates.

--- a/src/domain/schedule/job.rs
+++ b/src/domain/schedule/job.rs
@@ -106,6 +106,8 @@
     pub(super) sequence: u64,
     /// Expected length when it was submitted.
     pub(super) expected_tokens: u32,
+    /// Median length when it was submitted.
+    pub(super) median_tokens: u32,
     /// Tokens of the current run.
     pub(super) produced: u32,
     /// Tokens that the workspace's share was charged for.
--- a/src/domain/schedule/next.rs
+++ b/src/domain/schedule/next.rs
@@ -32,7 +32,7 @@
     fn refuse_late(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
         let late = |job: &&Job| {
             let service_ms = match self.policy.refuses_early {
-                true => self.service_ms(&job.request, &job.curve),
+                true => self.service_ms(job.request.lane, job.median_tokens),
                 false => 0,
             };
             job.stage == Stage::Queued && job.request.deadline_ms < now_ms + service_ms
--- a/src/domain/schedule/scheduler.rs
+++ b/src/domain/schedule/scheduler.rs
@@ -260,15 +260,15 @@
         Some(job)
     }
 
-    /// Returns the time that the run of a request takes, by its median length.
-    pub(super) fn service_ms(&self, request: &Request, curve: &Curve) -> u64 {
-        let median = curve.remaining(0, request.max_tokens, 0.5);
-        to_ms(f64::from(median) * self.meters.of(request.lane).token_ms())
+    /// Returns the time that a run of some tokens takes in a lane.
+    pub(super) fn service_ms(&self, lane: Lane, tokens: u32) -> u64 {
+        to_ms(f64::from(tokens) * self.meters.of(lane).token_ms())
     }
 
     fn job(&mut self, now_ms: u64, request: Request, curve: Arc<Curve>) -> Job {
         self.sequence += 1;
         Job {
+            median_tokens: curve.remaining(0, request.max_tokens, 0.5),
             expected_tokens: curve.expected(0, request.max_tokens).max(1),
             request,
             stage: Stage::Queued,
@@ -307,7 +307,8 @@
             return None;
         }
         let left_ms = request.deadline_ms.saturating_sub(now_ms);
-        let service_ms = self.service_ms(request, curve);
+        let median_tokens = curve.remaining(0, request.max_tokens, 0.5);
+        let service_ms = self.service_ms(request.lane, median_tokens);
         if left_ms == 0 || service_ms > left_ms {
             let message = format!("the answer would take {service_ms} ms; {left_ms} ms are left");
             return Some(refusal(RefusalCode::DeadlineExceeded, &message, None));
--- a/tests/length_estimates.rs
+++ b/tests/length_estimates.rs
@@ -33,27 +33,42 @@
 /// Guards against estimates that ignore how far an answer has come: of the answers that reached
 /// a length, the stated share must end within the estimate. An estimate that ignores the produced
 /// tokens covers 82 % of those that reached 400 instead of 90 %.
+///
+/// The estimates of one seed rest on about 540 answers that reached 400, so their coverage has a
+/// standard deviation of 0.013; one seed may be off by four of them, the mean by 0.015.
 #[test]
 fn quantiles_cover_the_answers_that_came_this_far() {
-    for seed in 0..seeds() {
-        let (curve, mut rng) = learned(seed, 200.0, 1.0);
-        for produced in [0, 50, 400] {
-            let (mut alive, mut covered) = (0.0, 0.0);
-            let estimate = curve.remaining(produced, 100_000, 0.9);
-            for _ in 0..20_000 {
-                let length = draw(&mut rng, 200.0, 1.0);
-                if length > produced {
-                    alive += 1.0;
-                    covered += f64::from(u8::from(length <= produced + estimate));
-                }
-            }
-            let share: f64 = covered / alive;
+    for produced in [0, 50, 400] {
+        let mut sum = 0.0;
+        for seed in 0..seeds() {
+            let share = covered(seed, produced);
             assert!(
-                (0.87..0.94).contains(&share),
+                (0.9 - share).abs() < 0.052,
                 "seed {seed}, produced {produced}: {share} are within the 0.9 quantile"
             );
+            sum += share;
+        }
+        let mean = sum / f64::from(u32::try_from(seeds()).unwrap());
+        assert!(
+            (0.9 - mean).abs() < 0.015,
+            "produced {produced}: mean {mean}"
+        );
+    }
+}
+
+/// Returns the part of the answers longer than `produced` that end within the 0.9 quantile.
+fn covered(seed: u64, produced: u32) -> f64 {
+    let (curve, mut rng) = learned(seed, 200.0, 1.0);
+    let estimate = curve.remaining(produced, 100_000, 0.9);
+    let (mut alive, mut covered) = (0.0, 0.0);
+    for _ in 0..20_000 {
+        let length = draw(&mut rng, 200.0, 1.0);
+        if length > produced {
+            alive += 1.0;
+            covered += f64::from(u8::from(length <= produced + estimate));
         }
     }
+    covered / alive
 }
 
 /// Guards against estimates outside the request's bounds, and against survival that rises.
--- a/tests/schedule_runs.rs
+++ b/tests/schedule_runs.rs
@@ -1,5 +1,5 @@
 //! The scheduler before a small engine, in randomised runs. `LILAC_SEEDS` sets the number of
-//! seeds of the first test.
+//! seeds.
 
 mod schedule_support;
 
@@ -93,7 +93,7 @@
 /// is long because a single answer of 8,000 tokens is that much in a short one.
 #[test]
 fn shares_follow_the_weights() {
-    for seed in 0..2 {
+    for seed in 0..seeds(2) {
         let mut config = SchedulerConfig::new(20_000, 32);
         config.long_wait_ms = 1_000_000;
         let mut sim = Sim::new(seed, config, policy("adaptive"));
@@ -138,7 +138,7 @@
 /// is at most twice that of the same calls alone.
 #[test]
 fn small_calls_do_not_wait_behind_long_ones() {
-    for seed in 0..3 {
+    for seed in 0..seeds(3) {
         let latency = |loaded: bool| {
             let mut config = SchedulerConfig::new(20_000, 32);
             config.long_wait_ms = 1_000_000;
@@ -168,7 +168,7 @@
 /// of those without a gate, at 95 % of its goodput or more.
 #[test]
 fn memory_rarely_overflows_and_is_used() {
-    for seed in 0..3 {
+    for seed in 0..seeds(3) {
         let run = |name: &str| {
             let mut config = SchedulerConfig::new(20_000, 64);
             config.long_wait_ms = 1_000_000;
