Measure the path's processes and turn reports into slopes; run measurements from the command line

Cause: the capacity tables need slopes of entry and sidecar processes, and the measurements could only be run by tests. Change: bench path reads processor time, memory and bytes of running processes at several loads; bench slopes writes the slopes file; bench state, log and distribution run from the command line; the ignored test of the log measurement became bench log. No figure has been taken yet. Conclusion: every table of the capacity page can be made again by commands.

--- a/src/bench/distribution/mod.rs
+++ b/src/bench/distribution/mod.rs
@@ -2,7 +2,7 @@
 
 mod broker;
 pub mod fleet;
-mod resources;
+pub(super) mod resources;
 
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -105,6 +105,8 @@
 /// All measurements.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Report {
+    /// Time between edits in the measurement of the cost.
+    pub edit_interval_s: f64,
     pub points: Vec<Point>,
     pub brokers: Vec<BrokerPoint>,
 }
@@ -179,7 +181,11 @@
         .iter()
         .map(|workspaces| broker::measure(options.entries, *workspaces))
         .collect();
-    Ok(Report { points, brokers })
+    Ok(Report {
+        edit_interval_s: options.edit_interval.as_secs_f64(),
+        points,
+        brokers,
+    })
 }
 
 async fn measure(options: &Options, count: usize, rows: u32) -> Result<Point, FleetError> {
--- a/src/bench/distribution/resources.rs
+++ b/src/bench/distribution/resources.rs
@@ -1,13 +1,18 @@
-//! What this process has used so far, from the system's process files.
+//! What a process has used so far, from the system's process files.
 
 use std::fs;
 
 /// The clock ticks per second in `/proc/self/stat`; fixed in the interface of Linux.
 const TICKS_PER_SECOND: f64 = 100.0;
 
-/// Returns the processor time that all threads have used, in seconds.
+/// Returns the processor time that all threads of this process have used, in seconds.
 pub(super) fn cpu_seconds() -> f64 {
-    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    cpu_seconds_of("self")
+}
+
+/// Returns the processor time of a process by its id, in seconds; zero if it is gone.
+pub(in crate::bench) fn cpu_seconds_of(pid: &str) -> f64 {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
     // The name in the second field may hold spaces; user and system time follow as fields 14 and 15.
     let fields = stat.rsplit(") ").next().unwrap_or_default();
     let ticks: f64 = fields
@@ -19,9 +24,14 @@
     ticks / TICKS_PER_SECOND
 }
 
-/// Returns the resident memory in kilobytes.
+/// Returns the resident memory of this process in kilobytes.
 pub(super) fn resident_kb() -> f64 {
-    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    resident_kb_of("self")
+}
+
+/// Returns the resident memory of a process by its id in kilobytes; zero if it is gone.
+pub(in crate::bench) fn resident_kb_of(pid: &str) -> f64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
     let line = status.lines().find(|line| line.starts_with("VmRSS:"));
     let value = line.and_then(|line| line.split_whitespace().nth(1));
     value.and_then(|value| value.parse().ok()).unwrap_or(0.0)
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -8,10 +8,12 @@
 pub mod log;
 mod metrics;
 mod options;
+pub mod path;
 mod plot;
 pub mod recorder;
 pub mod report;
 pub mod sim;
+pub mod slopes;
 pub mod sse;
 pub mod workload;
 
--- a/src/bench/state.rs
+++ b/src/bench/state.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use hdrhistogram::Histogram;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::domain::members::{Member, Phase, Role, Serves, UpstreamInfo};
 use crate::domain::state::{Claimed, Command, EditId, KeyId, RowChange, State, View, ViewDelta};
@@ -27,15 +27,15 @@
 const START_MS: u64 = 1_700_000_000_000;
 
 /// One measured value.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Measure {
     pub name: String,
     pub value: f64,
-    pub unit: &'static str,
+    pub unit: String,
 }
 
 /// All measured values. Displayed as a table; serialised as JSON.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct StateReport {
     pub measures: Vec<Measure>,
 }
@@ -79,11 +79,11 @@
 }
 
 impl Bench {
-    fn add(&mut self, name: &str, value: f64, unit: &'static str) {
+    fn add(&mut self, name: &str, value: f64, unit: &str) {
         self.report.measures.push(Measure {
             name: name.to_owned(),
             value,
-            unit,
+            unit: unit.to_owned(),
         });
     }
 
--- a/src/bin/lilacspindle/cli.rs
+++ b/src/bin/lilacspindle/cli.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
+use lilacspindle::{bench, capacity};
 
 /// Reads and edits the table of a lilacspindle fleet, and drains instances.
 ///
@@ -53,16 +54,55 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
-    /// Run the load tool; `bench state` measures the replicated state machine
-    Bench {
-        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
-        arguments: Vec<String>,
-    },
+    /// Drive load and measure; each figure of docs/measurements.md names its command
+    #[command(subcommand)]
+    Bench(Bench),
     /// Compute capacity tables from measured slopes
-    Capacity {
-        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
-        arguments: Vec<String>,
-    },
+    Capacity(capacity::Options),
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Bench {
+    #[command(flatten)]
+    Tool(bench::Command),
+    /// Measure the replicated state machine at the size designed for
+    State,
+    /// Measure the replicated log with real syncs: throughput, failover, restart
+    Log(BenchLog),
+    /// Measure how fast an edit is in force, and what a subscriber costs
+    Distribution(BenchDistribution),
+    /// Measure what tokens, calls and streams cost a running entry and sidecar
+    Path(bench::path::PathOptions),
+    /// Turn reports into the slopes file that `capacity` reads
+    Slopes(bench::slopes::SlopesOptions),
+}
+
+#[derive(Debug, Args)]
+pub struct BenchLog {
+    /// Folder for data folders; its file system is the one that is measured
+    #[arg(long, default_value = "lilacspindle-bench")]
+    pub folder: PathBuf,
+    #[arg(long, value_delimiter = ',', default_value = "3,5")]
+    pub voters: Vec<usize>,
+    /// Commands that are under way at once
+    #[arg(long, value_delimiter = ',', default_value = "1,16,256")]
+    pub clients: Vec<usize>,
+    #[arg(long, default_value_t = 5)]
+    pub seconds: u64,
+    /// Kills of the leader
+    #[arg(long, default_value_t = 30)]
+    pub kills: usize,
+    /// Commands before the restart
+    #[arg(long, default_value_t = 10_000)]
+    pub restart_commands: u64,
+}
+
+#[derive(Debug, Args)]
+pub struct BenchDistribution {
+    #[arg(long, value_delimiter = ',', default_value = "1,10,100,400")]
+    pub subscribers: Vec<usize>,
+    #[arg(long, value_delimiter = ',', default_value = "1000,20000")]
+    pub rows: Vec<u32>,
 }
 
 #[derive(Debug, Subcommand)]
--- a/src/bin/lilacspindle/cmd/mod.rs
+++ b/src/bin/lilacspindle/cmd/mod.rs
@@ -16,6 +16,7 @@
     }};
 }
 
+mod bench;
 mod check;
 mod drain;
 mod status;
@@ -41,34 +42,32 @@
 }
 
 /// Runs a command.
-pub async fn run(cli: &Cli) -> Exit {
+pub fn run(cli: &Cli) -> Exit {
     let options = &cli.options;
     match &cli.command {
-        Command::Table(command) => table::run(options, command).await,
-        Command::Status => status::run(options).await,
-        Command::Drain { instance } => drain::run(options, instance).await,
         Command::Check { files } => check::run(options, files),
-        Command::Bench { arguments } => bench(options, arguments),
-        Command::Capacity { .. } => missing("capacity"),
+        // The measurements start runtimes of their own.
+        Command::Bench(command) => bench::run(options, command),
+        Command::Capacity(arguments) => bench::capacity(arguments),
+        command => match tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+        {
+            Ok(runtime) => runtime.block_on(call_control(options, command)),
+            Err(error) => {
+                eprintln!("lilacspindle: cannot start: {error}");
+                Exit::Unreachable
+            }
+        },
     }
 }
 
-fn bench(options: &Options, arguments: &[String]) -> Exit {
-    if arguments != ["state"] {
-        return missing("bench");
-    }
-    let report = lilacspindle::bench::state::run();
-    if options.json {
-        print_json(&report);
-    } else {
-        say_raw!("{report}");
+async fn call_control(options: &Options, command: &Command) -> Exit {
+    match command {
+        Command::Table(command) => table::run(options, command).await,
+        Command::Drain { instance } => drain::run(options, instance).await,
+        _ => status::run(options).await,
     }
-    Exit::Ok
-}
-
-fn missing(command: &str) -> Exit {
-    eprintln!("lilacspindle: the command {command} is not part of this build yet");
-    Exit::Usage
 }
 
 /// Returns a client, or prints what it lacks.
--- a/src/bin/lilacspindle/main.rs
+++ b/src/bin/lilacspindle/main.rs
@@ -7,9 +7,8 @@
 
 use clap::Parser;
 
-#[tokio::main(flavor = "current_thread")]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let cli = cli::Cli::parse();
-    let exit = cmd::run(&cli).await;
+    let exit = cmd::run(&cli);
     ExitCode::from(exit as u8)
 }
--- a/src/roles/control/permits.rs
+++ b/src/roles/control/permits.rs
@@ -37,8 +37,14 @@
         }
         let now_ms = monotonic_ms();
         let mut term = self.term.lock().unwrap_or_else(PoisonError::into_inner);
-        if term.as_ref().is_none_or(|(term, _)| *term != leadership.term) {
-            *term = Some((leadership.term, PermitBroker::new(loads_limit(view), now_ms)));
+        if term
+            .as_ref()
+            .is_none_or(|(term, _)| *term != leadership.term)
+        {
+            *term = Some((
+                leadership.term,
+                PermitBroker::new(loads_limit(view), now_ms),
+            ));
         }
         let Some((_, broker)) = term.as_mut() else {
             return Err(ControlError::Stopped);
--- a/src/roles/control/replicated.rs
+++ b/src/roles/control/replicated.rs
@@ -39,11 +39,21 @@
     LogPort {
         submit: Box::new(move |command, limit| {
             let replica = submitter.clone();
-            Box::pin(async move { replica.submit(command, limit).await.map_err(log_error) })
+            Box::pin(async move {
+                replica
+                    .submit(command, limit)
+                    .await
+                    .map_err(|error| log_error(&error))
+            })
         }),
         confirm: Box::new(move |limit| {
             let replica = reader.clone();
-            Box::pin(async move { replica.confirm(limit).await.map_err(log_error) })
+            Box::pin(async move {
+                replica
+                    .confirm(limit)
+                    .await
+                    .map_err(|error| log_error(&error))
+            })
         }),
         leadership: Box::new(move || {
             let status = watched.status();
@@ -64,9 +74,9 @@
     }
 }
 
-fn log_error(error: SubmitError) -> LogError {
+fn log_error(error: &SubmitError) -> LogError {
     match error {
-        SubmitError::NotLeader { leader } => LogError::NotLeader { leader },
+        SubmitError::NotLeader { leader } => LogError::NotLeader { leader: *leader },
         SubmitError::Undecided => LogError::Undecided,
         SubmitError::Stopped => LogError::Stopped,
         SubmitError::TooLarge => LogError::TooLarge,
--- a/src/roles/control/service.rs
+++ b/src/roles/control/service.rs
@@ -212,11 +212,7 @@
         self.role.room(&request).await
     }
 
-    async fn permit(
-        self,
-        _: Context,
-        request: PermitRequest,
-    ) -> Result<PermitReply, ControlError> {
+    async fn permit(self, _: Context, request: PermitRequest) -> Result<PermitReply, ControlError> {
         self.role.permit(&request)
     }
 }
--- a/src/roles/daemon/mod.rs
+++ b/src/roles/daemon/mod.rs
@@ -106,13 +106,10 @@
                 tasks.push(tokio::spawn(Arc::clone(&subscriber).run()));
             }
         }
-        let sidecar = settings
-            .sidecar
-            .as_ref()
-            .map(|sidecar| {
-                let permits = Permits::of_control(&subscriber);
-                SidecarRole::with_permits(sidecar, Arc::clone(&subscriber), permits)
-            });
+        let sidecar = settings.sidecar.as_ref().map(|sidecar| {
+            let permits = Permits::of_control(&subscriber);
+            SidecarRole::with_permits(sidecar, Arc::clone(&subscriber), permits)
+        });
         if let Some(sidecar) = &sidecar {
             sidecar.offer(&mut services);
         }
--- a/src/roles/sidecar/orders.rs
+++ b/src/roles/sidecar/orders.rs
@@ -49,7 +49,7 @@
     pub fn of_control(subscriber: &Arc<Subscriber>) -> Self {
         let (asker, giver) = (Arc::clone(subscriber), Arc::clone(subscriber));
         let held = Arc::new(Mutex::new(BTreeSet::new()));
-        let given = Arc::clone(&held);
+        let held_until_done = Arc::clone(&held);
         Self {
             ask: Box::new(move |load| {
                 let (subscriber, held) = (Arc::clone(&asker), Arc::clone(&held));
@@ -66,7 +66,7 @@
                 })
             }),
             give_back: Box::new(move |load| {
-                let (subscriber, held) = (Arc::clone(&giver), Arc::clone(&given));
+                let (subscriber, held) = (Arc::clone(&giver), Arc::clone(&held_until_done));
                 Box::pin(async move {
                     lock(&held).remove(&load.upstream);
                     let request = permit_request(&subscriber, &load, false, true);
--- a/src/rpc/control.rs
+++ b/src/rpc/control.rs
@@ -170,8 +170,6 @@
     pub recovery: bool,
     /// True to renew a permit that the sidecar holds, perhaps from a former leader.
     pub held: bool,
-    /// True if the sidecar holds a permit and renews it.
-    pub held: bool,
     /// True to give the permit back.
     pub done: bool,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -411,7 +411,7 @@
         let start = Instant::now();
         for name in ["entry-1", "entry-2"] {
             loop {
-                let answer = completion(self.url(name), "hint", "are you there", 3, false)
+                let answer = completion(&self.url(name), "hint", "are you there", 3, false)
                     .send()
                     .await;
                 if answer.is_ok_and(|answer| answer.status() == 200) {
@@ -516,7 +516,7 @@
 
 /// Returns a completion call of the workspace `demo`; `tokens` is the true length of the answer.
 pub fn completion(
-    url: String,
+    url: &str,
     kind: &str,
     prompt: &str,
     tokens: u32,
--- a/tests/faults_path.rs
+++ b/tests/faults_path.rs
@@ -22,7 +22,7 @@
     prompt: &str,
     tokens: usize,
 ) -> (reqwest::Response, Streamed) {
-    let mut answer = completion(fleet.url(entry), "essay", prompt, ESSAY_TOKENS, true)
+    let mut answer = completion(&fleet.url(entry), "essay", prompt, ESSAY_TOKENS, true)
         .send()
         .await
         .unwrap();
@@ -81,7 +81,7 @@
         let mut calls = Vec::new();
         for number in 0..8 {
             let prompt = format!("answer {number}");
-            let call = completion(fleet.url("entry-1"), "essay", &prompt, 200, false).send();
+            let call = completion(&fleet.url("entry-1"), "essay", &prompt, 200, false).send();
             calls.push((prompt, tokio::spawn(call)));
         }
         tokio::time::sleep(Duration::from_millis(400)).await;
@@ -112,7 +112,7 @@
     let (_, mut streamed) = open_stream(&fleet, "entry-1", "on two entries", 5).await;
     fleet.kill("entry-1");
     let resumed = completion(
-        fleet.url("entry-2"),
+        &fleet.url("entry-2"),
         "essay",
         "on two entries",
         ESSAY_TOKENS,
@@ -135,7 +135,7 @@
     .unwrap();
 
     let stranger = completion(
-        fleet.url("entry-2"),
+        &fleet.url("entry-2"),
         "essay",
         "on two entries",
         ESSAY_TOKENS,
--- a/tests/log_bench.rs
+++ b/tests/log_bench.rs
@@ -1,5 +1,5 @@
 //! The measurement of the replicated log, small in CI. The full one is
-//! `cargo test --release --test log_bench -- --ignored --nocapture`.
+//! `lilacspindle bench log`.
 
 use lilacspindle::bench::log::{LogOptions, Report, run};
 
@@ -55,10 +55,3 @@
     };
     check(&measure(small));
 }
-
-/// The figures of the report; takes about two minutes.
-#[test]
-#[ignore = "a measurement for a release build"]
-fn full_measurement() {
-    check(&measure(full()));
-}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -18,7 +18,7 @@
     fleet.start_path(1).await;
 
     // A streamed answer.
-    let answer = completion(fleet.url("entry-1"), "essay", "a long essay", 300, true)
+    let answer = completion(&fleet.url("entry-1"), "essay", "a long essay", 300, true)
         .send()
         .await
         .unwrap();
@@ -29,7 +29,7 @@
     check_answer(&["v1"], "a long essay", &streamed.text, Some(300)).unwrap();
 
     // A whole answer.
-    let answer = completion(fleet.url("entry-2"), "hint", "a word", 20, false)
+    let answer = completion(&fleet.url("entry-2"), "hint", "a word", 20, false)
         .send()
         .await
         .unwrap();
@@ -87,7 +87,7 @@
     assert!(version > fleet.rows_version);
     tokio::time::sleep(Duration::from_secs(2)).await;
     let running = completion(
-        fleet.url("entry-1"),
+        &fleet.url("entry-1"),
         "essay",
         "in the only slot",
         3_000,
@@ -98,7 +98,7 @@
     .unwrap();
     assert_eq!(running.status(), 200);
     for entry in ["entry-1", "entry-2"] {
-        let answer = completion(fleet.url(entry), "hint", "a word", 5, false)
+        let answer = completion(&fleet.url(entry), "hint", "a word", 5, false)
             .send()
             .await
             .unwrap();
@@ -119,7 +119,7 @@
     for entry in ["entry-1", "entry-2"] {
         for number in 0..4 {
             let prompt = format!("report {number} through {entry}");
-            let answer = completion(fleet.url(entry), "essay", &prompt, 400, true)
+            let answer = completion(&fleet.url(entry), "essay", &prompt, 400, true)
                 .send()
                 .await
                 .unwrap();
@@ -135,8 +135,8 @@
         check_answer(&["v1"], &prompt, &streamed.text, Some(400)).unwrap();
     }
     fleet.wait_ended("entry-1", Duration::from_secs(20)).await;
-    fleet.wait_ended("sidecar-1", Duration::from_secs(60)).await;
-    let answer = completion(fleet.url("entry-2"), "hint", "after the stop", 5, false)
+    fleet.wait_ended("sidecar-1", Duration::from_mins(1)).await;
+    let answer = completion(&fleet.url("entry-2"), "hint", "after the stop", 5, false)
         .send()
         .await
         .unwrap();
