Give up on silent starts sooner; bound the counts per workspace

Cause: a repeatable start without an answer was repeated for up to 10 s at the same sidecar; counts of served tokens grew with all workspaces; a poll that failed long ago made the next failure count as unreachable at once. Change: repeatable starts go elsewhere after one silent call; idle workspaces are forgotten beyond 512 per sidecar; failures are counted from the first reader. Conclusion: unchanged behaviour for calls that may not be repeated.

--- a/src/roles/entry/attempt.rs
+++ b/src/roles/entry/attempt.rs
@@ -15,7 +15,8 @@
 /// Limit of a call that the sidecar answers at once; longer than the time in which a silent
 /// connection is given up.
 const CALL_LIMIT: Duration = Duration::from_millis(2_500);
-/// Times that a start without an answer is repeated with the same generation.
+/// Times that a start without an answer is repeated with the same generation, if the request may
+/// not run again elsewhere.
 const START_REPEATS: u32 = 3;
 /// Pause before a repeat.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
@@ -33,11 +34,20 @@
 }
 
 /// Starts a generation. A start without an answer is repeated with the same generation, which the
-/// sidecar answers as it did first.
-pub(super) async fn start(entry: &Entry, peer: &Peer, request: &StartRequest) -> Sent {
+/// sidecar answers as it did first; a request that may run again goes elsewhere sooner.
+pub(super) async fn start(
+    entry: &Entry,
+    peer: &Peer,
+    request: &StartRequest,
+    runs_again: bool,
+) -> Sent {
     let tokens = u64::from(request.prompt_tokens) + u64::from(request.max_tokens);
     peer.load().note_sent(&request.upstream, tokens);
-    let sent = send(entry, peer, request).await;
+    let repeats = match runs_again {
+        true => 0,
+        false => START_REPEATS,
+    };
+    let sent = send(entry, peer, request, repeats).await;
     peer.load().note_answered(&request.upstream, tokens);
     match sent {
         Sent::Doubt(cause) => resolve(entry, peer, request.generation, cause).await,
@@ -45,10 +55,10 @@
     }
 }
 
-async fn send(entry: &Entry, peer: &Peer, request: &StartRequest) -> Sent {
+async fn send(entry: &Entry, peer: &Peer, request: &StartRequest, repeats: u32) -> Sent {
     let deadline_at_ms = monotonic_ms().saturating_add(request.remaining_ms);
     let mut doubt: Option<String> = None;
-    for _ in 0..=START_REPEATS {
+    for _ in 0..=repeats {
         let mut request = request.clone();
         request.stamp = entry.subscriber.stamp();
         request.remaining_ms = deadline_at_ms.saturating_sub(monotonic_ms());
--- a/src/roles/entry/generation.rs
+++ b/src/roles/entry/generation.rs
@@ -130,8 +130,8 @@
             let Ok(news) = timeout(remaining, self.attempt.reader.next()).await else {
                 return self.give_up_at_deadline().await;
             };
-            if let Some(origin) = self.attempt.reader.origin() {
-                self.attempt.origin = Some(origin);
+            if self.attempt.origin.is_none() {
+                self.attempt.origin = self.attempt.reader.origin();
             }
             let result = match news {
                 News::Tokens { offset, tokens } => return self.hand_out(offset, tokens),
@@ -359,7 +359,7 @@
             }
         }
         let start = start_request(entry, job, &view, &replica, generation);
-        let (ended, failure) = match attempt::start(entry, &peer, &start).await {
+        let (ended, failure) = match attempt::start(entry, &peer, &start, job.runs_again()).await {
             Sent::Accepted => {
                 let reader = peer.poller.read(generation, &job.terms.workspace, 0);
                 return Ok(Attempt {
--- a/src/roles/entry/load.rs
+++ b/src/roles/entry/load.rs
@@ -16,6 +16,12 @@
 /// Age of a report after which a sidecar that is unhealthy or did not answer is probed.
 const HELD_BACK_PROBE_MS: u64 = 500;
 
+/// Number of workspaces beyond which idle ones are forgotten: with 20,000 workspaces and 400
+/// sidecars the counts would take several hundred megabytes.
+const MANY_WORKSPACES: usize = 512;
+/// Time after which a workspace without tokens or starts is idle.
+const IDLE_WORKSPACE_MS: u64 = 60_000;
+
 #[derive(Debug, Default)]
 struct Known {
     reported: Option<(u64, UpstreamLoad)>,
@@ -42,6 +48,7 @@
     here: u64,
     /// Tokens produced elsewhere up to the last start here; none before the first start.
     elsewhere_told: Option<u64>,
+    used_at_ms: u64,
 }
 
 impl PeerLoad {
@@ -118,27 +125,30 @@
 
     /// Counts tokens that a workspace was served here.
     pub fn note_served(&mut self, workspace: &WorkspaceName, tokens: u64) {
-        match self.served.get_mut(workspace) {
-            Some(served) => served.here = served.here.saturating_add(tokens),
-            None => {
-                let served = Served {
-                    here: tokens,
-                    elsewhere_told: None,
-                };
-                self.served.insert(workspace.clone(), served);
-            }
-        }
+        let served = self.served_of(workspace);
+        served.here = served.here.saturating_add(tokens);
     }
 
     /// Returns the tokens that a workspace was served elsewhere since its last start here, out of
     /// a total over all sidecars.
     pub fn take_served_elsewhere(&mut self, workspace: &WorkspaceName, total: u64) -> u64 {
-        let served = self.served.entry(workspace.clone()).or_default();
+        let served = self.served_of(workspace);
         let elsewhere = total.saturating_sub(served.here);
         let told = served.elsewhere_told.replace(elsewhere);
         told.map_or(0, |told| elsewhere.saturating_sub(told))
     }
 
+    fn served_of(&mut self, workspace: &WorkspaceName) -> &mut Served {
+        let now_ms = monotonic_ms();
+        if self.served.len() >= MANY_WORKSPACES && !self.served.contains_key(workspace) {
+            self.served
+                .retain(|_, served| served.used_at_ms + IDLE_WORKSPACE_MS > now_ms);
+        }
+        let served = self.served.entry(workspace.clone()).or_default();
+        served.used_at_ms = now_ms;
+        served
+    }
+
     /// Returns the load of an upstream, or none if it takes no new work or lacks a version.
     /// `registered` are the versions that the member list names.
     pub fn of(
--- a/src/roles/entry/poller.rs
+++ b/src/roles/entry/poller.rs
@@ -130,6 +130,10 @@
     ) -> Reader {
         let ready = Arc::new(Notify::new());
         let mut readers = self.lock();
+        if readers.subscriptions.is_empty() {
+            // Failures from before a time without polls say nothing about now.
+            readers.failing_since = None;
+        }
         readers.next += 1;
         let id = readers.next;
         readers.subscriptions.insert(
