Answer 504 when a start is in doubt at the deadline

Cause: it was answered with 502, as if the sidecar had been lost. Change: the code is deadline_exceeded once no time is left. Result: tests/entry_recovery.rs covers a start that ran without an answer. Conclusion: the status tells apart a passed deadline from a lost upstream.

--- a/src/roles/entry/generation.rs
+++ b/src/roles/entry/generation.rs
@@ -375,7 +375,11 @@
             Sent::Doubt(cause) => {
                 cancel_later(entry, &peer, generation);
                 tries.may_have_run = true;
-                let failure = Failure::unknown(RefusalCode::UpstreamLost, cause);
+                let code = match job.terms.remaining_ms() {
+                    0 => RefusalCode::DeadlineExceeded,
+                    _ => RefusalCode::UpstreamLost,
+                };
+                let failure = Failure::unknown(code, cause);
                 (ended(job, tries, Proof::Stopped, false), failure)
             }
         };
--- a/tests/entry_recovery.rs
+++ b/tests/entry_recovery.rs
@@ -141,15 +141,16 @@
 /// Guards against waiting beyond the deadline, and against `not_run` without a tombstone.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_deadline_ends_a_request_with_what_is_known() {
-    for (runs, status, outcome) in [(false, 503, "not_run"), (true, 504, "unknown")] {
-        let plan = match runs {
-            true => Plan::Tokens {
-                count: 10,
-                step_ms: 1,
-                stall_at: Some(3),
-            },
-            false => Plan::Swallow { runs },
-        };
+    let stalls = Plan::Tokens {
+        count: 10,
+        step_ms: 1,
+        stall_at: Some(3),
+    };
+    for (plan, status, outcome) in [
+        (stalls, 504, "unknown"),
+        (Plan::Swallow { runs: false }, 503, "not_run"),
+        (Plan::Swallow { runs: true }, 504, "unknown"),
+    ] {
         let (_sidecar, entry) = start_one(plan).await;
         let request = post(&entry, "/v1/completions", WHOLE).header("Lilac-Deadline-Ms", "600");
         let (got, text) = text_of(request).await;
