Test starts under a newer table and an engine that is down

Cause: two promises of the role had no test: no work below a version that a peer has applied, and detection of an engine that does not answer. Change: one test for each. Conclusion: the role needed no change.

--- a/tests/sidecar_faults.rs
+++ b/tests/sidecar_faults.rs
@@ -280,3 +280,41 @@
     assert_eq!(orders[0]["fence"], 7);
     assert_eq!(orders[0]["action"], "load");
 }
+
+/// Guards against work under a table that a peer has already replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_under_a_newer_table_is_not_run() {
+    let sidecar = start_sidecar("").await;
+    let mut request = start_request(1, r#"{"tokens": 5}"#);
+    request.stamp.table_version = TableVersion(9);
+    let reply = sidecar.start(request).await;
+    assert!(matches!(reply, StartReply::Behind { .. }), "{reply:?}");
+    // From now on the sidecar knows that there is a newer table, whoever asks.
+    match sidecar.start(start_request(2, r#"{"tokens": 5}"#)).await {
+        StartReply::Refused { refusal, .. } => assert_eq!(refusal.code, RefusalCode::StaleTable),
+        reply => panic!("{reply:?}"),
+    }
+    assert!(sidecar.engine.state.started.lock().unwrap().is_empty());
+}
+
+/// Guards against an engine that is down and still gets all requests, and against an `unknown`
+/// for a request that never reached it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_is_down_is_reported() {
+    let mut sidecar = start_sidecar("").await;
+    let other = fake_engine().await;
+    std::mem::replace(&mut sidecar.engine, other)
+        .server
+        .stop()
+        .await;
+    let deadline = Instant::now() + sidecar_support::LIMIT;
+    while sidecar.poll(9, 0, 0).await.load.upstreams[0].healthy {
+        assert!(
+            Instant::now() < deadline,
+            "the engine still counts as healthy"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    accepted(&sidecar, start_request(1, r#"{"tokens": 5}"#)).await;
+    assert_eq!(outcome(&sidecar.read(1, 0).await), Outcome::NotRun);
+}
