Restart the fake sidecar behind a proxy instead of on its old port

Change: the entry reaches it through a proxy whose target changes. Conclusion: no test binds a port that another socket may hold.

--- a/tests/entry_recovery.rs
+++ b/tests/entry_recovery.rs
@@ -19,19 +19,29 @@
     }
 }
 
+/// Returns an entry that reaches the sidecar through a proxy.
+async fn start_behind_proxy(sidecar: &RunningFake) -> (Proxy, RunningEntry) {
+    let proxy = Proxy::start(sidecar.address).await;
+    let mut view = view(&[sidecar]);
+    for member in view.members.members.values_mut() {
+        member.rpc_address = proxy.address;
+    }
+    let control = FakeControl::default().listen().await;
+    (proxy, start_entry("e1", view, control).await)
+}
+
 /// Restarts the sidecar after some tokens were shown; returns the events of the stream and the
 /// number of readopts.
 async fn stream_over_restart(adopts: bool) -> (Vec<Event>, usize) {
     let mut first = RunningFake::start(Fake::new("s1", 1, slow(100)));
-    let control = FakeControl::default().listen().await;
-    let entry = start_entry("e1", view(&[&first]), control).await;
+    let (proxy, entry) = start_behind_proxy(&first).await;
     let reading = tokio::spawn(text_of(post(&entry, "/v1/completions", STREAM)));
     tokio::time::sleep(Duration::from_millis(400)).await;
-    let address = first.address;
     first.kill();
     let mut fake = Fake::new("s1", 2, slow(100));
     fake.adopts = adopts;
-    let second = RunningFake::start_at(fake, address);
+    let second = RunningFake::start(fake);
+    *proxy.target.lock().unwrap() = second.address;
     let (status, text) = reading.await.unwrap();
     assert_eq!(status, 200, "{text}");
     let readopts = second.fake.seen().readopts.len();
@@ -167,13 +177,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_survives_silent_connections() {
     let sidecar = RunningFake::start(Fake::new("s1", 1, slow(100)));
-    let proxy = Proxy::start(sidecar.address).await;
-    let mut view = view(&[&sidecar]);
-    for member in view.members.members.values_mut() {
-        member.rpc_address = proxy.address;
-    }
-    let control = FakeControl::default().listen().await;
-    let entry = start_entry("e1", view, control).await;
+    let (proxy, entry) = start_behind_proxy(&sidecar).await;
     let reading = tokio::spawn(text_of(post(&entry, "/v1/completions", STREAM)));
     tokio::time::sleep(Duration::from_millis(300)).await;
     proxy.mute();
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -448,10 +448,6 @@
 
 impl RunningFake {
     pub fn start(fake: Fake) -> Self {
-        Self::start_at(fake, SocketAddr::from(([127, 0, 0, 1], 0)))
-    }
-
-    pub fn start_at(fake: Fake, address: SocketAddr) -> Self {
         let fake = Arc::new(fake);
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
@@ -460,7 +456,7 @@
             .unwrap();
         let listener = std::thread::scope(|scope| {
             scope
-                .spawn(|| runtime.block_on(TcpListener::bind(address)).unwrap())
+                .spawn(|| runtime.block_on(TcpListener::bind("127.0.0.1:0")).unwrap())
                 .join()
                 .unwrap()
         });
@@ -680,10 +676,11 @@
     (sidecar, entry)
 }
 
-/// Forwards connections. Those that are open when it is muted stay open and bring nothing more;
-/// new ones work.
+/// Forwards connections to a target that may change. Connections that are open when it is muted
+/// stay open and bring nothing more; new ones work.
 pub struct Proxy {
     pub address: SocketAddr,
+    pub target: Arc<Mutex<SocketAddr>>,
     mutes: tokio::sync::watch::Sender<u64>,
 }
 
@@ -693,11 +690,16 @@
         let address = listener.local_addr().unwrap();
         let mutes = tokio::sync::watch::Sender::new(0);
         let subscribed = mutes.clone();
+        let target = Arc::new(Mutex::new(target));
+        let current = Arc::clone(&target);
         tokio::spawn(async move {
             while let Ok((mut near, _)) = listener.accept().await {
                 let mut mutes = subscribed.subscribe();
+                let target = *current.lock().unwrap();
                 tokio::spawn(async move {
-                    let mut far = TcpStream::connect(target).await.unwrap();
+                    let Ok(mut far) = TcpStream::connect(target).await else {
+                        return;
+                    };
                     tokio::select! {
                         _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
                         _ = mutes.changed() => sleep(Duration::from_mins(1)).await,
@@ -705,7 +707,11 @@
                 });
             }
         });
-        Self { address, mutes }
+        Self {
+            address,
+            target,
+            mutes,
+        }
     }
 
     pub fn mute(&self) {
