--- a/src/roles/sidecar/upstream.rs
+++ b/src/roles/sidecar/upstream.rs
@@ -162,7 +162,7 @@
         metrics.used_tokens.with_label_values(&name).set(used);
     }
 
-    /// Lets the scheduler see that time passes.
+    /// Returns true if requests wait in the queue.
     pub(super) fn waits(&self) -> bool {
         self.scheduler().load().queued > 0
     }
