Keep a stream and its slot alive when its caller moves to another entry

Instance names with dots would have made event ids ambiguous. An unknown policy name was only logged. Ruled out: the orphan rule of the sidecar, which looks at reads of any entry. Change: a cancel can ask to be carried out only if nobody reads; the entry holds the slot until the generation has ended or is unread; event ids name the entry, so that another one takes the slot over from a dead entry; a draining entry gives idle slots back; names and policies are checked.

--- a/src/domain/stream/generations.rs
+++ b/src/domain/stream/generations.rs
@@ -118,6 +118,12 @@
 }
 
 impl Generations {
+    /// Returns when a generation that has not ended was last read; none if there is none.
+    pub fn read_at_ms(&self, generation: GenerationId) -> Option<u64> {
+        let stream = self.streams.get(&generation)?;
+        (stream.stage != Stage::Ended).then_some(stream.read_at_ms)
+    }
+
     /// Returns an empty shard. Generations unread for `orphan_ms` are reported by `expire`.
     pub fn new(orphan_ms: u64, max_past: usize) -> Self {
         Self {
--- a/src/roles/daemon/mod.rs
+++ b/src/roles/daemon/mod.rs
@@ -57,6 +57,7 @@
     rpc_address: SocketAddr,
     admin: Server,
     entry: Option<Arc<EntryRole>>,
+    rooms: Option<Arc<Rooms>>,
     sidecar: Option<Arc<SidecarRole>>,
     control: Option<Arc<ControlRole>>,
     standins: Vec<Running>,
@@ -114,14 +115,17 @@
             sidecar.offer(&mut services);
         }
         tasks.push(tokio::spawn(serve(listener, services)));
-        let entry = match &settings.entry {
-            Some(entry) => {
-                let rooms = Rooms::start(Arc::clone(&subscriber));
-                let room = RoomPort::leases(&rooms);
+        let rooms = settings
+            .entry
+            .as_ref()
+            .map(|_| Rooms::start(Arc::clone(&subscriber)));
+        let entry = match (&settings.entry, &rooms) {
+            (Some(entry), Some(rooms)) => {
+                let room = RoomPort::leases(rooms);
                 let starting = EntryRole::start_with_room(entry, Arc::clone(&subscriber), room);
                 Some(starting.await.map_err(as_daemon_error)?)
             }
-            None => None,
+            _ => None,
         };
         let admin = start_admin(&settings, &subscriber, operators).await?;
         let daemon = Self {
@@ -130,6 +134,7 @@
             rpc_address,
             admin,
             entry,
+            rooms,
             sidecar,
             control,
             standins,
@@ -193,6 +198,9 @@
         self.stop.send_replace(true);
         // Without control the stamps of replies still tell peers that this process leaves.
         let _ = timeout(LEAVE_LIMIT, registration::say_leaving(&self.subscriber)).await;
+        if let Some(rooms) = &self.rooms {
+            rooms.drain();
+        }
         if let Some(entry) = &self.entry {
             entry.drain().await;
         }
--- a/src/roles/entry/attempt.rs
+++ b/src/roles/entry/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt at a sidecar: sent, refused, or in doubt.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::time::sleep;
 
@@ -20,6 +20,10 @@
 const START_REPEATS: u32 = 3;
 /// Pause before a repeat.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+/// A stream that nobody polled for this long is not read: a poll is held for 2 s at most.
+const UNREAD_MS: u64 = 2_500;
+/// Time between looks whether a stream that a caller has left is read.
+const UNREAD_CHECK: Duration = Duration::from_secs(1);
 /// Limit of a cancel whose answer decides what the caller is told.
 const PROOF_LIMIT: Duration = Duration::from_millis(500);
 
@@ -139,11 +143,24 @@
     peer: &Peer,
     generation: GenerationId,
     limit: Duration,
+) -> Option<CancelReply> {
+    cancel_if_unread(entry, peer, generation, None, limit).await
+}
+
+/// Cancels a generation unless somebody read it within the last `unread_ms`; returns none if the
+/// sidecar did not answer.
+async fn cancel_if_unread(
+    entry: &Entry,
+    peer: &Peer,
+    generation: GenerationId,
+    unread_ms: Option<u64>,
+    limit: Duration,
 ) -> Option<CancelReply> {
     let request = CancelRequest {
         stamp: entry.subscriber.stamp(),
         incarnation: peer.instance.incarnation,
         generation,
+        unread_ms,
     };
     let answer = peer
         .calls
@@ -160,6 +177,27 @@
     }
 }
 
+/// Waits until a generation that a caller has left has ended, and cancels it once nobody reads it,
+/// here or through another entry. Gives up after `limit`.
+pub(super) async fn cancel_when_unread(
+    entry: &Entry,
+    peer: &Peer,
+    generation: GenerationId,
+    limit: Duration,
+) {
+    let end = Instant::now() + limit;
+    while Instant::now() < end {
+        if !peer.poller.is_read(generation) {
+            let unread_ms = Some(UNREAD_MS);
+            match cancel_if_unread(entry, peer, generation, unread_ms, CALL_LIMIT).await {
+                Some(CancelReply::Read { .. }) | None => {}
+                Some(_) => return,
+            }
+        }
+        tokio::time::sleep(UNREAD_CHECK).await;
+    }
+}
+
 /// Cancels a generation whose outcome no caller waits for.
 pub(super) fn cancel_later(entry: &Arc<Entry>, peer: &Arc<Peer>, generation: GenerationId) {
     let entry = Arc::clone(entry);
--- a/src/roles/entry/completions.rs
+++ b/src/roles/entry/completions.rs
@@ -128,6 +128,7 @@
 fn event_id(generation: &Generation, offset: u32) -> EventId {
     EventId {
         sidecar: generation.attempt.peer.instance.clone(),
+        entry: generation.entry.subscriber.me().clone(),
         generation: generation.attempt.generation,
         offset,
     }
--- a/src/roles/entry/events.rs
+++ b/src/roles/entry/events.rs
@@ -16,6 +16,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct EventId {
     pub sidecar: InstanceRef,
+    /// The entry that sent the event and holds the slot of the generation.
+    pub entry: InstanceRef,
     pub generation: GenerationId,
     /// The number of tokens that the caller has once it has this event.
     pub offset: u32,
@@ -25,8 +27,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{}.{}.{}.{}",
-            self.sidecar.name, self.sidecar.incarnation, self.generation, self.offset
+            "{}.{}.{}.{}.{}.{}",
+            self.sidecar.name,
+            self.sidecar.incarnation,
+            self.entry.name,
+            self.entry.incarnation,
+            self.generation,
+            self.offset
         )
     }
 }
@@ -35,22 +42,16 @@
     type Err = &'static str;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        // The name comes first, so it may contain dots.
-        let mut parts = text.rsplitn(4, '.');
-        let (Some(offset), Some(generation), Some(incarnation), Some(name)) =
-            (parts.next(), parts.next(), parts.next(), parts.next())
-        else {
-            return Err("expected <sidecar>.<incarnation>.<generation>.<offset>");
+        // Names hold no dots: the settings refuse them.
+        let parts: Vec<&str> = text.split('.').collect();
+        let [sidecar, sidecar_run, entry, entry_run, generation, offset] = parts.as_slice() else {
+            return Err(
+                "expected <sidecar>.<incarnation>.<entry>.<incarnation>.<generation>.<offset>",
+            );
         };
-        if name.is_empty() {
-            return Err("the name of the sidecar is empty");
-        }
         Ok(Self {
-            sidecar: InstanceRef {
-                name: InstanceName::from(name),
-                incarnation: parse_hex::<Incarnation>(incarnation, 16)
-                    .ok_or("the incarnation is not 16 hexadecimal digits")?,
-            },
+            sidecar: parse_instance(sidecar, sidecar_run)?,
+            entry: parse_instance(entry, entry_run)?,
             generation: parse_hex::<GenerationId>(generation, 32)
                 .ok_or("the generation is not 32 hexadecimal digits")?,
             offset: offset.parse().map_err(|_| "the offset is not a number")?,
@@ -58,6 +59,18 @@
     }
 }
 
+fn parse_instance(name: &str, incarnation: &str) -> Result<InstanceRef, &'static str> {
+    if name.is_empty() {
+        return Err("the name of an instance is empty");
+    }
+    let incarnation = parse_hex::<Incarnation>(incarnation, 16)
+        .ok_or("an incarnation is not 16 hexadecimal digits")?;
+    Ok(InstanceRef {
+        name: InstanceName::from(name),
+        incarnation,
+    })
+}
+
 fn parse_hex<T: FromStr>(text: &str, digits: usize) -> Option<T> {
     let is_hex = text.len() == digits && text.bytes().all(|byte| byte.is_ascii_hexdigit());
     is_hex.then(|| text.parse().ok()).flatten()
--- a/src/roles/entry/generation.rs
+++ b/src/roles/entry/generation.rs
@@ -6,7 +6,7 @@
 use rand::random;
 use tokio::time::timeout;
 
-use super::attempt::{self, Sent, cancel, cancel_later};
+use super::attempt::{self, Sent, cancel, cancel_later, cancel_when_unread};
 use super::claim::{ClaimKey, Claiming};
 use super::core::{Entry, Tries};
 use super::failure::Failure;
@@ -90,7 +90,7 @@
     ended: bool,
     times: TokenTimes,
     /// Held until the generation is dropped.
-    slot: Option<SlotGuard>,
+    pub(super) slot: Option<SlotGuard>,
 }
 
 impl Generation {
@@ -302,17 +302,16 @@
         let entry = Arc::clone(&self.entry);
         let peer = Arc::clone(&self.attempt.peer);
         let generation = self.attempt.generation;
-        let grace_ms = match self.job.shown {
-            true => entry.settings.reconnect_grace_ms,
-            false => 0,
-        };
+        if !self.job.shown {
+            cancel_later(&entry, &peer, generation);
+            return;
+        }
         let slot = self.slot.take();
+        let limit = Duration::from_millis(self.job.terms.remaining_ms());
         tokio::spawn(async move {
             let _held_while_it_runs = slot;
-            tokio::time::sleep(Duration::from_millis(grace_ms)).await;
-            if !peer.poller.is_read(generation) {
-                cancel_later(&entry, &peer, generation);
-            }
+            tokio::time::sleep(Duration::from_millis(entry.settings.reconnect_grace_ms)).await;
+            cancel_when_unread(&entry, &peer, generation, limit).await;
         });
     }
 }
--- a/src/roles/entry/recovery.rs
+++ b/src/roles/entry/recovery.rs
@@ -13,6 +13,7 @@
 use super::fleet::Peer;
 use super::generation::{Attempt, Generation, Job, Step};
 use super::inbox::Trouble;
+use super::room::SlotGuard;
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::state::Claimed;
 use crate::model::{Incarnation, InstanceRef, Outcome, Refusal, RefusalCode};
@@ -237,7 +238,29 @@
         origin: None,
         is_ours: true,
     };
-    Ok(Generation::reading(entry, job, attempt, id.offset))
+    let adopted = adopt_slot(entry, &job, &id.entry);
+    let mut generation = Generation::reading(entry, job, attempt, id.offset);
+    generation.slot = adopted;
+    Ok(generation)
+}
+
+/// Moves the slot of a resumed generation here if the entry that held it has fallen silent. An
+/// entry that is alive keeps the slot for as long as the generation is read.
+///
+/// The caller does not wait: the broker keeps the slot reserved for longer than the move takes.
+fn adopt_slot(entry: &Arc<Entry>, job: &Job, from: &InstanceRef) -> Option<SlotGuard> {
+    if from == entry.subscriber.me() || !job.terms.limited_room {
+        return None;
+    }
+    let (workspace, kind) = (job.terms.workspace.clone(), job.terms.kind.clone());
+    let adopting = (entry.room.adopt)(from.clone(), workspace, kind);
+    let task = tokio::spawn(async move {
+        match adopting.await {
+            Ok(_slot) => std::future::pending().await,
+            Err(refusal) => tracing::debug!(?refusal, "the former entry keeps the slot"),
+        }
+    });
+    Some(SlotGuard::new(move || task.abort()))
 }
 
 fn gone() -> Failure {
--- a/src/roles/sidecar/core.rs
+++ b/src/roles/sidecar/core.rs
@@ -123,6 +123,14 @@
         shard.wake(generation);
     }
 
+    /// Returns whether a running generation was read within the last `unread_ms`.
+    pub(super) fn is_read(&self, generation: GenerationId, unread_ms: u64) -> bool {
+        let now_ms = monotonic_ms();
+        let shard = self.shard(generation);
+        let read_at_ms = shard.generations.read_at_ms(generation);
+        read_at_ms.is_some_and(|at_ms| now_ms < at_ms + unread_ms)
+    }
+
     /// Stops a generation, or prevents that it ever starts. Its run, if any, frees the engine.
     pub(super) fn cancel(self: &Arc<Self>, generation: GenerationId) -> Cancelled {
         let now_ms = monotonic_ms();
--- a/src/roles/sidecar/service.rs
+++ b/src/roles/sidecar/service.rs
@@ -33,6 +33,10 @@
         if request.incarnation != stamp.sender.incarnation {
             return CancelReply::WrongIncarnation { stamp };
         }
+        let is_read = |unread_ms| self.core.is_read(request.generation, unread_ms);
+        if request.unread_ms.is_some_and(is_read) {
+            return CancelReply::Read { stamp };
+        }
         match self.core.cancel(request.generation) {
             Cancelled::NotRun => CancelReply::NotRun { stamp },
             Cancelled::Stop { produced_tokens } => CancelReply::Stopped {
--- a/src/rpc/sidecar.rs
+++ b/src/rpc/sidecar.rs
@@ -144,6 +144,9 @@
     pub stamp: Stamp,
     pub incarnation: Incarnation,
     pub generation: GenerationId,
+    /// Cancels only if nobody has read the generation for this long; none cancels in any case. A
+    /// caller that left this entry may read on through another one.
+    pub unread_ms: Option<u64>,
 }
 
 /// The answer to a cancel.
@@ -155,6 +158,8 @@
     Stopped { stamp: Stamp, produced_tokens: u32 },
     /// The generation had ended before.
     Ended { stamp: Stamp },
+    /// Somebody reads the generation; it goes on.
+    Read { stamp: Stamp },
     /// Another incarnation: nothing is known of the generation.
     WrongIncarnation { stamp: Stamp },
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -81,18 +81,8 @@
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
         let section = "instance";
         let settings = Self {
-            instance: InstanceName::from(
-                reader
-                    .required::<String>(section, "name")
-                    .unwrap_or_default()
-                    .as_str(),
-            ),
-            zone: ZoneName::from(
-                reader
-                    .required::<String>(section, "zone")
-                    .unwrap_or_default()
-                    .as_str(),
-            ),
+            instance: InstanceName::from(reader.name(section, "name").as_str()),
+            zone: ZoneName::from(reader.name(section, "zone").as_str()),
             rpc_address: reader.required(section, "rpc_address").unwrap_or(loopback),
             advertised_rpc_address: reader.optional(section, "advertised_rpc_address"),
             admin_address: reader
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -64,6 +64,18 @@
         value
     }
 
+    /// Returns a name, which must be there and hold letters, digits, `-` and `_` only: names are
+    /// parts of event ids, which are separated by dots.
+    pub(super) fn name(&mut self, section: &str, key: &str) -> String {
+        let name: String = self.required(section, key).unwrap_or_default();
+        let allowed = |letter: char| letter.is_ascii_alphanumeric() || "-_".contains(letter);
+        if !name.chars().all(allowed) {
+            let reason = format!("is {name:?}; letters, digits, - and _ are allowed");
+            self.find(section, key, &reason);
+        }
+        name
+    }
+
     /// Returns a key's value if it is there and well formed.
     pub(super) fn optional<T>(&mut self, section: &str, key: &str) -> Option<T>
     where
--- a/src/settings/roles.rs
+++ b/src/settings/roles.rs
@@ -6,6 +6,7 @@
 use std::str::FromStr;
 
 use super::reader::Reader;
+use crate::domain::schedule::Policy;
 use crate::model::{InstanceName, ModelName, ServiceName, UpstreamName};
 
 /// What a process does with new work while its table is not confirmed current.
@@ -112,6 +113,11 @@
                 "has no upstreams; add a section [upstream NAME]",
             );
         }
+        let policy = reader.or(section, "policy", "adaptive".to_owned());
+        if Policy::by_name(&policy).is_none() {
+            let reason = format!("is {policy:?}; expected adaptive, none, fixed or worst_case");
+            reader.find(section, "policy", &reason);
+        }
         Some(Self {
             upstreams: names
                 .iter()
@@ -119,7 +125,7 @@
                 .collect(),
             orphan_ms: reader.bounded(section, "orphan_ms", 30_000, 1_000..=600_000),
             drain_limit_ms: reader.optional(section, "drain_limit_ms"),
-            policy: reader.or(section, "policy", "adaptive".to_owned()),
+            policy,
         })
     }
 }
--- a/tests/faults_path.rs
+++ b/tests/faults_path.rs
@@ -154,6 +154,40 @@
     fleet.assert_no_violations().await;
 }
 
+/// Guards against an entry that cancels a stream of a caller that went on at another entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_outlives_the_grace_of_the_entry_that_its_caller_left() {
+    let mut fleet = Fleet::new();
+    fleet.start_path(1).await;
+    let tokens = 2_500;
+    let prompt = "moved between entries";
+    let mut answer = completion(&fleet.url("entry-1"), "essay", prompt, tokens, true)
+        .send()
+        .await
+        .unwrap();
+    let mut streamed = Streamed::default();
+    while streamed.ids.len() < 5 {
+        streamed.read_chunk(&mut answer).await;
+    }
+    drop(answer);
+    let mut resumed = completion(&fleet.url("entry-2"), "essay", prompt, tokens, true)
+        .header("Last-Event-ID", streamed.ids.last().unwrap())
+        .send()
+        .await
+        .unwrap();
+    let start = std::time::Instant::now();
+    while streamed.read_chunk(&mut resumed).await {}
+    assert!(streamed.done, "{streamed:?}");
+    check_answer(&["v1"], prompt, &streamed.text, Some(tokens)).unwrap();
+    // The answer has to take longer than the grace for the test to mean anything.
+    assert!(
+        start.elapsed() > Duration::from_secs(4),
+        "{:?}",
+        start.elapsed()
+    );
+    fleet.assert_no_violations().await;
+}
+
 /// Guards against a stream that hangs or doubles tokens when the open connection between entry and
 /// sidecar goes silent for good while new ones work.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/sidecar_support/mod.rs
+++ b/tests/sidecar_support/mod.rs
@@ -211,6 +211,7 @@
             stamp: stamp(),
             incarnation: Incarnation(1),
             generation: GenerationId(generation),
+            unread_ms: None,
         };
         let call =
             |client: SidecarClient, context| async move { client.cancel(context, request).await };
