Read the engine's state after a version is withdrawn, before it is unloaded

Cause: the state could be up to 1 s older than the withdrawal, so a version on which a generation had started in between was unloaded. Change: an unload needs a read that was asked for after the withdrawal; the simulation restarts sidecars less often, so that more unloads happen.

--- a/src/domain/orders/engine.rs
+++ b/src/domain/orders/engine.rs
@@ -83,6 +83,21 @@
     deadline_ms: u64,
 }
 
+/// The engine's state, when the answer came, and the number of the read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Observed {
+    state: EngineState,
+    at_ms: u64,
+    sequence: u64,
+}
+
+/// A version on which nothing starts any more, and the last sequence number before that.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Withdrawn {
+    version: String,
+    sequence: u64,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct HeldPermit {
     model: ModelName,
@@ -102,11 +117,11 @@
     is_fenced: bool,
     confirmed_until_ms: u64,
     /// The state and when it was read; none until it was read after the last order.
-    observed: Option<(EngineState, u64)>,
+    observed: Option<Observed>,
     /// Before this time the state is not read again.
     read_from_ms: u64,
     /// A version that is left out of reports because its unloading comes next.
-    withdrawn: Option<String>,
+    withdrawn: Option<Withdrawn>,
     /// The last report, and when to repeat it.
     reported: Option<(BTreeSet<String>, u64)>,
     in_flight: Option<InFlight>,
@@ -179,7 +194,11 @@
     pub fn state_read(&mut self, sequence: u64, state: EngineState, now_ms: u64) {
         if self.reading.is_some_and(|read| read.sequence == sequence) {
             self.reading = None;
-            self.observed = Some((state, now_ms));
+            self.observed = Some(Observed {
+                state,
+                at_ms: now_ms,
+                sequence,
+            });
         }
     }
 
@@ -237,17 +256,14 @@
         if self.confirmed_until_ms <= now_ms {
             return Action::Confirm;
         }
-        let fresh = |(_, at_ms): &&(EngineState, u64)| now_ms < at_ms + IDLE_STATE_MS;
-        let Some((observed, at_ms)) = self.observed.as_ref().filter(fresh).cloned() else {
+        let fresh = |read: &&Observed| now_ms < read.at_ms + IDLE_STATE_MS;
+        let Some(observed) = self.observed.as_ref().filter(fresh).cloned() else {
             return self.read(now_ms);
         };
-        let order = plan(view, &self.model, &self.replica, &observed);
-        self.withdrawn = match &order {
-            Some(Order::Unload { version, .. }) => Some(version.clone()),
-            _ => None,
-        };
-        let mut versions = observed.versions.clone();
-        versions.retain(|version| self.withdrawn.as_ref() != Some(version));
+        let order = plan(view, &self.model, &self.replica, &observed.state);
+        self.withdraw(order.as_ref());
+        let mut versions = observed.state.versions.clone();
+        versions.retain(|version| self.withdrawn() != Some(version));
         if let Some(action) = self.report(view, versions, now_ms) {
             return action;
         }
@@ -259,11 +275,12 @@
                 until_ms: self.quiet_until_ms,
             };
         }
-        let recovery = observed.versions.is_empty();
+        let recovery = observed.state.versions.is_empty();
+        let is_old = now_ms >= observed.at_ms + ORDER_STATE_MS;
         match self.missing_permit(&order, recovery, now_ms) {
             Some(action) => action,
-            None if now_ms >= at_ms + ORDER_STATE_MS => self.read(now_ms),
-            None if Self::must_wait(&order, &observed) => {
+            None if is_old || self.precedes_withdrawal(&observed) => self.read(now_ms),
+            None if Self::must_wait(&order, &observed.state) => {
                 self.observed = None;
                 self.read_from_ms = now_ms + BUSY_RETRY_MS;
                 self.read(now_ms)
@@ -274,7 +291,26 @@
 
     /// Returns the version that is about to be unloaded. The sidecar starts nothing on it.
     pub fn withdrawn(&self) -> Option<&str> {
-        self.withdrawn.as_deref()
+        self.withdrawn.as_ref().map(|own| own.version.as_str())
+    }
+
+    fn withdraw(&mut self, order: Option<&Order>) {
+        let version = match order {
+            Some(Order::Unload { version, .. }) => Some(version),
+            _ => None,
+        };
+        if self.withdrawn() != version.map(String::as_str) {
+            self.withdrawn = version.map(|version| Withdrawn {
+                version: version.clone(),
+                sequence: self.last_sequence,
+            });
+        }
+    }
+
+    /// Returns true if generations may have started on the withdrawn version after the read.
+    fn precedes_withdrawal(&self, observed: &Observed) -> bool {
+        let withdrawn = self.withdrawn.as_ref();
+        withdrawn.is_some_and(|own| observed.sequence <= own.sequence)
     }
 
     fn must_wait(order: &Order, observed: &EngineState) -> bool {
--- a/tests/orders_random.rs
+++ b/tests/orders_random.rs
@@ -168,6 +168,12 @@
             .state
             .busy
             .retain(|_| self.source.rng.random_range(0..10) > 0);
+        // Generations start on any version that the sidecar has not withdrawn.
+        let withdrawn = self.sidecars[number].book.withdrawn();
+        let version = ["1", "2", "3"].choose(&mut self.source.rng).unwrap();
+        if engine.state.versions.contains(*version) && withdrawn != Some(*version) {
+            engine.state.busy.insert((*version).to_owned());
+        }
         let Some((order, ends_ms, sequence)) = engine.work.clone() else {
             return;
         };
@@ -387,7 +393,7 @@
         if self.source.chance(1) {
             self.broker = PermitBroker::new(MAX_LOADS, self.source.now_ms);
         }
-        if self.source.chance(1) {
+        if self.source.rng.random_range(0..400) == 0 {
             // The former process runs on, and its last order ends before the new one registers.
             let number = self.source.rng.random_range(0..self.engines.len());
             self.engines[number].work = None;
