Record how distribution is measured after a large fleet

Cause: after 400 subscribers the next point, 1 subscriber, showed 36 frames/s instead of 20. Change: the doc comment of run says to measure few subscribers in a process of their own.

--- a/src/bench/distribution/mod.rs
+++ b/src/bench/distribution/mod.rs
@@ -163,6 +163,9 @@
 }
 
 /// Measures every combination of the options, one after the other.
+///
+/// Connections of a large fleet take a while to close and add to the traffic of the next point, so
+/// few subscribers after many are measured in a process of their own.
 pub async fn run(options: &Options) -> Result<Report, FleetError> {
     let mut points = Vec::new();
     for rows in &options.rows {
