--- a/src/capacity/roles.rs
+++ b/src/capacity/roles.rs
@@ -36,6 +36,24 @@
     )
 }
 
+/// Returns the messages between one process and its peers, each as an amount and its arithmetic.
+fn messages(pairs: (f64, &str), requests: (f64, &str)) -> Line {
+    let terms = vec![
+        grow("poll_messages", pairs.0, pairs.1),
+        grow("entry_request_messages", requests.0, requests.1),
+    ];
+    Line::new("messages/s", Unit::PerS, terms)
+}
+
+/// Returns the bytes between one process and its peers.
+fn bytes(what: &'static str, tokens: (f64, &str), requests: (f64, &str)) -> Line {
+    let terms = vec![
+        grow("entry_token_bytes", tokens.0, tokens.1),
+        grow("entry_request_bytes", requests.0, requests.1),
+    ];
+    Line::new(what, Unit::BytesPerS, terms)
+}
+
 fn entry(entries: f64) -> Vec<Line> {
     let streams = divided(OPEN_STREAMS, "streams", entries);
     let tokens = divided(TOKENS_PER_S, "tokens/s", entries);
@@ -54,21 +72,11 @@
                 &streams,
             )],
         ),
-        Line::new(
-            "messages/s",
-            Unit::PerS,
-            vec![
-                grow("poll_messages", DAEMONS, &pairs),
-                grow("entry_request_messages", requests_per_s, &requests),
-            ],
-        ),
-        Line::new(
+        messages((DAEMONS, &pairs), (requests_per_s, &requests)),
+        bytes(
             "bytes/s to and from sidecars",
-            Unit::BytesPerS,
-            vec![
-                grow("entry_token_bytes", tokens_per_s, &tokens),
-                grow("entry_request_bytes", requests_per_s, &requests),
-            ],
+            (tokens_per_s, &tokens),
+            (requests_per_s, &requests),
         ),
         Line::new(
             "CPU",
@@ -96,21 +104,11 @@
             Unit::Bytes,
             vec![grow("sidecar_stream_memory", streams_each, &streams)],
         ),
-        Line::new(
-            "messages/s",
-            Unit::PerS,
-            vec![
-                grow("poll_messages", entries, &pairs),
-                grow("entry_request_messages", requests_per_s, &requests),
-            ],
-        ),
-        Line::new(
+        messages((entries, &pairs), (requests_per_s, &requests)),
+        bytes(
             "bytes/s to and from entries",
-            Unit::BytesPerS,
-            vec![
-                grow("entry_token_bytes", tokens_per_s, &tokens),
-                grow("entry_request_bytes", requests_per_s, &requests),
-            ],
+            (tokens_per_s, &tokens),
+            (requests_per_s, &requests),
         ),
         Line::new(
             "CPU",
