--- a/src/adapters/clock/mod.rs
+++ b/src/adapters/clock/mod.rs
@@ -1,14 +1,20 @@
 //! The clocks of a process.
 
 use std::sync::OnceLock;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
-static START: OnceLock<Instant> = OnceLock::new();
+use rustix::time::{ClockId, clock_gettime};
 
-/// Returns monotonic milliseconds since the first call in this process.
+static START_MS: OnceLock<u64> = OnceLock::new();
+
+/// Returns monotonic milliseconds since the first call in this process. Time in which the machine
+/// was suspended counts, so that a lease does not outlive a suspension of its holder.
 pub fn monotonic_ms() -> u64 {
-    let start = START.get_or_init(Instant::now);
-    u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    let now = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
+    let nanoseconds = u64::try_from(now.tv_nsec).unwrap_or_default();
+    let now_ms = seconds * 1_000 + nanoseconds / 1_000_000;
+    now_ms.saturating_sub(*START_MS.get_or_init(|| now_ms))
 }
 
 /// Returns wall-clock milliseconds since the Unix epoch.
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -4,6 +4,6 @@
 pub mod clock;
 pub mod disk;
 pub mod http;
-pub mod platform;
 pub mod telemetry;
 pub mod upstream;
+pub mod web;
--- a/src/adapters/platform/mod.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The platform's list of live and leaving instances.
--- a/src/adapters/telemetry/mod.rs
+++ b/src/adapters/telemetry/mod.rs
@@ -1,5 +1,7 @@
 //! Logs as JSON lines, metrics, and the counter of violated invariants.
 
+mod lines;
+
 use std::sync::OnceLock;
 
 use prometheus::{Encoder, IntCounterVec, Opts, Registry, TextEncoder};
@@ -11,7 +13,8 @@
 
 static INVARIANTS: OnceLock<IntCounterVec> = OnceLock::new();
 
-/// Starts logging as JSON lines to standard error. `filter` has the syntax of `tracing`'s filters.
+/// Starts logging as JSON lines to standard output. Logging never blocks: lines are dropped and
+/// counted while standard output does not take them. `filter` has the syntax of `tracing`'s filters.
 ///
 /// A second call in the same process has no effect.
 pub fn init_logs(filter: &str) {
@@ -22,7 +25,7 @@
         .json()
         .flatten_event(true)
         .with_env_filter(filter)
-        .with_writer(std::io::stderr)
+        .with_writer(lines::Lines::start())
         .try_init();
 }
 
--- a/src/bin/lilacspindled/main.rs
+++ b/src/bin/lilacspindled/main.rs
@@ -2,12 +2,14 @@
 
 mod cli;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::Parser;
 use lilacspindle::adapters::telemetry::init_logs;
 use lilacspindle::findings::Findings;
 use lilacspindle::roles::daemon::{Daemon, standalone_settings};
+use lilacspindle::roles::site;
 use lilacspindle::settings::Settings;
 
 use cli::{Cli, Command, Standalone};
@@ -17,9 +19,9 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let (settings, standalone) = match cli.command {
-        Command::Run { settings } => (Settings::load(&settings), false),
-        Command::Standalone(options) => (standalone(&options), true),
+    let (settings, file) = match cli.command {
+        Command::Run { settings } => (Settings::load(&settings), Some(settings)),
+        Command::Standalone(options) => (standalone(&options), None),
     };
     let settings = match settings {
         Ok(settings) => settings,
@@ -29,17 +31,19 @@
         }
     };
     init_logs(&settings.log_filter);
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-    {
+    let mut builder = match settings.serves_site() {
+        // The machines of a site give a process a part of one core.
+        true => tokio::runtime::Builder::new_current_thread(),
+        false => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = match builder.enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("cannot start threads: {error}");
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(run(settings, standalone)) {
+    match runtime.block_on(run(settings, file)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             tracing::error!(%error, "daemon failed");
@@ -48,7 +52,11 @@
     }
 }
 
-async fn run(settings: Settings, standalone: bool) -> Result<(), Box<dyn std::error::Error>> {
+async fn run(settings: Settings, file: Option<PathBuf>) -> Result<(), Box<dyn std::error::Error>> {
+    let standalone = match file {
+        Some(file) if settings.serves_site() => return site::run(settings, file).await,
+        file => file.is_none(),
+    };
     let daemon = Daemon::start(settings).await?;
     tracing::info!(
         rpc = %daemon.rpc_address(),
--- /dev/null
+++ b/src/domain/fleet/hub.rs
@@ -0,0 +1,123 @@
+//! The point where lists, reports and loads meet; kept by the leader of the control instances.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::{Listed, Load, Pulse, Report};
+
+/// Loads of an entry that has not synced for this long no longer count. Entries sync at least
+/// every 250 ms; six lost calls in a row mean that the entry is gone or cut off.
+const LOAD_KEPT_MS: u64 = 1_500;
+/// Reports older than this are dropped; sidecars report every 300 ms.
+const REPORT_KEPT_MS: u64 = 2_000;
+
+#[derive(Debug, Clone)]
+struct Loads {
+    received_ms: u64,
+    by_instance: BTreeMap<Arc<str>, Load>,
+}
+
+/// Collects what is known of the fleet.
+#[derive(Debug, Default)]
+pub struct Hub {
+    listed: Vec<Listed>,
+    /// Changes with the list.
+    revision: u64,
+    listed_ms: Option<u64>,
+    reports: BTreeMap<SocketAddr, (Report, u64)>,
+    loads: BTreeMap<Arc<str>, Loads>,
+}
+
+impl Hub {
+    /// Returns an empty hub. Revisions begin at a random number, so that those of two hubs differ.
+    pub fn new(random: u64) -> Self {
+        Self {
+            revision: random >> 1,
+            ..Self::default()
+        }
+    }
+
+    /// Takes a list read from the platform; returns true if it differs from the last one.
+    pub fn list(&mut self, mut listed: Vec<Listed>, now_ms: u64) -> bool {
+        self.listed_ms = Some(now_ms);
+        listed.sort_by(|a, b| a.identity.cmp(&b.identity));
+        if listed == self.listed {
+            return false;
+        }
+        self.listed = listed;
+        self.revision += 1;
+        true
+    }
+
+    /// Takes an instance's report; returns true if entries should hear of it at once.
+    pub fn report(&mut self, address: SocketAddr, report: Report, now_ms: u64) -> bool {
+        let before = self.reports.insert(address, (report, now_ms));
+        report.leaves() && !before.is_some_and(|(before, _)| before.leaves())
+    }
+
+    /// Takes what an entry has placed.
+    pub fn load(&mut self, entry: &Arc<str>, loads: Vec<Load>, now_ms: u64) {
+        let by_instance = loads
+            .into_iter()
+            .map(|load| (Arc::clone(&load.identity), load))
+            .collect();
+        let loads = Loads {
+            received_ms: now_ms,
+            by_instance,
+        };
+        self.loads.insert(Arc::clone(entry), loads);
+        self.loads
+            .retain(|_, loads| now_ms < loads.received_ms + LOAD_KEPT_MS);
+        self.reports
+            .retain(|_, (_, received_ms)| now_ms < *received_ms + REPORT_KEPT_MS);
+    }
+
+    /// Returns the number of entries that synced lately.
+    pub fn entries(&self) -> usize {
+        self.loads.len()
+    }
+
+    /// Returns the revision of the list.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the age of the list, or none if it was never read.
+    pub fn list_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.listed_ms
+            .map(|listed_ms| now_ms.saturating_sub(listed_ms))
+    }
+
+    /// Returns the list.
+    pub fn listed(&self) -> &[Listed] {
+        &self.listed
+    }
+
+    /// Returns what an entry needs to know of each instance.
+    pub fn pulses(&self, entry: &Arc<str>, now_ms: u64) -> Vec<Pulse> {
+        let others = || self.loads.iter().filter(|(name, _)| *name != entry);
+        self.listed
+            .iter()
+            .filter_map(|listed| {
+                let report = self.reports.get(&listed.address);
+                let mut pulse = Pulse {
+                    identity: Arc::clone(&listed.identity),
+                    report: report.map(|(report, at)| (*report, now_ms.saturating_sub(*at))),
+                    running: 0,
+                    committed_tokens: 0,
+                    prefill_tokens: 0,
+                };
+                for (_, loads) in others() {
+                    if let Some(load) = loads.by_instance.get(&listed.identity) {
+                        pulse.running += load.running;
+                        pulse.committed_tokens += load.committed_tokens;
+                        pulse.prefill_tokens += load.prefill_tokens;
+                    }
+                }
+                let quiet = pulse.report.is_none() && pulse.running == 0;
+                (!quiet).then_some(pulse)
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/domain/fleet/mod.rs
@@ -0,0 +1,79 @@
+//! The upstream instances that requests are sent to: what the platform lists, what they report, and
+//! what the entries have placed on them.
+
+mod hub;
+mod view;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::ZoneName;
+
+pub use hub::Hub;
+pub use view::{Demand, Leaving, Outcome, Placed, View};
+
+/// The state of an instance in the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ListedState {
+    Ready,
+    Draining,
+}
+
+/// One instance of the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Unique to one start of an instance, unless a restarted one keeps it.
+    pub identity: Arc<str>,
+    pub service: Arc<str>,
+    pub address: SocketAddr,
+    pub zone: ZoneName,
+    pub slots: u32,
+    pub state: ListedState,
+    /// True while the instance is slow after its start.
+    pub cold: bool,
+}
+
+/// What an engine says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    pub queued: u32,
+    pub running: u32,
+    /// Memory that cannot be freed.
+    pub used_tokens: u64,
+    pub total_tokens: u64,
+    /// Time until the instance is gone, once it knows.
+    pub leaves_in_ms: Option<u64>,
+    pub draining: bool,
+}
+
+impl Report {
+    /// Returns true if the instance is about to leave.
+    pub fn leaves(&self) -> bool {
+        self.draining || self.leaves_in_ms.is_some()
+    }
+}
+
+/// What one entry has placed on an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    pub identity: Arc<str>,
+    pub running: u32,
+    /// Memory that its generations are expected to take at their end.
+    pub committed_tokens: u64,
+    /// Prompts of generations without a first event.
+    pub prefill_tokens: u64,
+}
+
+/// What the hub tells an entry of one instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pulse {
+    pub identity: Arc<str>,
+    /// The newest report and its age.
+    pub report: Option<(Report, u64)>,
+    /// What all other entries have placed there.
+    pub running: u32,
+    pub committed_tokens: u64,
+    pub prefill_tokens: u64,
+}
--- /dev/null
+++ b/src/domain/fleet/view.rs
@@ -0,0 +1,438 @@
+//! One entry's view of the fleet, and the choice of an instance for a request.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::{Listed, ListedState, Load, Pulse, Report};
+use crate::domain::document::EngineSpec;
+use crate::model::ZoneName;
+
+/// Tokens that an engine reads of prompts per millisecond beside running generations. The
+/// platform's engines read 112 tokens in a step that takes 7 ms longer than the reading itself.
+const PREFILL_TOKENS_PER_MS: u64 = 7;
+/// Part of an engine's memory that is planned for, in hundredths. The rest absorbs answers that are
+/// longer than their estimate.
+const PLANNED_MEMORY_PERCENT: u64 = 92;
+/// Weight of an engine's planned memory in its score: a full engine counts as this much waiting.
+const MEMORY_WEIGHT_MS: u64 = 400;
+/// Waiting that a choice in another zone has to save, for the bytes that cross zones.
+const ZONE_PENALTY_MS: u64 = 40;
+/// Waiting added for an instance that has just started.
+const COLD_PENALTY_MS: u64 = 150;
+/// Upper bound of the random part of a score. Entries that share old information would otherwise
+/// all choose the same instance.
+const JITTER_MS: u64 = 25;
+/// Time for which an instance that could not be reached is avoided; doubled for each failure.
+const AVOID_FIRST_MS: u64 = 400;
+const AVOID_MOST_MS: u64 = 4_000;
+/// Weight of the newest answer in an instance's running averages, one in this many.
+const AVERAGE_OVER: f64 = 12.0;
+/// Expected time of a plain call before one was measured.
+const FIRST_PLAIN_MS: f64 = 30.0;
+/// An instance that fails all its requests counts as this many times as slow.
+const FAILURE_WEIGHT: f64 = 12.0;
+
+/// What a generation is expected to need.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Demand {
+    pub prompt_tokens: u64,
+    pub output_tokens: u64,
+}
+
+impl Demand {
+    /// Returns the memory needed at the end.
+    pub fn total_tokens(&self) -> u64 {
+        self.prompt_tokens + self.output_tokens
+    }
+}
+
+/// A chosen instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placed {
+    pub identity: Arc<str>,
+    pub address: SocketAddr,
+    pub same_zone: bool,
+}
+
+/// That an instance is leaving, and when it will be gone if that is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Leaving {
+    pub gone_at_ms: Option<u64>,
+}
+
+/// How a request ended at an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Answered {
+        took_ms: u64,
+    },
+    /// The instance answered with a failure of its own.
+    Failed,
+    /// The instance did not run the request.
+    Refused,
+    /// No connection, or no complete answer.
+    Unreachable,
+}
+
+#[derive(Debug, Clone)]
+struct Instance {
+    listed: Listed,
+    /// What this entry has placed there.
+    running: u32,
+    committed_tokens: u64,
+    prefill_tokens: u64,
+    /// What the others have, as of the last sync.
+    others: Option<Pulse>,
+    leaving: Option<Leaving>,
+    avoid_until_ms: u64,
+    failures_in_row: u32,
+    average_ms: f64,
+    failure_rate: f64,
+}
+
+impl Instance {
+    fn new(listed: Listed) -> Self {
+        Self {
+            listed,
+            running: 0,
+            committed_tokens: 0,
+            prefill_tokens: 0,
+            others: None,
+            leaving: None,
+            avoid_until_ms: 0,
+            failures_in_row: 0,
+            average_ms: FIRST_PLAIN_MS,
+            failure_rate: 0.0,
+        }
+    }
+
+    fn usable(&self, now_ms: u64) -> bool {
+        self.listed.state == ListedState::Ready
+            && self.leaving.is_none()
+            && self.avoid_until_ms <= now_ms
+    }
+
+    fn total_running(&self) -> u32 {
+        self.running + self.others.as_ref().map_or(0, |pulse| pulse.running)
+    }
+
+    fn total_committed(&self) -> u64 {
+        self.committed_tokens
+            + self
+                .others
+                .as_ref()
+                .map_or(0, |pulse| pulse.committed_tokens)
+    }
+
+    fn total_prefill(&self) -> u64 {
+        self.prefill_tokens + self.others.as_ref().map_or(0, |pulse| pulse.prefill_tokens)
+    }
+
+    fn report(&self) -> Option<&Report> {
+        self.others
+            .as_ref()?
+            .report
+            .as_ref()
+            .map(|(report, _)| report)
+    }
+}
+
+/// The instances that an entry knows.
+#[derive(Debug)]
+pub struct View {
+    zone: ZoneName,
+    instances: BTreeMap<Arc<str>, Instance>,
+    by_service: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+    pub revision: Option<u64>,
+}
+
+impl View {
+    /// Returns an empty view of an entry in a zone.
+    pub fn new(zone: ZoneName) -> Self {
+        Self {
+            zone,
+            instances: BTreeMap::new(),
+            by_service: BTreeMap::new(),
+            revision: None,
+        }
+    }
+
+    /// Takes a new list. Instances that are no longer listed are forgotten once nothing of this
+    /// entry runs there.
+    pub fn list(&mut self, listed: Vec<Listed>, revision: Option<u64>, now_ms: u64) {
+        let names: BTreeSet<Arc<str>> = listed
+            .iter()
+            .map(|listed| Arc::clone(&listed.identity))
+            .collect();
+        for listed in listed {
+            let identity = Arc::clone(&listed.identity);
+            let instance = self
+                .instances
+                .entry(identity)
+                .or_insert_with(|| Instance::new(listed.clone()));
+            // A replica may start again under its old identity, at another address.
+            instance.listed = listed;
+            if instance.listed.state == ListedState::Draining && instance.leaving.is_none() {
+                instance.leaving = Some(Leaving { gone_at_ms: None });
+            }
+        }
+        for (identity, instance) in &mut self.instances {
+            if !names.contains(identity) && instance.leaving.is_none() {
+                instance.leaving = Some(Leaving {
+                    gone_at_ms: Some(now_ms),
+                });
+            }
+        }
+        self.instances
+            .retain(|identity, i| names.contains(identity) || i.running > 0);
+        self.by_service.clear();
+        for (identity, instance) in &self.instances {
+            let members = self.by_service.entry(Arc::clone(&instance.listed.service));
+            members.or_default().insert(Arc::clone(identity));
+        }
+        self.revision = revision;
+    }
+
+    /// Takes what the hub knows. Returns true if an instance has begun to leave.
+    pub fn pulse(&mut self, pulses: Vec<Pulse>, now_ms: u64) -> bool {
+        for instance in self.instances.values_mut() {
+            instance.others = None;
+        }
+        let mut news = false;
+        for pulse in pulses {
+            let Some(instance) = self.instances.get_mut(&pulse.identity) else {
+                continue;
+            };
+            if let Some((report, age_ms)) = pulse.report.filter(|(report, _)| report.leaves()) {
+                let gone_at_ms = report
+                    .leaves_in_ms
+                    .map(|leaves_in_ms| (now_ms + leaves_in_ms).saturating_sub(age_ms));
+                let known = instance
+                    .leaving
+                    .is_some_and(|leaving| leaving.gone_at_ms.is_some());
+                if !known {
+                    news |= instance.leaving.is_none() || gone_at_ms.is_some();
+                    instance.leaving = Some(Leaving { gone_at_ms });
+                }
+            }
+            instance.others = Some(pulse);
+        }
+        news
+    }
+
+    /// Returns whether an instance is leaving; one that is not known is gone.
+    pub fn leaving(&self, identity: &str) -> Option<Leaving> {
+        match self.instances.get(identity) {
+            Some(instance) => instance.leaving,
+            None => Some(Leaving {
+                gone_at_ms: Some(0),
+            }),
+        }
+    }
+
+    /// Returns the number of instances of a service that take requests.
+    pub fn usable(&self, service: &str, now_ms: u64) -> usize {
+        self.members(service).filter(|i| i.usable(now_ms)).count()
+    }
+
+    /// Returns the identity of the instance at an address.
+    pub fn identity_at(&self, address: SocketAddr) -> Option<Arc<str>> {
+        let mut instances = self.instances.values();
+        let found = instances.find(|i| i.listed.address == address && i.leaving.is_none())?;
+        Some(Arc::clone(&found.listed.identity))
+    }
+
+    /// Chooses an instance for a plain call, the one with the lowest expected time. `excluded` were
+    /// tried before. Instances that are avoided are used only if no other is left.
+    pub fn choose_plain(
+        &self,
+        service: &str,
+        excluded: &[Arc<str>],
+        now_ms: u64,
+        random: u64,
+    ) -> Option<Placed> {
+        let open = |instance: &&Instance| {
+            !excluded.contains(&instance.listed.identity)
+                && instance.listed.state == ListedState::Ready
+                && instance.leaving.is_none()
+        };
+        let score = |instance: &Instance| {
+            let waiting =
+                f64::from(instance.total_running()) / f64::from(instance.listed.slots.max(1));
+            let slowness = 1.0 + FAILURE_WEIGHT * instance.failure_rate;
+            let time_ms = instance.average_ms * slowness * (1.0 + waiting);
+            let avoided = if instance.avoid_until_ms > now_ms {
+                1e6
+            } else {
+                0.0
+            };
+            time_ms + avoided + self.fixed_penalty_ms(instance, random)
+        };
+        let best = self
+            .members(service)
+            .filter(open)
+            .map(|instance| (score(instance), instance))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b));
+        best.map(|(_, instance)| self.placed(instance))
+    }
+
+    /// Chooses an engine for a generation: one whose memory and slots are planned to hold it, with
+    /// the shortest expected wait for the first token. Returns none if no engine has room.
+    pub fn choose_engine(
+        &self,
+        service: &str,
+        demand: Demand,
+        engine: EngineSpec,
+        excluded: &[Arc<str>],
+        now_ms: u64,
+        random: u64,
+    ) -> Option<Placed> {
+        let planned = engine.memory_tokens * PLANNED_MEMORY_PERCENT / 100;
+        let fits = |instance: &&Instance| {
+            let committed = instance.total_committed();
+            instance.usable(now_ms)
+                && !excluded.contains(&instance.listed.identity)
+                && instance.total_running() < engine.slots
+                && (committed + demand.total_tokens() <= planned || committed == 0)
+        };
+        let score = |instance: &Instance| {
+            let prefill_ms = instance.total_prefill() / PREFILL_TOKENS_PER_MS;
+            let memory_ms = MEMORY_WEIGHT_MS * instance.total_committed() / planned.max(1);
+            prefill_ms as f64 + memory_ms as f64 + self.fixed_penalty_ms(instance, random)
+        };
+        let best = self
+            .members(service)
+            .filter(fits)
+            .map(|instance| (score(instance), instance))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b));
+        best.map(|(_, instance)| self.placed(instance))
+    }
+
+    /// Returns the planned memory of a service's usable engines in use, in hundredths.
+    pub fn memory_percent(&self, service: &str, engine: EngineSpec, now_ms: u64) -> u64 {
+        let mut held = 0;
+        let mut total = 0;
+        for instance in self.members(service).filter(|i| i.usable(now_ms)) {
+            held += instance.total_committed();
+            total += engine.memory_tokens;
+        }
+        (100 * held).checked_div(total).unwrap_or(100)
+    }
+
+    /// Counts a request that is sent to an instance.
+    pub fn begin(&mut self, identity: &str, demand: Option<Demand>) {
+        if let Some(instance) = self.instances.get_mut(identity) {
+            instance.running += 1;
+            if let Some(demand) = demand {
+                instance.committed_tokens += demand.total_tokens();
+                instance.prefill_tokens += demand.prompt_tokens;
+            }
+        }
+    }
+
+    /// Counts the first event of a generation, whose prompt has been read.
+    pub fn prompt_read(&mut self, identity: &str, demand: Demand) {
+        if let Some(instance) = self.instances.get_mut(identity) {
+            instance.prefill_tokens = instance.prefill_tokens.saturating_sub(demand.prompt_tokens);
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn end(&mut self, identity: &str, demand: Option<Demand>, prompt_read: bool) {
+        if let Some(instance) = self.instances.get_mut(identity) {
+            instance.running = instance.running.saturating_sub(1);
+            if let Some(demand) = demand {
+                instance.committed_tokens = instance
+                    .committed_tokens
+                    .saturating_sub(demand.total_tokens());
+                if !prompt_read {
+                    instance.prefill_tokens =
+                        instance.prefill_tokens.saturating_sub(demand.prompt_tokens);
+                }
+            }
+        }
+    }
+
+    /// Learns from how a request ended.
+    pub fn observe(&mut self, identity: &str, outcome: Outcome, now_ms: u64) {
+        let Some(instance) = self.instances.get_mut(identity) else {
+            return;
+        };
+        let failed = match outcome {
+            Outcome::Answered { took_ms } => {
+                instance.average_ms += (took_ms as f64 - instance.average_ms) / AVERAGE_OVER;
+                0.0
+            }
+            Outcome::Failed => 1.0,
+            Outcome::Refused => 0.5,
+            Outcome::Unreachable => {
+                let avoid_ms = AVOID_FIRST_MS << instance.failures_in_row.min(8);
+                instance.avoid_until_ms = now_ms + avoid_ms.min(AVOID_MOST_MS);
+                instance.failures_in_row += 1;
+                1.0
+            }
+        };
+        if outcome != Outcome::Unreachable {
+            instance.failures_in_row = 0;
+        }
+        instance.failure_rate += (failed - instance.failure_rate) / AVERAGE_OVER;
+    }
+
+    /// Takes word from the instance at an address that it is not the one that is listed there.
+    pub fn misdirected(&mut self, identity: &str, now_ms: u64) {
+        if let Some(instance) = self.instances.get_mut(identity) {
+            instance.leaving = Some(Leaving {
+                gone_at_ms: Some(now_ms),
+            });
+        }
+    }
+
+    /// Returns what this entry has placed, for the hub.
+    pub fn loads(&self) -> Vec<Load> {
+        self.instances
+            .values()
+            .filter(|instance| instance.running > 0)
+            .map(|instance| Load {
+                identity: Arc::clone(&instance.listed.identity),
+                running: instance.running,
+                committed_tokens: instance.committed_tokens,
+                prefill_tokens: instance.prefill_tokens,
+            })
+            .collect()
+    }
+
+    /// Returns the newest report of an instance.
+    pub fn report(&self, identity: &str) -> Option<Report> {
+        self.instances.get(identity)?.report().copied()
+    }
+
+    fn members(&self, service: &str) -> impl Iterator<Item = &Instance> {
+        let members = self.by_service.get(service).into_iter().flatten();
+        members.filter_map(|identity| self.instances.get(identity))
+    }
+
+    fn placed(&self, instance: &Instance) -> Placed {
+        Placed {
+            identity: Arc::clone(&instance.listed.identity),
+            address: instance.listed.address,
+            same_zone: instance.listed.zone == self.zone,
+        }
+    }
+
+    fn fixed_penalty_ms(&self, instance: &Instance, random: u64) -> f64 {
+        let zone_ms = if instance.listed.zone == self.zone {
+            0
+        } else {
+            ZONE_PENALTY_MS
+        };
+        let cold_ms = if instance.listed.cold {
+            COLD_PENALTY_MS
+        } else {
+            0
+        };
+        let bytes = instance.listed.identity.as_bytes();
+        let jitter_ms = xxhash_rust::xxh3::xxh3_64_with_seed(bytes, random) % JITTER_MS;
+        (zone_ms + cold_ms + jitter_ms) as f64
+    }
+}
--- a/src/domain/log/members.rs
+++ b/src/domain/log/members.rs
@@ -11,6 +11,9 @@
 /// Replicas that asked to be added or to have their address changed.
 pub(super) type Joins = BTreeMap<NodeId, (InstanceName, SocketAddr)>;
 
+/// Voters that have to remain when a silent one is removed, so that one more may be lost.
+const MIN_VOTERS: usize = 3;
+
 /// Requests kept at once; each is repeated by its sender until it is done.
 const MAX_JOINS: usize = 64;
 
@@ -68,7 +71,8 @@
         let change = self
             .without_replaced()
             .or_else(|| self.with_promoted(now_ms))
-            .or_else(|| self.with_joined());
+            .or_else(|| self.with_joined())
+            .or_else(|| self.without_silent(now_ms));
         if let Some(config) = change {
             self.propose_payload(Payload::Config(config));
             self.follow_config(now_ms);
@@ -95,6 +99,35 @@
         Some(config)
     }
 
+    /// Returns the configuration without a member that was silent for too long. A replaced instance
+    /// never comes back, and each one kept would count against the majority.
+    fn without_silent(&self, now_ms: u64) -> Option<Config> {
+        let limit_ms = self.options.drop_silent_ms?;
+        let (Role::Leader(leading), config) = (&self.role, self.config()?) else {
+            return None;
+        };
+        let silent_for = |id: NodeId, limit_ms: u64| {
+            let progress = leading.progress.get(&id);
+            id != self.id && progress.is_some_and(|p| now_ms > p.heard_ms + limit_ms)
+        };
+        let gone = config
+            .members
+            .keys()
+            .copied()
+            .find(|id| silent_for(*id, limit_ms))?;
+        let remaining: Vec<NodeId> = config.voters().filter(|id| *id != gone).collect();
+        let answering = remaining.len() >= MIN_VOTERS
+            && remaining
+                .iter()
+                .all(|id| !silent_for(*id, self.limits.election_ms));
+        if config.is_voter(gone) && !answering {
+            return None;
+        }
+        let mut config = config.clone();
+        config.members.remove(&gone);
+        Some(config)
+    }
+
     /// Returns the configuration with a learner made a voter. A learner has caught up when it has
     /// synced, within one election timeout, all that was committed at the beginning of that time.
     fn with_promoted(&mut self, now_ms: u64) -> Option<Config> {
--- a/src/domain/log/state.rs
+++ b/src/domain/log/state.rs
@@ -15,6 +15,9 @@
     pub lease_checks: bool,
     /// Acknowledgements and votes are sent only after the sync that they depend on.
     pub sync_before_ack: bool,
+    /// The leader removes a voter that was silent for this long, if three voters remain that all
+    /// answer. None keeps silent voters, for groups whose members are named in their settings.
+    pub drop_silent_ms: Option<u64>,
 }
 
 impl Default for Options {
@@ -24,6 +27,7 @@
             quorum_check: true,
             lease_checks: true,
             sync_before_ack: true,
+            drop_silent_ms: None,
         }
     }
 }
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -1,5 +1,7 @@
 //! Decisions without I/O: time, messages and random numbers come in as arguments.
 
+pub mod document;
+pub mod fleet;
 pub mod ledger;
 pub mod length;
 pub mod log;
--- a/src/domain/retry/mod.rs
+++ b/src/domain/retry/mod.rs
@@ -1,5 +1,9 @@
 //! Retry budgets, backoff with full jitter, and the rule for a new attempt.
 
+mod window;
+
+pub use window::WindowBudget;
+
 /// Part of a retry that each success pays for, in thousandths.
 const PER_SUCCESS: u64 = 100;
 /// Retries that are paid for by time, in thousandths for each millisecond: one per second.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod domain;
 pub mod findings;
 pub mod model;
+pub mod platform;
 pub mod proxy;
 pub mod roles;
 pub mod rpc;
--- /dev/null
+++ b/src/platform/configuration.rs
@@ -0,0 +1,212 @@
+//! The operator's document on the wire.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+
+use crate::domain::document::{
+    CallerLimits, Document, EngineSpec, Repeat, Route, Service, Share, Workspace, validate,
+};
+use crate::findings::Findings;
+use crate::model::WorkspaceName;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Wire {
+    version: u64,
+    routes: Vec<WireRoute>,
+    services: Vec<WireService>,
+    #[serde(default)]
+    limits: WireLimits,
+    /// Workspaces.
+    #[serde(default)]
+    tenants: Vec<WireWorkspace>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireRoute {
+    name: Arc<str>,
+    host: Arc<str>,
+    path_prefix: Arc<str>,
+    kind: String,
+    timeout_ms: u64,
+    #[serde(default)]
+    target_latency_ms: Option<u64>,
+    #[serde(default)]
+    gap_target_ms: Option<f64>,
+    #[serde(default)]
+    priority: u32,
+    /// The only service, where there is no split.
+    #[serde(default)]
+    service: Option<Arc<str>>,
+    #[serde(default)]
+    traffic_split: Vec<WireShare>,
+    #[serde(default)]
+    max_attempts: Option<u32>,
+    #[serde(default)]
+    allow_anonymous: bool,
+}
+
+#[derive(Deserialize)]
+struct WireShare {
+    service: Arc<str>,
+    weight: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireService {
+    name: Arc<str>,
+    #[serde(default)]
+    max_connections: Option<u32>,
+    #[serde(default)]
+    engine: Option<WireEngine>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireEngine {
+    slots: u32,
+    kv_cache_tokens: u64,
+    #[serde(default)]
+    kv_bytes: f64,
+    #[serde(default)]
+    link_mbps: f64,
+    #[serde(default)]
+    moves: bool,
+    #[serde(default)]
+    backups: bool,
+    /// Tokens of one event.
+    #[serde(default)]
+    stride: Option<u32>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct WireLimits {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: u64,
+    idle_timeout_ms: u64,
+}
+
+/// The limits of the platform's published example, for documents that name none.
+impl Default for WireLimits {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16_384,
+            max_body_bytes: 4_194_304,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireWorkspace {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<Arc<str>>,
+    #[serde(default)]
+    priority: Option<u32>,
+}
+
+/// Decodes a document; fails with every fault of it.
+pub fn decode_document(body: &[u8]) -> Result<Document, Findings> {
+    let wire: Wire = match serde_json::from_slice(body) {
+        Ok(wire) => wire,
+        Err(error) => {
+            let mut findings = Findings::default();
+            findings.add("document", format!("cannot be read: {error}"));
+            return Err(findings);
+        }
+    };
+    let mut findings = Findings::default();
+    let routes = wire.routes.into_iter();
+    let document = Document {
+        version: wire.version,
+        routes: routes
+            .map(|route| Arc::new(decode_route(route, &mut findings)))
+            .collect(),
+        services: wire.services.into_iter().map(decode_service).collect(),
+        workspaces: wire.tenants.into_iter().map(decode_workspace).collect(),
+        limits: CallerLimits {
+            header_bytes: wire.limits.max_header_bytes,
+            body_bytes: wire.limits.max_body_bytes,
+            header_timeout_ms: wire.limits.header_timeout_ms,
+            idle_timeout_ms: wire.limits.idle_timeout_ms,
+        },
+    };
+    findings.0.extend(validate(&document).0);
+    findings.into_result(document)
+}
+
+fn decode_route(wire: WireRoute, findings: &mut Findings) -> Route {
+    let repeat = match wire.kind.as_str() {
+        "safe" => Repeat::Safe,
+        "streaming" => Repeat::Stream,
+        "unsafe" => Repeat::Once,
+        other => {
+            let reason =
+                format!("has the unknown kind {other:?}; expected safe, unsafe or streaming");
+            findings.add(format!("route {}", wire.name), reason);
+            Repeat::Once
+        }
+    };
+    let mut shares: Vec<Share> = wire
+        .traffic_split
+        .into_iter()
+        .map(|share| Share {
+            service: share.service,
+            weight: share.weight,
+        })
+        .collect();
+    if let (true, Some(service)) = (shares.is_empty(), wire.service) {
+        shares.push(Share { service, weight: 1 });
+    }
+    Route {
+        name: wire.name,
+        host: wire.host,
+        prefix: wire.path_prefix,
+        repeat,
+        timeout_ms: wire.timeout_ms,
+        target_ms: wire.target_latency_ms.unwrap_or(wire.timeout_ms),
+        gap_target_ms: wire.gap_target_ms.map(whole),
+        priority: wire.priority,
+        shares,
+        max_attempts: wire.max_attempts.unwrap_or(1).max(1),
+        anonymous: wire.allow_anonymous,
+    }
+}
+
+fn decode_service(wire: WireService) -> Service {
+    Service {
+        name: wire.name,
+        max_connections: wire.max_connections.unwrap_or(u32::MAX),
+        engine: wire.engine.map(|engine| EngineSpec {
+            slots: engine.slots,
+            memory_tokens: engine.kv_cache_tokens,
+            bytes_per_token: whole(engine.kv_bytes),
+            link_mbps: whole(engine.link_mbps),
+            tokens_per_event: engine.stride.unwrap_or(1),
+            moves: engine.moves,
+            backups: engine.backups,
+        }),
+    }
+}
+
+fn decode_workspace(wire: WireWorkspace) -> Workspace {
+    Workspace {
+        name: WorkspaceName::from(wire.name.as_str()),
+        keys: wire.api_keys,
+        priority: wire.priority,
+    }
+}
+
+/// The platform writes some whole numbers with a fraction.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(number: f64) -> u64 {
+    number.max(0.0) as u64
+}
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,133 @@
+//! Names of the platform's HTTP headers.
+
+use http::HeaderName;
+use http::header::{self, HeaderMap, HeaderValue};
+
+/// Id of one attempt of a caller; the replica repeats it in its answer.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-lilacspindle-request-id");
+/// Milliseconds that the sender goes on waiting.
+pub const DEADLINE: HeaderName = HeaderName::from_static("x-lilacspindle-deadline-milliseconds");
+/// Identity that the receiving replica must have; any other one refuses with 421.
+pub const EXPECTED_INSTANCE: HeaderName =
+    HeaderName::from_static("x-lilacspindle-expected-instance");
+/// The workspace that holds the caller's key.
+pub const WORKSPACE: HeaderName = HeaderName::from_static("x-lilacspindle-tenant");
+/// Prompt tokens and the most output tokens, separated by a comma.
+pub const TOKEN_USAGE: HeaderName = HeaderName::from_static("x-lilacspindle-token-usage");
+/// The caller's estimate of its output tokens.
+pub const LENGTH_HINT: HeaderName = HeaderName::from_static("x-lilacspindle-length-hint");
+/// Says that the replica did not run the request.
+pub const NOT_RUN: HeaderName = HeaderName::from_static("x-lilacspindle-not-executed");
+/// Running, waiting and slots of the answering replica.
+pub const SERVER_LOAD: HeaderName = HeaderName::from_static("x-lilacspindle-server-load");
+/// Rank at the engine, 0 first to 9; engines take 5 if it is absent.
+pub const PRIORITY: HeaderName = HeaderName::from_static("x-lilacspindle-request-priority");
+/// Replica that receives a copy of the memory while it grows.
+pub const BACKUP: HeaderName = HeaderName::from_static("x-lilacspindle-cache-backup");
+/// Copy of the memory to go on from, `address/handle`.
+pub const CONTINUE_FROM: HeaderName = HeaderName::from_static("kv-from");
+/// Last event that was received before.
+pub const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+
+const HOLD: HeaderName = HeaderName::from_static("x-lilacspindle-hold");
+const PIN: HeaderName = HeaderName::from_static("x-lilacspindle-pin-milliseconds");
+const FETCH: HeaderName = HeaderName::from_static("kv-fetch");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+    KEEP_ALIVE,
+    PROXY_CONNECTION,
+];
+
+/// Headers that only the system sets, and the caller's key.
+const SYSTEM: [HeaderName; 11] = [
+    header::AUTHORIZATION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    WORKSPACE,
+    EXPECTED_INSTANCE,
+    PRIORITY,
+    BACKUP,
+    CONTINUE_FROM,
+    HOLD,
+    PIN,
+    FETCH,
+];
+
+/// Returns the headers of a caller's request that are passed on.
+pub fn passed_on(caller: &HeaderMap) -> HeaderMap {
+    let mut headers = caller.clone();
+    remove_connection_headers(&mut headers);
+    for name in SYSTEM {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// Removes the headers that concern one connection, also those that `Connection` names.
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        // A caller must not have the headers that identify its request dropped.
+        .filter(|name: &HeaderName| !name.as_str().starts_with("x-lilacspindle-"))
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// Returns a header as text.
+pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok().map(str::trim)
+}
+
+/// Returns a header as a number.
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
+
+/// Returns the key of `Authorization: Bearer KEY`.
+pub fn key(headers: &HeaderMap) -> Option<&str> {
+    let (scheme, key) = text(headers, &header::AUTHORIZATION)?.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+}
+
+/// Returns the prompt tokens and the most output tokens.
+pub fn token_usage(headers: &HeaderMap) -> Option<(u64, u64)> {
+    let (prompt, output) = text(headers, &TOKEN_USAGE)?.split_once(',')?;
+    Some((prompt.trim().parse().ok()?, output.trim().parse().ok()?))
+}
+
+/// Returns the running and waiting requests of a replica that tells its load.
+pub fn server_load(headers: &HeaderMap) -> Option<(u32, u32)> {
+    let mut parts = text(headers, &SERVER_LOAD)?.split(',');
+    let running = parts.next()?.trim().parse().ok()?;
+    Some((running, parts.next()?.trim().parse().ok()?))
+}
+
+/// Returns how long the sender keeps an idle connection; 0 if it closes it now.
+pub fn keep_alive_s(headers: &HeaderMap) -> Option<u64> {
+    if text(headers, &header::CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close")) {
+        return Some(0);
+    }
+    let parts = text(headers, &KEEP_ALIVE)?.split(',');
+    let mut timeouts = parts.filter_map(|part| part.trim().strip_prefix("timeout="));
+    timeouts.next()?.parse().ok()
+}
+
+/// Returns a header value of text that is known to be valid, such as a number.
+pub fn value(text: &str) -> Option<HeaderValue> {
+    HeaderValue::from_str(text).ok()
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,25 @@
+//! The platform's protocol: names, formats and calls, decoded into the project's types and encoded
+//! from them. Nothing here decides.
+
+mod calls;
+mod configuration;
+pub mod headers;
+mod instances;
+mod reports;
+
+pub use calls::{
+    CallFailure, Move, get_json, move_generation, read_list, read_report, release_copy,
+};
+pub use configuration::decode_document;
+pub use instances::decode_instances;
+pub use reports::decode_report;
+
+/// Paths of the operators' calls.
+pub mod paths {
+    /// Publishes a document.
+    pub const PUBLISH: &str = "/Configuration.Replace";
+    /// Returns the newest document.
+    pub const READ: &str = "/Configuration.Read";
+    /// Asks whether an entry takes new connections.
+    pub const READINESS: &str = "/readiness";
+}
--- a/src/roles/control/replica/formation.rs
+++ b/src/roles/control/replica/formation.rs
@@ -6,10 +6,11 @@
 
 use futures::future::join_all;
 use tarpc::client;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use super::driver::Input;
-use super::{Endpoint, Replica, ReplicaStatus};
+use super::{Endpoint, Peers, Replica, ReplicaStatus};
 use crate::domain::log::NodeId;
 use crate::rpc::peer::{HelloReply, HelloRequest, PeerClient};
 use crate::rpc::{Service, connect, deadline_after};
@@ -22,12 +23,14 @@
 const CHECK: Duration = Duration::from_secs(1);
 
 /// Forms or joins a cluster, and joins again if the own address has changed. Ends with the replica.
-pub(super) async fn run(replica: Replica, peers: Vec<PeerAddress>, own: Endpoint) {
-    let others: Vec<PeerAddress> = peers
-        .into_iter()
-        .filter(|peer| peer.name != own.name)
-        .collect();
+pub(super) async fn run(replica: Replica, peers: watch::Receiver<Peers>, own: Endpoint) {
     loop {
+        let Peers { known, may_form } = peers.borrow().clone();
+        let listed = known.iter().any(|peer| peer.name == own.name);
+        let others: Vec<PeerAddress> = known
+            .into_iter()
+            .filter(|peer| peer.name != own.name)
+            .collect();
         let status = replica.status();
         if status.stopped.is_some() {
             return;
@@ -38,7 +41,8 @@
             continue;
         }
         let replies = join_all(others.iter().map(|peer| hello(peer, &own, status.identity))).await;
-        if let Some(input) = next_step(&status, &own, &others, &replies) {
+        let forms = may_form && listed;
+        if let Some(input) = next_step(&status, &own, &others, &replies, forms) {
             // A full queue delays formation to the next attempt.
             let _ = replica.send(input);
         }
@@ -57,6 +61,7 @@
     own: &Endpoint,
     others: &[PeerAddress],
     replies: &[Option<HelloReply>],
+    may_form: bool,
 ) -> Option<Input> {
     let answered = || {
         let pairs = others.iter().zip(replies);
@@ -64,17 +69,24 @@
     };
     let clustered = answered().any(|(_, reply)| reply.cluster.is_some());
     if clustered || status.cluster.is_some() {
-        let targets: Vec<(NodeId, SocketAddr)> = answered()
-            .filter(|(_, reply)| reply.cluster.is_some())
-            .map(|(peer, reply)| (NodeId(reply.identity), peer.address))
+        let members = answered().filter(|(_, reply)| reply.cluster.is_some());
+        let targets: BTreeMap<NodeId, SocketAddr> = members
+            .flat_map(|(peer, reply)| {
+                let leader = reply
+                    .leader
+                    .map(|(identity, address)| (NodeId(identity), address));
+                std::iter::once((NodeId(reply.identity), peer.address)).chain(leader)
+            })
+            .filter(|(identity, _)| *identity != status.identity)
             .collect();
+        let targets = targets.into_iter().collect();
         return Some(Input::Join {
             targets,
             name: own.name.clone(),
         });
     }
     let first = others.iter().all(|peer| own.name < peer.name);
-    if !first || answered().count() < others.len() {
+    if !may_form || !first || answered().count() < others.len() {
         return None;
     }
     let mut members: BTreeMap<_, _> = answered()
--- a/src/roles/control/replica/mod.rs
+++ b/src/roles/control/replica/mod.rs
@@ -18,7 +18,7 @@
 use crate::adapters::disk::{DiskError, FileOps};
 use crate::domain::log::Options;
 use crate::model::InstanceName;
-use crate::settings::ControlSettings;
+use crate::settings::{ControlSettings, PeerAddress};
 use driver::{Driver, Input};
 
 pub use server::PeerServer;
@@ -82,6 +82,15 @@
     server: PeerServer,
 }
 
+/// The replicas that one is told of, for formation and joining.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peers {
+    pub known: Vec<PeerAddress>,
+    /// True if the known peers may form a new cluster. False once there was one: a replica whose
+    /// folder is lost has to join it.
+    pub may_form: bool,
+}
+
 /// Who a replica is and where it is reached.
 #[derive(Debug, Clone)]
 pub struct Endpoint {
@@ -112,6 +121,24 @@
         machine: StateMachine,
         ops: FileOps,
         options: Options,
+    ) -> Result<Self, DiskError> {
+        let peers = Peers {
+            known: settings.peers.clone(),
+            may_form: true,
+        };
+        // Nobody changes the peers of the settings, so the sender may go.
+        let (_, peers) = watch::channel(peers);
+        Self::open_among(settings, endpoint, machine, ops, options, peers)
+    }
+
+    /// Like `open_with`, with peers that may change while the replica runs.
+    pub fn open_among(
+        settings: &ControlSettings,
+        endpoint: Endpoint,
+        machine: StateMachine,
+        ops: FileOps,
+        options: Options,
+        peers: watch::Receiver<Peers>,
     ) -> Result<Self, DiskError> {
         let (inputs, received) = sync_channel(QUEUED_INPUTS);
         let driver = Driver::open(settings, &endpoint, machine, ops, options)?;
@@ -122,11 +149,7 @@
             status,
             server,
         };
-        tokio::spawn(formation::run(
-            replica.clone(),
-            settings.peers.clone(),
-            endpoint,
-        ));
+        tokio::spawn(formation::run(replica.clone(), peers, endpoint));
         std::thread::Builder::new()
             .name("replicated-log".to_owned())
             .spawn(move || driver.run(&received))
--- a/src/roles/control/replica/server.rs
+++ b/src/roles/control/replica/server.rs
@@ -52,6 +52,10 @@
             name: self.name.clone(),
             identity: status.identity.0,
             cluster: status.cluster,
+            leader: status
+                .leader
+                .as_ref()
+                .map(|leader| (leader.identity.0, leader.address)),
         }
     }
 }
--- /dev/null
+++ b/src/roles/directory/mod.rs
@@ -0,0 +1,237 @@
+//! The directory: the shared document on the replicated log, and the hub of the fleet.
+
+mod machine;
+mod operators;
+mod service;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::control::replica::{Endpoint, Peers, Replica};
+use crate::adapters::clock::monotonic_ms;
+use crate::adapters::disk::{DiskError, FileOps};
+use crate::call_handler;
+use crate::domain::fleet::Hub;
+use crate::domain::log::{Options, RoleName};
+use crate::model::InstanceName;
+use crate::platform;
+use crate::rpc::directory::Directory;
+use crate::rpc::peer::Peer;
+use crate::rpc::{Handler, Service, Services};
+use crate::settings::{ControlSettings, DirectorySettings, PeerAddress};
+
+use machine::Machine;
+
+pub use machine::{PutAnswer, PutDocument};
+pub use operators::serve_operators;
+
+/// A voter that is silent for this long makes room for its successor. The platform counts a machine
+/// as lost for 4 s after its return; a shorter time would remove machines that only restart.
+const DROP_SILENT_MS: u64 = 8_000;
+/// Time between attempts to open the log again after its disk has failed.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
+/// Time between reads of the platform's list by the leader. The list lags by 800 ms, so reading it
+/// more often gains little.
+const LIST_EVERY: Duration = Duration::from_millis(300);
+/// An instance that does not lead reads the list itself once its copy is older than this.
+const LIST_STALE_MS: u64 = 1_200;
+const LIST_LIMIT: Duration = Duration::from_secs(1);
+
+/// The directory role of one process.
+pub struct DirectoryRole {
+    settings: DirectorySettings,
+    control: ControlSettings,
+    endpoint: Endpoint,
+    machine: Arc<Machine>,
+    hub: Mutex<Hub>,
+    replica: Mutex<Option<Replica>>,
+    peers: watch::Sender<Peers>,
+    /// Changes with each piece of news that entries wait for.
+    news: watch::Sender<u64>,
+    /// When an entry last asked this instance.
+    asked_ms: Mutex<u64>,
+    stopping: watch::Sender<bool>,
+}
+
+impl DirectoryRole {
+    /// Starts the role; the log is opened in the background and again after a failure of its disk.
+    pub fn start(settings: &DirectorySettings, rpc_address: SocketAddr) -> Arc<Self> {
+        let endpoint = Endpoint {
+            name: InstanceName::from(rpc_address.to_string().as_str()),
+            rpc_address,
+        };
+        let (news, _) = watch::channel(0);
+        let machine = Arc::new(Machine::new(news.clone()));
+        let (peers, _) = watch::channel(Peers {
+            known: Vec::new(),
+            may_form: settings.may_form,
+        });
+        let role = Arc::new(Self {
+            control: ControlSettings {
+                data_folder: settings.data_folder.clone(),
+                peers: Vec::new(),
+                election_ms: settings.election_ms,
+                snapshot_entries: settings.snapshot_entries,
+                platform_list: None,
+            },
+            settings: settings.clone(),
+            endpoint,
+            machine,
+            hub: Mutex::new(Hub::new(rand::random())),
+            replica: Mutex::new(None),
+            peers,
+            news,
+            asked_ms: Mutex::new(0),
+            stopping: watch::Sender::new(false),
+        });
+        tokio::spawn(Arc::clone(&role).keep_open());
+        tokio::spawn(Arc::clone(&role).keep_listed());
+        role
+    }
+
+    /// Sets the addresses of the control instances that the settings name.
+    pub fn set_peers(&self, addresses: &[SocketAddr]) {
+        let known: Vec<PeerAddress> = addresses
+            .iter()
+            .map(|address| PeerAddress {
+                name: InstanceName::from(address.to_string().as_str()),
+                address: *address,
+            })
+            .collect();
+        self.peers.send_if_modified(|peers| {
+            let changed = peers.known != known;
+            peers.known = known;
+            changed
+        });
+    }
+
+    /// Offers the calls of other control instances, entries and sidecars.
+    pub fn offer(self: &Arc<Self>, services: &mut Services) {
+        let role = Arc::clone(self);
+        // The replica is replaced when the log is opened again, so each connection asks for it.
+        let peers: Handler = Arc::new(move |stream| {
+            if let Some(replica) = role.replica() {
+                let handler = call_handler!(Service::Peer, replica.server());
+                handler(stream);
+            }
+        });
+        services.offer(Service::Peer, peers);
+        let server = service::Server(Arc::clone(self));
+        services.offer(
+            Service::Directory,
+            call_handler!(Service::Directory, server),
+        );
+    }
+
+    /// Hands leadership over and closes the log.
+    pub async fn stop(&self) {
+        self.stopping.send_replace(true);
+        if let Some(replica) = self.replica() {
+            replica.hand_over().await;
+            replica.stop().await;
+        }
+    }
+
+    pub(crate) fn replica(&self) -> Option<Replica> {
+        self.replica
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn leads(&self) -> bool {
+        let status = self.replica().map(|replica| replica.status());
+        status.is_some_and(|status| status.role == RoleName::Leader && status.stopped.is_none())
+    }
+
+    /// Returns the RPC address of the leader, if another instance leads.
+    fn other_leader(&self) -> Option<SocketAddr> {
+        let leader = self.replica()?.status().leader?;
+        (leader.address != self.endpoint.rpc_address).then_some(leader.address)
+    }
+
+    fn with_hub<T>(&self, use_hub: impl FnOnce(&mut Hub) -> T) -> T {
+        use_hub(&mut self.hub.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn announce(&self) {
+        self.news.send_modify(|count| *count += 1);
+    }
+
+    fn open(&self) -> Result<Replica, DiskError> {
+        let options = Options {
+            drop_silent_ms: Some(DROP_SILENT_MS),
+            ..Options::default()
+        };
+        Replica::open_among(
+            &self.control,
+            self.endpoint.clone(),
+            Machine::driven_by_log(&self.machine),
+            FileOps::real(),
+            options,
+            self.peers.subscribe(),
+        )
+    }
+
+    async fn keep_open(self: Arc<Self>) {
+        let mut stopping = self.stopping.subscribe();
+        while !*stopping.borrow_and_update() {
+            match self.open() {
+                Ok(replica) => {
+                    let mut status = replica.watch();
+                    *self.replica.lock().unwrap_or_else(PoisonError::into_inner) = Some(replica);
+                    while status.borrow_and_update().stopped.is_none() {
+                        if status.changed().await.is_err() {
+                            break;
+                        }
+                    }
+                    *self.replica.lock().unwrap_or_else(PoisonError::into_inner) = None;
+                }
+                Err(error) => tracing::error!(%error, "cannot open the replicated log"),
+            }
+            tokio::select! {
+                () = sleep(REOPEN_PAUSE) => {}
+                _ = stopping.changed() => {}
+            }
+        }
+    }
+
+    /// Reads the platform's list while this instance leads, or while entries ask it and its list is
+    /// old because no leader is known.
+    async fn keep_listed(self: Arc<Self>) {
+        let Some(address) = self.settings.list_address else {
+            return;
+        };
+        let mut failing = false;
+        loop {
+            sleep(LIST_EVERY).await;
+            let now_ms = monotonic_ms();
+            let asked_ms = *self.asked_ms.lock().unwrap_or_else(PoisonError::into_inner);
+            let asked = now_ms < asked_ms + LIST_STALE_MS;
+            let age_ms = self.with_hub(|hub| hub.list_age_ms(now_ms));
+            let stale = asked && age_ms.is_none_or(|age_ms| age_ms > LIST_STALE_MS);
+            if !self.leads() && !stale {
+                continue;
+            }
+            match platform::read_list(address, LIST_LIMIT).await {
+                Ok(listed) => {
+                    if std::mem::take(&mut failing) {
+                        tracing::info!(%address, "the platform's list answers again");
+                    }
+                    if self.with_hub(|hub| hub.list(listed, monotonic_ms())) {
+                        self.announce();
+                    }
+                }
+                Err(error) => {
+                    if !std::mem::replace(&mut failing, true) {
+                        tracing::warn!(%address, %error, "cannot read the platform's list");
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/roles/directory/service.rs
@@ -0,0 +1,86 @@
+//! The calls of entries and sidecars.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use tarpc::context::Context;
+use tokio::time::timeout;
+
+use super::DirectoryRole;
+use crate::adapters::clock::monotonic_ms;
+use crate::rpc::directory::{Directory, Fleet, ReportRequest, SyncReply, SyncRequest};
+
+/// The longest time that an answer waits for news.
+const MAX_HOLD: Duration = Duration::from_millis(1_000);
+/// Upper bound on the time to confirm that the document is the newest.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(600);
+
+#[derive(Clone)]
+pub(super) struct Server(pub(super) Arc<DirectoryRole>);
+
+impl Server {
+    fn has_news(&self, request: &SyncRequest) -> bool {
+        let version = self
+            .0
+            .machine
+            .published()
+            .map_or(0, |published| published.version);
+        let revision = self
+            .0
+            .with_hub(|hub| hub.list_age_ms(0).map(|_| hub.revision()));
+        version > request.version || (revision.is_some() && revision != request.revision)
+    }
+}
+
+impl Directory for Server {
+    async fn ping(self, _: Context) {}
+
+    async fn sync(self, _: Context, mut request: SyncRequest) -> SyncReply {
+        let role = &self.0;
+        *role.asked_ms.lock().unwrap_or_else(PoisonError::into_inner) = monotonic_ms();
+        let loads = std::mem::take(&mut request.loads);
+        role.with_hub(|hub| hub.load(&request.entry, loads, monotonic_ms()));
+        let mut news = role.news.subscribe();
+        if !self.has_news(&request) {
+            let hold = Duration::from_millis(request.hold_ms).min(MAX_HOLD);
+            // Without news the answer still carries the newest loads.
+            let _ = timeout(hold, news.changed()).await;
+        }
+        let confirmed = match role.replica() {
+            Some(replica) => replica.confirm(CONFIRM_LIMIT).await.is_ok(),
+            None => false,
+        };
+        let document = role
+            .machine
+            .published()
+            .filter(|published| published.version > request.version);
+        let now_ms = monotonic_ms();
+        role.with_hub(|hub| {
+            let list_age_ms = hub.list_age_ms(now_ms);
+            let differs = list_age_ms.is_some() && request.revision != Some(hub.revision());
+            SyncReply {
+                confirmed,
+                document,
+                fleet: differs.then(|| Fleet {
+                    revision: hub.revision(),
+                    listed: hub.listed().to_vec(),
+                }),
+                list_age_ms,
+                pulses: hub.pulses(&request.entry, now_ms),
+                entries: u32::try_from(hub.entries()).unwrap_or(u32::MAX),
+                leader: role.other_leader(),
+            }
+        })
+    }
+
+    async fn report(self, _: Context, request: ReportRequest) -> Option<SocketAddr> {
+        let role = &self.0;
+        let ReportRequest { address, report } = request;
+        if role.with_hub(|hub| hub.report(address, report, monotonic_ms())) {
+            tracing::info!(%address, leaves_in_ms = report.leaves_in_ms, "instance is leaving");
+            role.announce();
+        }
+        role.other_leader()
+    }
+}
--- /dev/null
+++ b/src/roles/gateway/generation.rs
@@ -0,0 +1,422 @@
+//! Generations: streams of events that are passed on as they arrive, and that go on at another
+//! engine when theirs leaves.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+use tokio::sync::watch;
+use tokio::time::{sleep_until, timeout, timeout_at};
+
+use super::Gateway;
+use super::answer::{Body, BrokenAnswer, Refusal};
+use super::events::Events;
+use super::migrate::{Migration, Moved};
+use super::plain::{answer, caller_headers, promises_not_run, says_not_run};
+use super::request::Job;
+use super::ticket::Ticket;
+use super::upstream::{Exchange, SendFailure};
+use crate::adapters::clock::monotonic_ms;
+use crate::domain::document::EngineSpec;
+use crate::domain::fleet::{Demand, Outcome};
+use crate::platform::headers;
+
+/// Engines tried while each says that it did not run the request.
+const MAX_SENDS: usize = 3;
+/// When a caller should come back that found no engine with room.
+const NO_ROOM_RETRY_MS: u64 = 900;
+/// Spread of that time, so that callers turned away together do not return together.
+const NO_ROOM_SPREAD_MS: u64 = 600;
+/// Time for a move to finish after its generation's stream has ended.
+const MOVE_LIMIT: Duration = Duration::from_millis(2_000);
+/// Time for an engine that holds a copy to take the generation up.
+const CONTINUE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Where a generation runs.
+struct Source {
+    exchange: Exchange,
+    ticket: Ticket,
+}
+
+/// A generation that is passed on to its caller.
+struct Relay {
+    gateway: Arc<Gateway>,
+    job: Job,
+    engine: EngineSpec,
+    source: Option<Source>,
+    events: Events,
+    /// The id of the last event that was passed on.
+    last_event: Option<u64>,
+    /// True while the next event has to follow the last one: after a move.
+    expects_next: bool,
+    migration: Option<Migration>,
+    news: watch::Receiver<u64>,
+    done: bool,
+}
+
+impl Gateway {
+    /// Starts a generation and returns its stream once the first event is there.
+    pub(super) async fn generate(
+        self: Arc<Self>,
+        job: Job,
+        engine: EngineSpec,
+    ) -> Result<Response<Body>, Refusal> {
+        let mut tried: Vec<Arc<str>> = Vec::new();
+        loop {
+            if job.left_ms() == 0 {
+                return Err(Refusal::not_run("out_of_time", 0));
+            }
+            let demand = job.demand;
+            let chosen = self.with_view(|view| {
+                let (now_ms, random) = (monotonic_ms(), rand::random());
+                view.choose_engine(&job.service, demand, engine, &tried, now_ms, random)
+            });
+            let Some(placed) = chosen else {
+                return Err(no_room());
+            };
+            if !tried.is_empty() && !self.may_repeat(&job.service) {
+                return Err(no_room());
+            }
+            tried.push(Arc::clone(&placed.identity));
+            let ticket = Ticket::begin(&self, placed, Some(demand));
+            let request = job.request_for(&ticket.identity);
+            let sending = self.pool.send(ticket.address, request, &job.id);
+            let exchange = match timeout_at(job.deadline, sending).await {
+                Ok(Ok(exchange)) => exchange,
+                Ok(Err(failure)) => {
+                    ticket.observe(Outcome::Unreachable);
+                    tracing::info!(request = &*job.id, instance = &*ticket.identity, %failure,
+                        age_ms = job.age_ms(), "engine not reached");
+                    match failure {
+                        SendFailure::NotSent(_) if tried.len() < MAX_SENDS => continue,
+                        SendFailure::NotSent(_) => return Err(no_room()),
+                        SendFailure::Lost(_) => return Err(lost()),
+                    }
+                }
+                Err(_) => {
+                    return Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "out_of_time"));
+                }
+            };
+            if says_not_run(&exchange.head) {
+                tracing::info!(
+                    request = &*job.id,
+                    instance = &*ticket.identity,
+                    status = exchange.head.status.as_u16(),
+                    "engine refused"
+                );
+                ticket.observe(Outcome::Refused);
+                if exchange.head.status == StatusCode::MISDIRECTED_REQUEST {
+                    self.with_view(|view| view.misdirected(&ticket.identity, monotonic_ms()));
+                }
+                match tried.len() < MAX_SENDS {
+                    true => continue,
+                    false => return Err(no_room()),
+                }
+            }
+            if !exchange.head.status.is_success() {
+                return self.pass_failure(&job, &ticket, exchange).await;
+            }
+            let relay = Relay {
+                news: self.leaving_news.subscribe(),
+                gateway: Arc::clone(&self),
+                job,
+                engine,
+                source: Some(Source { exchange, ticket }),
+                events: Events::default(),
+                last_event: None,
+                expects_next: false,
+                migration: None,
+                done: false,
+            };
+            return relay.into_answer().await;
+        }
+    }
+
+    /// Passes an engine's own failure on.
+    async fn pass_failure(
+        &self,
+        job: &Job,
+        ticket: &Ticket,
+        exchange: Exchange,
+    ) -> Result<Response<Body>, Refusal> {
+        ticket.observe(Outcome::Failed);
+        if promises_not_run(exchange.head.status) {
+            return Err(lost());
+        }
+        let status = exchange.head.status.as_u16();
+        tracing::info!(
+            request = &*job.id,
+            instance = &*ticket.identity,
+            status,
+            "engine failed"
+        );
+        match timeout_at(job.deadline, self.pool.collect(exchange)).await {
+            Ok(Ok((head, body))) => Ok(answer(&head, body)),
+            _ => Err(lost()),
+        }
+    }
+}
+
+impl Relay {
+    /// Returns the answer once its first event has come.
+    async fn into_answer(mut self) -> Result<Response<Body>, Refusal> {
+        let head = self.source.as_ref().map(|source| {
+            let head = &source.exchange.head;
+            (head.status, caller_headers(&head.headers))
+        });
+        let (Some((status, headers)), Some(Ok(first))) = (head, self.next().await) else {
+            return Err(lost());
+        };
+        self.gateway
+            .metrics
+            .first_event_ms
+            .observe(self.job.age_ms() as f64);
+        let rest = stream::unfold(self, |mut relay| async move {
+            let frame = relay.next().await?;
+            Some((frame, relay))
+        });
+        let frames = futures::StreamExt::chain(stream::iter([Ok(first)]), rest);
+        let mut answer = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
+        *answer.status_mut() = status;
+        *answer.headers_mut() = headers;
+        Ok(answer)
+    }
+
+    /// Returns the next whole events; none after the end of the stream.
+    async fn next(&mut self) -> Option<Result<Frame<Bytes>, BrokenAnswer>> {
+        if self.done {
+            return None;
+        }
+        match self.advance().await {
+            Ok(Some(bytes)) => Some(Ok(Frame::data(bytes))),
+            Ok(None) => {
+                self.done = true;
+                self.log_end("complete");
+                None
+            }
+            Err(cause) => {
+                self.done = true;
+                self.log_end(&cause);
+                Some(Err(BrokenAnswer(cause)))
+            }
+        }
+    }
+
+    async fn advance(&mut self) -> Result<Option<Bytes>, String> {
+        loop {
+            if let Some(bytes) = self.whole_events()? {
+                return Ok(Some(bytes));
+            }
+            self.consider_move();
+            let Some(source) = self.source.as_mut() else {
+                self.take_move().await?;
+                continue;
+            };
+            tokio::select! {
+                biased;
+                frame = source.exchange.body.frame() => match frame {
+                    Some(Ok(frame)) => {
+                        if let Some(data) = frame.data_ref() {
+                            self.events.push(data);
+                        }
+                    }
+                    None if !is_stopped(self.migration.as_ref()) => return Ok(self.end()),
+                    None => self.leave_source("its generation was moved"),
+                    Some(Err(error)) => {
+                        let cause = format!("{} broke off: {error}", source.ticket.identity);
+                        if self.migration.is_none() {
+                            source.ticket.observe(Outcome::Unreachable);
+                            return Err(cause);
+                        }
+                        self.leave_source(&cause);
+                    }
+                },
+                _ = self.news.changed() => {}
+                () = sleep_until(self.job.deadline) => return Err("out of time".to_owned()),
+            }
+        }
+    }
+
+    /// Returns the whole events that have come, without those that were passed on before.
+    fn whole_events(&mut self) -> Result<Option<Bytes>, String> {
+        let mut whole = bytes::BytesMut::new();
+        while let Some(event) = self.events.next() {
+            if let (true, Some(last), Some(id)) = (self.expects_next, self.last_event, event.id) {
+                match id {
+                    _ if id <= last => continue,
+                    _ if id > last + 1 => {
+                        return Err(format!("event {id} follows event {last} after a move"));
+                    }
+                    _ => self.expects_next = false,
+                }
+            }
+            self.last_event = event.id.or(self.last_event);
+            whole.extend_from_slice(&event.bytes);
+        }
+        if whole.is_empty() {
+            return Ok(None);
+        }
+        if let Some(source) = &mut self.source {
+            source.ticket.prompt_read();
+        }
+        Ok(Some(whole.freeze()))
+    }
+
+    /// Ends a complete stream; returns what follows its last event.
+    fn end(&mut self) -> Option<Bytes> {
+        if let Some(Source { exchange, ticket }) = self.source.take() {
+            let took_ms = self.job.age_ms();
+            ticket.observe(Outcome::Answered { took_ms });
+            self.gateway.pool.finish(exchange);
+        }
+        self.done = true;
+        self.log_end("complete");
+        self.events.rest()
+    }
+
+    /// Begins to move the generation if its engine is leaving.
+    fn consider_move(&mut self) {
+        let (None, Some(source)) = (&self.migration, &self.source) else {
+            return;
+        };
+        // A generation is there to be moved from its first token on.
+        if !self.engine.moves || self.last_event.is_none() {
+            return;
+        }
+        let identity = Arc::clone(&source.ticket.identity);
+        let Some(leaving) = self.gateway.with_view(|view| view.leaving(&identity)) else {
+            return;
+        };
+        let from = source.ticket.address;
+        let plan = super::migrate::Plan {
+            request_id: Arc::clone(&self.job.id),
+            service: Arc::clone(&self.job.service),
+            from,
+            from_identity: identity,
+            demand: self.remaining_demand(),
+            engine: self.engine,
+            gone_at_ms: leaving.gone_at_ms,
+        };
+        self.migration = Some(Migration::begin(Arc::clone(&self.gateway), plan));
+    }
+
+    fn remaining_demand(&self) -> Demand {
+        self.job.demand
+    }
+
+    /// Gives up the stream of an engine whose generation is moved.
+    fn leave_source(&mut self, cause: &str) {
+        tracing::info!(
+            request = &*self.job.id,
+            cause,
+            last_event = self.last_event,
+            "stream waits for its move"
+        );
+        self.source = None;
+        self.events.clear();
+    }
+
+    /// Waits for the move and takes the generation up at its new engine.
+    async fn take_move(&mut self) -> Result<(), String> {
+        let Some(migration) = self.migration.take() else {
+            return Err("no engine holds the generation".to_owned());
+        };
+        let moved = match timeout(MOVE_LIMIT, migration.finish()).await {
+            Ok(Some(moved)) => moved,
+            Ok(None) => return Err("the generation could not be moved".to_owned()),
+            Err(_) => return Err("the move took too long".to_owned()),
+        };
+        let Moved {
+            ticket,
+            from,
+            handle,
+        } = moved;
+        let request = self.continued(&ticket, &format!("{from}/{handle}"));
+        let sending = self
+            .gateway
+            .pool
+            .send(ticket.address, request, &self.job.id);
+        let exchange = match timeout(CONTINUE_LIMIT, sending).await {
+            Ok(Ok(exchange)) if exchange.head.status.is_success() => exchange,
+            Ok(Ok(exchange)) => {
+                return Err(format!(
+                    "{} answered {}",
+                    ticket.identity, exchange.head.status
+                ));
+            }
+            Ok(Err(failure)) => return Err(format!("{}: {failure}", ticket.identity)),
+            Err(_) => {
+                return Err(format!(
+                    "{} does not take the generation up",
+                    ticket.identity
+                ));
+            }
+        };
+        self.gateway.metrics.moved("continued");
+        tracing::info!(
+            request = &*self.job.id,
+            instance = &*ticket.identity,
+            last_event = self.last_event,
+            "generation continued"
+        );
+        self.expects_next = true;
+        self.source = Some(Source { exchange, ticket });
+        Ok(())
+    }
+
+    /// Returns the request that takes the generation up from a copy.
+    fn continued(&self, ticket: &Ticket, copy: &str) -> Request<Full<Bytes>> {
+        let mut request = self.job.request_for(&ticket.identity);
+        let sent = request.headers_mut();
+        if let Some(value) = headers::value(copy) {
+            sent.insert(headers::CONTINUE_FROM, value);
+        }
+        if let Some(value) = self
+            .last_event
+            .and_then(|id| headers::value(&id.to_string()))
+        {
+            sent.insert(headers::LAST_EVENT, value);
+        }
+        request
+    }
+
+    fn log_end(&self, outcome: &str) {
+        let label = if outcome == "complete" {
+            "complete"
+        } else {
+            "broken"
+        };
+        self.gateway.metrics.stream(label);
+        let instance = self
+            .source
+            .as_ref()
+            .map(|source| Arc::clone(&source.ticket.identity));
+        tracing::info!(
+            request = &*self.job.id,
+            route = &*self.job.route.name,
+            outcome,
+            instance = instance.as_deref(),
+            last_event = self.last_event,
+            age_ms = self.job.age_ms(),
+            "stream ended"
+        );
+    }
+}
+
+/// Returns true if a generation's engine may have stopped it for its move.
+fn is_stopped(migration: Option<&Migration>) -> bool {
+    migration.is_some_and(Migration::stop_was_asked)
+}
+
+fn no_room() -> Refusal {
+    let spread_ms = rand::random::<u64>() % NO_ROOM_SPREAD_MS;
+    Refusal::not_run("no_room", NO_ROOM_RETRY_MS + spread_ms)
+}
+
+fn lost() -> Refusal {
+    Refusal::unknown(StatusCode::BAD_GATEWAY, "answer_lost")
+}
--- /dev/null
+++ b/src/roles/gateway/metrics.rs
@@ -0,0 +1,98 @@
+//! Counters and latencies of the gateway.
+
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts};
+
+use crate::adapters::telemetry::registry;
+
+/// Bounds of latency buckets in milliseconds, from a fast plain call to a long generation.
+const LATENCY_MS: [f64; 12] = [
+    5.0, 20.0, 50.0, 100.0, 150.0, 300.0, 600.0, 1_000.0, 1_800.0, 4_000.0, 10_000.0, 40_000.0,
+];
+
+/// The metrics of one gateway.
+pub(super) struct Metrics {
+    refused: IntCounterVec,
+    sent: IntCounterVec,
+    moved: IntCounterVec,
+    streams: IntCounterVec,
+    pub(super) first_event_ms: Histogram,
+    pub(super) document_version: prometheus::IntGauge,
+    pub(super) sync_failures: IntCounter,
+}
+
+impl Metrics {
+    pub(super) fn new() -> Self {
+        let first = HistogramOpts::new(
+            "lilac_gateway_first_event_ms",
+            "Time from a request to the first event of its stream.",
+        );
+        let metrics = Self {
+            refused: counters(
+                "lilac_gateway_refused_total",
+                "Answers of the gateway's own.",
+                "code",
+            ),
+            sent: counters(
+                "lilac_gateway_sent_total",
+                "Sends of plain calls by outcome.",
+                "outcome",
+            ),
+            moved: counters(
+                "lilac_gateway_moves_total",
+                "Moves of generations by outcome.",
+                "outcome",
+            ),
+            streams: counters(
+                "lilac_gateway_streams_total",
+                "Ended streams by outcome.",
+                "outcome",
+            ),
+            first_event_ms: Histogram::with_opts(first.buckets(LATENCY_MS.to_vec()))
+                .expect("constant options are valid"),
+            document_version: prometheus::IntGauge::new(
+                "lilac_gateway_document_version",
+                "Version of the document in force.",
+            )
+            .expect("constant options are valid"),
+            sync_failures: IntCounter::new(
+                "lilac_gateway_sync_failures_total",
+                "Calls to control that failed.",
+            )
+            .expect("constant options are valid"),
+        };
+        let all: [Box<dyn prometheus::core::Collector>; 7] = [
+            Box::new(metrics.refused.clone()),
+            Box::new(metrics.sent.clone()),
+            Box::new(metrics.moved.clone()),
+            Box::new(metrics.streams.clone()),
+            Box::new(metrics.first_event_ms.clone()),
+            Box::new(metrics.document_version.clone()),
+            Box::new(metrics.sync_failures.clone()),
+        ];
+        for collector in all {
+            // Fails if a test starts a second gateway in this process; the first one is shown.
+            let _ = registry().register(collector);
+        }
+        metrics
+    }
+
+    pub(super) fn refused(&self, code: &str) {
+        self.refused.with_label_values(&[code]).inc();
+    }
+
+    pub(super) fn sent(&self, outcome: &str) {
+        self.sent.with_label_values(&[outcome]).inc();
+    }
+
+    pub(super) fn moved(&self, outcome: &str) {
+        self.moved.with_label_values(&[outcome]).inc();
+    }
+
+    pub(super) fn stream(&self, outcome: &str) {
+        self.streams.with_label_values(&[outcome]).inc();
+    }
+}
+
+fn counters(name: &str, help: &str, label: &str) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name, help), &[label]).expect("constant options are valid")
+}
--- /dev/null
+++ b/src/roles/gateway/migrate.rs
@@ -0,0 +1,176 @@
+//! Moves a running generation from an engine that leaves to another one.
+//!
+//! The memory is copied while the generation goes on. Shortly before the engine is gone the
+//! generation is stopped and only what is new is copied, so that the caller sees a short pause.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use http::StatusCode;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use super::Gateway;
+use super::ticket::Ticket;
+use crate::adapters::clock::monotonic_ms;
+use crate::domain::document::EngineSpec;
+use crate::domain::fleet::Demand;
+use crate::platform::{CallFailure, Move, move_generation};
+
+/// The generation is stopped this long before its engine is gone: time for the calls of all
+/// entries, one after the other, to copy what is new.
+const STOP_MARGIN_MS: u64 = 350;
+/// Upper bound on the time of one copy.
+const COPY_LIMIT: Duration = Duration::from_millis(2_500);
+/// Engines tried as the target of a copy.
+const MAX_TARGETS: usize = 3;
+/// Pause before a call is repeated while another one is in progress.
+const BUSY_PAUSE: Duration = Duration::from_millis(40);
+const MAX_BUSY: usize = 10;
+
+/// What is moved.
+pub(super) struct Plan {
+    pub(super) request_id: Arc<str>,
+    pub(super) service: Arc<str>,
+    pub(super) from: SocketAddr,
+    pub(super) from_identity: Arc<str>,
+    pub(super) demand: Demand,
+    pub(super) engine: EngineSpec,
+    pub(super) gone_at_ms: Option<u64>,
+}
+
+/// A finished move: the generation has stopped, and its memory is at the ticket's engine.
+pub(super) struct Moved {
+    pub(super) ticket: Ticket,
+    pub(super) from: SocketAddr,
+    pub(super) handle: Arc<str>,
+}
+
+/// A move in progress; dropping it gives it up.
+pub(super) struct Migration {
+    task: Option<JoinHandle<Option<Moved>>>,
+    stop_asked: Arc<AtomicBool>,
+}
+
+impl Drop for Migration {
+    fn drop(&mut self) {
+        if let Some(task) = &self.task {
+            task.abort();
+        }
+    }
+}
+
+impl Migration {
+    /// Begins a move in the background.
+    pub(super) fn begin(gateway: Arc<Gateway>, plan: Plan) -> Self {
+        let stop_asked = Arc::new(AtomicBool::new(false));
+        let asked = Arc::clone(&stop_asked);
+        let task = tokio::spawn(async move {
+            let moved = migrate(&gateway, &plan, &asked).await;
+            gateway
+                .metrics
+                .moved(if moved.is_some() { "copied" } else { "failed" });
+            moved
+        });
+        Self {
+            task: Some(task),
+            stop_asked,
+        }
+    }
+
+    /// Returns true once the engine may have stopped the generation.
+    pub(super) fn stop_was_asked(&self) -> bool {
+        self.stop_asked.load(Ordering::Relaxed)
+    }
+
+    /// Returns the finished move, or none if it failed.
+    pub(super) async fn finish(mut self) -> Option<Moved> {
+        let task = self.task.take()?;
+        task.await.ok().flatten()
+    }
+}
+
+async fn migrate(gateway: &Arc<Gateway>, plan: &Plan, stop_asked: &AtomicBool) -> Option<Moved> {
+    let begun_ms = monotonic_ms();
+    let ticket = copy_ahead(gateway, plan).await?;
+    let copied_ms = monotonic_ms();
+    if let Some(gone_at_ms) = plan.gone_at_ms {
+        let wait_ms = gone_at_ms
+            .saturating_sub(STOP_MARGIN_MS)
+            .saturating_sub(copied_ms);
+        sleep(Duration::from_millis(wait_ms)).await;
+    }
+    stop_asked.store(true, Ordering::Relaxed);
+    let stopped = call_move(plan, ticket.address, true).await;
+    tracing::info!(
+        request = &*plan.request_id,
+        from = &*plan.from_identity,
+        to = &*ticket.identity,
+        gone_in_ms = plan.gone_at_ms.map(|at| at.saturating_sub(begun_ms)),
+        copy_ms = copied_ms.saturating_sub(begun_ms),
+        total_ms = monotonic_ms().saturating_sub(begun_ms),
+        error = stopped.as_ref().err().map(ToString::to_string),
+        "generation moved"
+    );
+    let Move { handle } = stopped.ok()?;
+    Some(Moved {
+        ticket,
+        from: plan.from,
+        handle,
+    })
+}
+
+/// Copies the memory while the generation goes on. Returns the engine that holds the copy.
+async fn copy_ahead(gateway: &Arc<Gateway>, plan: &Plan) -> Option<Ticket> {
+    let mut excluded = vec![Arc::clone(&plan.from_identity)];
+    for _ in 0..MAX_TARGETS {
+        let placed = gateway.with_view(|view| {
+            let (now_ms, random) = (monotonic_ms(), rand::random());
+            view.choose_engine(
+                &plan.service,
+                plan.demand,
+                plan.engine,
+                &excluded,
+                now_ms,
+                random,
+            )
+        });
+        let Some(placed) = placed else {
+            tracing::info!(
+                request = &*plan.request_id,
+                from = &*plan.from_identity,
+                "no engine has room for a move"
+            );
+            return None;
+        };
+        excluded.push(Arc::clone(&placed.identity));
+        let mut ticket = Ticket::begin(gateway, placed, Some(plan.demand));
+        ticket.prompt_read();
+        match call_move(plan, ticket.address, false).await {
+            Ok(_) => return Some(ticket),
+            Err(error) => {
+                tracing::info!(request = &*plan.request_id, from = &*plan.from_identity,
+                    to = &*ticket.identity, %error, "copy failed");
+                match error {
+                    CallFailure::Status(StatusCode::SERVICE_UNAVAILABLE, _) => {}
+                    _ => return None,
+                }
+            }
+        }
+    }
+    None
+}
+
+async fn call_move(plan: &Plan, target: SocketAddr, stop: bool) -> Result<Move, CallFailure> {
+    let mut busy = 0;
+    loop {
+        let answer = move_generation(plan.from, &plan.request_id, target, stop, COPY_LIMIT).await;
+        match answer {
+            Err(CallFailure::Status(StatusCode::CONFLICT, _)) if busy < MAX_BUSY => busy += 1,
+            answer => return answer,
+        }
+        sleep(BUSY_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/src/roles/gateway/plain.rs
@@ -0,0 +1,206 @@
+//! Plain calls: answered as a whole, and sent again only where that is allowed.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode, response};
+use tokio::time::timeout_at;
+
+use super::Gateway;
+use super::answer::{Body, Refusal, full};
+use super::request::Job;
+use super::ticket::Ticket;
+use super::upstream::SendFailure;
+use crate::adapters::clock::monotonic_ms;
+use crate::domain::document::Repeat;
+use crate::domain::fleet::Outcome;
+use crate::platform::headers;
+
+/// Instances tried while each says that it did not run the request.
+const MAX_SENDS: usize = 3;
+/// When a caller should come back after all instances were full or out of reach. A plain call takes
+/// some 30 ms, so a full queue of an instance is worked off in about this time.
+const FULL_RETRY_MS: u64 = 250;
+
+/// How one send ended.
+enum Sent {
+    /// A complete answer of the instance.
+    Answer(response::Parts, Bytes),
+    NotRun,
+    /// The request may have run.
+    Unknown,
+    OutOfTime,
+}
+
+impl Gateway {
+    /// Passes a plain call on and returns its answer.
+    pub(super) async fn call(self: &Arc<Self>, job: &Job) -> Result<Response<Body>, Refusal> {
+        let mut tried = Vec::new();
+        let mut ran = 0;
+        loop {
+            let again = !tried.is_empty();
+            let chosen = self.with_view(|view| {
+                view.choose_plain(&job.service, &tried, monotonic_ms(), rand::random())
+            });
+            let Some(placed) = chosen else {
+                return Err(out_of_instances(ran));
+            };
+            if job.left_ms() == 0 {
+                return Err(out_of_time(ran));
+            }
+            if again && !self.may_repeat(&job.service) {
+                return Err(out_of_instances(ran));
+            }
+            tried.push(Arc::clone(&placed.identity));
+            let ticket = Ticket::begin(self, placed, None);
+            let sent = self.send_plain(job, &ticket).await;
+            let may_run_again =
+                job.route.repeat == Repeat::Safe && ran + 1 < job.route.max_attempts;
+            match sent {
+                Sent::Answer(head, body) => {
+                    let failed = head.status.is_server_error();
+                    if failed && may_run_again && tried.len() < MAX_SENDS {
+                        let another = self.call_elsewhere(job, &tried).await;
+                        return Ok(another.unwrap_or_else(|| answer(&head, body)));
+                    }
+                    return Ok(answer(&head, body));
+                }
+                Sent::NotRun if tried.len() < MAX_SENDS => {}
+                Sent::NotRun => return Err(out_of_instances(ran)),
+                Sent::Unknown if may_run_again => ran += 1,
+                Sent::Unknown => {
+                    return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, "answer_lost"));
+                }
+                Sent::OutOfTime => {
+                    return Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "out_of_time"));
+                }
+            }
+        }
+    }
+
+    /// Sends a call that may be repeated to one more instance, after a failure of the first one.
+    /// Returns its answer if it is a success.
+    async fn call_elsewhere(
+        self: &Arc<Self>,
+        job: &Job,
+        tried: &[Arc<str>],
+    ) -> Option<Response<Body>> {
+        let placed = self.with_view(|view| {
+            view.choose_plain(&job.service, tried, monotonic_ms(), rand::random())
+        })?;
+        if job.left_ms() == 0 || !self.may_repeat(&job.service) {
+            return None;
+        }
+        let ticket = Ticket::begin(self, placed, None);
+        match self.send_plain(job, &ticket).await {
+            Sent::Answer(head, body) if head.status.is_success() => Some(answer(&head, body)),
+            _ => None,
+        }
+    }
+
+    async fn send_plain(&self, job: &Job, ticket: &Ticket) -> Sent {
+        let begun_ms = monotonic_ms();
+        let request = job.request_for(&ticket.identity);
+        let sending = async {
+            let exchange = self.pool.send(ticket.address, request, &job.id).await?;
+            self.pool.collect(exchange).await.map_err(SendFailure::Lost)
+        };
+        let (sent, outcome) = match timeout_at(job.deadline, sending).await {
+            Ok(Ok((head, _))) if says_not_run(&head) => {
+                if head.status == StatusCode::MISDIRECTED_REQUEST {
+                    self.with_view(|view| view.misdirected(&ticket.identity, monotonic_ms()));
+                }
+                (Sent::NotRun, Outcome::Refused)
+            }
+            // Callers read these statuses as a promise that the instance did not give.
+            Ok(Ok((head, _))) if promises_not_run(head.status) => (Sent::Unknown, Outcome::Failed),
+            Ok(Ok((head, body))) if head.status.is_server_error() => {
+                (Sent::Answer(head, body), Outcome::Failed)
+            }
+            Ok(Ok((head, body))) => {
+                let took_ms = monotonic_ms().saturating_sub(begun_ms);
+                (Sent::Answer(head, body), Outcome::Answered { took_ms })
+            }
+            Ok(Err(SendFailure::NotSent(_))) => (Sent::NotRun, Outcome::Unreachable),
+            Ok(Err(SendFailure::Lost(_))) => (Sent::Unknown, Outcome::Unreachable),
+            Err(_) => (Sent::OutOfTime, Outcome::Failed),
+        };
+        ticket.observe(outcome);
+        self.metrics.sent(&sent_label(&sent));
+        let age_ms = job.age_ms();
+        match &sent {
+            Sent::Answer(head, _) => tracing::info!(
+                request = &*job.id,
+                route = &*job.route.name,
+                instance = &*ticket.identity,
+                status = head.status.as_u16(),
+                age_ms,
+                "answered"
+            ),
+            _ => tracing::info!(
+                request = &*job.id,
+                route = &*job.route.name,
+                instance = &*ticket.identity,
+                outcome = sent_label(&sent),
+                age_ms,
+                "not answered"
+            ),
+        }
+        sent
+    }
+}
+
+fn sent_label(sent: &Sent) -> &'static str {
+    match sent {
+        Sent::Answer(..) => "answer",
+        Sent::NotRun => "not_run",
+        Sent::Unknown => "unknown",
+        Sent::OutOfTime => "out_of_time",
+    }
+}
+
+/// Returns true if an instance says that it did not run the request.
+pub(super) fn says_not_run(head: &response::Parts) -> bool {
+    head.status == StatusCode::MISDIRECTED_REQUEST || head.headers.contains_key(headers::NOT_RUN)
+}
+
+/// Returns true for statuses that callers take as a promise that nothing ran.
+pub(super) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Returns an instance's complete answer for the caller.
+pub(super) fn answer(head: &response::Parts, body: Bytes) -> Response<Body> {
+    let mut answer = Response::new(full(body));
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = caller_headers(&head.headers);
+    answer
+}
+
+/// Returns the headers of an instance's answer that the caller gets.
+pub(super) fn caller_headers(instance: &HeaderMap) -> HeaderMap {
+    let mut passed = instance.clone();
+    headers::remove_connection_headers(&mut passed);
+    // The length is set from the body.
+    passed.remove(http::header::CONTENT_LENGTH);
+    passed
+}
+
+fn out_of_instances(ran: u32) -> Refusal {
+    match ran {
+        0 => Refusal::not_run("no_instance", FULL_RETRY_MS),
+        _ => Refusal::unknown(StatusCode::BAD_GATEWAY, "answer_lost"),
+    }
+}
+
+fn out_of_time(ran: u32) -> Refusal {
+    match ran {
+        0 => Refusal::not_run("out_of_time", 0),
+        _ => Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "out_of_time"),
+    }
+}
--- /dev/null
+++ b/src/roles/gateway/request.rs
@@ -0,0 +1,234 @@
+//! A caller's request: its route, workspace and deadline.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use super::Gateway;
+use super::answer::{Body, Refusal};
+use crate::adapters::clock::monotonic_ms;
+use crate::domain::document::{Access, EngineSpec, Index, Repeat, Route};
+use crate::domain::fleet::Demand;
+use crate::platform::headers;
+
+/// When a caller should come back that met a gateway without a document, which it learns within a
+/// second of its start.
+const NO_DOCUMENT_RETRY_MS: u64 = 500;
+/// When a caller should come back whose key cannot be checked; another gateway may know.
+const UNCONFIRMED_RETRY_MS: u64 = 300;
+/// Answers without a tokens header are expected to be this long.
+const UNKNOWN_OUTPUT_TOKENS: u64 = 200;
+
+/// A request that may be passed on.
+pub(super) struct Job {
+    pub(super) id: Arc<str>,
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    /// What is passed on to every instance.
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) route: Arc<Route>,
+    pub(super) service: Arc<str>,
+    pub(super) engine: Option<EngineSpec>,
+    pub(super) demand: Demand,
+    pub(super) priority: u32,
+    pub(super) arrived: Instant,
+    /// When the caller or the operator no longer wants an answer.
+    pub(super) deadline: Instant,
+}
+
+impl Job {
+    /// Returns the milliseconds left until the deadline.
+    pub(super) fn left_ms(&self) -> u64 {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns the milliseconds since the request arrived.
+    pub(super) fn age_ms(&self) -> u64 {
+        u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns the request for an instance.
+    pub(super) fn request_for(&self, identity: &str) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let mut sent = self.headers.clone();
+        let left_ms = self.left_ms().to_string();
+        for (name, text) in [
+            (headers::DEADLINE, left_ms.as_str()),
+            (headers::EXPECTED_INSTANCE, identity),
+        ] {
+            if let Some(value) = headers::value(text) {
+                sent.insert(name, value);
+            }
+        }
+        *request.headers_mut() = sent;
+        request
+    }
+}
+
+/// What is known of a request before its body is read.
+struct Admitted {
+    route: Arc<Route>,
+    service: Arc<str>,
+    engine: Option<EngineSpec>,
+    headers: HeaderMap,
+    priority: u32,
+    body_limit_bytes: usize,
+}
+
+impl Gateway {
+    /// Answers one request of a caller.
+    pub(super) async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let arrived = Instant::now();
+        let id: Arc<str> = headers::text(request.headers(), &headers::REQUEST_ID)
+            .unwrap_or_default()
+            .into();
+        let admitted = match self.admit(&request) {
+            Ok(admitted) => admitted,
+            Err(refusal) => return self.refuse(&id, None, &refusal, arrived),
+        };
+        let route = Arc::clone(&admitted.route);
+        let job = match read(request, admitted, Arc::clone(&id), arrived).await {
+            Ok(job) => job,
+            Err(refusal) => return self.refuse(&id, Some(&route), &refusal, arrived),
+        };
+        self.with_budget(&job.service, |budget| budget.request(monotonic_ms()));
+        let result = match (job.route.repeat, job.engine) {
+            (Repeat::Stream, Some(engine)) => Arc::clone(&self).generate(job, engine).await,
+            _ => self.call(&job).await,
+        };
+        match result {
+            Ok(answer) => answer,
+            Err(refusal) => self.refuse(&id, Some(&route), &refusal, arrived),
+        }
+    }
+
+    /// Logs and counts an answer of the gateway's own.
+    fn refuse(
+        &self,
+        id: &str,
+        route: Option<&Arc<Route>>,
+        refusal: &Refusal,
+        arrived: Instant,
+    ) -> Response<Body> {
+        let route = route.map_or("", |route| &*route.name);
+        let age_ms = u64::try_from(arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.metrics.refused(refusal.code);
+        tracing::info!(
+            request = id,
+            route,
+            status = refusal.status.as_u16(),
+            code = refusal.code,
+            retry_after_ms = refusal.retry_after_ms,
+            age_ms,
+            "refused"
+        );
+        refusal.answer()
+    }
+
+    /// Returns what a request is allowed to be sent to.
+    fn admit(&self, request: &Request<Incoming>) -> Result<Admitted, Refusal> {
+        let Some(index) = self.index.borrow().clone() else {
+            return Err(Refusal::not_run("no_document", NO_DOCUMENT_RETRY_MS));
+        };
+        let caller = request.headers();
+        let host = headers::text(caller, &header::HOST).or_else(|| request.uri().host());
+        let path = request.uri().path();
+        let Some(route) = host.and_then(|host| index.route(host, path)) else {
+            return Err(Refusal::denied(StatusCode::NOT_FOUND, "no_route"));
+        };
+        let access = index.access(route, headers::key(caller));
+        let keyed = !index.document().workspaces.is_empty() && !route.anonymous;
+        if keyed && !self.is_confirmed() {
+            return Err(Refusal::not_run(
+                "document_unconfirmed",
+                UNCONFIRMED_RETRY_MS,
+            ));
+        }
+        let mut passed = headers::passed_on(caller);
+        let mut priority = route.priority;
+        match access {
+            Access::Denied => return Err(Refusal::denied(StatusCode::UNAUTHORIZED, "unknown_key")),
+            Access::Anonymous => {}
+            Access::Workspace(workspace) => {
+                priority = workspace.priority.unwrap_or(priority);
+                if let Some(value) = headers::value(workspace.name.as_str()) {
+                    passed.insert(headers::WORKSPACE, value);
+                }
+            }
+        }
+        let Some(service) = Index::choose_service(route, rand::random()) else {
+            return Err(Refusal::not_run("no_service", NO_DOCUMENT_RETRY_MS));
+        };
+        Ok(Admitted {
+            route: Arc::clone(route),
+            service: Arc::clone(service),
+            engine: index.service(service).and_then(|service| service.engine),
+            headers: passed,
+            priority,
+            body_limit_bytes: index.document().limits.body_bytes,
+        })
+    }
+}
+
+/// Reads the body of a request. The deadline runs from its arrival.
+async fn read(
+    request: Request<Incoming>,
+    admitted: Admitted,
+    id: Arc<str>,
+    arrived: Instant,
+) -> Result<Job, Refusal> {
+    let (head, body) = request.into_parts();
+    let route = admitted.route;
+    let wanted_ms = headers::number(&head.headers, &headers::DEADLINE).unwrap_or(u64::MAX);
+    let deadline = arrived + Duration::from_millis(wanted_ms.min(route.timeout_ms));
+    let body = Limited::new(body, admitted.body_limit_bytes).collect();
+    let body = match timeout_at(deadline, body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            return Err(Refusal::denied(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body_too_large",
+            ));
+        }
+        Ok(Err(_)) => return Err(Refusal::denied(StatusCode::BAD_REQUEST, "body_unreadable")),
+        Err(_) => return Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, "body_late")),
+    };
+    let (prompt_tokens, most_output) =
+        headers::token_usage(&head.headers).unwrap_or((0, UNKNOWN_OUTPUT_TOKENS));
+    let hint = headers::number(&head.headers, &headers::LENGTH_HINT);
+    let output_tokens = hint.unwrap_or(most_output).min(most_output);
+    Ok(Job {
+        id,
+        method: head.method,
+        uri: path_only(&head.uri),
+        headers: admitted.headers,
+        body,
+        route,
+        service: admitted.service,
+        engine: admitted.engine,
+        demand: Demand {
+            prompt_tokens,
+            output_tokens,
+        },
+        priority: admitted.priority,
+        arrived,
+        deadline,
+    })
+}
+
+/// Returns path and query, as they are sent to an instance.
+fn path_only(uri: &Uri) -> Uri {
+    match uri.path_and_query() {
+        Some(path) if uri.scheme().is_some() => Uri::from(path.clone()),
+        _ => uri.clone(),
+    }
+}
--- /dev/null
+++ b/src/roles/gateway/sync.rs
@@ -0,0 +1,164 @@
+//! Keeps the document, the list of instances and the others' loads current.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use super::Gateway;
+use crate::adapters::clock::monotonic_ms;
+use crate::domain::document::Index;
+use crate::platform::{self, decode_document};
+use crate::roles::site::Controls;
+use crate::rpc::directory::{Published, SyncReply, SyncRequest};
+
+/// How long a call waits for news. Loads of other entries are as old as this.
+const HOLD_MS: u64 = 200;
+/// A control instance that does not answer within this time beyond the hold is given up.
+const SYNC_LIMIT: Duration = Duration::from_millis(HOLD_MS + 900);
+/// Pause after a failed call.
+const FAILED_PAUSE: Duration = Duration::from_millis(50);
+/// The list is read from the platform once control's is older than this. Instances must get no new
+/// work 3 s after they are listed as draining.
+const LIST_STALE_MS: u64 = 1_500;
+const LIST_LIMIT: Duration = Duration::from_millis(800);
+/// Time between reads of the list without control.
+const LIST_EVERY: Duration = Duration::from_millis(700);
+
+impl Gateway {
+    /// Syncs with control until the process ends.
+    pub(super) async fn sync(self: Arc<Self>, seeds: watch::Receiver<Vec<SocketAddr>>) {
+        let mut controls = Controls::new(seeds);
+        let mut listed_ms = 0;
+        let mut read_at: Option<Instant> = None;
+        loop {
+            let list_is_old = monotonic_ms() > listed_ms + LIST_STALE_MS;
+            if list_is_old && read_at.is_none_or(|at| at.elapsed() > LIST_EVERY) {
+                read_at = Some(Instant::now());
+                tokio::spawn(Arc::clone(&self).read_list());
+            }
+            let Some(link) = controls.link() else {
+                sleep(FAILED_PAUSE).await;
+                continue;
+            };
+            let request = self.sync_request();
+            let asked_ms = monotonic_ms();
+            let answer = link
+                .call(SYNC_LIMIT, |client, context| async move {
+                    client.sync(context, request).await
+                })
+                .await;
+            match answer {
+                Ok(reply) => {
+                    controls.follow(reply.leader);
+                    if let Some(age_ms) = reply.list_age_ms {
+                        listed_ms = listed_ms.max(monotonic_ms().saturating_sub(age_ms));
+                    }
+                    if !reply.confirmed {
+                        self.metrics.sync_failures.inc();
+                        sleep(FAILED_PAUSE).await;
+                    }
+                    self.learn(reply, asked_ms);
+                }
+                Err(error) => {
+                    self.metrics.sync_failures.inc();
+                    controls.failed(&error.to_string());
+                    sleep(FAILED_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn sync_request(&self) -> SyncRequest {
+        let version = self
+            .index
+            .borrow()
+            .as_ref()
+            .map_or(0, |index| index.version());
+        self.with_view(|view| SyncRequest {
+            entry: Arc::clone(&self.name),
+            version,
+            revision: view.revision,
+            loads: view.loads(),
+            hold_ms: HOLD_MS,
+        })
+    }
+
+    fn learn(&self, reply: SyncReply, asked_ms: u64) {
+        // A document that is not confirmed may be older than one that was acknowledged.
+        if reply.confirmed {
+            if let Some(published) = reply.document {
+                self.apply(&published);
+            }
+            if self.index.borrow().is_some() {
+                self.confirmed_ms
+                    .fetch_max(asked_ms.max(1), Ordering::Relaxed);
+            }
+        }
+        self.gateways.store(reply.entries.max(1), Ordering::Relaxed);
+        let now_ms = monotonic_ms();
+        let news = self.with_view(|view| {
+            let listed = reply.fleet.is_some();
+            if let Some(fleet) = reply.fleet {
+                view.list(fleet.listed, Some(fleet.revision), now_ms);
+            }
+            view.pulse(reply.pulses, now_ms) || listed
+        });
+        if news {
+            self.leaving_news.send_modify(|count| *count += 1);
+        }
+    }
+
+    fn apply(&self, published: &Published) {
+        let document = match decode_document(&published.body) {
+            Ok(document) => document,
+            Err(findings) => {
+                tracing::error!(version = published.version, %findings,
+                    "published document cannot be applied");
+                return;
+            }
+        };
+        let index = Arc::new(Index::new(document));
+        let changed = self.index.send_if_modified(|held| {
+            let newer = held
+                .as_ref()
+                .is_none_or(|held| held.version() < index.version());
+            if newer {
+                *held = Some(Arc::clone(&index));
+            }
+            newer
+        });
+        if changed {
+            let version = index.version();
+            self.metrics
+                .document_version
+                .set(i64::try_from(version).unwrap_or(i64::MAX));
+            tracing::info!(
+                version,
+                routes = index.document().routes.len(),
+                "document applied"
+            );
+        }
+    }
+
+    /// Reads the platform's list itself, while control cannot tell it.
+    async fn read_list(self: Arc<Self>) {
+        let Some(address) = self.settings.list_address else {
+            return;
+        };
+        match platform::read_list(address, LIST_LIMIT).await {
+            Ok(listed) => {
+                tracing::info!(
+                    instances = listed.len(),
+                    "read the platform's list without control"
+                );
+                self.with_view(|view| view.list(listed, None, monotonic_ms()));
+                self.leaving_news.send_modify(|count| *count += 1);
+            }
+            Err(error) => tracing::warn!(%error, "cannot read the platform's list"),
+        }
+    }
+}
--- /dev/null
+++ b/src/roles/gateway/ticket.rs
@@ -0,0 +1,55 @@
+//! A request counted at an instance until it ends.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::Gateway;
+use crate::adapters::clock::monotonic_ms;
+use crate::domain::fleet::{Demand, Outcome, Placed};
+
+/// Counts a request at an instance; dropping it ends the count.
+pub(super) struct Ticket {
+    gateway: Arc<Gateway>,
+    pub(super) identity: Arc<str>,
+    pub(super) address: SocketAddr,
+    demand: Option<Demand>,
+    prompt_read: bool,
+}
+
+impl Ticket {
+    /// Counts a request that is about to be sent.
+    pub(super) fn begin(gateway: &Arc<Gateway>, placed: Placed, demand: Option<Demand>) -> Self {
+        gateway.with_view(|view| view.begin(&placed.identity, demand));
+        Self {
+            gateway: Arc::clone(gateway),
+            identity: placed.identity,
+            address: placed.address,
+            demand,
+            prompt_read: false,
+        }
+    }
+
+    /// Counts the first event of a generation.
+    pub(super) fn prompt_read(&mut self) {
+        if let (false, Some(demand)) = (std::mem::replace(&mut self.prompt_read, true), self.demand)
+        {
+            self.gateway
+                .with_view(|view| view.prompt_read(&self.identity, demand));
+        }
+    }
+
+    /// Learns from how the request went.
+    pub(super) fn observe(&self, outcome: Outcome) {
+        let now_ms = monotonic_ms();
+        self.gateway
+            .with_view(|view| view.observe(&self.identity, outcome, now_ms));
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let (demand, prompt_read) = (self.demand, self.prompt_read);
+        self.gateway
+            .with_view(|view| view.end(&self.identity, demand, prompt_read));
+    }
+}
--- /dev/null
+++ b/src/roles/gateway/upstream.rs
@@ -0,0 +1,252 @@
+//! Connections to upstream instances. Nothing is sent twice here: whoever sends decides on repeats.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
+
+use crate::platform::headers;
+
+/// Upper bound on the time to open a connection. Zones are a few milliseconds apart; a second
+/// attempt at another instance is better than waiting for a lost packet.
+const CONNECT_LIMIT: Duration = Duration::from_millis(350);
+/// A connection on which sent bytes stay unacknowledged for this long is dead.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Idle connections are not used again after this time: the instance may be closing them, and a
+/// request that crosses the close may have run.
+const IDLE_LIMIT: Duration = Duration::from_millis(2_500);
+/// Idle connections kept for one instance.
+const MAX_IDLE: usize = 16;
+/// Upper bound on the body of an answer that is held as a whole.
+const BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Why a request has no answer.
+#[derive(Debug)]
+pub(super) enum SendFailure {
+    /// Nothing was sent.
+    NotSent(String),
+    /// The request was sent, or a part of it, and may have run.
+    Lost(String),
+}
+
+impl fmt::Display for SendFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(cause) => write!(f, "not sent: {cause}"),
+            Self::Lost(cause) => write!(f, "no answer: {cause}"),
+        }
+    }
+}
+
+/// A connection; it is closed when it is dropped, unless it was kept for another request.
+struct Connection {
+    address: SocketAddr,
+    sender: Option<SendRequest<Full<Bytes>>>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.sender.is_some() {
+            self.task.abort();
+        }
+    }
+}
+
+struct Idle {
+    connection: Connection,
+    usable_until: Instant,
+}
+
+/// Connections that wait for another request.
+#[derive(Default)]
+pub(super) struct Pool {
+    idle: Mutex<BTreeMap<SocketAddr, Vec<Idle>>>,
+}
+
+/// An answer whose body is still to be read. Dropping it closes the connection, which tells the
+/// instance that nobody waits any more.
+pub(super) struct Exchange {
+    pub(super) head: response::Parts,
+    pub(super) body: Incoming,
+    connection: Connection,
+}
+
+impl Pool {
+    /// Sends a request and returns the head of its answer.
+    pub(super) async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+        request_id: &str,
+    ) -> Result<Exchange, SendFailure> {
+        while let Some(mut connection) = self.take(address) {
+            match exchange(&mut connection, request, request_id).await {
+                Ok(answer) => return answered(answer, connection),
+                // The instance has closed the idle connection; another one can be used.
+                Err((_, Some(unsent))) => request = unsent,
+                Err((failure, None)) => return Err(failure),
+            }
+        }
+        let mut connection = connect(address).await.map_err(SendFailure::NotSent)?;
+        match exchange(&mut connection, request, request_id).await {
+            Ok(answer) => answered(answer, connection),
+            Err((failure, _)) => Err(failure),
+        }
+    }
+
+    /// Returns the whole body of an answer and keeps its connection. Fails if the body is not
+    /// complete.
+    pub(super) async fn collect(
+        &self,
+        exchange: Exchange,
+    ) -> Result<(response::Parts, Bytes), String> {
+        let Exchange {
+            head,
+            body,
+            connection,
+        } = exchange;
+        let body = Limited::new(body, BODY_LIMIT_BYTES).collect().await;
+        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        self.keep(connection, &head.headers);
+        Ok((head, body))
+    }
+
+    /// Keeps the connection of an answer whose body was read to its end.
+    pub(super) fn finish(&self, exchange: Exchange) {
+        self.keep(exchange.connection, &exchange.head.headers);
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = idle.get_mut(&address)?;
+        while let Some(Idle {
+            connection,
+            usable_until,
+        }) = kept.pop()
+        {
+            let open = connection
+                .sender
+                .as_ref()
+                .is_some_and(SendRequest::is_ready);
+            if open && Instant::now() < usable_until {
+                return Some(connection);
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+
+    fn keep(&self, connection: Connection, answer: &HeaderMap) {
+        let limit = idle_limit(answer);
+        if limit.is_zero() {
+            return;
+        }
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = idle.entry(connection.address).or_default();
+        if kept.len() < MAX_IDLE {
+            kept.push(Idle {
+                connection,
+                usable_until: Instant::now() + limit,
+            });
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub(super) fn close_idle(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|_, kept| {
+            kept.retain(|idle| now < idle.usable_until);
+            !kept.is_empty()
+        });
+    }
+}
+
+/// Returns how long a connection may stay idle, by what the instance says of it.
+fn idle_limit(answer: &HeaderMap) -> Duration {
+    let named = headers::keep_alive_s(answer).map(Duration::from_secs);
+    // Half of the time named leaves room for a request on its way.
+    named.map_or(IDLE_LIMIT, |named| (named / 2).min(IDLE_LIMIT))
+}
+
+fn answered(answer: Response<Incoming>, connection: Connection) -> Result<Exchange, SendFailure> {
+    let (head, body) = answer.into_parts();
+    Ok(Exchange {
+        head,
+        body,
+        connection,
+    })
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, String> {
+    let opening = async {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE_LIMIT))?;
+        Ok::<_, std::io::Error>(stream)
+    };
+    let stream = match timeout(CONNECT_LIMIT, opening).await {
+        Ok(stream) => stream.map_err(|error| format!("cannot connect to {address}: {error}"))?,
+        Err(_) => return Err(format!("{address} does not take connections")),
+    };
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| error.to_string())?;
+    let task = tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(%address, %error, "upstream connection ended");
+        }
+    });
+    Ok(Connection {
+        address,
+        sender: Some(sender),
+        task: task.abort_handle(),
+    })
+}
+
+type Unsent = Option<Request<Full<Bytes>>>;
+
+/// Sends a request over a connection. On failure returns the request if nothing of it was sent.
+async fn exchange(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+    request_id: &str,
+) -> Result<Response<Incoming>, (SendFailure, Unsent)> {
+    let Some(sender) = connection.sender.as_mut() else {
+        let closed = SendFailure::NotSent("the connection is closed".to_owned());
+        return Err((closed, Some(request)));
+    };
+    let answer = match sender.try_send_request(request).await {
+        Ok(answer) => answer,
+        Err(mut error) => {
+            let unsent = error.take_message();
+            let cause = error.into_error().to_string();
+            let failure = match unsent {
+                Some(_) => SendFailure::NotSent(cause),
+                None => SendFailure::Lost(cause),
+            };
+            return Err((failure, unsent));
+        }
+    };
+    // A late answer to an earlier request may come first on a kept connection.
+    match headers::text(answer.headers(), &headers::REQUEST_ID) {
+        Some(id) if id != request_id => {
+            let cause = format!("the answer belongs to request {id}");
+            Err((SendFailure::Lost(cause), None))
+        }
+        _ => Ok(answer),
+    }
+}
--- /dev/null
+++ b/src/roles/site/mod.rs
@@ -0,0 +1,107 @@
+//! A process of a site: runs gateway, directory and reporter as its settings say.
+
+mod controls;
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::directory::{DirectoryRole, serve_operators};
+use super::gateway::Gateway;
+use super::reporter;
+use crate::adapters::web;
+use crate::rpc::{Services, serve};
+use crate::settings::Settings;
+
+pub use controls::Controls;
+
+/// Time between checks whether the settings file has changed; it may change without a signal.
+const SETTINGS_EVERY: Duration = Duration::from_secs(1);
+/// Time left of the grace period for closing connections and the log.
+const CLOSE_MARGIN: Duration = Duration::from_millis(600);
+
+/// Runs the roles of the settings until SIGTERM or SIGINT, then drains. Fails if an address is in
+/// use.
+pub async fn run(settings: Settings, file: PathBuf) -> Result<(), Box<dyn Error>> {
+    let (seeds, watched) = watch::channel(settings.control_rpc_addresses());
+    web::serve_metrics(settings.admin_address).await?;
+    let directory = match &settings.directory {
+        Some(directory) => {
+            let role = DirectoryRole::start(directory, settings.rpc_address);
+            let listener = TcpListener::bind(settings.rpc_address).await?;
+            let mut services = Services::default();
+            role.offer(&mut services);
+            tokio::spawn(serve(listener, services));
+            serve_operators(&role, directory.operator_address).await?;
+            role.set_peers(&watched.borrow());
+            Some(role)
+        }
+        None => None,
+    };
+    let gateway = match &settings.gateway {
+        Some(gateway) => {
+            let (name, zone) = (settings.instance.clone(), settings.zone.clone());
+            Some(Gateway::start(gateway, name, zone, watched.clone()).await?)
+        }
+        None => None,
+    };
+    if let Some(settings) = &settings.reporter {
+        tokio::spawn(reporter::run(settings.engine_address, watched.clone()));
+    }
+    tracing::info!(instance = %settings.instance, zone = %settings.zone,
+        gateway = gateway.is_some(), directory = directory.is_some(),
+        reporter = settings.reporter.is_some(), "started");
+
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => reload_settings(&file, &seeds, true),
+            () = sleep(SETTINGS_EVERY) => reload_settings(&file, &seeds, false),
+        }
+        if let Some(role) = &directory {
+            role.set_peers(&watched.borrow());
+        }
+    }
+    tracing::info!(instance = %settings.instance, "leaving; no new work is taken");
+    if let Some(role) = &directory {
+        role.stop().await;
+    }
+    if let (Some(gateway), Some(settings)) = (gateway, &settings.gateway) {
+        let grace = Duration::from_millis(settings.grace_ms).saturating_sub(CLOSE_MARGIN);
+        gateway.drain(grace).await;
+    }
+    tracing::info!(instance = %settings.instance, "stopped");
+    Ok(())
+}
+
+/// Takes new addresses of control instances from the settings file. Other settings need a restart.
+fn reload_settings(file: &Path, seeds: &watch::Sender<Vec<SocketAddr>>, signalled: bool) {
+    let addresses = match Settings::load(file) {
+        Ok(settings) => settings.control_rpc_addresses(),
+        Err(findings) => {
+            // The file may be read while it is being written.
+            if signalled {
+                tracing::warn!(%findings, "settings not reloaded");
+            }
+            return;
+        }
+    };
+    let changed = seeds.send_if_modified(|seeds| {
+        let changed = *seeds != addresses;
+        seeds.clone_from(&addresses);
+        changed
+    });
+    if changed || signalled {
+        tracing::info!(?addresses, changed, "settings reloaded");
+    }
+}
--- a/src/rpc/connection.rs
+++ b/src/rpc/connection.rs
@@ -28,6 +28,7 @@
     Sidecar,
     Control,
     Peer,
+    Directory,
 }
 
 impl Service {
@@ -37,6 +38,7 @@
             Self::Sidecar => "sidecar",
             Self::Control => "control",
             Self::Peer => "peer",
+            Self::Directory => "directory",
         }
     }
 
@@ -45,11 +47,12 @@
             Self::Sidecar => b'S',
             Self::Control => b'C',
             Self::Peer => b'P',
+            Self::Directory => b'D',
         }
     }
 
     fn from_byte(byte: u8) -> Option<Self> {
-        [Self::Sidecar, Self::Control, Self::Peer]
+        [Self::Sidecar, Self::Control, Self::Peer, Self::Directory]
             .into_iter()
             .find(|service| service.byte() == byte)
     }
--- /dev/null
+++ b/src/rpc/directory.rs
@@ -0,0 +1,70 @@
+//! The service that control instances offer to entries and sidecars: the shared document and the
+//! fleet.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::domain::fleet::{Listed, Load, Pulse, Report};
+
+/// A version of the document as the operator published it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Published {
+    pub version: u64,
+    pub body: Arc<[u8]>,
+}
+
+/// What an entry tells and asks.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SyncRequest {
+    pub entry: Arc<str>,
+    /// The version of the document that the entry has applied; 0 for none.
+    pub version: u64,
+    /// The revision of the list that the entry has.
+    pub revision: Option<u64>,
+    pub loads: Vec<Load>,
+    /// How long the answer may wait for news.
+    pub hold_ms: u64,
+}
+
+/// The list of instances.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Fleet {
+    pub revision: u64,
+    pub listed: Vec<Listed>,
+}
+
+/// What an entry learns.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SyncReply {
+    /// True if no newer document than the one told or known was acknowledged before the call.
+    pub confirmed: bool,
+    /// A newer document than the caller's.
+    pub document: Option<Published>,
+    /// The list, if it is another than the caller's.
+    pub fleet: Option<Fleet>,
+    pub list_age_ms: Option<u64>,
+    pub pulses: Vec<Pulse>,
+    /// Entries that synced lately.
+    pub entries: u32,
+    /// The leader, if another instance leads; it knows the loads of all entries.
+    pub leader: Option<SocketAddr>,
+}
+
+/// A report of the engine beside a sidecar.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ReportRequest {
+    pub address: SocketAddr,
+    pub report: Report,
+}
+
+/// The calls to control instances.
+#[tarpc::service]
+pub trait Directory {
+    /// Answered at once; the heartbeat of a connection.
+    async fn ping();
+    async fn sync(request: SyncRequest) -> SyncReply;
+    /// Returns the leader, if another instance leads.
+    async fn report(request: ReportRequest) -> Option<SocketAddr>;
+}
--- a/src/rpc/link.rs
+++ b/src/rpc/link.rs
@@ -15,6 +15,7 @@
 
 use super::connection::{open_socket, wrap};
 use super::control::ControlClient;
+use super::directory::DirectoryClient;
 use super::peer::PeerClient;
 use super::sidecar::SidecarClient;
 use super::{ConnectError, Service, deadline_after};
@@ -225,3 +226,17 @@
     };
     Link::new(address, protocol)
 }
+
+/// Returns a link to a control instance for the shared document and the fleet.
+pub fn directory_link(address: SocketAddr) -> Arc<Link<DirectoryClient>> {
+    let protocol = Protocol {
+        service: Service::Directory,
+        make: |stream| {
+            DirectoryClient::new(client_config(), wrap(stream, Service::Directory)).spawn()
+        },
+        ping: |client: DirectoryClient, context| {
+            Box::pin(async move { client.ping(context).await })
+        },
+    };
+    Link::new(address, protocol)
+}
--- a/src/rpc/mod.rs
+++ b/src/rpc/mod.rs
@@ -3,6 +3,7 @@
 mod codec;
 mod connection;
 pub mod control;
+pub mod directory;
 mod link;
 pub mod peer;
 mod server;
@@ -16,7 +17,7 @@
 pub use connection::{
     ConnectError, FramedTransport, Service, accept_service, connect, deadline_after, wrap,
 };
-pub use link::{CallError, Link, control_link, peer_link, sidecar_link};
+pub use link::{CallError, Link, control_link, directory_link, peer_link, sidecar_link};
 pub use server::{Handler, Services, serve};
 
 /// What every message between processes says of its sender.
--- a/src/rpc/peer.rs
+++ b/src/rpc/peer.rs
@@ -1,5 +1,7 @@
 //! The service between control instances, which carries the messages of the replicated log.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::model::InstanceName;
@@ -28,6 +30,9 @@
     pub identity: u64,
     /// The cluster that the instance belongs to; none while its data folder is empty.
     pub cluster: Option<u64>,
+    /// The leader that the instance knows: identity and address. It may not be among the peers that
+    /// the asking instance was told of.
+    pub leader: Option<(u64, SocketAddr)>,
 }
 
 /// The calls between control instances.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod reader;
 mod roles;
+mod site;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -15,6 +16,7 @@
     ControlSettings, EntrySettings, PeerAddress, SidecarSettings, StalePolicy, StandinSettings,
     UpstreamKind, UpstreamSettings,
 };
+pub use site::{DirectorySettings, GatewaySettings, ReporterSettings};
 
 /// The settings of one daemon.
 #[derive(Debug, Clone)]
@@ -40,6 +42,12 @@
     pub sidecar: Option<SidecarSettings>,
     pub control: Option<ControlSettings>,
     pub standin: Option<StandinSettings>,
+    pub gateway: Option<GatewaySettings>,
+    pub directory: Option<DirectorySettings>,
+    pub reporter: Option<ReporterSettings>,
+    /// The port at which control instances take calls of other processes, where
+    /// `control_addresses` names the operators' port.
+    pub control_rpc_port: Option<u16>,
 }
 
 impl Settings {
@@ -65,9 +73,26 @@
         reader.finish(settings)
     }
 
+    /// Returns true if the file names a role that serves callers by a shared document.
+    pub fn serves_site(&self) -> bool {
+        self.gateway.is_some() || self.directory.is_some() || self.reporter.is_some()
+    }
+
+    /// Returns the addresses at which control instances take calls of other processes.
+    pub fn control_rpc_addresses(&self) -> Vec<SocketAddr> {
+        let addresses = self.control_addresses.iter();
+        addresses
+            .map(|address| match self.control_rpc_port {
+                Some(port) => SocketAddr::new(address.ip(), port),
+                None => *address,
+            })
+            .collect()
+    }
+
     /// Returns the sections and keys that a settings file can have, for the documentation's test.
     pub fn known_keys() -> BTreeSet<(String, String)> {
-        let sections = "[entry]\n[sidecar]\n[upstream NAME]\n[control]\n[standin]\n";
+        let sections = "[entry]\n[sidecar]\n[upstream NAME]\n[control]\n[standin]\n\
+            [gateway]\n[directory]\n[reporter]\n";
         match Reader::new("all sections", sections) {
             Ok(mut reader) => {
                 Self::read(&mut reader);
@@ -97,22 +122,30 @@
             sidecar: SidecarSettings::read(reader),
             control: ControlSettings::read(reader),
             standin: StandinSettings::read(reader),
+            gateway: GatewaySettings::read(reader),
+            directory: DirectorySettings::read(reader),
+            reporter: ReporterSettings::read(reader),
+            control_rpc_port: reader.optional(section, "control_rpc_port"),
         };
         let has_role = settings.entry.is_some()
             || settings.sidecar.is_some()
             || settings.control.is_some()
-            || settings.standin.is_some();
+            || settings.standin.is_some()
+            || settings.serves_site();
         if !has_role {
             reader.find_file(
-                "names no role; add a section [entry], [sidecar], [control] or [standin]",
+                "names no role; add a section [entry], [sidecar], [control], [standin], [gateway], \
+                 [directory] or [reporter]",
             );
         }
-        let subscribes = settings.entry.is_some() || settings.sidecar.is_some();
+        let subscribes =
+            settings.entry.is_some() || settings.sidecar.is_some() || settings.serves_site();
         if settings.control_addresses.is_empty() && subscribes && settings.control.is_none() {
             reader.find(
                 section,
                 "control_addresses",
-                "is missing; the roles entry and sidecar need it unless control runs in the same process",
+                "is missing; every role but control and standin needs it unless control runs in the \
+                 same process",
             );
         }
         settings
