Keep copies of generations' memory while there is room, and take them up when an engine leaves

Copies that grow with the generation need no time then. Ruled out: an earlier stop of the generation, which pauses it behind the other copies.

--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -14,10 +14,18 @@
 /// Part of an engine's memory that is planned for, in hundredths. The rest absorbs answers that are
 /// longer than their estimate.
 const PLANNED_MEMORY_PERCENT: u64 = 92;
+/// Part of an engine's memory up to which it takes copies of generations that run elsewhere. The
+/// rest is for generations of its own, which would have to be preempted otherwise.
+const BACKUP_MEMORY_PERCENT: u64 = 70;
 /// Weight of an engine's planned memory in its score: a full engine counts as this much waiting.
 const MEMORY_WEIGHT_MS: u64 = 400;
 /// Waiting that a choice in another zone has to save, for the bytes that cross zones.
 const ZONE_PENALTY_MS: u64 = 40;
+/// The same for plain calls, which take some 30 ms.
+const PLAIN_ZONE_PENALTY_MS: u64 = 20;
+/// The same for the engine that takes a copy of a generation's memory: a copy between zones takes
+/// the link twice as long, and the generation may go on there.
+const COPY_ZONE_PENALTY_MS: u64 = 250;
 /// Waiting added for an instance that has just started.
 const COLD_PENALTY_MS: u64 = 150;
 /// Upper bound of the random part of a score. Entries that share old information would otherwise
@@ -47,6 +55,16 @@
     }
 }
 
+/// What an engine has to offer for a generation, or for a copy of one.
+#[derive(Debug, Clone, Copy)]
+struct Wanted {
+    demand: Demand,
+    engine: EngineSpec,
+    /// Memory of an engine that may be planned for.
+    planned_tokens: u64,
+    zone_penalty_ms: u64,
+}
+
 /// A chosen instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Placed {
@@ -267,7 +285,7 @@
             } else {
                 0.0
             };
-            time_ms + avoided + self.fixed_penalty_ms(instance, random)
+            time_ms + avoided + self.fixed_penalty_ms(instance, PLAIN_ZONE_PENALTY_MS, random)
         };
         let best = self
             .members(service)
@@ -289,6 +307,68 @@
         random: u64,
     ) -> Option<Placed> {
         let planned = engine.memory_tokens * PLANNED_MEMORY_PERCENT / 100;
+        let wanted = Wanted {
+            demand,
+            engine,
+            planned_tokens: planned,
+            zone_penalty_ms: ZONE_PENALTY_MS,
+        };
+        self.choose_with_memory(service, wanted, excluded, now_ms, random)
+    }
+
+    /// Chooses an engine that a running generation is moved to.
+    pub fn choose_target(
+        &self,
+        service: &str,
+        demand: Demand,
+        engine: EngineSpec,
+        excluded: &[Arc<str>],
+        now_ms: u64,
+        random: u64,
+    ) -> Option<Placed> {
+        let wanted = Wanted {
+            demand,
+            engine,
+            planned_tokens: engine.memory_tokens * PLANNED_MEMORY_PERCENT / 100,
+            zone_penalty_ms: COPY_ZONE_PENALTY_MS,
+        };
+        self.choose_with_memory(service, wanted, excluded, now_ms, random)
+    }
+
+    /// Chooses an engine that keeps a copy of a generation's memory. Returns none if that would
+    /// leave too little for others.
+    pub fn choose_backup(
+        &self,
+        service: &str,
+        demand: Demand,
+        engine: EngineSpec,
+        excluded: &[Arc<str>],
+        now_ms: u64,
+        random: u64,
+    ) -> Option<Placed> {
+        let wanted = Wanted {
+            demand,
+            engine,
+            planned_tokens: engine.memory_tokens * BACKUP_MEMORY_PERCENT / 100,
+            zone_penalty_ms: COPY_ZONE_PENALTY_MS,
+        };
+        self.choose_with_memory(service, wanted, excluded, now_ms, random)
+    }
+
+    fn choose_with_memory(
+        &self,
+        service: &str,
+        wanted: Wanted,
+        excluded: &[Arc<str>],
+        now_ms: u64,
+        random: u64,
+    ) -> Option<Placed> {
+        let Wanted {
+            demand,
+            engine,
+            planned_tokens: planned,
+            zone_penalty_ms,
+        } = wanted;
         let fits = |instance: &&Instance| {
             let committed = instance.total_committed();
             instance.usable(now_ms)
@@ -299,7 +379,8 @@
         let score = |instance: &Instance| {
             let prefill_ms = instance.total_prefill() / PREFILL_TOKENS_PER_MS;
             let memory_ms = MEMORY_WEIGHT_MS * instance.total_committed() / planned.max(1);
-            prefill_ms as f64 + memory_ms as f64 + self.fixed_penalty_ms(instance, random)
+            let fixed_ms = self.fixed_penalty_ms(instance, zone_penalty_ms, random);
+            prefill_ms as f64 + memory_ms as f64 + fixed_ms
         };
         let best = self
             .members(service)
@@ -420,11 +501,11 @@
         }
     }
 
-    fn fixed_penalty_ms(&self, instance: &Instance, random: u64) -> f64 {
+    fn fixed_penalty_ms(&self, instance: &Instance, zone_penalty_ms: u64, random: u64) -> f64 {
         let zone_ms = if instance.listed.zone == self.zone {
             0
         } else {
-            ZONE_PENALTY_MS
+            zone_penalty_ms
         };
         let cold_ms = if instance.listed.cold {
             COLD_PENALTY_MS
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -8,10 +8,11 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1;
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
 use super::{decode_instances, decode_report};
@@ -70,10 +71,33 @@
     )))
 }
 
-/// Returns a replica's report of itself.
-pub async fn read_report(address: SocketAddr, limit: Duration) -> Result<Report, CallFailure> {
-    let body = get_json(address, "/report", limit).await?;
-    decode_report(&body).map_err(CallFailure::Failed)
+/// Reads the reports of one replica over a connection that it keeps.
+#[derive(Default)]
+pub struct ReportReader {
+    kept: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl ReportReader {
+    /// Returns the replica's report of itself.
+    pub async fn read(
+        &mut self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Report, CallFailure> {
+        let reading = async {
+            let mut sender = match self.kept.take() {
+                Some(sender) if !sender.is_closed() => sender,
+                _ => open(address).await?,
+            };
+            let answer = request(&mut sender, address, Method::GET, "/report", String::new()).await;
+            if answer.is_ok() {
+                self.kept = Some(sender);
+            }
+            answer
+        };
+        let body = judge(address, "/report", limit, timeout(limit, reading).await)?;
+        decode_report(&body).map_err(CallFailure::Failed)
+    }
 }
 
 /// Copies the memory of a running generation from its replica to `target`. With `stop`, the
@@ -102,20 +126,8 @@
     })
 }
 
-/// Gives up a copy, at both ends.
-pub async fn release_copy(
-    source: SocketAddr,
-    handle: &str,
-    limit: Duration,
-) -> Result<(), CallFailure> {
-    let path = format!("/kv-handle/{handle}");
-    call(source, Method::DELETE, &path, String::new(), limit)
-        .await
-        .map(drop)
-}
-
 /// Returns the body of a successful `GET`.
-pub async fn get_json(
+async fn get_json(
     address: SocketAddr,
     path: &str,
     limit: Duration,
@@ -130,8 +142,23 @@
     body: String,
     limit: Duration,
 ) -> Result<Bytes, CallFailure> {
-    let answer = exchange(address, method, path, body);
-    match timeout(limit, answer).await {
+    let answer = async {
+        let mut sender = open(address).await?;
+        request(&mut sender, address, method, path, body).await
+    };
+    judge(address, path, limit, timeout(limit, answer).await)
+}
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+type Answer = Result<(StatusCode, Bytes), Failure>;
+
+fn judge(
+    address: SocketAddr,
+    path: &str,
+    limit: Duration,
+    answer: Result<Answer, Elapsed>,
+) -> Result<Bytes, CallFailure> {
+    match answer {
         Ok(Ok((status, body))) if status.is_success() => Ok(body),
         Ok(Ok((status, body))) => Err(CallFailure::Status(status, body)),
         Ok(Err(error)) => Err(CallFailure::Failed(format!("{address}{path}: {error}"))),
@@ -144,16 +171,22 @@
     }
 }
 
-async fn exchange(
+/// Opens a connection; it closes when the sender is dropped.
+async fn open(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Failure> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
+async fn request(
+    sender: &mut SendRequest<Full<Bytes>>,
     address: SocketAddr,
     method: Method,
     path: &str,
     body: String,
-) -> Result<(StatusCode, Bytes), Box<dyn std::error::Error + Send + Sync>> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let connection = tokio::spawn(connection);
+) -> Answer {
     let mut request = Request::builder()
         .method(method)
         .uri(path)
@@ -161,6 +194,7 @@
     if !body.is_empty() {
         request = request.header(http::header::CONTENT_TYPE, "application/json");
     }
+    sender.ready().await?;
     let answer = sender
         .send_request(request.body(Full::new(Bytes::from(body)))?)
         .await?;
@@ -169,6 +203,5 @@
         .collect()
         .await?
         .to_bytes();
-    connection.abort();
     Ok((status, body))
 }
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame;
 use tokio::sync::watch;
-use tokio::time::{sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use super::Gateway;
 use super::answer::{Body, BrokenAnswer, Refusal};
@@ -22,7 +22,7 @@
 use super::upstream::{Exchange, SendFailure};
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::EngineSpec;
-use crate::domain::fleet::{Demand, Outcome};
+use crate::domain::fleet::Outcome;
 use crate::platform::headers;
 
 /// Engines tried while each says that it did not run the request.
@@ -36,6 +36,17 @@
 /// Time for an engine that holds a copy to take the generation up.
 const CONTINUE_LIMIT: Duration = Duration::from_millis(1_000);
 
+/// Generations that are expected to be shorter keep no copy: they end before it would be of use.
+const BACKUP_MIN_OUTPUT_TOKENS: u64 = 100;
+/// Time from the first event until the copy can be expected to hold the prompt: half a gigabyte
+/// over a link of 3 GB/s, behind others. An engine was seen to have no copy after 400 ms.
+const BACKUP_FIRST_MS: u64 = 1_200;
+/// A generation is taken up from its copy this long before its engine is gone at the latest.
+const BACKUP_MARGIN_MS: u64 = 200;
+/// An engine that sends no event for this long is taken for dead if there is a copy. Pauses of
+/// more than 180 ms count as stalls; engines make an event in 30 to 100 ms.
+const EVENT_SILENCE: Duration = Duration::from_millis(500);
+
 /// Where a generation runs.
 struct Source {
     exchange: Exchange,
@@ -54,6 +65,13 @@
     /// True while the next event has to follow the last one: after a move.
     expects_next: bool,
     migration: Option<Migration>,
+    /// The engine that keeps a copy of the memory.
+    backup: Option<Ticket>,
+    first_event_ms: Option<u64>,
+    /// When the last event came.
+    event_at: Instant,
+    /// When the generation is to be taken up from its copy, once its engine is leaving.
+    switch_at_ms: Option<u64>,
     news: watch::Receiver<u64>,
     done: bool,
 }
@@ -83,7 +101,8 @@
             }
             tried.push(Arc::clone(&placed.identity));
             let ticket = Ticket::begin(&self, placed, Some(demand));
-            let request = job.request_for(&ticket.identity);
+            let backup = self.choose_backup(&job, engine, &ticket);
+            let request = with_backup(job.request_for(&ticket.identity), backup.as_ref());
             let sending = self.pool.send(ticket.address, request, &job.id);
             let exchange = match timeout_at(job.deadline, sending).await {
                 Ok(Ok(exchange)) => exchange,
@@ -130,12 +149,36 @@
                 last_event: None,
                 expects_next: false,
                 migration: None,
+                backup,
+                first_event_ms: None,
+                event_at: Instant::now(),
+                switch_at_ms: None,
                 done: false,
             };
             return relay.into_answer().await;
         }
     }
 
+    /// Chooses an engine to keep a copy of a generation's memory, if it is worth one.
+    fn choose_backup(
+        self: &Arc<Self>,
+        job: &Job,
+        engine: EngineSpec,
+        source: &Ticket,
+    ) -> Option<Ticket> {
+        if !engine.backups || job.demand.output_tokens < BACKUP_MIN_OUTPUT_TOKENS {
+            return None;
+        }
+        let excluded = [Arc::clone(&source.identity)];
+        let placed = self.with_view(|view| {
+            let (now_ms, random) = (monotonic_ms(), rand::random());
+            view.choose_backup(&job.service, job.demand, engine, &excluded, now_ms, random)
+        })?;
+        let mut ticket = Ticket::begin(self, placed, Some(job.demand));
+        ticket.prompt_read();
+        Some(ticket)
+    }
+
     /// Passes an engine's own failure on.
     async fn pass_failure(
         &self,
@@ -212,6 +255,7 @@
                 return Ok(Some(bytes));
             }
             self.consider_move();
+            let wake_at = self.wake_at();
             let Some(source) = self.source.as_mut() else {
                 self.take_move().await?;
                 continue;
@@ -230,12 +274,16 @@
                         let cause = format!("{} broke off: {error}", source.ticket.identity);
                         if self.migration.is_none() {
                             source.ticket.observe(Outcome::Unreachable);
-                            return Err(cause);
                         }
                         self.leave_source(&cause);
                     }
                 },
                 _ = self.news.changed() => {}
+                () = sleep_until(wake_at), if wake_at < self.job.deadline => {
+                    if self.is_silent() {
+                        self.leave_source("the engine is silent");
+                    }
+                }
                 () = sleep_until(self.job.deadline) => return Err("out of time".to_owned()),
             }
         }
@@ -263,6 +311,8 @@
         if let Some(source) = &mut self.source {
             source.ticket.prompt_read();
         }
+        self.event_at = Instant::now();
+        self.first_event_ms.get_or_insert_with(monotonic_ms);
         Ok(Some(whole.freeze()))
     }
 
@@ -278,34 +328,75 @@
         self.events.rest()
     }
 
-    /// Begins to move the generation if its engine is leaving.
+    /// Leaves the engine if it is leaving: for the copy if there is one, else by a move.
     fn consider_move(&mut self) {
         let (None, Some(source)) = (&self.migration, &self.source) else {
             return;
         };
         // A generation is there to be moved from its first token on.
-        if !self.engine.moves || self.last_event.is_none() {
+        let Some(first_event_ms) = self.first_event_ms else {
             return;
-        }
+        };
         let identity = Arc::clone(&source.ticket.identity);
-        let Some(leaving) = self.gateway.with_view(|view| view.leaving(&identity)) else {
+        let now_ms = monotonic_ms();
+        let (leaving, backup_leaving) = self.gateway.with_view(|view| {
+            let backup = self.backup.as_ref();
+            let backup_leaving = backup.is_some_and(|b| view.leaving(&b.identity).is_some());
+            (view.leaving(&identity), backup_leaving)
+        });
+        if backup_leaving {
+            self.backup = None;
+        }
+        let Some(leaving) = leaving else {
             return;
         };
+        if self.backup.is_some() {
+            let latest_ms = leaving
+                .gone_at_ms
+                .unwrap_or(u64::MAX)
+                .saturating_sub(BACKUP_MARGIN_MS);
+            let switch_at_ms = (first_event_ms + BACKUP_FIRST_MS).min(latest_ms);
+            self.switch_at_ms = Some(switch_at_ms);
+            if now_ms >= switch_at_ms {
+                self.leave_source("the engine is leaving");
+            }
+            return;
+        }
+        if !self.engine.moves {
+            return;
+        }
         let from = source.ticket.address;
         let plan = super::migrate::Plan {
             request_id: Arc::clone(&self.job.id),
             service: Arc::clone(&self.job.service),
             from,
             from_identity: identity,
-            demand: self.remaining_demand(),
+            demand: self.job.demand,
             engine: self.engine,
             gone_at_ms: leaving.gone_at_ms,
         };
         self.migration = Some(Migration::begin(Arc::clone(&self.gateway), plan));
     }
 
-    fn remaining_demand(&self) -> Demand {
-        self.job.demand
+    /// Returns when the stream has to be looked at even if nothing comes.
+    fn wake_at(&self) -> Instant {
+        let silent_at = match self.backup {
+            Some(_) if self.first_event_ms.is_some() => self.event_at + EVENT_SILENCE,
+            _ => self.job.deadline,
+        };
+        match self.switch_at_ms {
+            Some(at_ms) => {
+                let wait_ms = at_ms.saturating_sub(monotonic_ms()).max(1);
+                silent_at.min(Instant::now() + Duration::from_millis(wait_ms))
+            }
+            None => silent_at,
+        }
+    }
+
+    fn is_silent(&self) -> bool {
+        self.backup.is_some()
+            && self.first_event_ms.is_some()
+            && self.event_at.elapsed() >= EVENT_SILENCE
     }
 
     /// Gives up the stream of an engine whose generation is moved.
@@ -317,25 +408,30 @@
             "stream waits for its move"
         );
         self.source = None;
+        self.switch_at_ms = None;
         self.events.clear();
     }
 
-    /// Waits for the move and takes the generation up at its new engine.
+    /// Takes the generation up at the engine that holds its memory.
     async fn take_move(&mut self) -> Result<(), String> {
-        let Some(migration) = self.migration.take() else {
-            return Err("no engine holds the generation".to_owned());
-        };
-        let moved = match timeout(MOVE_LIMIT, migration.finish()).await {
-            Ok(Some(moved)) => moved,
-            Ok(None) => return Err("the generation could not be moved".to_owned()),
-            Err(_) => return Err("the move took too long".to_owned()),
+        let (ticket, copy) = match (self.migration.take(), self.backup.take()) {
+            (Some(migration), _) => match timeout(MOVE_LIMIT, migration.finish()).await {
+                Ok(Some(Moved {
+                    ticket,
+                    from,
+                    handle,
+                })) => (ticket, format!("{from}/{handle}")),
+                Ok(None) => return Err("the generation could not be moved".to_owned()),
+                Err(_) => return Err("the move took too long".to_owned()),
+            },
+            (None, Some(ticket)) => {
+                let copy = format!("{}/{}", ticket.address, self.job.id);
+                (ticket, copy)
+            }
+            (None, None) => return Err("no engine holds the generation".to_owned()),
         };
-        let Moved {
-            ticket,
-            from,
-            handle,
-        } = moved;
-        let request = self.continued(&ticket, &format!("{from}/{handle}"));
+        let backup = self.gateway.choose_backup(&self.job, self.engine, &ticket);
+        let request = with_backup(self.continued(&ticket, &copy), backup.as_ref());
         let sending = self
             .gateway
             .pool
@@ -364,6 +460,9 @@
             "generation continued"
         );
         self.expects_next = true;
+        self.event_at = Instant::now();
+        self.first_event_ms = Some(monotonic_ms());
+        self.backup = backup;
         self.source = Some(Source { exchange, ticket });
         Ok(())
     }
@@ -407,6 +506,14 @@
     }
 }
 
+/// Returns the request with the engine that is to keep a copy.
+fn with_backup(mut request: Request<Full<Bytes>>, backup: Option<&Ticket>) -> Request<Full<Bytes>> {
+    if let Some(value) = backup.and_then(|b| headers::value(&b.address.to_string())) {
+        request.headers_mut().insert(headers::BACKUP, value);
+    }
+    request
+}
+
 /// Returns true if a generation's engine may have stopped it for its move.
 fn is_stopped(migration: Option<&Migration>) -> bool {
     migration.is_some_and(Migration::stop_was_asked)
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -128,7 +128,7 @@
     for _ in 0..MAX_TARGETS {
         let placed = gateway.with_view(|view| {
             let (now_ms, random) = (monotonic_ms(), rand::random());
-            view.choose_engine(
+            view.choose_target(
                 &plan.service,
                 plan.demand,
                 plan.engine,
--- a/src/roles/reporter/mod.rs
+++ b/src/roles/reporter/mod.rs
@@ -9,7 +9,7 @@
 
 use super::site::Controls;
 use crate::domain::fleet::Report;
-use crate::platform;
+use crate::platform::ReportReader;
 use crate::rpc::directory::ReportRequest;
 
 /// Time between reads of the engine's report. Notices are as short as 1.5 s, of which moving the
@@ -25,8 +25,9 @@
     let mut controls = Controls::new(seeds);
     let mut told: Option<(Instant, Report)> = None;
     let mut reachable = true;
+    let mut reader = ReportReader::default();
     loop {
-        match platform::read_report(engine, READ_LIMIT).await {
+        match reader.read(engine, READ_LIMIT).await {
             Ok(report) => {
                 if !std::mem::replace(&mut reachable, true) {
                     tracing::info!(%engine, "the engine answers again");
