--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -14,9 +14,14 @@
 /// Part of an engine's memory that is planned for, in hundredths. The rest absorbs answers that are
 /// longer than their estimate.
 const PLANNED_MEMORY_PERCENT: u64 = 92;
+/// The same for generations that are moved, of which much would be lost. Few generations reach
+/// their full length at the same time.
+const MOVE_MEMORY_PERCENT: u64 = 105;
 /// Part of an engine's memory up to which it takes copies of generations that run elsewhere. The
 /// rest is for generations of its own, which would have to be preempted otherwise.
 const BACKUP_MEMORY_PERCENT: u64 = 70;
+/// No copies are made once this much of all engines' memory is planned for.
+const BACKUP_FLEET_PERCENT: u64 = 58;
 /// Weight of an engine's planned memory in its score: a full engine counts as this much waiting.
 const MEMORY_WEIGHT_MS: u64 = 400;
 /// Waiting that a choice in another zone has to save, for the bytes that cross zones.
@@ -329,7 +334,7 @@
         let wanted = Wanted {
             demand,
             engine,
-            planned_tokens: engine.memory_tokens * PLANNED_MEMORY_PERCENT / 100,
+            planned_tokens: engine.memory_tokens * MOVE_MEMORY_PERCENT / 100,
             zone_penalty_ms: COPY_ZONE_PENALTY_MS,
         };
         self.choose_with_memory(service, wanted, excluded, now_ms, random)
@@ -346,6 +351,9 @@
         now_ms: u64,
         random: u64,
     ) -> Option<Placed> {
+        if self.memory_percent(service, engine, now_ms) > BACKUP_FLEET_PERCENT {
+            return None;
+        }
         let wanted = Wanted {
             demand,
             engine,
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions without I/O: time, messages and random numbers come in as arguments.
 
+pub mod admission;
 pub mod document;
 pub mod fleet;
 pub mod ledger;
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -21,16 +21,16 @@
 use super::ticket::Ticket;
 use super::upstream::{Exchange, SendFailure};
 use crate::adapters::clock::monotonic_ms;
+use crate::domain::admission::Waiting;
 use crate::domain::document::EngineSpec;
-use crate::domain::fleet::Outcome;
+use crate::domain::fleet::{Outcome, Placed};
 use crate::platform::headers;
 
 /// Engines tried while each says that it did not run the request.
 const MAX_SENDS: usize = 3;
-/// When a caller should come back that found no engine with room.
-const NO_ROOM_RETRY_MS: u64 = 900;
-/// Spread of that time, so that callers turned away together do not return together.
-const NO_ROOM_SPREAD_MS: u64 = 600;
+/// Part of the time to come back that is random, in hundredths, so that callers turned away
+/// together do not return together.
+const RETRY_SPREAD_PERCENT: u64 = 40;
 /// Time for a move to finish after its generation's stream has ended.
 const MOVE_LIMIT: Duration = Duration::from_millis(2_000);
 /// Time for an engine that holds a copy to take the generation up.
@@ -89,15 +89,11 @@
                 return Err(Refusal::not_run("out_of_time", 0));
             }
             let demand = job.demand;
-            let chosen = self.with_view(|view| {
-                let (now_ms, random) = (monotonic_ms(), rand::random());
-                view.choose_engine(&job.service, demand, engine, &tried, now_ms, random)
-            });
-            let Some(placed) = chosen else {
-                return Err(no_room());
+            let Some(placed) = self.find_room(&job, engine, &tried).await else {
+                return Err(self.no_room());
             };
             if !tried.is_empty() && !self.may_repeat(&job.service) {
-                return Err(no_room());
+                return Err(self.no_room());
             }
             tried.push(Arc::clone(&placed.identity));
             let ticket = Ticket::begin(&self, placed, Some(demand));
@@ -112,7 +108,7 @@
                         age_ms = job.age_ms(), "engine not reached");
                     match failure {
                         SendFailure::NotSent(_) if tried.len() < MAX_SENDS => continue,
-                        SendFailure::NotSent(_) => return Err(no_room()),
+                        SendFailure::NotSent(_) => return Err(self.no_room()),
                         SendFailure::Lost(_) => return Err(lost()),
                     }
                 }
@@ -133,7 +129,7 @@
                 }
                 match tried.len() < MAX_SENDS {
                     true => continue,
-                    false => return Err(no_room()),
+                    false => return Err(self.no_room()),
                 }
             }
             if !exchange.head.status.is_success() {
@@ -159,6 +155,48 @@
         }
     }
 
+    /// Returns an engine with room. Waits for one if room is expected in time.
+    async fn find_room(
+        &self,
+        job: &Job,
+        engine: EngineSpec,
+        tried: &[Arc<str>],
+    ) -> Option<Placed> {
+        let choose = || {
+            self.with_view(|view| {
+                let (now_ms, random) = (monotonic_ms(), rand::random());
+                view.choose_engine(&job.service, job.demand, engine, tried, now_ms, random)
+            })
+        };
+        if let Some(placed) = choose() {
+            return Some(placed);
+        }
+        let limit_ms = Waiting::limit_ms(job.route.target_ms);
+        let left_ms = limit_ms.saturating_sub(job.age_ms());
+        if self.with_view(|view| view.usable(&job.service, monotonic_ms())) == 0
+            || self.with_waiting(|waiting| waiting.join(left_ms)).is_err()
+        {
+            return None;
+        }
+        let _place = WaitingPlace(self);
+        let deadline = job.arrived + Duration::from_millis(limit_ms);
+        loop {
+            let news = self.room_news.notified();
+            if let Some(placed) = choose() {
+                tracing::info!(request = &*job.id, instance = &*placed.identity,
+                    age_ms = job.age_ms(), "found room");
+                return Some(placed);
+            }
+            timeout_at(deadline, news).await.ok()?;
+        }
+    }
+
+    fn no_room(&self) -> Refusal {
+        let after_ms = self.with_waiting(|waiting| waiting.retry_after_ms());
+        let spread_ms = rand::random::<u64>() % (after_ms * RETRY_SPREAD_PERCENT / 100).max(1);
+        Refusal::not_run("no_room", after_ms + spread_ms)
+    }
+
     /// Chooses an engine to keep a copy of a generation's memory, if it is worth one.
     fn choose_backup(
         self: &Arc<Self>,
@@ -506,6 +544,15 @@
     }
 }
 
+/// A place among those that wait for room.
+struct WaitingPlace<'a>(&'a Gateway);
+
+impl Drop for WaitingPlace<'_> {
+    fn drop(&mut self) {
+        self.0.with_waiting(Waiting::leave);
+    }
+}
+
 /// Returns the request with the engine that is to keep a copy.
 fn with_backup(mut request: Request<Full<Bytes>>, backup: Option<&Ticket>) -> Request<Full<Bytes>> {
     if let Some(value) = backup.and_then(|b| headers::value(&b.address.to_string())) {
@@ -519,11 +566,6 @@
     migration.is_some_and(Migration::stop_was_asked)
 }
 
-fn no_room() -> Refusal {
-    let spread_ms = rand::random::<u64>() % NO_ROOM_SPREAD_MS;
-    Refusal::not_run("no_room", NO_ROOM_RETRY_MS + spread_ms)
-}
-
 fn lost() -> Refusal {
     Refusal::unknown(StatusCode::BAD_GATEWAY, "answer_lost")
 }
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -29,6 +29,11 @@
 /// Pause before a call is repeated while another one is in progress.
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
 const MAX_BUSY: usize = 10;
+/// Pause before a target is looked for again after none had room.
+const NO_TARGET_PAUSE: Duration = Duration::from_millis(80);
+/// Time in which a target is looked for if nobody knows when the engine will be gone; engines that
+/// drain go on for at least 3 s.
+const UNKNOWN_NOTICE_MS: u64 = 2_500;
 
 /// What is moved.
 pub(super) struct Plan {
@@ -125,25 +130,16 @@
 /// Copies the memory while the generation goes on. Returns the engine that holds the copy.
 async fn copy_ahead(gateway: &Arc<Gateway>, plan: &Plan) -> Option<Ticket> {
     let mut excluded = vec![Arc::clone(&plan.from_identity)];
-    for _ in 0..MAX_TARGETS {
+    let last_try_ms = plan.gone_at_ms.unwrap_or(monotonic_ms() + UNKNOWN_NOTICE_MS);
+    while excluded.len() <= MAX_TARGETS && monotonic_ms() + STOP_MARGIN_MS < last_try_ms {
         let placed = gateway.with_view(|view| {
             let (now_ms, random) = (monotonic_ms(), rand::random());
-            view.choose_target(
-                &plan.service,
-                plan.demand,
-                plan.engine,
-                &excluded,
-                now_ms,
-                random,
-            )
+            let (demand, engine) = (plan.demand, plan.engine);
+            view.choose_target(&plan.service, demand, engine, &excluded, now_ms, random)
         });
         let Some(placed) = placed else {
-            tracing::info!(
-                request = &*plan.request_id,
-                from = &*plan.from_identity,
-                "no engine has room for a move"
-            );
-            return None;
+            sleep(NO_TARGET_PAUSE).await;
+            continue;
         };
         excluded.push(Arc::clone(&placed.identity));
         let mut ticket = Ticket::begin(gateway, placed, Some(plan.demand));
@@ -160,6 +156,8 @@
             }
         }
     }
+    tracing::info!(request = &*plan.request_id, from = &*plan.from_identity,
+        tried = excluded.len() - 1, "no engine has room for a move");
     None
 }
 
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -25,11 +25,12 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::adapters::clock::monotonic_ms;
 use crate::adapters::web;
+use crate::domain::admission::Waiting;
 use crate::domain::document::Index;
 use crate::domain::fleet::View;
 use crate::domain::retry::WindowBudget;
@@ -69,6 +70,9 @@
     /// Gateways that share the retry budget.
     gateways: AtomicU32,
     pool: Pool,
+    waiting: Mutex<Waiting>,
+    /// Told when an engine may have room again.
+    room_news: Notify,
     metrics: Metrics,
     stopping: watch::Sender<bool>,
     /// One receiver for each open connection.
@@ -93,6 +97,8 @@
             budgets: Mutex::default(),
             gateways: AtomicU32::new(1),
             pool: Pool::default(),
+            waiting: Mutex::default(),
+            room_news: Notify::new(),
             metrics: Metrics::new(),
             stopping: watch::Sender::new(false),
             open: watch::Sender::new(()),
@@ -156,6 +162,10 @@
         use_view(&mut self.view.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    fn with_waiting<T>(&self, use_it: impl FnOnce(&mut Waiting) -> T) -> T {
+        use_it(&mut self.waiting.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Uses the retry budget of a service.
     fn with_budget<T>(&self, service: &Arc<str>, use_it: impl FnOnce(&mut WindowBudget) -> T) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -107,6 +107,7 @@
             }
             view.pulse(reply.pulses, now_ms) || listed
         });
+        self.room_news.notify_waiters();
         if news {
             self.leaving_news.send_modify(|count| *count += 1);
         }
--- a/src/roles/gateway/ticket.rs
+++ b/src/roles/gateway/ticket.rs
@@ -51,5 +51,9 @@
         let (demand, prompt_read) = (self.demand, self.prompt_read);
         self.gateway
             .with_view(|view| view.end(&self.identity, demand, prompt_read));
+        if demand.is_some() {
+            self.gateway.with_waiting(|waiting| waiting.ended(monotonic_ms()));
+            self.gateway.room_news.notify_waiters();
+        }
     }
 }
--- a/src/rpc/connection.rs
+++ b/src/rpc/connection.rs
@@ -17,7 +17,7 @@
 use super::{MAX_FRAME_BYTES, Postcard};
 
 /// Upper bound on the time to open a connection, the service byte included.
-const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+pub(super) const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
 /// A connection that carries values of one type in and of another out.
 pub type FramedTransport<Item, SinkItem> = Transport<TcpStream, Item, SinkItem, Postcard>;
@@ -77,6 +77,7 @@
 pub(super) async fn open_socket(
     address: SocketAddr,
     service: Service,
+    limit: Duration,
 ) -> Result<TcpStream, ConnectError> {
     let opening = async {
         let mut stream = TcpStream::connect(address).await?;
@@ -84,7 +85,7 @@
         stream.write_u8(service.byte()).await?;
         Ok(stream)
     };
-    let result = match timeout(CONNECT_LIMIT, opening).await {
+    let result = match timeout(limit, opening).await {
         Ok(result) => result,
         Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut)),
     };
@@ -100,7 +101,7 @@
     Item: DeserializeOwned,
     SinkItem: Serialize,
 {
-    Ok(wrap(open_socket(address, service).await?, service))
+    Ok(wrap(open_socket(address, service, CONNECT_LIMIT).await?, service))
 }
 
 /// Reads the service that an accepted connection asks for; fails on an unknown one.
--- a/src/rpc/link.rs
+++ b/src/rpc/link.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Mutex, watch};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::connection::{open_socket, wrap};
+use super::connection::{CONNECT_LIMIT, open_socket, wrap};
 use super::control::ControlClient;
 use super::directory::DirectoryClient;
 use super::peer::PeerClient;
@@ -27,6 +27,9 @@
 /// After a failed connect, calls fail at once for this time, so that callers do not queue up
 /// behind one connect after the other.
 const CONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// Upper bound on the time to connect to the directory. Any of its instances will do, and after a
+/// loss of power a connection to one that is not up yet hangs while another one answers.
+const DIRECTORY_CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// Calls that wait for an answer on one connection at once.
 const MAX_IN_FLIGHT: usize = 100_000;
 
@@ -59,6 +62,7 @@
 /// How to make a client and how to probe it.
 struct Protocol<C> {
     service: Service,
+    connect_limit: Duration,
     make: fn(TcpStream) -> C,
     ping: fn(C, Context) -> BoxFuture<'static, Result<(), RpcError>>,
 }
@@ -137,7 +141,12 @@
             }
             _ => {}
         }
-        let stream = match open_socket(self.address, self.protocol.service).await {
+        let stream = match open_socket(
+            self.address,
+            self.protocol.service,
+            self.protocol.connect_limit,
+        )
+        .await {
             Ok(stream) => stream,
             Err(error) => {
                 let retry_at = Instant::now() + CONNECT_PAUSE;
@@ -201,6 +210,7 @@
 pub fn sidecar_link(address: SocketAddr) -> Arc<Link<SidecarClient>> {
     let protocol = Protocol {
         service: Service::Sidecar,
+        connect_limit: CONNECT_LIMIT,
         make: |stream| SidecarClient::new(client_config(), wrap(stream, Service::Sidecar)).spawn(),
         ping: |client: SidecarClient, context| Box::pin(async move { client.ping(context).await }),
     };
@@ -211,6 +221,7 @@
 pub fn control_link(address: SocketAddr) -> Arc<Link<ControlClient>> {
     let protocol = Protocol {
         service: Service::Control,
+        connect_limit: CONNECT_LIMIT,
         make: |stream| ControlClient::new(client_config(), wrap(stream, Service::Control)).spawn(),
         ping: |client: ControlClient, context| Box::pin(async move { client.ping(context).await }),
     };
@@ -221,6 +232,7 @@
 pub fn peer_link(address: SocketAddr) -> Arc<Link<PeerClient>> {
     let protocol = Protocol {
         service: Service::Peer,
+        connect_limit: CONNECT_LIMIT,
         make: |stream| PeerClient::new(client_config(), wrap(stream, Service::Peer)).spawn(),
         ping: |client: PeerClient, context| Box::pin(async move { client.ping(context).await }),
     };
@@ -231,6 +243,7 @@
 pub fn directory_link(address: SocketAddr) -> Arc<Link<DirectoryClient>> {
     let protocol = Protocol {
         service: Service::Directory,
+        connect_limit: DIRECTORY_CONNECT_LIMIT,
         make: |stream| {
             DirectoryClient::new(client_config(), wrap(stream, Service::Directory)).spawn()
         },
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -78,7 +78,7 @@
             data_folder: reader.required(section, "data_folder").unwrap_or_default(),
             list_address: reader.optional(section, "list_address"),
             may_form: reader.or(section, "may_form", false),
-            election_ms: reader.bounded(section, "election_ms", 500, 100..=60_000),
+            election_ms: reader.bounded(section, "election_ms", 350, 100..=60_000),
             snapshot_entries: reader.bounded(section, "snapshot_entries", 32, 16..=1_000_000),
         })
     }
