--- a/src/domain/admission/mod.rs
+++ b/src/domain/admission/mod.rs
@@ -68,7 +68,8 @@
     /// Returns when a caller that is turned away should come back: when those that wait now have
     /// found room.
     pub fn retry_after_ms(&self) -> u64 {
-        self.expected_ms().clamp(SHORTEST_RETRY_MS, LONGEST_RETRY_MS)
+        self.expected_ms()
+            .clamp(SHORTEST_RETRY_MS, LONGEST_RETRY_MS)
     }
 
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -127,11 +127,7 @@
 }
 
 /// Returns the body of a successful `GET`.
-async fn get_json(
-    address: SocketAddr,
-    path: &str,
-    limit: Duration,
-) -> Result<Bytes, CallFailure> {
+async fn get_json(address: SocketAddr, path: &str, limit: Duration) -> Result<Bytes, CallFailure> {
     call(address, Method::GET, path, String::new(), limit).await
 }
 
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -156,12 +156,7 @@
     }
 
     /// Returns an engine with room. Waits for one if room is expected in time.
-    async fn find_room(
-        &self,
-        job: &Job,
-        engine: EngineSpec,
-        tried: &[Arc<str>],
-    ) -> Option<Placed> {
+    async fn find_room(&self, job: &Job, engine: EngineSpec, tried: &[Arc<str>]) -> Option<Placed> {
         let choose = || {
             self.with_view(|view| {
                 let (now_ms, random) = (monotonic_ms(), rand::random());
@@ -183,8 +178,12 @@
         loop {
             let news = self.room_news.notified();
             if let Some(placed) = choose() {
-                tracing::info!(request = &*job.id, instance = &*placed.identity,
-                    age_ms = job.age_ms(), "found room");
+                tracing::info!(
+                    request = &*job.id,
+                    instance = &*placed.identity,
+                    age_ms = job.age_ms(),
+                    "found room"
+                );
                 return Some(placed);
             }
             timeout_at(deadline, news).await.ok()?;
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -130,7 +130,9 @@
 /// Copies the memory while the generation goes on. Returns the engine that holds the copy.
 async fn copy_ahead(gateway: &Arc<Gateway>, plan: &Plan) -> Option<Ticket> {
     let mut excluded = vec![Arc::clone(&plan.from_identity)];
-    let last_try_ms = plan.gone_at_ms.unwrap_or(monotonic_ms() + UNKNOWN_NOTICE_MS);
+    let last_try_ms = plan
+        .gone_at_ms
+        .unwrap_or(monotonic_ms() + UNKNOWN_NOTICE_MS);
     while excluded.len() <= MAX_TARGETS && monotonic_ms() + STOP_MARGIN_MS < last_try_ms {
         let placed = gateway.with_view(|view| {
             let (now_ms, random) = (monotonic_ms(), rand::random());
@@ -156,8 +158,12 @@
             }
         }
     }
-    tracing::info!(request = &*plan.request_id, from = &*plan.from_identity,
-        tried = excluded.len() - 1, "no engine has room for a move");
+    tracing::info!(
+        request = &*plan.request_id,
+        from = &*plan.from_identity,
+        tried = excluded.len() - 1,
+        "no engine has room for a move"
+    );
     None
 }
 
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -59,6 +59,7 @@
                     }
                     if !reply.confirmed {
                         self.metrics.sync_failures.inc();
+                        controls.unconfirmed();
                         sleep(FAILED_PAUSE).await;
                     }
                     self.learn(reply, asked_ms);
--- a/src/roles/gateway/ticket.rs
+++ b/src/roles/gateway/ticket.rs
@@ -52,7 +52,8 @@
         self.gateway
             .with_view(|view| view.end(&self.identity, demand, prompt_read));
         if demand.is_some() {
-            self.gateway.with_waiting(|waiting| waiting.ended(monotonic_ms()));
+            self.gateway
+                .with_waiting(|waiting| waiting.ended(monotonic_ms()));
             self.gateway.room_news.notify_waiters();
         }
     }
--- a/src/roles/site/controls.rs
+++ b/src/roles/site/controls.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Says that the called instance could not confirm its answer: it may be cut off from the
+    /// others. The next call goes to another one.
+    pub fn unconfirmed(&mut self) {
+        let before = self.current.take();
+        self.current = self.next().filter(|next| Some(*next) != before);
+    }
+
     fn next(&mut self) -> Option<SocketAddr> {
         let seeds = self.seeds.borrow();
         let mut choices = seeds.clone();
--- a/src/rpc/connection.rs
+++ b/src/rpc/connection.rs
@@ -101,7 +101,10 @@
     Item: DeserializeOwned,
     SinkItem: Serialize,
 {
-    Ok(wrap(open_socket(address, service, CONNECT_LIMIT).await?, service))
+    Ok(wrap(
+        open_socket(address, service, CONNECT_LIMIT).await?,
+        service,
+    ))
 }
 
 /// Reads the service that an accepted connection asks for; fails on an unknown one.
--- a/src/rpc/link.rs
+++ b/src/rpc/link.rs
@@ -146,7 +146,8 @@
             self.protocol.service,
             self.protocol.connect_limit,
         )
-        .await {
+        .await
+        {
             Ok(stream) => stream,
             Err(error) => {
                 let retry_at = Instant::now() + CONNECT_PAUSE;
