Give copies turns on the links of engines, and place by reported memory

Half of the refused copies (503) went to engines whose memory was full of copies that nobody had taken up, which loads do not show. Ruled out: a longer margin before the stop, which loses the same queue later.

--- a/src/domain/admission/mod.rs
+++ b/src/domain/admission/mod.rs
@@ -19,7 +19,7 @@
 /// the others are turned away at once instead of being started too late.
 #[derive(Debug)]
 pub struct Waiting {
-    waiting: u32,
+    places: u32,
     drain_ms: f64,
     ended_ms: Option<u64>,
 }
@@ -27,7 +27,7 @@
 impl Default for Waiting {
     fn default() -> Self {
         Self {
-            waiting: 0,
+            places: 0,
             drain_ms: FIRST_DRAIN_MS,
             ended_ms: None,
         }
@@ -46,13 +46,13 @@
         if self.expected_ms() > limit_ms {
             return Err(self.retry_after_ms());
         }
-        self.waiting += 1;
+        self.places += 1;
         Ok(())
     }
 
     /// Counts a generation that waits no longer.
     pub fn leave(&mut self) {
-        self.waiting = self.waiting.saturating_sub(1);
+        self.places = self.places.saturating_sub(1);
     }
 
     /// Counts the end of a generation, which makes room.
@@ -74,6 +74,6 @@
 
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn expected_ms(&self) -> u64 {
-        (f64::from(self.waiting) * self.drain_ms) as u64
+        (f64::from(self.places) * self.drain_ms) as u64
     }
 }
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! what the entries have placed on them.
 
 mod hub;
+mod turns;
 mod view;
 
 use std::net::SocketAddr;
@@ -12,6 +13,7 @@
 use crate::model::ZoneName;
 
 pub use hub::Hub;
+pub use turns::{CopyPlan, Turn, Turns};
 pub use view::{Demand, Leaving, Outcome, Placed, View};
 
 /// The state of an instance in the platform's list.
--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -1,5 +1,8 @@
 //! One entry's view of the fleet, and the choice of an instance for a request.
 
+// Times in milliseconds and counts of tokens stay far below what a float holds exactly.
+#![allow(clippy::cast_precision_loss)]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -152,6 +155,13 @@
         self.prefill_tokens + self.others.as_ref().map_or(0, |pulse| pulse.prefill_tokens)
     }
 
+    /// Returns true if the memory in use, as last reported, leaves room for so many tokens. Copies
+    /// that nobody takes up are not counted in what entries have placed.
+    fn holds_now(&self, tokens: u64, memory_tokens: u64) -> bool {
+        let used = self.report().map_or(0, |report| report.used_tokens);
+        used == 0 || used + tokens <= memory_tokens
+    }
+
     fn report(&self) -> Option<&Report> {
         self.others
             .as_ref()?
@@ -380,6 +390,7 @@
         let fits = |instance: &&Instance| {
             let committed = instance.total_committed();
             instance.usable(now_ms)
+                && instance.holds_now(demand.prompt_tokens, engine.memory_tokens)
                 && !excluded.contains(&instance.listed.identity)
                 && instance.total_running() < engine.slots
                 && (committed + demand.total_tokens() <= planned || committed == 0)
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -15,7 +15,7 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::adapters::disk::{DiskError, FileOps};
 use crate::call_handler;
-use crate::domain::fleet::Hub;
+use crate::domain::fleet::{Hub, Turns};
 use crate::domain::log::{Options, RoleName};
 use crate::model::InstanceName;
 use crate::platform;
@@ -48,6 +48,7 @@
     endpoint: Endpoint,
     machine: Arc<Machine>,
     hub: Mutex<Hub>,
+    turns: Mutex<Turns>,
     replica: Mutex<Option<Replica>>,
     peers: watch::Sender<Peers>,
     /// Changes with each piece of news that entries wait for.
@@ -82,6 +83,7 @@
             endpoint,
             machine,
             hub: Mutex::new(Hub::new(rand::random())),
+            turns: Mutex::default(),
             replica: Mutex::new(None),
             peers,
             news,
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -9,10 +9,13 @@
 
 use super::DirectoryRole;
 use crate::adapters::clock::monotonic_ms;
-use crate::rpc::directory::{Directory, Fleet, ReportRequest, SyncReply, SyncRequest};
+use crate::domain::fleet::CopyPlan;
+use crate::rpc::directory::{
+    Directory, Fleet, ReportRequest, SyncReply, SyncRequest, TurnReply, TurnRequest,
+};
 
 /// The longest time that an answer waits for news.
-const MAX_HOLD: Duration = Duration::from_millis(1_000);
+const MAX_HOLD: Duration = Duration::from_secs(1);
 /// Upper bound on the time to confirm that the document is the newest.
 const CONFIRM_LIMIT: Duration = Duration::from_millis(600);
 
@@ -74,6 +77,25 @@
         })
     }
 
+    async fn turn(self, _: Context, request: TurnRequest) -> Option<TurnReply> {
+        let now_ms = monotonic_ms();
+        let plan = CopyPlan {
+            source: request.source,
+            target: request.target,
+            takes_ms: request.takes_ms,
+            gone_at_ms: request.gone_in_ms.map(|in_ms| now_ms + in_ms),
+        };
+        let mut turns = self.0.turns.lock().unwrap_or_else(PoisonError::into_inner);
+        let turn = turns.grant(&plan, now_ms);
+        tracing::info!(source = %plan.source, target = %plan.target, takes_ms = plan.takes_ms,
+            gone_in_ms = request.gone_in_ms,
+            copy_in_ms = turn.map(|turn| turn.copy_at_ms.saturating_sub(now_ms)), "turn of a copy");
+        turn.map(|turn| TurnReply {
+            copy_in_ms: turn.copy_at_ms.saturating_sub(now_ms),
+            stop_in_ms: turn.stop_at_ms.saturating_sub(now_ms),
+        })
+    }
+
     async fn report(self, _: Context, request: ReportRequest) -> Option<SocketAddr> {
         let role = &self.0;
         let ReportRequest { address, report } = request;
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -32,9 +32,9 @@
 /// together do not return together.
 const RETRY_SPREAD_PERCENT: u64 = 40;
 /// Time for a move to finish after its generation's stream has ended.
-const MOVE_LIMIT: Duration = Duration::from_millis(2_000);
+const MOVE_LIMIT: Duration = Duration::from_secs(2);
 /// Time for an engine that holds a copy to take the generation up.
-const CONTINUE_LIMIT: Duration = Duration::from_millis(1_000);
+const CONTINUE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Generations that are expected to be shorter keep no copy: they end before it would be of use.
 const BACKUP_MIN_OUTPUT_TOKENS: u64 = 100;
@@ -251,10 +251,7 @@
         let (Some((status, headers)), Some(Ok(first))) = (head, self.next().await) else {
             return Err(lost());
         };
-        self.gateway
-            .metrics
-            .first_event_ms
-            .observe(self.job.age_ms() as f64);
+        self.gateway.metrics.first_event(self.job.age_ms());
         let rest = stream::unfold(self, |mut relay| async move {
             let frame = relay.next().await?;
             Some((frame, relay))
@@ -409,12 +406,19 @@
             from,
             from_identity: identity,
             demand: self.job.demand,
+            held_tokens: self.held_tokens(),
             engine: self.engine,
             gone_at_ms: leaving.gone_at_ms,
         };
         self.migration = Some(Migration::begin(Arc::clone(&self.gateway), plan));
     }
 
+    /// Returns the tokens that the generation holds in memory now.
+    fn held_tokens(&self) -> u64 {
+        let events = self.last_event.unwrap_or_default();
+        self.job.demand.prompt_tokens + events * u64::from(self.engine.tokens_per_event)
+    }
+
     /// Returns when the stream has to be looked at even if nothing comes.
     fn wake_at(&self) -> Instant {
         let silent_at = match self.backup {
--- a/src/roles/gateway/metrics.rs
+++ b/src/roles/gateway/metrics.rs
@@ -15,7 +15,7 @@
     sent: IntCounterVec,
     moved: IntCounterVec,
     streams: IntCounterVec,
-    pub(super) first_event_ms: Histogram,
+    first_event_ms: Histogram,
     pub(super) document_version: prometheus::IntGauge,
     pub(super) sync_failures: IntCounter,
 }
@@ -76,6 +76,12 @@
         metrics
     }
 
+    /// Counts the time to the first event of a stream.
+    #[allow(clippy::cast_precision_loss)]
+    pub(super) fn first_event(&self, age_ms: u64) {
+        self.first_event_ms.observe(age_ms as f64);
+    }
+
     pub(super) fn refused(&self, code: &str) {
         self.refused.with_label_values(&[code]).inc();
     }
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -4,8 +4,8 @@
 //! generation is stopped and only what is new is copied, so that the caller sees a short pause.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use http::StatusCode;
@@ -18,10 +18,15 @@
 use crate::domain::document::EngineSpec;
 use crate::domain::fleet::Demand;
 use crate::platform::{CallFailure, Move, move_generation};
+use crate::rpc::directory::TurnRequest;
 
-/// The generation is stopped this long before its engine is gone: time for the calls of all
-/// entries, one after the other, to copy what is new.
+/// Without a turn from control, the generation is stopped this long before its engine is gone:
+/// time for the calls of all entries, one after the other, to copy what is new.
 const STOP_MARGIN_MS: u64 = 350;
+/// Upper bound on the time to ask control for a turn.
+const TURN_LIMIT: Duration = Duration::from_millis(150);
+/// Time of a copy besides the transfer: the calls and the engine's own work.
+const COPY_SETUP_MS: u64 = 10;
 /// Upper bound on the time of one copy.
 const COPY_LIMIT: Duration = Duration::from_millis(2_500);
 /// Engines tried as the target of a copy.
@@ -42,6 +47,8 @@
     pub(super) from: SocketAddr,
     pub(super) from_identity: Arc<str>,
     pub(super) demand: Demand,
+    /// Tokens that have to be copied.
+    pub(super) held_tokens: u64,
     pub(super) engine: EngineSpec,
     pub(super) gone_at_ms: Option<u64>,
 }
@@ -99,14 +106,9 @@
 
 async fn migrate(gateway: &Arc<Gateway>, plan: &Plan, stop_asked: &AtomicBool) -> Option<Moved> {
     let begun_ms = monotonic_ms();
-    let ticket = copy_ahead(gateway, plan).await?;
+    let (ticket, stop_at_ms) = copy_ahead(gateway, plan).await?;
     let copied_ms = monotonic_ms();
-    if let Some(gone_at_ms) = plan.gone_at_ms {
-        let wait_ms = gone_at_ms
-            .saturating_sub(STOP_MARGIN_MS)
-            .saturating_sub(copied_ms);
-        sleep(Duration::from_millis(wait_ms)).await;
-    }
+    sleep(Duration::from_millis(stop_at_ms.saturating_sub(copied_ms))).await;
     stop_asked.store(true, Ordering::Relaxed);
     let stopped = call_move(plan, ticket.address, true).await;
     tracing::info!(
@@ -127,8 +129,9 @@
     })
 }
 
-/// Copies the memory while the generation goes on. Returns the engine that holds the copy.
-async fn copy_ahead(gateway: &Arc<Gateway>, plan: &Plan) -> Option<Ticket> {
+/// Copies the memory while the generation goes on. Returns the engine that holds the copy, and when
+/// the generation is to be stopped.
+async fn copy_ahead(gateway: &Arc<Gateway>, plan: &Plan) -> Option<(Ticket, u64)> {
     let mut excluded = vec![Arc::clone(&plan.from_identity)];
     let last_try_ms = plan
         .gone_at_ms
@@ -144,10 +147,29 @@
             continue;
         };
         excluded.push(Arc::clone(&placed.identity));
+        let takes_ms = copy_takes_ms(plan, placed.same_zone);
+        let stop_at_ms = match gateway.turn(plan, placed.address, takes_ms).await {
+            Granted::At {
+                copy_at_ms,
+                stop_at_ms,
+            } => {
+                sleep(Duration::from_millis(
+                    copy_at_ms.saturating_sub(monotonic_ms()),
+                ))
+                .await;
+                stop_at_ms
+            }
+            Granted::Unknown => plan
+                .gone_at_ms
+                .unwrap_or_default()
+                .saturating_sub(STOP_MARGIN_MS),
+            // Another target may be in the same zone, or have a free link.
+            Granted::Denied => continue,
+        };
         let mut ticket = Ticket::begin(gateway, placed, Some(plan.demand));
         ticket.prompt_read();
         match call_move(plan, ticket.address, false).await {
-            Ok(_) => return Some(ticket),
+            Ok(_) => return Some((ticket, stop_at_ms)),
             Err(error) => {
                 tracing::info!(request = &*plan.request_id, from = &*plan.from_identity,
                     to = &*ticket.identity, %error, "copy failed");
@@ -167,6 +189,63 @@
     None
 }
 
+/// Whether and when a copy may begin.
+enum Granted {
+    At {
+        copy_at_ms: u64,
+        stop_at_ms: u64,
+    },
+    /// It cannot end before the engine is gone.
+    Denied,
+    /// Control does not answer.
+    Unknown,
+}
+
+impl Gateway {
+    /// Asks control for the turn of a copy.
+    async fn turn(&self, plan: &Plan, target: SocketAddr, takes_ms: u64) -> Granted {
+        let link = self
+            .control
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let Some(link) = link else {
+            return Granted::Unknown;
+        };
+        let asked_ms = monotonic_ms();
+        let request = TurnRequest {
+            source: plan.from,
+            target,
+            takes_ms,
+            gone_in_ms: plan.gone_at_ms.map(|at_ms| at_ms.saturating_sub(asked_ms)),
+        };
+        let answer = link
+            .call(TURN_LIMIT, |client, context| async move {
+                client.turn(context, request).await
+            })
+            .await;
+        match answer {
+            Ok(Some(turn)) => Granted::At {
+                copy_at_ms: asked_ms + turn.copy_in_ms,
+                stop_at_ms: asked_ms + turn.stop_in_ms,
+            },
+            Ok(None) => Granted::Denied,
+            Err(error) => {
+                tracing::info!(request = &*plan.request_id, %error, "no turn from control");
+                Granted::Unknown
+            }
+        }
+    }
+}
+
+/// Returns how long a copy takes the links of both engines.
+fn copy_takes_ms(plan: &Plan, same_zone: bool) -> u64 {
+    let bits = plan.held_tokens * plan.engine.bytes_per_token * 8;
+    let bits_per_ms = (plan.engine.link_mbps * 1_000).max(1);
+    // A copy between zones takes twice as long.
+    (bits / bits_per_ms + COPY_SETUP_MS) * if same_zone { 1 } else { 2 }
+}
+
 async fn call_move(plan: &Plan, target: SocketAddr, stop: bool) -> Result<Move, CallFailure> {
     let mut busy = 0;
     loop {
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -36,6 +36,8 @@
 use crate::domain::retry::WindowBudget;
 use crate::model::{InstanceName, ZoneName};
 use crate::platform::paths;
+use crate::rpc::Link;
+use crate::rpc::directory::DirectoryClient;
 use crate::settings::GatewaySettings;
 
 use metrics::Metrics;
@@ -54,7 +56,7 @@
 const MIN_HEADER_BYTES: usize = 8_192;
 /// After SIGTERM new connections are still served for this long: the platform needs two failed
 /// probes, a second apart, to send them elsewhere.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_000);
+const ACCEPT_AFTER_STOP: Duration = Duration::from_secs(3);
 
 /// The gateway role of one process.
 pub struct Gateway {
@@ -70,6 +72,8 @@
     /// Gateways that share the retry budget.
     gateways: AtomicU32,
     pool: Pool,
+    /// The control instance that answered last.
+    control: Mutex<Option<Arc<Link<DirectoryClient>>>>,
     waiting: Mutex<Waiting>,
     /// Told when an engine may have room again.
     room_news: Notify,
@@ -97,6 +101,7 @@
             budgets: Mutex::default(),
             gateways: AtomicU32::new(1),
             pool: Pool::default(),
+            control: Mutex::default(),
             waiting: Mutex::default(),
             room_news: Notify::new(),
             metrics: Metrics::new(),
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -126,7 +126,7 @@
             Err(_) => (Sent::OutOfTime, Outcome::Failed),
         };
         ticket.observe(outcome);
-        self.metrics.sent(&sent_label(&sent));
+        self.metrics.sent(sent_label(&sent));
         let age_ms = job.age_ms();
         match &sent {
             Sent::Answer(head, _) => tracing::info!(
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -24,6 +24,9 @@
 /// Answers without a tokens header are expected to be this long.
 const UNKNOWN_OUTPUT_TOKENS: u64 = 200;
 
+/// The least urgent rank that engines take.
+const MOST_PRIORITY: u32 = 9;
+
 /// A request that may be passed on.
 pub(super) struct Job {
     pub(super) id: Arc<str>,
@@ -61,6 +64,10 @@
         *request.uri_mut() = self.uri.clone();
         let mut sent = self.headers.clone();
         let left_ms = self.left_ms().to_string();
+        let priority = self.priority.min(MOST_PRIORITY).to_string();
+        if let (Some(_), Some(value)) = (self.engine, headers::value(&priority)) {
+            sent.insert(headers::PRIORITY, value);
+        }
         for (name, text) in [
             (headers::DEADLINE, left_ms.as_str()),
             (headers::EXPECTED_INSTANCE, identity),
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -1,8 +1,8 @@
 //! Keeps the document, the list of instances and the others' loads current.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -62,6 +62,8 @@
                         controls.unconfirmed();
                         sleep(FAILED_PAUSE).await;
                     }
+                    let answering = controls.link();
+                    *self.control.lock().unwrap_or_else(PoisonError::into_inner) = answering;
                     self.learn(reply, asked_ms);
                 }
                 Err(error) => {
--- a/src/roles/gateway/upstream.rs
+++ b/src/roles/gateway/upstream.rs
@@ -94,7 +94,7 @@
     ) -> Result<Exchange, SendFailure> {
         while let Some(mut connection) = self.take(address) {
             match exchange(&mut connection, request, request_id).await {
-                Ok(answer) => return answered(answer, connection),
+                Ok(answer) => return Ok(answered(answer, connection)),
                 // The instance has closed the idle connection; another one can be used.
                 Err((_, Some(unsent))) => request = unsent,
                 Err((failure, None)) => return Err(failure),
@@ -102,7 +102,7 @@
         }
         let mut connection = connect(address).await.map_err(SendFailure::NotSent)?;
         match exchange(&mut connection, request, request_id).await {
-            Ok(answer) => answered(answer, connection),
+            Ok(answer) => Ok(answered(answer, connection)),
             Err((failure, _)) => Err(failure),
         }
     }
@@ -182,13 +182,13 @@
     named.map_or(IDLE_LIMIT, |named| (named / 2).min(IDLE_LIMIT))
 }
 
-fn answered(answer: Response<Incoming>, connection: Connection) -> Result<Exchange, SendFailure> {
+fn answered(answer: Response<Incoming>, connection: Connection) -> Exchange {
     let (head, body) = answer.into_parts();
-    Ok(Exchange {
+    Exchange {
         head,
         body,
         connection,
-    })
+    }
 }
 
 async fn connect(address: SocketAddr) -> Result<Connection, String> {
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -59,12 +59,32 @@
     pub report: Report,
 }
 
+/// A copy of a generation's memory that an entry wants to make.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TurnRequest {
+    pub source: SocketAddr,
+    pub target: SocketAddr,
+    pub takes_ms: u64,
+    /// Time until the source is gone, if that is known.
+    pub gone_in_ms: Option<u64>,
+}
+
+/// When the copy may begin.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TurnReply {
+    pub copy_in_ms: u64,
+    /// Time until the generation is to be stopped for its last copy.
+    pub stop_in_ms: u64,
+}
+
 /// The calls to control instances.
 #[tarpc::service]
 pub trait Directory {
     /// Answered at once; the heartbeat of a connection.
     async fn ping();
     async fn sync(request: SyncRequest) -> SyncReply;
+    /// Returns the turn of a copy; none if it cannot end in time.
+    async fn turn(request: TurnRequest) -> Option<TurnReply>;
     /// Returns the leader, if another instance leads.
     async fn report(request: ReportRequest) -> Option<SocketAddr>;
 }
