--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -177,7 +177,10 @@
     zone: ZoneName,
     instances: BTreeMap<Arc<str>, Instance>,
     by_service: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+    /// The revision of the list at the hub that it came from.
     pub revision: Option<u64>,
+    /// When the list was read from the platform.
+    listed_ms: Option<u64>,
 }
 
 impl View {
@@ -188,12 +191,18 @@
             instances: BTreeMap::new(),
             by_service: BTreeMap::new(),
             revision: None,
+            listed_ms: None,
         }
     }
 
-    /// Takes a new list. Instances that are no longer listed are forgotten once nothing of this
-    /// entry runs there.
-    pub fn list(&mut self, listed: Vec<Listed>, revision: Option<u64>, now_ms: u64) {
+    /// Takes a list that was read at `read_ms`. One that is older than the last is ignored: a hub
+    /// that did not lead for a while still has the list of then. Instances that are no longer
+    /// listed are forgotten once nothing of this entry runs there.
+    pub fn list(&mut self, listed: Vec<Listed>, revision: Option<u64>, read_ms: u64, now_ms: u64) {
+        if self.listed_ms.is_some_and(|before_ms| read_ms < before_ms) {
+            return;
+        }
+        self.listed_ms = Some(read_ms);
         let names: BTreeSet<Arc<str>> = listed
             .iter()
             .map(|listed| Arc::clone(&listed.identity))
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -17,7 +17,7 @@
 /// The longest time that an answer waits for news.
 const MAX_HOLD: Duration = Duration::from_secs(1);
 /// Upper bound on the time to confirm that the document is the newest.
-const CONFIRM_LIMIT: Duration = Duration::from_millis(600);
+const CONFIRM_LIMIT: Duration = Duration::from_millis(400);
 
 #[derive(Clone)]
 pub(super) struct Server(pub(super) Arc<DirectoryRole>);
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -18,7 +18,7 @@
 /// How long a call waits for news. Loads of other entries are as old as this.
 const HOLD_MS: u64 = 200;
 /// A control instance that does not answer within this time beyond the hold is given up.
-const SYNC_LIMIT: Duration = Duration::from_millis(HOLD_MS + 900);
+const SYNC_LIMIT: Duration = Duration::from_millis(HOLD_MS + 600);
 /// Pause after a failed call.
 const FAILED_PAUSE: Duration = Duration::from_millis(50);
 /// The list is read from the platform once control's is older than this. Instances must get no new
@@ -103,10 +103,11 @@
         }
         self.gateways.store(reply.entries.max(1), Ordering::Relaxed);
         let now_ms = monotonic_ms();
+        let read_ms = now_ms.saturating_sub(reply.list_age_ms.unwrap_or(now_ms));
         let news = self.with_view(|view| {
             let listed = reply.fleet.is_some();
             if let Some(fleet) = reply.fleet {
-                view.list(fleet.listed, Some(fleet.revision), now_ms);
+                view.list(fleet.listed, Some(fleet.revision), read_ms, now_ms);
             }
             view.pulse(reply.pulses, now_ms) || listed
         });
@@ -159,7 +160,8 @@
                     instances = listed.len(),
                     "read the platform's list without control"
                 );
-                self.with_view(|view| view.list(listed, None, monotonic_ms()));
+                let now_ms = monotonic_ms();
+                self.with_view(|view| view.list(listed, None, now_ms, now_ms));
                 self.leaving_news.send_modify(|count| *count += 1);
             }
             Err(error) => tracing::warn!(%error, "cannot read the platform's list"),
