--- a/src/domain/fleet/hub.rs
+++ b/src/domain/fleet/hub.rs
@@ -73,6 +73,12 @@
             .retain(|_, (_, received_ms)| now_ms < *received_ms + REPORT_KEPT_MS);
     }
 
+    /// Returns true if the instance at an address has reported that it leaves.
+    pub fn is_leaving(&self, address: SocketAddr) -> bool {
+        let report = self.reports.get(&address);
+        report.is_some_and(|(report, _)| report.leaves())
+    }
+
     /// Returns the number of entries that synced lately.
     pub fn entries(&self) -> usize {
         self.loads.len()
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -13,8 +13,8 @@
 use crate::model::ZoneName;
 
 pub use hub::Hub;
-pub use turns::{CopyPlan, Turn, Turns};
-pub use view::{Demand, Leaving, Outcome, Placed, View};
+pub use turns::{CopyPlan, Target, Turn, Turns};
+pub use view::{Ask, Demand, Leaving, Outcome, Placed, View};
 
 /// The state of an instance in the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/domain/fleet/turns.rs
+++ b/src/domain/fleet/turns.rs
@@ -16,12 +16,19 @@
 /// Last copies that fit before the engine is gone.
 const MAX_LAST_COPIES: u64 = 10;
 
-/// A copy that an entry wants to make.
+/// An engine that may take a copy, and how long the copy takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Target {
+    pub address: SocketAddr,
+    pub takes_ms: u64,
+}
+
+/// A copy that an entry wants to make.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CopyPlan {
     pub source: SocketAddr,
-    pub target: SocketAddr,
-    pub takes_ms: u64,
+    /// The best one first.
+    pub targets: Vec<Target>,
     /// When the source is gone, if that is known.
     pub gone_at_ms: Option<u64>,
 }
@@ -29,6 +36,7 @@
 /// When a copy may begin, and when its generation is to be stopped for the last one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Turn {
+    pub target: SocketAddr,
     pub copy_at_ms: u64,
     pub stop_at_ms: u64,
 }
@@ -46,15 +54,18 @@
 }
 
 impl Turns {
-    /// Returns the turn of a copy, or none if it cannot end in time.
+    /// Returns the turn of a copy, to the target where it ends first, or none if it cannot end in
+    /// time.
     pub fn grant(&mut self, plan: &CopyPlan, now_ms: u64) -> Option<Turn> {
         self.links
             .retain(|_, link| link.busy_until_ms + 2 * LAST_COPIES_MS > now_ms);
         let busy_until_ms = |address| self.links.get(address).map_or(0, |link| link.busy_until_ms);
-        let copy_at_ms = now_ms
-            .max(busy_until_ms(&plan.source))
-            .max(busy_until_ms(&plan.target));
-        let end_ms = copy_at_ms + plan.takes_ms;
+        let source_free_ms = now_ms.max(busy_until_ms(&plan.source));
+        let ends = plan.targets.iter().map(|target| {
+            let copy_at_ms = source_free_ms.max(busy_until_ms(&target.address));
+            (copy_at_ms + target.takes_ms, copy_at_ms, target.address)
+        });
+        let (end_ms, copy_at_ms, target) = ends.min_by_key(|(end_ms, ..)| *end_ms)?;
         let latest_ms = plan
             .gone_at_ms
             .map(|at_ms| at_ms.saturating_sub(LAST_COPIES_MS));
@@ -65,8 +76,9 @@
         source.busy_until_ms = end_ms;
         let place = source.last_copies % MAX_LAST_COPIES;
         source.last_copies += 1;
-        self.links.entry(plan.target).or_default().busy_until_ms = end_ms;
+        self.links.entry(target).or_default().busy_until_ms = end_ms;
         Some(Turn {
+            target,
             copy_at_ms,
             stop_at_ms: latest_ms.map_or(end_ms, |at_ms| at_ms + place * LAST_COPY_MS),
         })
--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -33,7 +33,7 @@
 const PLAIN_ZONE_PENALTY_MS: u64 = 20;
 /// The same for the engine that takes a copy of a generation's memory: a copy between zones takes
 /// the link twice as long, and the generation may go on there.
-const COPY_ZONE_PENALTY_MS: u64 = 250;
+const COPY_ZONE_PENALTY_MS: u64 = 600;
 /// Waiting added for an instance that has just started.
 const COLD_PENALTY_MS: u64 = 150;
 /// Upper bound of the random part of a score. Entries that share old information would otherwise
@@ -63,13 +63,24 @@
     }
 }
 
+/// What an engine is looked for.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    pub service: &'a str,
+    pub demand: Demand,
+    pub engine: EngineSpec,
+    pub excluded: &'a [Arc<str>],
+    pub now_ms: u64,
+    pub random: u64,
+}
+
 /// What an engine has to offer for a generation, or for a copy of one.
 #[derive(Debug, Clone, Copy)]
-struct Wanted {
-    demand: Demand,
-    engine: EngineSpec,
-    /// Memory of an engine that may be planned for.
-    planned_tokens: u64,
+struct Wanted<'a> {
+    /// Part of its memory that may be planned for, in hundredths.
+    planned_percent: u64,
+    near: &'a ZoneName,
+    /// Engines of another zone count as this much waiting.
     zone_penalty_ms: u64,
 }
 
@@ -78,6 +89,7 @@
 pub struct Placed {
     pub identity: Arc<str>,
     pub address: SocketAddr,
+    /// True if it is in the zone that it was looked for near.
     pub same_zone: bool,
 }
 
@@ -309,113 +321,87 @@
             } else {
                 0.0
             };
-            time_ms + avoided + self.fixed_penalty_ms(instance, PLAIN_ZONE_PENALTY_MS, random)
+            let away = instance.listed.zone != self.zone;
+            let zone_ms = if away { PLAIN_ZONE_PENALTY_MS } else { 0 };
+            time_ms + avoided + zone_ms as f64 + fixed_penalty_ms(instance, random)
         };
         let best = self
             .members(service)
             .filter(open)
             .map(|instance| (score(instance), instance))
             .min_by(|(a, _), (b, _)| a.total_cmp(b));
-        best.map(|(_, instance)| self.placed(instance))
+        best.map(|(_, instance)| placed(instance, &self.zone))
     }
 
     /// Chooses an engine for a generation: one whose memory and slots are planned to hold it, with
     /// the shortest expected wait for the first token. Returns none if no engine has room.
-    pub fn choose_engine(
-        &self,
-        service: &str,
-        demand: Demand,
-        engine: EngineSpec,
-        excluded: &[Arc<str>],
-        now_ms: u64,
-        random: u64,
-    ) -> Option<Placed> {
-        let planned = engine.memory_tokens * PLANNED_MEMORY_PERCENT / 100;
+    pub fn choose_engine(&self, ask: &Ask<'_>) -> Option<Placed> {
         let wanted = Wanted {
-            demand,
-            engine,
-            planned_tokens: planned,
+            planned_percent: PLANNED_MEMORY_PERCENT,
+            near: &self.zone,
             zone_penalty_ms: ZONE_PENALTY_MS,
         };
-        self.choose_with_memory(service, wanted, excluded, now_ms, random)
+        self.ranked(ask, wanted, 1).pop()
     }
 
-    /// Chooses an engine that a running generation is moved to.
-    pub fn choose_target(
-        &self,
-        service: &str,
-        demand: Demand,
-        engine: EngineSpec,
-        excluded: &[Arc<str>],
-        now_ms: u64,
-        random: u64,
-    ) -> Option<Placed> {
+    /// Returns engines that a generation may be moved to from `source`, the best one first.
+    pub fn targets(&self, ask: &Ask<'_>, source: &str, most: usize) -> Vec<Placed> {
         let wanted = Wanted {
-            demand,
-            engine,
-            planned_tokens: engine.memory_tokens * MOVE_MEMORY_PERCENT / 100,
+            planned_percent: MOVE_MEMORY_PERCENT,
+            near: self.zone_of(source),
             zone_penalty_ms: COPY_ZONE_PENALTY_MS,
         };
-        self.choose_with_memory(service, wanted, excluded, now_ms, random)
+        self.ranked(ask, wanted, most)
     }
 
-    /// Chooses an engine that keeps a copy of a generation's memory. Returns none if that would
-    /// leave too little for others.
-    pub fn choose_backup(
-        &self,
-        service: &str,
-        demand: Demand,
-        engine: EngineSpec,
-        excluded: &[Arc<str>],
-        now_ms: u64,
-        random: u64,
-    ) -> Option<Placed> {
-        if self.memory_percent(service, engine, now_ms) > BACKUP_FLEET_PERCENT {
+    /// Chooses an engine that keeps a copy of a generation's memory that runs at `source`. Returns
+    /// none if that would leave too little for others.
+    pub fn choose_backup(&self, ask: &Ask<'_>, source: &str) -> Option<Placed> {
+        if self.memory_percent(ask.service, ask.engine, ask.now_ms) > BACKUP_FLEET_PERCENT {
             return None;
         }
         let wanted = Wanted {
-            demand,
-            engine,
-            planned_tokens: engine.memory_tokens * BACKUP_MEMORY_PERCENT / 100,
+            planned_percent: BACKUP_MEMORY_PERCENT,
+            near: self.zone_of(source),
             zone_penalty_ms: COPY_ZONE_PENALTY_MS,
         };
-        self.choose_with_memory(service, wanted, excluded, now_ms, random)
+        self.ranked(ask, wanted, 1).pop()
     }
 
-    fn choose_with_memory(
-        &self,
-        service: &str,
-        wanted: Wanted,
-        excluded: &[Arc<str>],
-        now_ms: u64,
-        random: u64,
-    ) -> Option<Placed> {
-        let Wanted {
-            demand,
-            engine,
-            planned_tokens: planned,
-            zone_penalty_ms,
-        } = wanted;
+    /// Returns up to `most` engines that have what is wanted, the best one first.
+    fn ranked(&self, ask: &Ask<'_>, wanted: Wanted<'_>, most: usize) -> Vec<Placed> {
+        let (demand, engine, now_ms) = (ask.demand, ask.engine, ask.now_ms);
+        let planned = engine.memory_tokens * wanted.planned_percent / 100;
         let fits = |instance: &&Instance| {
             let committed = instance.total_committed();
             instance.usable(now_ms)
                 && instance.holds_now(demand.prompt_tokens, engine.memory_tokens)
-                && !excluded.contains(&instance.listed.identity)
+                && !ask.excluded.contains(&instance.listed.identity)
                 && instance.total_running() < engine.slots
                 && (committed + demand.total_tokens() <= planned || committed == 0)
         };
         let score = |instance: &Instance| {
             let prefill_ms = instance.total_prefill() / PREFILL_TOKENS_PER_MS;
             let memory_ms = MEMORY_WEIGHT_MS * instance.total_committed() / planned.max(1);
-            let fixed_ms = self.fixed_penalty_ms(instance, zone_penalty_ms, random);
-            prefill_ms as f64 + memory_ms as f64 + fixed_ms
+            let zone_ms = match instance.listed.zone == *wanted.near {
+                true => 0,
+                false => wanted.zone_penalty_ms,
+            };
+            (prefill_ms + memory_ms + zone_ms) as f64 + fixed_penalty_ms(instance, ask.random)
         };
-        let best = self
-            .members(service)
-            .filter(fits)
-            .map(|instance| (score(instance), instance))
-            .min_by(|(a, _), (b, _)| a.total_cmp(b));
-        best.map(|(_, instance)| self.placed(instance))
+        let fitting = self.members(ask.service).filter(fits);
+        let mut ranked: Vec<(f64, &Instance)> = fitting.map(|i| (score(i), i)).collect();
+        ranked.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        ranked
+            .into_iter()
+            .take(most)
+            .map(|(_, instance)| placed(instance, wanted.near))
+            .collect()
+    }
+
+    fn zone_of(&self, identity: &str) -> &ZoneName {
+        let instance = self.instances.get(identity);
+        instance.map_or(&self.zone, |instance| &instance.listed.zone)
     }
 
     /// Returns the planned memory of a service's usable engines in use, in hundredths.
@@ -520,28 +506,23 @@
         let members = self.by_service.get(service).into_iter().flatten();
         members.filter_map(|identity| self.instances.get(identity))
     }
+}
 
-    fn placed(&self, instance: &Instance) -> Placed {
-        Placed {
-            identity: Arc::clone(&instance.listed.identity),
-            address: instance.listed.address,
-            same_zone: instance.listed.zone == self.zone,
-        }
+fn placed(instance: &Instance, near: &ZoneName) -> Placed {
+    Placed {
+        identity: Arc::clone(&instance.listed.identity),
+        address: instance.listed.address,
+        same_zone: instance.listed.zone == *near,
     }
+}
 
-    fn fixed_penalty_ms(&self, instance: &Instance, zone_penalty_ms: u64, random: u64) -> f64 {
-        let zone_ms = if instance.listed.zone == self.zone {
-            0
-        } else {
-            zone_penalty_ms
-        };
-        let cold_ms = if instance.listed.cold {
-            COLD_PENALTY_MS
-        } else {
-            0
-        };
-        let bytes = instance.listed.identity.as_bytes();
-        let jitter_ms = xxhash_rust::xxh3::xxh3_64_with_seed(bytes, random) % JITTER_MS;
-        (zone_ms + cold_ms + jitter_ms) as f64
-    }
+fn fixed_penalty_ms(instance: &Instance, random: u64) -> f64 {
+    let cold_ms = if instance.listed.cold {
+        COLD_PENALTY_MS
+    } else {
+        0
+    };
+    let bytes = instance.listed.identity.as_bytes();
+    let jitter_ms = xxhash_rust::xxh3::xxh3_64_with_seed(bytes, random) % JITTER_MS;
+    (cold_ms + jitter_ms) as f64
 }
--- a/src/roles/control/replica/driver.rs
+++ b/src/roles/control/replica/driver.rs
@@ -10,6 +10,7 @@
 
 use super::links::Links;
 use super::metrics::Metrics;
+use super::status::MemberStatus;
 use super::{Endpoint, ReplicaStatus, StateMachine, SubmitError};
 use crate::adapters::clock::monotonic_ms;
 use crate::adapters::disk::{Disk, DiskError, FileOps};
@@ -343,6 +344,7 @@
         let shown = ReplicaStatus::new(&status, None);
         self.status.send_if_modified(|held| {
             let changed = *held != shown;
+            log_removed(&held.voters, &shown);
             if changed && (held.role != shown.role || held.term != shown.term) {
                 tracing::info!(identity = %shown.identity, role = ?shown.role, term = shown.term,
                     "role of the replica");
@@ -352,3 +354,14 @@
         });
     }
 }
+
+/// Logs the voters that are no longer members.
+fn log_removed(before: &[MemberStatus], now: &ReplicaStatus) {
+    for member in before {
+        let mut members = now.voters.iter().chain(&now.learners);
+        if !members.any(|other| other.identity == member.identity) {
+            tracing::info!(identity = %member.identity, address = %member.address,
+                "member was removed");
+        }
+    }
+}
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -9,7 +9,7 @@
 
 use super::DirectoryRole;
 use crate::adapters::clock::monotonic_ms;
-use crate::domain::fleet::CopyPlan;
+use crate::domain::fleet::{CopyPlan, Target};
 use crate::rpc::directory::{
     Directory, Fleet, ReportRequest, SyncReply, SyncRequest, TurnReply, TurnRequest,
 };
@@ -79,18 +79,24 @@
 
     async fn turn(self, _: Context, request: TurnRequest) -> Option<TurnReply> {
         let now_ms = monotonic_ms();
+        let targets = request.targets.into_iter();
         let plan = CopyPlan {
             source: request.source,
-            target: request.target,
-            takes_ms: request.takes_ms,
+            targets: self.0.with_hub(|hub| {
+                targets
+                    .filter(|(address, _)| !hub.is_leaving(*address))
+                    .map(|(address, takes_ms)| Target { address, takes_ms })
+                    .collect()
+            }),
             gone_at_ms: request.gone_in_ms.map(|in_ms| now_ms + in_ms),
         };
         let mut turns = self.0.turns.lock().unwrap_or_else(PoisonError::into_inner);
         let turn = turns.grant(&plan, now_ms);
-        tracing::info!(source = %plan.source, target = %plan.target, takes_ms = plan.takes_ms,
-            gone_in_ms = request.gone_in_ms,
+        tracing::info!(source = %plan.source, targets = plan.targets.len(),
+            gone_in_ms = request.gone_in_ms, target = turn.map(|turn| turn.target.to_string()),
             copy_in_ms = turn.map(|turn| turn.copy_at_ms.saturating_sub(now_ms)), "turn of a copy");
         turn.map(|turn| TurnReply {
+            target: turn.target,
             copy_in_ms: turn.copy_at_ms.saturating_sub(now_ms),
             stop_in_ms: turn.stop_at_ms.saturating_sub(now_ms),
         })
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -23,7 +23,7 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::admission::Waiting;
 use crate::domain::document::EngineSpec;
-use crate::domain::fleet::{Outcome, Placed};
+use crate::domain::fleet::{Ask, Outcome, Placed};
 use crate::platform::headers;
 
 /// Engines tried while each says that it did not run the request.
@@ -158,10 +158,8 @@
     /// Returns an engine with room. Waits for one if room is expected in time.
     async fn find_room(&self, job: &Job, engine: EngineSpec, tried: &[Arc<str>]) -> Option<Placed> {
         let choose = || {
-            self.with_view(|view| {
-                let (now_ms, random) = (monotonic_ms(), rand::random());
-                view.choose_engine(&job.service, job.demand, engine, tried, now_ms, random)
-            })
+            let ask = ask(job, engine, tried);
+            self.with_view(|view| view.choose_engine(&ask))
         };
         if let Some(placed) = choose() {
             return Some(placed);
@@ -207,10 +205,8 @@
             return None;
         }
         let excluded = [Arc::clone(&source.identity)];
-        let placed = self.with_view(|view| {
-            let (now_ms, random) = (monotonic_ms(), rand::random());
-            view.choose_backup(&job.service, job.demand, engine, &excluded, now_ms, random)
-        })?;
+        let ask = ask(job, engine, &excluded);
+        let placed = self.with_view(|view| view.choose_backup(&ask, &source.identity))?;
         let mut ticket = Ticket::begin(self, placed, Some(job.demand));
         ticket.prompt_read();
         Some(ticket)
@@ -556,6 +552,18 @@
     }
 }
 
+/// Returns what an engine is looked for.
+fn ask<'a>(job: &'a Job, engine: EngineSpec, excluded: &'a [Arc<str>]) -> Ask<'a> {
+    Ask {
+        service: &job.service,
+        demand: job.demand,
+        engine,
+        excluded,
+        now_ms: monotonic_ms(),
+        random: rand::random(),
+    }
+}
+
 /// Returns the request with the engine that is to keep a copy.
 fn with_backup(mut request: Request<Full<Bytes>>, backup: Option<&Ticket>) -> Request<Full<Bytes>> {
     if let Some(value) = backup.and_then(|b| headers::value(&b.address.to_string())) {
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -16,7 +16,7 @@
 use super::ticket::Ticket;
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::EngineSpec;
-use crate::domain::fleet::Demand;
+use crate::domain::fleet::{Ask, Demand, Placed};
 use crate::platform::{CallFailure, Move, move_generation};
 use crate::rpc::directory::TurnRequest;
 
@@ -31,6 +31,8 @@
 const COPY_LIMIT: Duration = Duration::from_millis(2_500);
 /// Engines tried as the target of a copy.
 const MAX_TARGETS: usize = 3;
+/// Engines that control may choose the target of a copy from.
+const OFFERED_TARGETS: usize = 5;
 /// Pause before a call is repeated while another one is in progress.
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
 const MAX_BUSY: usize = 10;
@@ -137,35 +139,41 @@
         .gone_at_ms
         .unwrap_or(monotonic_ms() + UNKNOWN_NOTICE_MS);
     while excluded.len() <= MAX_TARGETS && monotonic_ms() + STOP_MARGIN_MS < last_try_ms {
-        let placed = gateway.with_view(|view| {
-            let (now_ms, random) = (monotonic_ms(), rand::random());
-            let (demand, engine) = (plan.demand, plan.engine);
-            view.choose_target(&plan.service, demand, engine, &excluded, now_ms, random)
+        let mut targets = gateway.with_view(|view| {
+            let ask = Ask {
+                service: &plan.service,
+                demand: plan.demand,
+                engine: plan.engine,
+                excluded: &excluded,
+                now_ms: monotonic_ms(),
+                random: rand::random(),
+            };
+            view.targets(&ask, &plan.from_identity, OFFERED_TARGETS)
         });
-        let Some(placed) = placed else {
+        if targets.is_empty() {
             sleep(NO_TARGET_PAUSE).await;
             continue;
-        };
-        excluded.push(Arc::clone(&placed.identity));
-        let takes_ms = copy_takes_ms(plan, placed.same_zone);
-        let stop_at_ms = match gateway.turn(plan, placed.address, takes_ms).await {
+        }
+        let (placed, stop_at_ms) = match gateway.turn(plan, &targets).await {
             Granted::At {
+                target,
                 copy_at_ms,
                 stop_at_ms,
             } => {
-                sleep(Duration::from_millis(
-                    copy_at_ms.saturating_sub(monotonic_ms()),
-                ))
-                .await;
-                stop_at_ms
+                let wait_ms = copy_at_ms.saturating_sub(monotonic_ms());
+                sleep(Duration::from_millis(wait_ms)).await;
+                (targets.swap_remove(target), stop_at_ms)
+            }
+            Granted::Unknown => {
+                let gone_at_ms = plan.gone_at_ms.unwrap_or_default();
+                (
+                    targets.swap_remove(0),
+                    gone_at_ms.saturating_sub(STOP_MARGIN_MS),
+                )
             }
-            Granted::Unknown => plan
-                .gone_at_ms
-                .unwrap_or_default()
-                .saturating_sub(STOP_MARGIN_MS),
-            // Another target may be in the same zone, or have a free link.
-            Granted::Denied => continue,
+            Granted::Denied => break,
         };
+        excluded.push(Arc::clone(&placed.identity));
         let mut ticket = Ticket::begin(gateway, placed, Some(plan.demand));
         ticket.prompt_read();
         match call_move(plan, ticket.address, false).await {
@@ -192,6 +200,8 @@
 /// Whether and when a copy may begin.
 enum Granted {
     At {
+        /// Position among the targets offered.
+        target: usize,
         copy_at_ms: u64,
         stop_at_ms: u64,
     },
@@ -202,8 +212,8 @@
 }
 
 impl Gateway {
-    /// Asks control for the turn of a copy.
-    async fn turn(&self, plan: &Plan, target: SocketAddr, takes_ms: u64) -> Granted {
+    /// Asks control for the turn of a copy to one of the targets.
+    async fn turn(&self, plan: &Plan, targets: &[Placed]) -> Granted {
         let link = self
             .control
             .lock()
@@ -215,8 +225,10 @@
         let asked_ms = monotonic_ms();
         let request = TurnRequest {
             source: plan.from,
-            target,
-            takes_ms,
+            targets: targets
+                .iter()
+                .map(|target| (target.address, copy_takes_ms(plan, target.same_zone)))
+                .collect(),
             gone_in_ms: plan.gone_at_ms.map(|at_ms| at_ms.saturating_sub(asked_ms)),
         };
         let answer = link
@@ -225,10 +237,17 @@
             })
             .await;
         match answer {
-            Ok(Some(turn)) => Granted::At {
-                copy_at_ms: asked_ms + turn.copy_in_ms,
-                stop_at_ms: asked_ms + turn.stop_in_ms,
-            },
+            Ok(Some(turn)) => {
+                let mut offered = targets.iter();
+                match offered.position(|target| target.address == turn.target) {
+                    Some(target) => Granted::At {
+                        target,
+                        copy_at_ms: asked_ms + turn.copy_in_ms,
+                        stop_at_ms: asked_ms + turn.stop_in_ms,
+                    },
+                    None => Granted::Unknown,
+                }
+            }
             Ok(None) => Granted::Denied,
             Err(error) => {
                 tracing::info!(request = &*plan.request_id, %error, "no turn from control");
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -63,8 +63,8 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TurnRequest {
     pub source: SocketAddr,
-    pub target: SocketAddr,
-    pub takes_ms: u64,
+    /// Engines that may take the copy, the best one first, and how long it takes.
+    pub targets: Vec<(SocketAddr, u64)>,
     /// Time until the source is gone, if that is known.
     pub gone_in_ms: Option<u64>,
 }
@@ -72,6 +72,7 @@
 /// When the copy may begin.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TurnReply {
+    pub target: SocketAddr,
     pub copy_in_ms: u64,
     /// Time until the generation is to be stopped for its last copy.
     pub stop_in_ms: u64,
--- /dev/null
+++ b/tests/fleet_choice.rs
@@ -0,0 +1,382 @@
+//! The view of the fleet, the hub, turns of copies, waiting and the retry window, without I/O.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use lilacspindle::domain::admission::Waiting;
+use lilacspindle::domain::document::EngineSpec;
+use lilacspindle::domain::fleet::{
+    Ask, CopyPlan, Demand, Hub, Listed, ListedState, Load, Outcome, Pulse, Report, Target, Turns,
+    View,
+};
+use lilacspindle::domain::retry::WindowBudget;
+use lilacspindle::model::ZoneName;
+use quickcheck::quickcheck;
+
+const ENGINE: EngineSpec = EngineSpec {
+    slots: 24,
+    memory_tokens: 34_000,
+    bytes_per_token: 163_840,
+    link_mbps: 24_000,
+    tokens_per_event: 4,
+    moves: true,
+    backups: true,
+};
+const LONG: Demand = Demand {
+    prompt_tokens: 3_000,
+    output_tokens: 1_000,
+};
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 8_000))
+}
+
+fn listed(number: u8, zone: &str) -> Listed {
+    Listed {
+        identity: format!("i-{number}").into(),
+        service: "model".into(),
+        address: address(number),
+        zone: ZoneName::from(zone),
+        slots: 24,
+        state: ListedState::Ready,
+        cold: false,
+    }
+}
+
+fn report(used_tokens: u64, leaves_in_ms: Option<u64>) -> Report {
+    Report {
+        queued: 0,
+        running: 1,
+        used_tokens,
+        total_tokens: 34_000,
+        leaves_in_ms,
+        draining: false,
+    }
+}
+
+fn pulse(number: u8, report: Option<Report>, committed_tokens: u64) -> Pulse {
+    Pulse {
+        identity: format!("i-{number}").into(),
+        report: report.map(|report| (report, 100)),
+        running: 1,
+        committed_tokens,
+        prefill_tokens: 0,
+    }
+}
+
+fn view(instances: u8) -> View {
+    let mut view = View::new(ZoneName::from("a"));
+    view.list(
+        (1..=instances).map(|n| listed(n, "a")).collect(),
+        Some(1),
+        0,
+        0,
+    );
+    view
+}
+
+fn ask(excluded: &[Arc<str>]) -> Ask<'_> {
+    Ask {
+        service: "model",
+        demand: LONG,
+        engine: ENGINE,
+        excluded,
+        now_ms: 1_000,
+        random: 7,
+    }
+}
+
+fn engine(view: &View, excluded: &[Arc<str>]) -> Option<Arc<str>> {
+    Some(view.choose_engine(&ask(excluded))?.identity)
+}
+
+/// Guards against engines that are filled beyond their memory, so that generations preempt each
+/// other.
+#[test]
+fn generations_fill_engines_up_to_their_planned_memory() {
+    let mut view = view(2);
+    let mut placed = 0;
+    while let Some(identity) = engine(&view, &[]) {
+        view.begin(&identity, Some(LONG));
+        placed += 1;
+    }
+    // 92 % of 34,000 tokens hold seven generations of 4,000.
+    assert_eq!(placed, 14);
+    view.end("i-1", Some(LONG), false);
+    assert_eq!(engine(&view, &[]).as_deref(), Some("i-1"));
+}
+
+/// Guards against entries that count only what they have placed themselves.
+#[test]
+fn loads_of_other_entries_and_reported_memory_count() {
+    let mut view = view(3);
+    view.pulse(
+        vec![
+            pulse(1, None, 30_000),
+            pulse(2, Some(report(33_000, None)), 0),
+        ],
+        1_000,
+    );
+    for _ in 0..3 {
+        let identity = engine(&view, &[]).unwrap();
+        assert_eq!(&*identity, "i-3");
+        view.begin(&identity, Some(LONG));
+    }
+}
+
+/// Guards against new work for an instance that leaves, by its report or by the list.
+#[test]
+fn leaving_instances_get_no_work() {
+    let mut view = view(3);
+    assert!(view.pulse(vec![pulse(1, Some(report(0, Some(1_500))), 0)], 1_000));
+    assert_eq!(view.leaving("i-1").unwrap().gone_at_ms, Some(2_400));
+    let mut second = listed(2, "a");
+    second.state = ListedState::Draining;
+    view.list(
+        vec![listed(1, "a"), second, listed(3, "a")],
+        Some(2),
+        10,
+        1_000,
+    );
+    for _ in 0..5 {
+        assert_eq!(engine(&view, &[]).as_deref(), Some("i-3"));
+    }
+    view.list(vec![listed(1, "a")], Some(3), 20, 1_000);
+    assert!(view.leaving("i-3").is_some());
+    assert_eq!(engine(&view, &[]), None);
+}
+
+/// Guards against an old list that makes every instance look gone: chalkline trouble-3, where an
+/// instance of control that had read the list once became the one that entries asked.
+#[test]
+fn older_list_is_ignored() {
+    let mut view = View::new(ZoneName::from("a"));
+    view.list(vec![listed(7, "a")], Some(7), 5_000, 5_100);
+    view.list(vec![listed(1, "a")], Some(1), 200, 9_000);
+    assert_eq!(engine(&view, &[]).as_deref(), Some("i-7"));
+    assert!(view.leaving("i-7").is_none());
+}
+
+/// Guards against copies that take the room of generations once engines are filled.
+#[test]
+fn copies_are_made_only_while_memory_is_free() {
+    let mut view = view(4);
+    let backup = |view: &View| view.choose_backup(&ask(&[]), "i-1");
+    assert!(backup(&view).is_some());
+    for _ in 0..21 {
+        let identity = engine(&view, &[]).unwrap();
+        view.begin(&identity, Some(LONG));
+    }
+    assert!(backup(&view).is_none());
+    assert!(engine(&view, &[]).is_some());
+}
+
+/// Guards against an unreachable instance that gets every call because nothing runs there.
+#[test]
+fn unreachable_instance_is_avoided_for_a_while() {
+    let mut view = view(2);
+    view.observe("i-1", Outcome::Unreachable, 1_000);
+    for random in 0..50 {
+        let chosen = view.choose_plain("model", &[], 1_100, random).unwrap();
+        assert_eq!(&*chosen.identity, "i-2");
+    }
+    // It is still used when no other is left.
+    let excluded: [Arc<str>; 1] = ["i-2".into()];
+    let chosen = view.choose_plain("model", &excluded, 1_100, 0).unwrap();
+    assert_eq!(&*chosen.identity, "i-1");
+    let used = |random| {
+        view.choose_plain("model", &[], 6_000, random)
+            .unwrap()
+            .identity
+    };
+    assert!((0..200).any(|random| &*used(random) == "i-1"));
+}
+
+/// Guards against a grey instance, good by its health check, that keeps its share of the calls.
+#[test]
+fn instance_that_fails_calls_gets_fewer() {
+    let mut view = view(2);
+    for _ in 0..10 {
+        view.observe("i-1", Outcome::Failed, 1_000);
+        view.observe("i-2", Outcome::Answered { took_ms: 30 }, 1_000);
+    }
+    let calls = (0..100).filter(|random| {
+        let chosen = view.choose_plain("model", &[], 1_000, *random).unwrap();
+        &*chosen.identity == "i-1"
+    });
+    assert!(calls.count() < 10);
+}
+
+/// Guards against traffic between zones while an instance of the own zone is free, and against one
+/// zone that is overloaded for it.
+#[test]
+fn own_zone_comes_first_until_it_is_loaded() {
+    let mut view = View::new(ZoneName::from("a"));
+    view.list(vec![listed(1, "a"), listed(2, "b")], Some(1), 0, 0);
+    assert!(view.choose_plain("model", &[], 0, 3).unwrap().same_zone);
+    for _ in 0..60 {
+        view.begin("i-1", None);
+    }
+    assert!(!view.choose_plain("model", &[], 0, 3).unwrap().same_zone);
+}
+
+/// Guards against a hub that counts an entry's own load twice, or that of one that is gone.
+#[test]
+fn hub_tells_the_loads_of_the_others() {
+    let mut hub = Hub::new(0);
+    assert!(hub.list(vec![listed(1, "a")], 0));
+    assert!(!hub.list(vec![listed(1, "a")], 10));
+    let load = Load {
+        identity: "i-1".into(),
+        running: 2,
+        committed_tokens: 8_000,
+        prefill_tokens: 3_000,
+    };
+    let (one, two): (Arc<str>, Arc<str>) = ("entry-1".into(), "entry-2".into());
+    hub.load(&one, vec![load.clone()], 100);
+    hub.load(&two, vec![load], 100);
+    assert_eq!(hub.pulses(&one, 150)[0].committed_tokens, 8_000);
+    hub.load(&one, Vec::new(), 5_000);
+    assert_eq!(hub.entries(), 1);
+    assert!(hub.pulses(&one, 5_000).is_empty());
+    assert!(!hub.report(address(1), report(0, None), 5_000));
+    assert!(hub.report(address(1), report(0, Some(2_000)), 5_100));
+    assert!(!hub.report(address(1), report(0, Some(1_900)), 5_200));
+}
+
+/// Guards against the load of chalkline scale-1: an engine with more generations than its link can
+/// copy loses them all, because the last copies queue behind first ones.
+#[test]
+fn link_gets_only_as_many_copies_as_end_in_time() {
+    let mut turns = Turns::default();
+    let plan = |target| CopyPlan {
+        source: address(1),
+        targets: vec![Target {
+            address: address(target),
+            takes_ms: 230,
+        }],
+        gone_at_ms: Some(1_700),
+    };
+    let granted: Vec<_> = (2..=12)
+        .filter_map(|n| turns.grant(&plan(n), 100))
+        .collect();
+    assert_eq!(granted.len(), 5);
+    for pair in granted.windows(2) {
+        assert!(pair[1].copy_at_ms >= pair[0].copy_at_ms + 230);
+        assert!(pair[1].stop_at_ms > pair[0].stop_at_ms);
+    }
+    let last = granted.last().unwrap();
+    assert!(last.copy_at_ms + 230 <= granted[0].stop_at_ms);
+    assert!(last.stop_at_ms < 1_700);
+}
+
+quickcheck! {
+    /// Guards against two copies at the same time on one link, and against one that ends too late.
+    fn turns_never_overlap_on_a_link(wishes: Vec<(u8, u8, u16, u16)>) -> bool {
+        let mut turns = Turns::default();
+        let mut granted: Vec<(CopyPlan, u64)> = Vec::new();
+        for (source, target, takes_ms, gone_in_ms) in wishes {
+            let (source, target) = (source % 4, 4 + target % 4);
+            let target = Target {
+                address: address(target),
+                takes_ms: u64::from(takes_ms % 600) + 1,
+            };
+            let plan = CopyPlan {
+                source: address(source),
+                targets: vec![target],
+                gone_at_ms: Some(1_000 + u64::from(gone_in_ms % 3_000)),
+            };
+            if let Some(turn) = turns.grant(&plan, 1_000) {
+                granted.push((plan, turn.copy_at_ms));
+            }
+        }
+        granted.iter().enumerate().all(|(position, (plan, at_ms))| {
+            let end_ms = at_ms + plan.targets[0].takes_ms;
+            let in_time = plan.gone_at_ms.is_none_or(|gone_at_ms| end_ms < gone_at_ms);
+            in_time && granted[..position].iter().all(|(other, other_ms)| {
+                let shares = other.source == plan.source || other.targets == plan.targets;
+                let other_end_ms = other_ms + other.targets[0].takes_ms;
+                !shares || other_end_ms <= *at_ms || end_ms <= *other_ms
+            })
+        })
+    }
+}
+
+/// Guards against the load of atlas trouble-2: two engines leave at once, and the copies of the
+/// second one wait for a target that is busy with those of the first while others are free.
+#[test]
+fn copy_goes_to_the_target_where_it_ends_first() {
+    let mut turns = Turns::default();
+    let target = |number, takes_ms| Target {
+        address: address(number),
+        takes_ms,
+    };
+    let plan = |source, targets: &[Target]| CopyPlan {
+        source: address(source),
+        targets: targets.to_vec(),
+        gone_at_ms: Some(1_700),
+    };
+    for _ in 0..3 {
+        turns.grant(&plan(1, &[target(3, 200)]), 0).unwrap();
+    }
+    let turn = turns
+        .grant(&plan(2, &[target(3, 200), target(4, 400)]), 0)
+        .unwrap();
+    assert_eq!((turn.target, turn.copy_at_ms), (address(4), 0));
+}
+
+/// Guards against a copy to another zone, which takes a link twice as long, while an engine beside
+/// the source has room; the entry's own zone does not matter.
+#[test]
+fn targets_are_near_their_source() {
+    let mut view = View::new(ZoneName::from("a"));
+    let all = vec![
+        listed(1, "b"),
+        listed(2, "a"),
+        listed(3, "b"),
+        listed(4, "a"),
+    ];
+    view.list(all, Some(1), 0, 0);
+    let excluded: [Arc<str>; 1] = ["i-1".into()];
+    let targets = view.targets(&ask(&excluded), "i-1", 2);
+    assert_eq!(&*targets[0].identity, "i-3");
+    assert!(targets[0].same_zone && !targets[1].same_zone);
+    assert_eq!(
+        view.choose_backup(&ask(&excluded), "i-1").unwrap().address,
+        address(3)
+    );
+}
+
+/// Guards against callers that wait although room cannot come in time, and against a time to come
+/// back that does not follow the drain.
+#[test]
+fn burst_is_turned_away_beyond_what_drains_in_time() {
+    let mut waiting = Waiting::default();
+    for end in 0..40 {
+        waiting.ended(end * 200);
+    }
+    let limit_ms = Waiting::limit_ms(1_800);
+    assert_eq!(limit_ms, 900);
+    let admitted = (0..20).filter(|_| waiting.join(limit_ms).is_ok()).count();
+    // One generation ends every 200 ms, so some five find room within 900 ms.
+    assert!((4..=6).contains(&admitted), "{admitted}");
+    let retry_after_ms = waiting.join(limit_ms).unwrap_err();
+    assert!((900..=1_300).contains(&retry_after_ms), "{retry_after_ms}");
+    waiting.leave();
+    waiting.leave();
+    assert!(waiting.join(limit_ms).is_ok());
+}
+
+/// Guards against repeats above the budget in any window, and against a budget that never recovers.
+#[test]
+fn repeats_stay_within_the_window() {
+    let mut budget = WindowBudget::new(10_000, 200);
+    for request in 0..100 {
+        budget.request(request * 10);
+    }
+    // Three quarters of 20 + 8.
+    let taken = (0..100).filter(|_| budget.take(8, 1_000)).count();
+    assert_eq!(taken, 21);
+    assert!(!budget.take(8, 9_000));
+    assert!(budget.take(8, 12_000));
+}
--- /dev/null
+++ b/tests/platform_wire.rs
@@ -0,0 +1,179 @@
+//! The platform's words and formats, decoded and encoded.
+
+mod site_support;
+
+use http::HeaderMap;
+use lilacspindle::domain::document::{Access, Index, Repeat};
+use lilacspindle::domain::fleet::ListedState;
+use lilacspindle::platform::{decode_document, decode_instances, decode_report, headers};
+use quickcheck::quickcheck;
+use serde_json::json;
+
+use site_support::document;
+
+/// Guards against a document that loses what it says.
+#[test]
+fn document_is_decoded_into_the_projects_types() {
+    let mut wire = document(7);
+    wire["routes"][2]["trafficSplit"] =
+        json!([{"service": "model", "weight": 90}, {"service": "plain", "weight": 10}]);
+    let decoded = decode_document(wire.to_string().as_bytes()).unwrap();
+    assert_eq!(decoded.version, 7);
+    let kinds: Vec<Repeat> = decoded.routes.iter().map(|route| route.repeat).collect();
+    assert_eq!(kinds, [Repeat::Once, Repeat::Safe, Repeat::Stream]);
+    let stream = &decoded.routes[2];
+    assert_eq!(
+        (stream.timeout_ms, stream.target_ms, stream.gap_target_ms),
+        (4_000, 1_000, Some(180))
+    );
+    assert_eq!(stream.shares.len(), 2);
+    let engine = decoded.services[1].engine.unwrap();
+    assert_eq!(
+        (
+            engine.memory_tokens,
+            engine.bytes_per_token,
+            engine.link_mbps
+        ),
+        (34_000, 163_840, 24_000)
+    );
+    assert_eq!(decoded.workspaces[1].keys.len(), 1);
+}
+
+/// Guards against a report of only the first fault of a document.
+#[test]
+fn every_fault_of_a_document_is_named() {
+    let mut wire = document(1);
+    wire["routes"][0]["timeoutMs"] = json!(0);
+    wire["routes"][0]["service"] = json!("nobody");
+    wire["routes"][1]["pathPrefix"] = json!("no-slash");
+    wire["routes"][2]["kind"] = json!("odd");
+    let text = decode_document(wire.to_string().as_bytes())
+        .unwrap_err()
+        .to_string();
+    for fault in [
+        "above 0 ms",
+        "unknown service nobody",
+        "begin and end with a slash",
+        "\"odd\"",
+    ] {
+        assert!(text.contains(fault), "{fault} is not named in:\n{text}");
+    }
+}
+
+/// Guards against the wrong route, a prefix that only nearly fits, and a split that is not kept.
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let mut wire = document(1);
+    let mut inner = wire["routes"][0].clone();
+    inner["name"] = json!("inner");
+    inner["pathPrefix"] = json!("/once/inner/");
+    wire["routes"].as_array_mut().unwrap().push(inner);
+    wire["routes"][1]["trafficSplit"] =
+        json!([{"service": "plain", "weight": 1}, {"service": "model", "weight": 3}]);
+    let index = Index::new(decode_document(wire.to_string().as_bytes()).unwrap());
+    let name = |host: &str, path: &str| index.route(host, path).map(|route| route.name.to_string());
+    assert_eq!(name("calls.example", "/once/x").as_deref(), Some("once"));
+    assert_eq!(
+        name("calls.example:8080", "/once/inner/x").as_deref(),
+        Some("inner")
+    );
+    assert_eq!(
+        name("calls.example", "/once/inner").as_deref(),
+        Some("once")
+    );
+    assert_eq!(name("calls.example", "/oncex"), None);
+    assert_eq!(name("example", "/once/x"), None);
+    let route = index.route("calls.example", "/safe/x").unwrap();
+    let to_model = (0..400).filter(|n| &**Index::choose_service(route, *n).unwrap() == "model");
+    assert_eq!(to_model.count(), 300);
+}
+
+/// Guards against a key that gives access as another workspace.
+#[test]
+fn keys_name_their_workspace() {
+    let index = Index::new(decode_document(document(1).to_string().as_bytes()).unwrap());
+    let route = index.route("calls.example", "/once/x").unwrap();
+    assert!(
+        matches!(index.access(route, Some("k3")), Access::Workspace(w) if w.name.as_str() == "w2")
+    );
+    assert!(matches!(index.access(route, Some("k4")), Access::Denied));
+    assert!(matches!(index.access(route, None), Access::Denied));
+}
+
+/// Guards against one bad entry that hides the others: entries may come from another writer.
+#[test]
+fn unreadable_entries_of_the_list_are_left_out() {
+    let good = json!({"identifier": "i-1", "service": "s", "address": "10.0.0.1:80", "zone": "z",
+        "version": "v1", "slots": 6, "state": "draining", "coldRemainingMs": 12.5, "new": true});
+    let mut odd = vec![json!(7), json!({"identifier": "i-2"})];
+    for (field, value) in [
+        ("state", json!("resting")),
+        ("address", json!("nowhere")),
+        ("slots", json!("many")),
+        ("identifier", json!(null)),
+    ] {
+        let mut entry = good.clone();
+        entry[field] = value;
+        odd.push(entry);
+    }
+    odd.insert(2, good);
+    let page = json!({"instances": odd, "next": "p-50"}).to_string();
+    let (listed, next) = decode_instances(page.as_bytes()).unwrap();
+    assert_eq!(next.as_deref(), Some("p-50"));
+    assert_eq!(listed.len(), 1);
+    assert_eq!(
+        (listed[0].state, listed[0].cold),
+        (ListedState::Draining, true)
+    );
+    assert!(decode_instances(b"{\"instances\": 4}").is_err());
+}
+
+/// Guards against a notice that is overlooked.
+#[test]
+fn report_tells_when_the_instance_leaves() {
+    let body = json!({"stage": "both", "busy": false, "sequence": 2, "queuedRequests": 1,
+        "activeRequests": 12, "kvCacheUsed": 41_000, "kvCacheTotal": 90_000, "handles": 0,
+        "leaves_ms": 1540.5, "runs": [["id", 10, 2, 5]]});
+    let report = decode_report(body.to_string().as_bytes()).unwrap();
+    assert_eq!(
+        (report.running, report.queued, report.used_tokens),
+        (12, 1, 41_000)
+    );
+    assert_eq!(report.leaves_in_ms, Some(1_540));
+    assert!(report.leaves());
+    assert!(!decode_report(b"{}").unwrap().leaves());
+}
+
+/// Guards against connection headers that are passed on, and against a caller that names a header
+/// of its request there to have it dropped.
+#[test]
+fn connection_headers_concern_one_connection() {
+    let mut caller = HeaderMap::new();
+    for (name, value) in [
+        ("connection", "close, x-private, x-lilacspindle-model"),
+        ("x-private", "1"),
+        ("keep-alive", "timeout=3"),
+        ("te", "trailers"),
+        ("x-lilacspindle-model", "m"),
+        ("x-lilacspindle-request-id", "id"),
+    ] {
+        caller.insert(name, value.parse().unwrap());
+    }
+    let passed = headers::passed_on(&caller);
+    let names: Vec<&str> = passed.keys().map(http::HeaderName::as_str).collect();
+    assert_eq!(names.len(), 2, "{names:?}");
+    assert!(passed.contains_key("x-lilacspindle-model"));
+    assert_eq!(headers::keep_alive_s(&caller), None);
+    caller.insert("connection", "close".parse().unwrap());
+    assert_eq!(headers::keep_alive_s(&caller), Some(0));
+}
+
+quickcheck! {
+    /// Guards against input that makes a decoder panic.
+    fn decoders_take_any_bytes(bytes: Vec<u8>) -> bool {
+        let _ = decode_document(&bytes);
+        let _ = decode_instances(&bytes);
+        let _ = decode_report(&bytes);
+        true
+    }
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -77,3 +77,70 @@
     }
     assert_eq!(documented, Settings::known_keys());
 }
+
+/// Guards against templates of the deploy file that the program does not read.
+#[test]
+fn templates_of_the_deploy_file_are_valid() {
+    for (name, template) in [
+        ("control", include_str!("../deploy/control.ini.tmpl")),
+        ("entry", include_str!("../deploy/entry.ini.tmpl")),
+        ("sidecar", include_str!("../deploy/sidecar.ini.tmpl")),
+    ] {
+        let text = [
+            ("{{nodeName}}", "frontend-a-1"),
+            ("{{zone}}", "a"),
+            ("{{ipAddress}}", "10.1.0.24"),
+            ("{{internalPortRange.0}}", "7200"),
+            ("{{seedNodes}}", "10.1.0.24:8748,10.2.0.20:8748"),
+            ("{{listenAddresses.control}}", "10.1.0.24:8748"),
+            ("{{listenAddresses.front}}", "10.1.0.24:8740"),
+            ("{{listenAddresses.ready}}", "10.1.0.24:8749"),
+            ("{{dataDirectory}}", "/data/control"),
+            ("{{cloud.address}}", "10.200.0.63:8742"),
+            ("{{bootstrap}}", "true"),
+            ("{{app}}", "10.1.0.26:8745"),
+            ("{{bounds.gracePeriodS}}", "8"),
+            ("{{bounds.retryBudgetRatio}}", "0.2"),
+            ("{{bounds.retryBudgetSlack}}", "58"),
+            ("{{bounds.retryWindowS}}", "10"),
+        ]
+        .into_iter()
+        .fold(template.to_owned(), |text, (name, value)| {
+            text.replace(name, value)
+        });
+        assert!(
+            !text.contains("{{"),
+            "unknown placeholder in {name}: {text}"
+        );
+        match Settings::parse(name, &text) {
+            Ok(settings) => {
+                let addresses = settings.control_rpc_addresses();
+                assert!(addresses.iter().all(|address| address.port() == 7_200));
+            }
+            Err(findings) => panic!("{findings}"),
+        }
+    }
+}
+
+/// Guards against faults of the site's roles that are not all reported.
+#[test]
+fn faults_of_site_roles_are_all_named() {
+    let text = "[instance]\nname = a\nzone = z\nrpc_address = 127.0.0.1:1\n\
+        admin_address = 127.0.0.1:2\ncontrol_rpc_port = 70000\n[gateway]\n\
+        http_address = here\ngrace_ms = 1\nretry_ratio = -1\nready = 127.0.0.1:3\n";
+    let findings = Settings::parse("test.ini", text).unwrap_err().to_string();
+    for place in [
+        "test.ini:6 [instance] control_rpc_port",
+        "[instance] control_addresses",
+        "test.ini:8 [gateway] http_address",
+        "test.ini:9 [gateway] grace_ms",
+        "test.ini:10 [gateway] retry_ratio",
+        "test.ini:11 [gateway] ready",
+        "[gateway] ready_address",
+    ] {
+        assert!(
+            findings.contains(place),
+            "{place} is not named in:\n{findings}"
+        );
+    }
+}
--- /dev/null
+++ b/tests/site_documents.rs
@@ -0,0 +1,240 @@
+//! The shared document: published through real control instances, in force at real entries.
+
+mod site_support;
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use site_support::{Reply, Request, Site, answer, client, document, wait_for};
+
+fn named(name: &'static str) -> impl Fn(&Request) -> Vec<Reply> + Send + Sync {
+    move |request| {
+        let headers = [("X-Lilacspindle-Request-Id", request.id())];
+        vec![Reply::Bytes(answer("200 OK", &headers, name.as_bytes()))]
+    }
+}
+
+async fn call(site: &Site, path: &str, key: &str) -> (u16, String) {
+    let sent = client()
+        .get(format!("http://{}{path}", site.caller_address(1)))
+        .header("Host", "calls.example")
+        .header("Authorization", format!("Bearer {key}"));
+    match sent.send().await {
+        Ok(got) => (got.status().as_u16(), got.text().await.unwrap_or_default()),
+        Err(error) => (0, error.to_string()),
+    }
+}
+
+/// Returns a document whose routes lead to `service`.
+fn leading_to(version: u64, service: &str) -> Value {
+    let mut document = document(version);
+    for route in document["routes"].as_array_mut().unwrap() {
+        if route["kind"] != "streaming" {
+            route["service"] = json!(service);
+        }
+    }
+    let services = document["services"].as_array_mut().unwrap();
+    services.push(json!({"name": "other", "healthCheckPath": "/health", "maxConnections": 9}));
+    document
+}
+
+/// Guards against a document that is not the one sent, a lower version that takes effect, a resent
+/// one that is refused, and content sent again under the version held.
+#[tokio::test]
+async fn highest_version_wins_and_is_read_back_as_sent() {
+    let mut site = Site::new(1).await;
+    site.start_control(1, true);
+    let fifth = document(5).to_string().into_bytes();
+    assert_eq!(site.publish_bytes(1, fifth.clone()).await, 200);
+    assert_eq!(site.publish_bytes(1, fifth.clone()).await, 200);
+    assert_eq!(site.publish(1, &document(4)).await, 200);
+    assert_eq!(site.publish(1, &leading_to(5, "other")).await, 200);
+    assert_eq!(site.read_back(1).await, Some(fifth));
+    let ninth = document(9).to_string().into_bytes();
+    assert_eq!(site.publish_bytes(1, ninth.clone()).await, 200);
+    assert_eq!(site.read_back(1).await, Some(ninth));
+}
+
+/// Guards against an invalid document that is acknowledged or in force.
+#[tokio::test]
+async fn invalid_documents_are_refused() {
+    let mut site = Site::new(1).await;
+    site.start_control(1, true);
+    let first = document(1).to_string().into_bytes();
+    assert_eq!(site.publish_bytes(1, first.clone()).await, 200);
+    let change = |change: &dyn Fn(&mut Value)| {
+        let mut document = document(2);
+        change(&mut document);
+        document.to_string().into_bytes()
+    };
+    let cut = document(2).to_string().into_bytes()[..300].to_vec();
+    let cases: [(&str, Vec<u8>); 6] = [
+        ("cut short", cut),
+        (
+            "unknown service",
+            change(&|d| d["routes"][0]["service"] = json!("nobody")),
+        ),
+        (
+            "same place",
+            change(&|d| d["routes"][1]["pathPrefix"] = json!("/once/")),
+        ),
+        (
+            "no weight",
+            change(&|d| {
+                d["routes"][0]["trafficSplit"] = json!([{"service": "plain", "weight": 0}])
+            }),
+        ),
+        (
+            "no time-out",
+            change(&|d| d["routes"][0]["timeoutMs"] = json!(0)),
+        ),
+        (
+            "shared key",
+            change(&|d| d["tenants"][1]["apiKeys"] = json!(["k2"])),
+        ),
+    ];
+    for (what, body) in cases {
+        assert_eq!(site.publish_bytes(1, body).await, 400, "{what}");
+    }
+    assert_eq!(site.read_back(1).await, Some(first));
+}
+
+/// Guards against an entry that obeys an old document, or one that keeps a revoked key.
+#[tokio::test]
+async fn new_document_is_in_force_at_the_entry_within_two_seconds() {
+    let mut site = Site::serving(&leading_to(1, "plain")).await;
+    let _plain = site.upstream("plain", named("plain")).await;
+    let _other = site.upstream("other", named("other")).await;
+    wait_for("the first document is in force", || async {
+        call(&site, "/safe/x", "k2").await == (200, "plain".to_owned())
+    })
+    .await;
+    let mut next = leading_to(2, "other");
+    next["tenants"][0]["apiKeys"] = json!(["k1"]);
+    assert_eq!(site.publish(1, &next).await, 200);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(
+        call(&site, "/safe/x", "k1").await,
+        (200, "other".to_owned())
+    );
+    assert_eq!(call(&site, "/safe/x", "k2").await.0, 401);
+}
+
+/// Guards against an entry that serves with keys it cannot confirm, answers 401 or 404 without a
+/// document, or calls itself ready then.
+#[tokio::test]
+async fn entry_without_control_refuses_truthfully() {
+    let mut site = Site::new(1).await;
+    site.start_entry(1);
+    wait_for("the entry answers", || async {
+        site.readiness(1).await == Some(503)
+    })
+    .await;
+    assert_eq!(call(&site, "/safe/x", "k1").await.0, 503);
+    site.start_control(1, true);
+    assert_eq!(site.publish(1, &document(1)).await, 200);
+    let _plain = site.upstream("plain", named("plain")).await;
+    wait_for("the entry serves", || async {
+        call(&site, "/safe/x", "k1").await.0 == 200
+    })
+    .await;
+    site.kill("control-1");
+    wait_for("keys are not trusted", || async {
+        call(&site, "/safe/x", "k1").await.0 == 503
+    })
+    .await;
+    assert_eq!(site.readiness(1).await, Some(503));
+    site.start_control(1, false);
+    wait_for("the entry serves again", || async {
+        call(&site, "/safe/x", "k1").await.0 == 200
+    })
+    .await;
+}
+
+/// Guards against a core that does not form while a seed is late, that loses an acknowledged
+/// document with one disk, or that does not take a replaced machine in.
+#[tokio::test]
+async fn core_forms_from_its_seeds_and_survives_a_lost_disk() {
+    let mut site = Site::new(3).await;
+    site.start_control(1, true);
+    site.start_control(2, true);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    site.start_control(3, true);
+    // The fourth is not among the seeds.
+    site.start_control(4, true);
+    let first = document(1).to_string().into_bytes();
+    for machine in 1..=4 {
+        assert_eq!(
+            site.publish_bytes(machine, first.clone()).await,
+            200,
+            "machine {machine}"
+        );
+    }
+    site.kill("control-1");
+    std::fs::remove_dir_all(site.data_folder(1)).unwrap();
+    site.start_control(1, false);
+    let second = document(2).to_string().into_bytes();
+    assert_eq!(site.publish_bytes(2, second.clone()).await, 200);
+    for machine in 1..=4 {
+        wait_for("the document is read back", || async {
+            site.read_back(machine).await.as_ref() == Some(&second)
+        })
+        .await;
+    }
+    // All are killed at once; what was acknowledged is on their disks.
+    for machine in 1..=4 {
+        site.kill(&format!("control-{machine}"));
+    }
+    for machine in 1..=4 {
+        site.start_control(machine, false);
+    }
+    wait_for("the document is there again", || async {
+        site.read_back(3).await.as_ref() == Some(&second)
+    })
+    .await;
+}
+
+/// Guards against an instance that answers alone: a minority must neither acknowledge nor answer
+/// reads.
+#[tokio::test]
+async fn minority_answers_neither_reads_nor_documents() {
+    let mut site = Site::new(3).await;
+    for machine in 1..=3 {
+        site.start_control(machine, true);
+    }
+    assert_eq!(site.publish(1, &document(1)).await, 200);
+    site.kill("control-2");
+    site.kill("control-3");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(site.read_back(1).await, None);
+    let url = site.operator_url(1, "/Configuration.Replace");
+    let sent = client()
+        .post(url)
+        .body(document(2).to_string())
+        .send()
+        .await;
+    assert!(sent.is_err() || sent.is_ok_and(|answer| answer.status().is_server_error()));
+}
+
+/// Guards against a replaced core machine that is waited for for ever: the group has to lose two
+/// machines, one after the other, and go on.
+#[tokio::test]
+async fn replaced_machines_do_not_count_against_the_majority() {
+    let mut site = Site::new(3).await;
+    for machine in 1..=3 {
+        site.start_control(machine, true);
+    }
+    assert_eq!(site.publish(1, &document(1)).await, 200);
+    site.start_control(4, false);
+    site.kill("control-1");
+    // A silent voter is removed 8 s after it was heard last.
+    wait_for("the first one is removed", || async {
+        let leads = |n: u8| site.log_lines(&format!("control-{n}"), "member was removed");
+        (2..=4).any(|machine| !leads(machine).is_empty())
+    })
+    .await;
+    site.kill("control-2");
+    assert_eq!(site.publish(3, &document(2)).await, 200);
+    assert_eq!(site.publish(4, &document(3)).await, 200);
+}
--- /dev/null
+++ b/tests/site_path.rs
@@ -0,0 +1,510 @@
+//! Callers' requests through a real entry, against upstream instances that misbehave.
+
+mod site_support;
+
+use std::time::{Duration, Instant};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use site_support::{Reply, Request, Site, answer, client, document, sse, wait_for};
+
+const NOT_RUN: (&str, &str) = ("X-Lilacspindle-Not-Executed", "1");
+
+/// Returns an instance's proper answer to a plain call.
+fn proper(request: &Request) -> Vec<Reply> {
+    let headers = [
+        ("X-Lilacspindle-Request-Id", request.id()),
+        ("X-Lilacspindle-Response-Seal", "seal"),
+    ];
+    vec![Reply::Bytes(answer("200 OK", &headers, b"proper"))]
+}
+
+/// Sends a request as a caller with the key `k1`.
+async fn call(site: &Site, path: &str, id: &str) -> reqwest::Response {
+    caller(site, path, id).send().await.unwrap()
+}
+
+fn caller(site: &Site, path: &str, id: &str) -> reqwest::RequestBuilder {
+    client()
+        .post(format!("http://{}{path}", site.caller_address(1)))
+        .header("Host", "calls.example")
+        .header("Authorization", "Bearer k1")
+        .header("X-Lilacspindle-Request-Id", id)
+        .header("X-Lilacspindle-Deadline-Milliseconds", "3000")
+        .header("X-Lilacspindle-Model", "m")
+        .header("X-Lilacspindle-Token-Usage", "3000,800")
+        .header("X-Lilacspindle-Length-Hint", "800")
+        .body("the body")
+}
+
+/// Waits until the entry knows the instances: until a call no longer finds none.
+async fn wait_routable(site: &Site, path: &str) {
+    wait_for("an instance is known", || async {
+        call(site, path, "warm-up").await.status() != 503
+    })
+    .await;
+}
+
+/// Guards against a request that reaches an instance changed: another body, a caller's own system
+/// headers, the key, no deadline, no expected instance.
+#[tokio::test]
+async fn request_reaches_the_instance_unchanged_but_for_system_headers() {
+    let mut site = Site::serving(&document(1)).await;
+    let upstream = site.upstream("plain", proper).await;
+    wait_routable(&site, "/once/x").await;
+    let sent = caller(&site, "/once/a%2Fb?q=1", "id-1")
+        .header("X-Lilacspindle-Tenant", "somebody")
+        .header("X-Lilacspindle-Hold", "h")
+        .header("X-Lilacspindle-Cache-Backup", "127.0.0.1:1")
+        .header("Kv-From", "127.0.0.1:1/x")
+        .header("X-Own", "kept");
+    let answer = sent.send().await.unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.headers()["x-lilacspindle-response-seal"], "seal");
+    assert_eq!(answer.bytes().await.unwrap(), "proper");
+    let seen = upstream.requests("/once/a%2Fb?q=1");
+    let request = &seen[0];
+    assert_eq!(request.method, "POST");
+    assert_eq!(request.body, b"the body");
+    assert_eq!(request.header("host"), Some("calls.example"));
+    assert_eq!(request.header("x-own"), Some("kept"));
+    assert_eq!(request.header("x-lilacspindle-tenant"), Some("w1"));
+    assert_eq!(
+        request.header("x-lilacspindle-expected-instance"),
+        Some(&*upstream.identity)
+    );
+    let deadline_ms: u64 = request
+        .header("x-lilacspindle-deadline-milliseconds")
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!((2_000..=3_000).contains(&deadline_ms), "{deadline_ms}");
+    for name in [
+        "authorization",
+        "x-lilacspindle-hold",
+        "x-lilacspindle-cache-backup",
+        "kv-from",
+    ] {
+        assert_eq!(request.header(name), None, "{name}");
+    }
+}
+
+/// Guards against a wrong final status for what the document does not allow.
+#[tokio::test]
+async fn denied_requests_get_their_status_at_once() {
+    let mut site = Site::serving(&document(1)).await;
+    let upstream = site.upstream("plain", proper).await;
+    wait_routable(&site, "/once/x").await;
+    let url = |path: &str| format!("http://{}{path}", site.caller_address(1));
+    let status = async |path: &str, host: &str, key: &str, body: Vec<u8>| {
+        let sent = client().post(url(path)).header("Host", host).body(body);
+        let sent = sent.header("Authorization", format!("Bearer {key}"));
+        sent.send().await.unwrap().status().as_u16()
+    };
+    assert_eq!(
+        status("/once/x", "calls.example", "k1", Vec::new()).await,
+        200
+    );
+    assert_eq!(
+        status("/once/x", "other.example", "k1", Vec::new()).await,
+        404
+    );
+    assert_eq!(
+        status("/oncex", "calls.example", "k1", Vec::new()).await,
+        404
+    );
+    assert_eq!(
+        status("/once", "calls.example", "k1", Vec::new()).await,
+        404
+    );
+    assert_eq!(
+        status("/once/x", "calls.example", "unknown", Vec::new()).await,
+        401
+    );
+    assert_eq!(
+        status("/once/x", "calls.example", "k1", vec![0; 70_000]).await,
+        413
+    );
+    let denied = upstream.requests("/").len();
+    assert!(denied <= 2, "{denied} requests reached the instance");
+}
+
+/// Guards against malformed input that is passed on, or that hides a second request.
+#[tokio::test]
+async fn malformed_requests_never_reach_an_instance() {
+    let mut site = Site::serving(&document(1)).await;
+    let upstream = site.upstream("plain", proper).await;
+    wait_routable(&site, "/once/x").await;
+    let head = "POST /once/raw HTTP/1.1\r\nHost: calls.example\r\nAuthorization: Bearer k1\r\n";
+    let long = format!("{head}X-Long: {}\r\n\r\n", "x".repeat(40_000));
+    let cases = [
+        (
+            format!("{head}Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde"),
+            "400",
+        ),
+        (format!("{head}Content-Length: x\r\n\r\n"), "400"),
+        (long, "431"),
+    ];
+    for (bytes, status) in cases {
+        let mut stream = TcpStream::connect(site.caller_address(1)).await.unwrap();
+        // The entry may answer and close before it has read everything.
+        let _ = stream.write_all(bytes.as_bytes()).await;
+        let mut answer = vec![0; 64];
+        let length = stream.read(&mut answer).await.unwrap_or(0);
+        let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
+        assert!(answer.contains(status), "expected {status}, got {answer:?}");
+    }
+    assert!(upstream.requests("/once/raw").is_empty());
+    // With chunks and a length the chunks count, and what is in them is body.
+    let inner = "POST /once/inner HTTP/1.1\r\nHost: calls.example\r\n\r\n";
+    let smuggled = format!(
+        "{head}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{inner}\r\n0\r\n\r\n",
+        inner.len()
+    );
+    let mut stream = TcpStream::connect(site.caller_address(1)).await.unwrap();
+    stream.write_all(smuggled.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 1024];
+    let _ = stream.read(&mut answer).await;
+    assert!(upstream.requests("/once/inner").is_empty());
+    for request in upstream.requests("/once/raw") {
+        assert_eq!(request.body, inner.as_bytes());
+    }
+}
+
+/// Guards against a request that runs twice: its answer is lost after it was read.
+#[tokio::test]
+async fn unrepeatable_call_with_a_lost_answer_is_not_sent_again() {
+    let mut site = Site::serving(&document(1)).await;
+    let script = |request: &Request| match request.path.as_str() {
+        "/once/lost" => vec![Reply::Close],
+        "/once/half" => vec![Reply::Bytes(
+            answer("200 OK", &[], b"0123456789")[..45].to_vec(),
+        )],
+        _ => proper(request),
+    };
+    let first = site.upstream("plain", script).await;
+    let second = site.upstream("plain", script).await;
+    wait_routable(&site, "/once/x").await;
+    for path in ["/once/lost", "/once/half"] {
+        let lost = call(&site, path, "id-lost").await;
+        assert_eq!(lost.status(), if path == "/once/lost" { 502 } else { 504 });
+        assert!(lost.headers().get("x-lilacspindle-response-seal").is_none());
+        let runs = first.requests(path).len() + second.requests(path).len();
+        assert_eq!(runs, 1, "{path}");
+    }
+}
+
+/// Guards against a repeatable call that is given up after one lost answer, and against one that is
+/// sent to more instances than its route allows.
+#[tokio::test]
+async fn repeatable_call_is_sent_to_a_second_instance_only() {
+    let mut site = Site::serving(&document(1)).await;
+    let script = |request: &Request| match request.path.as_str() {
+        "/safe/lost" => vec![Reply::Close],
+        "/safe/fails" => vec![Reply::Bytes(answer(
+            "500 Failed",
+            &[("X-Seal", "s")],
+            b"bad",
+        ))],
+        _ => proper(request),
+    };
+    let mut upstreams = Vec::new();
+    for _ in 0..3 {
+        upstreams.push(site.upstream("plain", script).await);
+    }
+    wait_routable(&site, "/safe/x").await;
+    wait_for("all instances are used", || async {
+        call(&site, "/safe/x", "id-x").await;
+        upstreams
+            .iter()
+            .all(|upstream| !upstream.requests("/safe/x").is_empty())
+    })
+    .await;
+    assert_eq!(call(&site, "/safe/lost", "id-1").await.status(), 502);
+    let failed = call(&site, "/safe/fails", "id-2").await;
+    assert_eq!(failed.status(), 500);
+    assert_eq!(failed.bytes().await.unwrap(), "bad");
+    for path in ["/safe/lost", "/safe/fails"] {
+        let sent: usize = upstreams
+            .iter()
+            .map(|upstream| upstream.requests(path).len())
+            .sum();
+        assert_eq!(sent, 2, "{path}");
+    }
+}
+
+/// Guards against a refusal that is not true, and against giving up while another instance is free.
+#[tokio::test]
+async fn refusals_of_instances_lead_elsewhere_or_to_a_true_refusal() {
+    let mut site = Site::serving(&document(1)).await;
+    let full = site
+        .upstream("plain", |_: &Request| {
+            vec![Reply::Bytes(answer("503 Full", &[NOT_RUN], b""))]
+        })
+        .await;
+    wait_for("the full instance was asked", || async {
+        call(&site, "/once/x", "id-0").await;
+        !full.requests("/").is_empty()
+    })
+    .await;
+    let refused = call(&site, "/once/x", "id-1").await;
+    assert_eq!(refused.status(), 503);
+    let retry_after: f64 = refused.headers()["retry-after"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(retry_after > 0.0 && retry_after < 5.0, "{retry_after}");
+    let free = site.upstream("plain", proper).await;
+    wait_for("the free instance serves", || async {
+        call(&site, "/once/y", "id-2").await.status() == 200
+    })
+    .await;
+    assert!(!free.requests("/once/y").is_empty());
+}
+
+/// Guards against a promise that nobody gave: an instance's 503 that does not say that the request
+/// was not run.
+#[tokio::test]
+async fn unproved_503_of_an_instance_is_not_passed_on() {
+    let mut site = Site::serving(&document(1)).await;
+    let _upstream = site
+        .upstream("plain", |request: &Request| match request.path.as_str() {
+            "/once/x" => vec![Reply::Bytes(answer("503 Odd", &[], b""))],
+            _ => proper(request),
+        })
+        .await;
+    wait_routable(&site, "/once/warm").await;
+    assert_eq!(call(&site, "/once/x", "id-1").await.status(), 502);
+}
+
+/// Guards against an instance that gets requests for the one that had its address before.
+#[tokio::test]
+async fn misdirected_request_leads_to_another_instance() {
+    let mut site = Site::serving(&document(1)).await;
+    let other = site
+        .upstream("plain", |_: &Request| {
+            let headers = [("X-Lilacspindle-Instance-Id", "i-other")];
+            vec![Reply::Bytes(answer(
+                "421 Misdirected Request",
+                &headers,
+                b"",
+            ))]
+        })
+        .await;
+    let right = site.upstream("plain", proper).await;
+    wait_routable(&site, "/once/x").await;
+    for attempt in 0..6 {
+        let id = format!("id-{attempt}");
+        assert_eq!(call(&site, "/once/x", &id).await.status(), 200);
+    }
+    // At most one request found out that the address belongs to another instance.
+    assert!(other.requests("/once/x").len() <= 1);
+    assert!(right.requests("/once/x").len() >= 6);
+}
+
+/// Guards against an answer of another request: a late second answer on a kept connection.
+#[tokio::test]
+async fn extra_answer_on_a_kept_connection_reaches_nobody() {
+    let mut site = Site::serving(&document(1)).await;
+    let _upstream = site
+        .upstream("plain", |request: &Request| {
+            let headers = [("X-Lilacspindle-Request-Id", request.id())];
+            let mut bytes = answer("200 OK", &headers, request.id().as_bytes());
+            bytes.extend_from_slice(&answer("200 OK", &headers, b"extra"));
+            vec![Reply::Bytes(bytes)]
+        })
+        .await;
+    wait_routable(&site, "/once/x").await;
+    for attempt in 0..20 {
+        let id = format!("id-{attempt}");
+        let got = call(&site, "/once/x", &id).await;
+        let status = got.status();
+        let body = got.bytes().await.unwrap();
+        assert!(
+            status == 502 || (status == 200 && body == id),
+            "{status} {body:?}"
+        );
+    }
+}
+
+/// Guards against an answer without length that is lost or cut.
+#[tokio::test]
+async fn answer_without_length_ends_with_its_connection() {
+    let mut site = Site::serving(&document(1)).await;
+    let _upstream = site
+        .upstream("plain", |_: &Request| {
+            let bytes = b"HTTP/1.1 200 OK\r\nX-Lilacspindle-Response-Seal: s\r\n\r\nwhole".to_vec();
+            vec![Reply::Bytes(bytes), Reply::Close]
+        })
+        .await;
+    wait_routable(&site, "/once/x").await;
+    let got = call(&site, "/once/x", "id-1").await;
+    assert_eq!(
+        (got.status().as_u16(), got.bytes().await.unwrap()),
+        (200, "whole".into())
+    );
+}
+
+/// Guards against work for a caller that has left.
+#[tokio::test]
+async fn leaving_caller_is_noticed_at_the_instance() {
+    let mut site = Site::serving(&document(1)).await;
+    let plain = site
+        .upstream("plain", |request: &Request| match request.path.as_str() {
+            "/once/slow" => vec![Reply::AwaitClose],
+            _ => proper(request),
+        })
+        .await;
+    let model = site
+        .upstream("model", |request: &Request| {
+            vec![
+                Reply::Bytes(sse(request.id(), 1..=2, true, false)),
+                Reply::AwaitClose,
+            ]
+        })
+        .await;
+    wait_routable(&site, "/once/x").await;
+    let waiting = caller(&site, "/once/slow", "id-1").timeout(Duration::from_millis(300));
+    assert!(waiting.send().await.is_err());
+    wait_for("the plain call was given up", || async {
+        *plain.abandoned.lock().unwrap() == 1
+    })
+    .await;
+    let mut stream = call(&site, "/stream/x", "id-2").await;
+    assert!(stream.chunk().await.unwrap().is_some());
+    let left_at = Instant::now();
+    drop(stream);
+    wait_for("the stream was given up", || async {
+        *model.abandoned.lock().unwrap() >= 1
+    })
+    .await;
+    assert!(left_at.elapsed() < Duration::from_secs(5));
+}
+
+/// Guards against events that are held back, joined wrongly or lost.
+#[tokio::test]
+async fn stream_is_passed_on_event_by_event() {
+    let mut site = Site::serving(&document(1)).await;
+    let _upstream = site
+        .upstream("model", |request: &Request| {
+            let id = request.id();
+            let rest = sse(id, 2..=3, false, true);
+            let (a, b) = rest.split_at(11);
+            vec![
+                Reply::Bytes(sse(id, 1..=1, true, false)),
+                Reply::Pause(Duration::from_millis(300)),
+                Reply::Bytes(a.to_vec()),
+                Reply::Pause(Duration::from_millis(50)),
+                Reply::Bytes(b.to_vec()),
+            ]
+        })
+        .await;
+    wait_routable(&site, "/stream/x").await;
+    let mut stream = call(&site, "/stream/x", "id-1").await;
+    assert_eq!(
+        stream.chunk().await.unwrap().unwrap(),
+        "id: 1\ndata: piece 1\n\n"
+    );
+    let mut rest = Vec::new();
+    while let Some(chunk) = stream.chunk().await.unwrap() {
+        rest.extend_from_slice(&chunk);
+    }
+    assert_eq!(rest, b"id: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n");
+}
+
+/// Guards against a generation that is lost with its engine although another one holds its memory,
+/// and against pieces that come twice or are missing at the join.
+#[tokio::test]
+async fn broken_stream_goes_on_from_its_copy() {
+    let mut site = Site::serving(&document(1)).await;
+    let script = |request: &Request| {
+        let id = request.id();
+        match request.header("kv-from") {
+            None => vec![Reply::Bytes(sse(id, 1..=3, true, false)), Reply::Close],
+            // The engine may send an event again that was made before.
+            Some(_) => vec![Reply::Bytes(sse(id, 3..=5, true, true))],
+        }
+    };
+    let first = site.upstream("model", script).await;
+    let second = site.upstream("model", script).await;
+    wait_for("both engines are known", || async {
+        let _ = call(&site, "/stream/warm", "warm").await.bytes().await;
+        let all = || {
+            first
+                .requests("/stream/warm")
+                .into_iter()
+                .chain(second.requests("/stream/warm"))
+        };
+        all().any(|request| request.header("x-lilacspindle-cache-backup").is_some())
+    })
+    .await;
+    let got = call(&site, "/stream/x", "id-1").await;
+    let expected: String = (1..=5)
+        .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
+        .collect();
+    assert_eq!(got.text().await.unwrap(), expected);
+    let mut requests = first.requests("/stream/x");
+    requests.extend(second.requests("/stream/x"));
+    assert_eq!(requests.len(), 2);
+    let next = requests
+        .iter()
+        .find(|r| r.header("kv-from").is_some())
+        .unwrap();
+    let begun = requests
+        .iter()
+        .find(|r| r.header("kv-from").is_none())
+        .unwrap();
+    let copy = format!(
+        "{}/id-1",
+        begun.header("x-lilacspindle-cache-backup").unwrap()
+    );
+    assert_eq!(next.header("kv-from"), Some(copy.as_str()));
+    assert_eq!(next.header("last-event-id"), Some("3"));
+}
+
+/// Guards against a stream that looks complete although its engine broke off and nobody holds a copy.
+#[tokio::test]
+async fn broken_stream_without_a_copy_does_not_look_complete() {
+    let mut site = Site::serving(&document(1)).await;
+    let _upstream = site
+        .upstream("model", |request: &Request| {
+            vec![
+                Reply::Bytes(sse(request.id(), 1..=2, true, false)),
+                Reply::Close,
+            ]
+        })
+        .await;
+    wait_routable(&site, "/stream/x").await;
+    let got = call(&site, "/stream/x", "id-1").await;
+    assert_eq!(got.status(), 200);
+    assert!(got.bytes().await.is_err());
+}
+
+/// Guards against a stop that cuts requests, and against an entry that takes itself for ready while
+/// it stops.
+#[tokio::test]
+async fn planned_stop_finishes_open_requests() {
+    let mut site = Site::serving(&document(1)).await;
+    let _upstream = site
+        .upstream("plain", |request: &Request| match request.path.as_str() {
+            "/once/slow" => {
+                let mut replies = vec![Reply::Pause(Duration::from_millis(1_500))];
+                replies.extend(proper(request));
+                replies
+            }
+            _ => proper(request),
+        })
+        .await;
+    wait_routable(&site, "/once/x").await;
+    let slow = tokio::spawn(caller(&site, "/once/slow", "id-1").send());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.signal("entry-1", "TERM");
+    wait_for("the entry is not ready", || async {
+        site.readiness(1).await != Some(200)
+    })
+    .await;
+    assert_eq!(slow.await.unwrap().unwrap().status(), 200);
+    assert!(site.ended("entry-1", Duration::from_secs(10)).await);
+}
--- /dev/null
+++ b/tests/site_support/mod.rs
@@ -0,0 +1,361 @@
+//! A site on loopback: real control and entry processes in front of scripted upstream instances and
+//! a stand-in of the platform's list, all written here from the platform's published protocol.
+
+// Each test program uses a part of this module.
+#![allow(dead_code)]
+
+mod replica;
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+// As above, for the re-exports.
+#[allow(unused_imports)]
+pub use replica::{Reply, Request, Upstream, answer, sse};
+
+/// Time in which a started site has to serve. Debug builds on a busy machine need some.
+pub const READY_LIMIT: Duration = Duration::from_secs(30);
+const RPC_PORT: u16 = 7_200;
+const OPERATOR_PORT: u16 = 7_201;
+const CALLER_PORT: u16 = 7_202;
+const READY_PORT: u16 = 7_203;
+const ADMIN_PORT: u16 = 7_204;
+const ENTRY_ADMIN_PORT: u16 = 7_205;
+const LIST_PORT: u16 = 7_206;
+const FIRST_UPSTREAM_PORT: u16 = 7_300;
+
+/// The instances that the platform lists.
+pub type List = Arc<Mutex<Vec<Value>>>;
+
+/// The processes of a site. They are killed when the test ends.
+pub struct Site {
+    pub folder: PathBuf,
+    pub list: List,
+    network: [u8; 2],
+    processes: BTreeMap<String, Child>,
+    seeds: Vec<SocketAddr>,
+    upstreams: u16,
+    _list_server: Upstream,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        for child in self.processes.values_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Returns a part of the loopback network that no other test uses.
+fn free_network() -> [u8; 2] {
+    loop {
+        let network = [64 + rand::random::<u8>() % 128, rand::random()];
+        let address = SocketAddr::from(([127, network[0], network[1], 1], LIST_PORT));
+        if TcpListener::bind(address).is_ok() {
+            return network;
+        }
+    }
+}
+
+impl Site {
+    /// Returns a site without processes; `seeds` control instances are named in its settings.
+    pub async fn new(seeds: u8) -> Self {
+        let network = free_network();
+        let folder = std::env::temp_dir().join(format!(
+            "lilac-site-{}-{}-{}",
+            std::process::id(),
+            network[0],
+            network[1]
+        ));
+        std::fs::create_dir_all(&folder).unwrap();
+        let list = List::default();
+        let listed = Arc::clone(&list);
+        let list_address = SocketAddr::from(([127, network[0], network[1], 1], LIST_PORT));
+        let server = Upstream::start(list_address, move |_| {
+            let body = json!({"instances": *listed.lock().unwrap(), "next": null}).to_string();
+            vec![Reply::Bytes(answer("200 OK", &[], body.as_bytes()))]
+        })
+        .await;
+        let mut site = Self {
+            folder,
+            list,
+            network,
+            processes: BTreeMap::new(),
+            seeds: Vec::new(),
+            upstreams: 0,
+            _list_server: server,
+        };
+        site.seeds = (1..=seeds)
+            .map(|n| site.address(n, OPERATOR_PORT))
+            .collect();
+        site
+    }
+
+    fn ip(&self, machine: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(
+            127,
+            self.network[0],
+            self.network[1],
+            machine,
+        ))
+    }
+
+    fn address(&self, machine: u8, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip(machine), port)
+    }
+
+    fn instance_lines(&self, name: &str, machine: u8, rpc: u16, admin: u16) -> String {
+        let seeds: Vec<String> = self.seeds.iter().map(ToString::to_string).collect();
+        format!(
+            "[instance]\nname = {name}\nzone = z1\nrpc_address = {}\nadmin_address = {}\n\
+             control_addresses = {}\ncontrol_rpc_port = {RPC_PORT}\n",
+            self.address(machine, rpc),
+            self.address(machine, admin),
+            seeds.join(",")
+        )
+    }
+
+    /// Starts, or starts again, the control instance of a machine.
+    pub fn start_control(&mut self, machine: u8, may_form: bool) {
+        let name = format!("control-{machine}");
+        let text = format!(
+            "{}[directory]\noperator_address = {}\ndata_folder = {}\nlist_address = {}\n\
+             may_form = {may_form}\n",
+            self.instance_lines(&name, machine, RPC_PORT, ADMIN_PORT),
+            self.address(machine, OPERATOR_PORT),
+            self.data_folder(machine).display(),
+            self.address(1, LIST_PORT),
+        );
+        self.start(&name, &text);
+    }
+
+    /// Returns where a control instance keeps its log.
+    pub fn data_folder(&self, machine: u8) -> PathBuf {
+        self.folder.join(format!("data-{machine}"))
+    }
+
+    /// Starts the entry of a machine.
+    pub fn start_entry(&mut self, machine: u8) {
+        let name = format!("entry-{machine}");
+        let text = format!(
+            "{}[gateway]\nhttp_address = {}\nready_address = {}\nlist_address = {}\n\
+             grace_ms = 5000\n",
+            self.instance_lines(&name, machine, 7_207, ENTRY_ADMIN_PORT),
+            self.address(machine, CALLER_PORT),
+            self.address(machine, READY_PORT),
+            self.address(1, LIST_PORT),
+        );
+        self.start(&name, &text);
+    }
+
+    fn start(&mut self, name: &str, settings: &str) {
+        self.kill(name);
+        let file = self.folder.join(format!("{name}.ini"));
+        std::fs::write(&file, settings).unwrap();
+        let log = self.folder.join(format!("{name}.log"));
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log)
+            .unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_lilacspindled"))
+            .arg("run")
+            .arg(&file)
+            .stdout(Stdio::from(log.try_clone().unwrap()))
+            .stderr(Stdio::from(log))
+            .spawn()
+            .unwrap();
+        self.processes.insert(name.to_owned(), child);
+    }
+
+    /// Kills a process.
+    pub fn kill(&mut self, name: &str) {
+        if let Some(mut child) = self.processes.remove(name) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends a signal to a process.
+    pub fn signal(&self, name: &str, signal: &str) {
+        let pid = self.processes[name].id().to_string();
+        let sent = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(pid)
+            .status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// Returns true once a process has ended within `limit`.
+    pub async fn ended(&mut self, name: &str, limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
+        let child = self.processes.get_mut(name).unwrap();
+        while Instant::now() < deadline {
+            if child.try_wait().unwrap().is_some() {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        false
+    }
+
+    /// Starts an upstream instance and lists it.
+    pub async fn upstream(
+        &mut self,
+        service: &str,
+        script: impl Fn(&Request) -> Vec<Reply> + Send + Sync + 'static,
+    ) -> Upstream {
+        self.upstreams += 1;
+        let address = self.address(1, FIRST_UPSTREAM_PORT + self.upstreams);
+        let upstream = Upstream::start(address, script).await;
+        self.list
+            .lock()
+            .unwrap()
+            .push(listed(service, &upstream, "ready"));
+        upstream
+    }
+
+    /// Returns the URL of an operator's call.
+    pub fn operator_url(&self, machine: u8, path: &str) -> String {
+        format!("http://{}{path}", self.address(machine, OPERATOR_PORT))
+    }
+
+    /// Returns where callers connect.
+    pub fn caller_address(&self, machine: u8) -> SocketAddr {
+        self.address(machine, CALLER_PORT)
+    }
+
+    /// Returns the status of the entry's readiness.
+    pub async fn readiness(&self, machine: u8) -> Option<u16> {
+        let url = format!("http://{}/readiness", self.address(machine, READY_PORT));
+        Some(client().get(url).send().await.ok()?.status().as_u16())
+    }
+
+    /// Waits until an entry serves.
+    pub async fn wait_ready(&self, machine: u8) {
+        let what = format!("entry-{machine} is ready");
+        wait_for(&what, || async {
+            self.readiness(machine).await == Some(200)
+        })
+        .await;
+    }
+
+    /// Publishes a document and returns the status. Waits until control answers at all.
+    pub async fn publish(&self, machine: u8, document: &Value) -> u16 {
+        self.publish_bytes(machine, document.to_string().into_bytes())
+            .await
+    }
+
+    /// Publishes bytes as a document.
+    pub async fn publish_bytes(&self, machine: u8, body: Vec<u8>) -> u16 {
+        let deadline = Instant::now() + READY_LIMIT;
+        let url = self.operator_url(machine, "/Configuration.Replace");
+        loop {
+            let sent = client().post(&url).body(body.clone()).send().await;
+            match sent.map(|answer| answer.status().as_u16()) {
+                Ok(status) if status < 500 => return status,
+                other if Instant::now() > deadline => panic!("no answer from control: {other:?}"),
+                _ => tokio::time::sleep(Duration::from_millis(50)).await,
+            }
+        }
+    }
+
+    /// Reads the document back; returns none without a clear answer.
+    pub async fn read_back(&self, machine: u8) -> Option<Vec<u8>> {
+        let url = self.operator_url(machine, "/Configuration.Read");
+        let answer = client().get(url).send().await.ok()?;
+        match answer.status().as_u16() {
+            200 => Some(answer.bytes().await.ok()?.to_vec()),
+            _ => None,
+        }
+    }
+
+    /// Starts one control instance and one entry, and puts a document in force.
+    pub async fn serving(document: &Value) -> Self {
+        let mut site = Self::new(1).await;
+        site.start_control(1, true);
+        site.start_entry(1);
+        assert_eq!(site.publish(1, document).await, 200);
+        site.wait_ready(1).await;
+        site
+    }
+
+    /// Returns the log lines of a process that contain a text.
+    pub fn log_lines(&self, name: &str, text: &str) -> Vec<String> {
+        let log = std::fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap();
+        log.lines()
+            .filter(|line| line.contains(text))
+            .map(str::to_owned)
+            .collect()
+    }
+}
+
+/// Waits until something holds; fails after `READY_LIMIT`.
+pub async fn wait_for<F, Fut>(what: &str, holds: F)
+where
+    F: Fn() -> Fut,
+    Fut: Future<Output = bool>,
+{
+    let deadline = Instant::now() + READY_LIMIT;
+    while !holds().await {
+        assert!(Instant::now() < deadline, "not in time: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Returns an HTTP client that keeps no connections.
+pub fn client() -> reqwest::Client {
+    reqwest::Client::builder()
+        .pool_max_idle_per_host(0)
+        .timeout(Duration::from_secs(10))
+        .build()
+        .unwrap()
+}
+
+/// Returns an entry of the platform's list.
+pub fn listed(service: &str, upstream: &Upstream, state: &str) -> Value {
+    json!({
+        "identifier": &*upstream.identity, "service": service,
+        "address": upstream.address.to_string(), "zone": "z1", "version": "v1", "slots": 24,
+        "state": state, "coldRemainingMs": 0,
+    })
+}
+
+/// Returns a document with a route of each kind on the host `calls.example`.
+pub fn document(version: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
+        json!({
+            "name": name, "host": "calls.example", "pathPrefix": prefix, "kind": kind,
+            "timeoutMs": 4000, "targetLatencyMs": 1000, "priority": 1, "service": service,
+            "maxAttempts": attempts, "allowAnonymous": false, "gapTargetMs": 180,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("once", "/once/", "unsafe", "plain", 1),
+            route("safe", "/safe/", "safe", "plain", 2),
+            route("stream", "/stream/", "streaming", "model", 1),
+        ],
+        "services": [
+            {"name": "plain", "healthCheckPath": "/health", "maxConnections": 100},
+            {"name": "model", "healthCheckPath": "/health", "maxConnections": 100, "engine": {
+                "slots": 24, "kvCacheTokens": 34_000, "kvBytes": 163_840, "linkMbps": 24_000.0,
+                "moves": true, "backups": true, "stride": 4, "most": 12, "pinMs": 4000.0,
+                "holdMs": 2000.0, "handleS": 5.0, "models": [{"name": "m"}],
+            }},
+        ],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15_000},
+        "tenants": [{"name": "w1", "apiKeys": ["k1", "k2"], "priority": 1},
+            {"name": "w2", "apiKeys": ["k3"], "priority": 1}],
+    })
+}
