--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -46,6 +46,9 @@
 const AVERAGE_OVER: f64 = 12.0;
 /// Expected time of a plain call before one was measured.
 const FIRST_PLAIN_MS: f64 = 30.0;
+/// Time in which what was learned of an instance counts half. Without it an instance that failed
+/// once would never be tried again while others are free.
+const MEMORY_HALF_LIFE_MS: f64 = 3_000.0;
 /// An instance that fails all its requests counts as this many times as slow.
 const FAILURE_WEIGHT: f64 = 12.0;
 
@@ -127,6 +130,8 @@
     failures_in_row: u32,
     average_ms: f64,
     failure_rate: f64,
+    /// When the last request ended.
+    observed_ms: u64,
 }
 
 impl Instance {
@@ -142,6 +147,7 @@
             failures_in_row: 0,
             average_ms: FIRST_PLAIN_MS,
             failure_rate: 0.0,
+            observed_ms: 0,
         }
     }
 
@@ -167,6 +173,14 @@
         self.prefill_tokens + self.others.as_ref().map_or(0, |pulse| pulse.prefill_tokens)
     }
 
+    /// Returns the expected time of a plain call on an idle instance.
+    fn expected_ms(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.observed_ms) as f64;
+        let kept = (-age_ms / MEMORY_HALF_LIFE_MS).exp2();
+        let average_ms = FIRST_PLAIN_MS + (self.average_ms - FIRST_PLAIN_MS) * kept;
+        average_ms * (1.0 + FAILURE_WEIGHT * self.failure_rate * kept)
+    }
+
     /// Returns true if the memory in use, as last reported, leaves room for so many tokens. Copies
     /// that nobody takes up are not counted in what entries have placed.
     fn holds_now(&self, tokens: u64, memory_tokens: u64) -> bool {
@@ -314,8 +328,7 @@
         let score = |instance: &Instance| {
             let waiting =
                 f64::from(instance.total_running()) / f64::from(instance.listed.slots.max(1));
-            let slowness = 1.0 + FAILURE_WEIGHT * instance.failure_rate;
-            let time_ms = instance.average_ms * slowness * (1.0 + waiting);
+            let time_ms = instance.expected_ms(now_ms) * (1.0 + waiting);
             let avoided = if instance.avoid_until_ms > now_ms {
                 1e6
             } else {
@@ -471,6 +484,7 @@
         if outcome != Outcome::Unreachable {
             instance.failures_in_row = 0;
         }
+        instance.observed_ms = now_ms;
         instance.failure_rate += (failed - instance.failure_rate) / AVERAGE_OVER;
     }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -119,7 +119,9 @@
 
 /// Returns how long the sender keeps an idle connection; 0 if it closes it now.
 pub fn keep_alive_s(headers: &HeaderMap) -> Option<u64> {
-    if text(headers, &header::CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close")) {
+    let connection = text(headers, &header::CONNECTION).unwrap_or_default();
+    let mut options = connection.split(',').map(str::trim);
+    if options.any(|option| option.eq_ignore_ascii_case("close")) {
         return Some(0);
     }
     let parts = text(headers, &KEEP_ALIVE)?.split(',');
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -36,8 +36,6 @@
 /// Time for an engine that holds a copy to take the generation up.
 const CONTINUE_LIMIT: Duration = Duration::from_secs(1);
 
-/// Generations that are expected to be shorter keep no copy: they end before it would be of use.
-const BACKUP_MIN_OUTPUT_TOKENS: u64 = 100;
 /// Time from the first event until the copy can be expected to hold the prompt: half a gigabyte
 /// over a link of 3 GB/s, behind others. An engine was seen to have no copy after 400 ms.
 const BACKUP_FIRST_MS: u64 = 1_200;
@@ -201,7 +199,7 @@
         engine: EngineSpec,
         source: &Ticket,
     ) -> Option<Ticket> {
-        if !engine.backups || job.demand.output_tokens < BACKUP_MIN_OUTPUT_TOKENS {
+        if !engine.backups || !job.is_long() {
             return None;
         }
         let excluded = [Arc::clone(&source.identity)];
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -56,7 +56,7 @@
 const MIN_HEADER_BYTES: usize = 8_192;
 /// After SIGTERM new connections are still served for this long: the platform needs two failed
 /// probes, a second apart, to send them elsewhere.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_secs(3);
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_500);
 
 /// The gateway role of one process.
 pub struct Gateway {
@@ -79,6 +79,8 @@
     room_news: Notify,
     metrics: Metrics,
     stopping: watch::Sender<bool>,
+    /// True once requests that still come are refused.
+    closed: watch::Sender<bool>,
     /// One receiver for each open connection.
     open: watch::Sender<()>,
 }
@@ -106,6 +108,7 @@
             room_news: Notify::new(),
             metrics: Metrics::new(),
             stopping: watch::Sender::new(false),
+            closed: watch::Sender::new(false),
             open: watch::Sender::new(()),
         });
         let listener = TcpListener::bind(settings.http_address).await?;
@@ -137,6 +140,7 @@
         self.stopping.send_replace(true);
         let done = async {
             sleep(ACCEPT_AFTER_STOP.min(grace)).await;
+            self.closed.send_replace(true);
             self.open.closed().await;
         };
         if timeout(grace, done).await.is_err() {
@@ -196,8 +200,13 @@
     }
 
     async fn accept(self: Arc<Self>, listener: TcpListener) {
+        let mut closed = self.closed.subscribe();
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = is_set(&mut closed) => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     tokio::spawn(Arc::clone(&self).serve(stream));
                 }
@@ -235,7 +244,7 @@
         tokio::pin!(connection);
         let ended = tokio::select! {
             ended = &mut connection => ended,
-            () = stopped(&mut stopping) => {
+            () = is_set(&mut stopping) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -246,8 +255,8 @@
     }
 }
 
-/// Returns once the gateway is stopping.
-async fn stopped(stopping: &mut watch::Receiver<bool>) {
+/// Returns once a flag of the gateway is set.
+async fn is_set(flag: &mut watch::Receiver<bool>) {
     // The gateway holds the sender for as long as it serves connections.
-    let _ = stopping.wait_for(|stopping| *stopping).await;
+    let _ = flag.wait_for(|set| *set).await;
 }
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -19,6 +19,9 @@
 /// When a caller should come back that met a gateway without a document, which it learns within a
 /// second of its start.
 const NO_DOCUMENT_RETRY_MS: u64 = 500;
+/// When a caller should come back that met a gateway which stops; the balancer sends it elsewhere
+/// two seconds after the stop at the latest.
+const LEAVING_RETRY_MS: u64 = 600;
 /// When a caller should come back whose key cannot be checked; another gateway may know.
 const UNCONFIRMED_RETRY_MS: u64 = 300;
 /// Answers without a tokens header are expected to be this long.
@@ -27,6 +30,9 @@
 /// The least urgent rank that engines take.
 const MOST_PRIORITY: u32 = 9;
 
+/// Generations that are expected to be shorter end within a second.
+const LONG_OUTPUT_TOKENS: u64 = 100;
+
 /// A request that may be passed on.
 pub(super) struct Job {
     pub(super) id: Arc<str>,
@@ -46,6 +52,12 @@
 }
 
 impl Job {
+    /// Returns true for a generation that may outlast the grace time of a planned stop, and is worth
+    /// a copy of its memory.
+    pub(super) fn is_long(&self) -> bool {
+        self.engine.is_some() && self.demand.output_tokens >= LONG_OUTPUT_TOKENS
+    }
+
     /// Returns the milliseconds left until the deadline.
     pub(super) fn left_ms(&self) -> u64 {
         let left = self.deadline.saturating_duration_since(Instant::now());
@@ -108,6 +120,10 @@
             Err(refusal) => return self.refuse(&id, Some(&route), &refusal, arrived),
         };
         self.with_budget(&job.service, |budget| budget.request(monotonic_ms()));
+        if job.is_long() && *self.stopping.borrow() {
+            let refusal = Refusal::not_run("leaving", LEAVING_RETRY_MS);
+            return self.refuse(&id, Some(&route), &refusal, arrived);
+        }
         let result = match (job.route.repeat, job.engine) {
             (Repeat::Stream, Some(engine)) => Arc::clone(&self).generate(job, engine).await,
             _ => self.call(&job).await,
@@ -143,6 +159,9 @@
 
     /// Returns what a request is allowed to be sent to.
     fn admit(&self, request: &Request<Incoming>) -> Result<Admitted, Refusal> {
+        if *self.closed.borrow() {
+            return Err(Refusal::not_run("leaving", LEAVING_RETRY_MS));
+        }
         let Some(index) = self.index.borrow().clone() else {
             return Err(Refusal::not_run("no_document", NO_DOCUMENT_RETRY_MS));
         };
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -163,9 +163,11 @@
     let names: Vec<&str> = passed.keys().map(http::HeaderName::as_str).collect();
     assert_eq!(names.len(), 2, "{names:?}");
     assert!(passed.contains_key("x-lilacspindle-model"));
-    assert_eq!(headers::keep_alive_s(&caller), None);
-    caller.insert("connection", "close".parse().unwrap());
     assert_eq!(headers::keep_alive_s(&caller), Some(0));
+    caller.insert("connection", "keep-alive".parse().unwrap());
+    assert_eq!(headers::keep_alive_s(&caller), Some(3));
+    caller.remove("keep-alive");
+    assert_eq!(headers::keep_alive_s(&caller), None);
 }
 
 quickcheck! {
--- a/tests/site_documents.rs
+++ b/tests/site_documents.rs
@@ -82,7 +82,7 @@
         (
             "no weight",
             change(&|d| {
-                d["routes"][0]["trafficSplit"] = json!([{"service": "plain", "weight": 0}])
+                d["routes"][0]["trafficSplit"] = json!([{"service": "plain", "weight": 0}]);
             }),
         ),
         (
--- a/tests/site_path.rs
+++ b/tests/site_path.rs
@@ -505,6 +505,13 @@
         site.readiness(1).await != Some(200)
     })
     .await;
+    // A generation that would outlast the stop is refused, as not run.
+    let long = call(&site, "/stream/x", "id-2").await;
+    assert_eq!(long.status(), 503);
+    assert!(long.headers().contains_key("retry-after"));
     assert_eq!(slow.await.unwrap().unwrap().status(), 200);
+    // After the platform has had time to send callers elsewhere, nothing new is taken.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(caller(&site, "/once/late", "id-3").send().await.is_err());
     assert!(site.ended("entry-1", Duration::from_secs(10)).await);
 }
--- a/tests/site_support/replica.rs
+++ b/tests/site_support/replica.rs
@@ -130,8 +130,8 @@
         }
         read_more(stream, held).await?;
     };
-    let head = String::from_utf8_lossy(&held[..head_end]).into_owned();
-    let mut lines = head.lines();
+    let text = String::from_utf8_lossy(&held[..head_end]).into_owned();
+    let mut lines = text.lines();
     let mut words = lines.next()?.split(' ');
     let (method, path) = (words.next()?.to_owned(), words.next()?.to_owned());
     let headers: Vec<(String, String)> = lines
