Serve one request on connections that come during a stop; let short generations use the reserve

Cause: a connection accepted after SIGTERM was closed before its request was read. Adds lilacspindle explain, and repeats the first edit of standalone until a replica has reported.

--- a/src/bin/lilacspindle/cli.rs
+++ b/src/bin/lilacspindle/cli.rs
@@ -54,6 +54,14 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
+    /// Show the way of one request through the log files of processes, in order of time
+    Explain {
+        /// The id of the request, as the caller sent it
+        request: String,
+        /// Log files, best of all entries and control instances
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
     /// Drive load and measure; each figure of docs/measurements.md names its command
     #[command(subcommand)]
     Bench(Bench),
--- a/src/bin/lilacspindle/cmd/mod.rs
+++ b/src/bin/lilacspindle/cmd/mod.rs
@@ -19,6 +19,7 @@
 mod bench;
 mod check;
 mod drain;
+mod explain;
 mod status;
 mod table;
 
@@ -46,6 +47,7 @@
     let options = &cli.options;
     match &cli.command {
         Command::Check { files } => check::run(options, files),
+        Command::Explain { request, files } => explain::run(request, files),
         // The measurements start runtimes of their own.
         Command::Bench(command) => bench::run(options, command),
         Command::Capacity(arguments) => bench::capacity(arguments),
--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -17,6 +17,10 @@
 /// Part of an engine's memory that is planned for, in hundredths. The rest absorbs answers that are
 /// longer than their estimate.
 const PLANNED_MEMORY_PERCENT: u64 = 92;
+/// The same for short generations: they are over before the long ones beside them have grown.
+const SHORT_MEMORY_PERCENT: u64 = 110;
+/// Generations that are expected to produce less end within a second.
+const LONG_OUTPUT_TOKENS: u64 = 100;
 /// The same for generations that are moved, of which much would be lost. Few generations reach
 /// their full length at the same time.
 const MOVE_MEMORY_PERCENT: u64 = 105;
@@ -64,6 +68,11 @@
     pub fn total_tokens(&self) -> u64 {
         self.prompt_tokens + self.output_tokens
     }
+
+    /// Returns true for a generation that takes longer than about a second.
+    pub fn is_long(&self) -> bool {
+        self.output_tokens >= LONG_OUTPUT_TOKENS
+    }
 }
 
 /// What an engine is looked for.
@@ -350,7 +359,10 @@
     /// the shortest expected wait for the first token. Returns none if no engine has room.
     pub fn choose_engine(&self, ask: &Ask<'_>) -> Option<Placed> {
         let wanted = Wanted {
-            planned_percent: PLANNED_MEMORY_PERCENT,
+            planned_percent: match ask.demand.is_long() {
+                true => PLANNED_MEMORY_PERCENT,
+                false => SHORT_MEMORY_PERCENT,
+            },
             near: &self.zone,
             zone_penalty_ms: ZONE_PENALTY_MS,
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod bench;
 pub mod capacity;
 pub mod domain;
+pub mod explain;
 pub mod findings;
 pub mod model;
 pub mod platform;
--- a/src/roles/daemon/standalone.rs
+++ b/src/roles/daemon/standalone.rs
@@ -4,8 +4,10 @@
 use std::path::Path;
 use std::time::Duration;
 
+use tokio::time::sleep;
+
 use crate::adapters::clock::unix_ms;
-use crate::domain::state::{Command, EditId, Response, RowChange};
+use crate::domain::state::{Command, EditId, EditRefusal, Response, RowChange};
 use crate::domain::table::{KindRow, ModelRow, Row, RowKey, ServiceRow, Target, WorkspaceRow};
 use crate::findings::Findings;
 use crate::model::{KindName, ModelName, ServiceName, TableVersion, WorkspaceName};
@@ -15,6 +17,10 @@
 
 /// Limit of the edit that creates the first rows; a new cluster needs an election first.
 const EDIT_LIMIT: Duration = Duration::from_secs(10);
+/// Attempts to create the first rows, and the pause between them: 10 s in all, within which the
+/// stand-in's version is reported.
+const FIRST_ROWS_ATTEMPTS: u32 = 50;
+const FIRST_ROWS_PAUSE: Duration = Duration::from_millis(200);
 
 /// Returns settings for one process with every role, its stand-ins at the given addresses.
 pub fn standalone_settings(
@@ -59,21 +65,38 @@
     Settings::parse("built-in settings", &text)
 }
 
-/// Creates the rows of a trial if the table is empty.
+/// Creates the rows of a trial if the table is empty. A row that names a version of a model is
+/// refused until a replica has reported that version, which takes a moment after the start.
 pub(super) async fn create_first_rows(subscriber: &Subscriber) -> Result<(), SubmitError> {
-    let command = Command::Edit {
-        id: EditId("standalone-first-rows".to_owned()),
-        author: "standalone".to_owned(),
-        base: TableVersion::default(),
-        changes: first_rows(),
-        now_ms: unix_ms(),
-    };
-    match subscriber.submit(&command, EDIT_LIMIT).await? {
-        Response::Edit(Ok(version)) => tracing::info!(%version, "the table has its first rows"),
-        // A table from an earlier run is kept.
-        answer => tracing::info!(?answer, "the table is kept as it is"),
+    let mut attempt = 0;
+    loop {
+        attempt += 1;
+        let command = Command::Edit {
+            // An edit that is sent again under its id gets its first answer again.
+            id: EditId(format!("standalone-first-rows-{attempt}")),
+            author: "standalone".to_owned(),
+            base: TableVersion::default(),
+            changes: first_rows(),
+            now_ms: unix_ms(),
+        };
+        match subscriber.submit(&command, EDIT_LIMIT).await? {
+            Response::Edit(Ok(version)) => {
+                tracing::info!(%version, "the table has its first rows");
+                return Ok(());
+            }
+            Response::Edit(Err(EditRefusal::Invalid(findings)))
+                if attempt < FIRST_ROWS_ATTEMPTS =>
+            {
+                tracing::info!(%findings, attempt, "the first rows are refused; trying again");
+                sleep(FIRST_ROWS_PAUSE).await;
+            }
+            // A table from an earlier run is kept.
+            answer => {
+                tracing::info!(?answer, "the table is kept as it is");
+                return Ok(());
+            }
+        }
     }
-    Ok(())
 }
 
 fn first_rows() -> Vec<RowChange> {
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -223,7 +223,13 @@
         let _ = stream.set_nodelay(true);
         let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(CALLER_SILENCE_LIMIT));
         let _open = self.open.subscribe();
-        let mut stopping = self.stopping.subscribe();
+        // A connection that comes while the gateway stops is served one request.
+        let kept = !*self.stopping.borrow();
+        let mut close = if kept {
+            self.stopping.subscribe()
+        } else {
+            self.closed.subscribe()
+        };
         let limits = self
             .index
             .borrow()
@@ -238,13 +244,14 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
+            .keep_alive(kept)
             .header_read_timeout(Duration::from_millis(idle_ms.max(1)))
             .max_buf_size(header_bytes.max(MIN_HEADER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         let ended = tokio::select! {
             ended = &mut connection => ended,
-            () = is_set(&mut stopping) => {
+            () = is_set(&mut close) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -30,9 +30,6 @@
 /// The least urgent rank that engines take.
 const MOST_PRIORITY: u32 = 9;
 
-/// Generations that are expected to be shorter end within a second.
-const LONG_OUTPUT_TOKENS: u64 = 100;
-
 /// A request that may be passed on.
 pub(super) struct Job {
     pub(super) id: Arc<str>,
@@ -55,7 +52,7 @@
     /// Returns true for a generation that may outlast the grace time of a planned stop, and is worth
     /// a copy of its memory.
     pub(super) fn is_long(&self) -> bool {
-        self.engine.is_some() && self.demand.output_tokens >= LONG_OUTPUT_TOKENS
+        self.engine.is_some() && self.demand.is_long()
     }
 
     /// Returns the milliseconds left until the deadline.
--- a/tests/site_path.rs
+++ b/tests/site_path.rs
@@ -422,6 +422,7 @@
     let script = |request: &Request| {
         let id = request.id();
         match request.header("kv-from") {
+            _ if request.path != "/stream/x" => vec![Reply::Bytes(sse(id, 1..=1, true, true))],
             None => vec![Reply::Bytes(sse(id, 1..=3, true, false)), Reply::Close],
             // The engine may send an event again that was made before.
             Some(_) => vec![Reply::Bytes(sse(id, 3..=5, true, true))],
@@ -441,9 +442,10 @@
     })
     .await;
     let got = call(&site, "/stream/x", "id-1").await;
-    let expected: String = (1..=5)
+    let events: Vec<String> = (1..=5)
         .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
         .collect();
+    let expected = events.concat();
     assert_eq!(got.text().await.unwrap(), expected);
     let mut requests = first.requests("/stream/x");
     requests.extend(second.requests("/stream/x"));
@@ -471,12 +473,12 @@
     let _upstream = site
         .upstream("model", |request: &Request| {
             vec![
-                Reply::Bytes(sse(request.id(), 1..=2, true, false)),
+                Reply::Bytes(sse(request.id(), 1..=2, true, request.path != "/stream/x")),
                 Reply::Close,
             ]
         })
         .await;
-    wait_routable(&site, "/stream/x").await;
+    wait_routable(&site, "/stream/warm").await;
     let got = call(&site, "/stream/x", "id-1").await;
     assert_eq!(got.status(), 200);
     assert!(got.bytes().await.is_err());
