--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -14,7 +14,7 @@
 
 pub use hub::Hub;
 pub use turns::{CopyPlan, Target, Turn, Turns};
-pub use view::{Ask, Demand, Leaving, Outcome, Placed, View};
+pub use view::{Ask, Demand, Known, Leaving, Outcome, Placed, View};
 
 /// The state of an instance in the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -105,6 +105,17 @@
     pub same_zone: bool,
 }
 
+/// What an entry knew of an instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Known {
+    pub running: u32,
+    pub committed_tokens: u64,
+    pub prefill_tokens: u64,
+    /// Memory in use by the newest report, and the report's age at the hub.
+    pub used_tokens: Option<u64>,
+    pub report_age_ms: Option<u64>,
+}
+
 /// That an instance is leaving, and when it will be gone if that is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Leaving {
@@ -523,9 +534,19 @@
             .collect()
     }
 
-    /// Returns the newest report of an instance.
-    pub fn report(&self, identity: &str) -> Option<Report> {
-        self.instances.get(identity)?.report().copied()
+    /// Returns what a choice of an instance was based on, for the log.
+    pub fn known(&self, identity: &str) -> Known {
+        let Some(instance) = self.instances.get(identity) else {
+            return Known::default();
+        };
+        let report = instance.others.as_ref().and_then(|pulse| pulse.report);
+        Known {
+            running: instance.total_running(),
+            committed_tokens: instance.total_committed(),
+            prefill_tokens: instance.total_prefill(),
+            used_tokens: report.map(|(report, _)| report.used_tokens),
+            report_age_ms: report.map(|(_, age_ms)| age_ms),
+        }
     }
 
     fn members(&self, service: &str) -> impl Iterator<Item = &Instance> {
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -92,7 +92,7 @@
         };
         let mut turns = self.0.turns.lock().unwrap_or_else(PoisonError::into_inner);
         let turn = turns.grant(&plan, now_ms);
-        tracing::info!(source = %plan.source, targets = plan.targets.len(),
+        tracing::info!(request = &*request.request, source = %plan.source, targets = plan.targets.len(),
             gone_in_ms = request.gone_in_ms, target = turn.map(|turn| turn.target.to_string()),
             copy_in_ms = turn.map(|turn| turn.copy_at_ms.saturating_sub(now_ms)), "turn of a copy");
         turn.map(|turn| TurnReply {
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -66,6 +66,8 @@
     /// The engine that keeps a copy of the memory.
     backup: Option<Ticket>,
     first_event_ms: Option<u64>,
+    /// Time from the request to the first event.
+    first_after_ms: Option<u64>,
     /// When the last event came.
     event_at: Instant,
     /// When the generation is to be taken up from its copy, once its engine is leaving.
@@ -94,9 +96,27 @@
                 return Err(self.no_room());
             }
             tried.push(Arc::clone(&placed.identity));
+            let known = self.with_view(|view| view.known(&placed.identity));
             let ticket = Ticket::begin(&self, placed, Some(demand));
             let backup = self.choose_backup(&job, engine, &ticket);
             let request = with_backup(job.request_for(&ticket.identity), backup.as_ref());
+            tracing::info!(
+                request = &*job.id,
+                route = &*job.route.name,
+                instance = &*ticket.identity,
+                backup = backup.as_ref().map(|backup| &*backup.identity),
+                attempt = tried.len(),
+                prompt_tokens = demand.prompt_tokens,
+                output_tokens = demand.output_tokens,
+                running = known.running,
+                committed_tokens = known.committed_tokens,
+                prefill_tokens = known.prefill_tokens,
+                used_tokens = known.used_tokens,
+                report_age_ms = known.report_age_ms,
+                age_ms = job.age_ms(),
+                left_ms = job.left_ms(),
+                "generation sent"
+            );
             let sending = self.pool.send(ticket.address, request, &job.id);
             let exchange = match timeout_at(job.deadline, sending).await {
                 Ok(Ok(exchange)) => exchange,
@@ -145,6 +165,7 @@
                 migration: None,
                 backup,
                 first_event_ms: None,
+                first_after_ms: None,
                 event_at: Instant::now(),
                 switch_at_ms: None,
                 done: false,
@@ -264,11 +285,7 @@
         }
         match self.advance().await {
             Ok(Some(bytes)) => Some(Ok(Frame::data(bytes))),
-            Ok(None) => {
-                self.done = true;
-                self.log_end("complete");
-                None
-            }
+            Ok(None) => None,
             Err(cause) => {
                 self.done = true;
                 self.log_end(&cause);
@@ -341,6 +358,8 @@
         }
         self.event_at = Instant::now();
         self.first_event_ms.get_or_insert_with(monotonic_ms);
+        let age_ms = self.job.age_ms();
+        self.first_after_ms.get_or_insert(age_ms);
         Ok(Some(whole.freeze()))
     }
 
@@ -393,6 +412,13 @@
         if !self.engine.moves {
             return;
         }
+        tracing::info!(
+            request = &*self.job.id,
+            instance = &*identity,
+            gone_in_ms = leaving.gone_at_ms.map(|at_ms| at_ms.saturating_sub(now_ms)),
+            last_event = self.last_event,
+            "engine is leaving; the generation is moved"
+        );
         let from = source.ticket.address;
         let plan = super::migrate::Plan {
             request_id: Arc::clone(&self.job.id),
@@ -535,6 +561,7 @@
             outcome,
             instance = instance.as_deref(),
             last_event = self.last_event,
+            first_event_after_ms = self.first_after_ms,
             age_ms = self.job.age_ms(),
             "stream ended"
         );
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -224,6 +224,7 @@
         };
         let asked_ms = monotonic_ms();
         let request = TurnRequest {
+            request: Arc::clone(&plan.request_id),
             source: plan.from,
             targets: targets
                 .iter()
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -161,10 +161,18 @@
         }
     }
 
+    /// Returns how long ago the document was known to be the newest, or none if it never was.
+    fn confirmed_age_ms(&self) -> Option<u64> {
+        match self.confirmed_ms.load(Ordering::Relaxed) {
+            0 => None,
+            confirmed_ms => Some(monotonic_ms().saturating_sub(confirmed_ms)),
+        }
+    }
+
     /// Returns true if the document was the newest a short time ago.
     fn is_confirmed(&self) -> bool {
-        let confirmed_ms = self.confirmed_ms.load(Ordering::Relaxed);
-        confirmed_ms > 0 && monotonic_ms() < confirmed_ms + self.settings.confirm_limit_ms
+        let age_ms = self.confirmed_age_ms();
+        age_ms.is_some_and(|age_ms| age_ms < self.settings.confirm_limit_ms)
     }
 
     fn with_view<T>(&self, use_view: impl FnOnce(&mut View) -> T) -> T {
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -142,12 +142,15 @@
         let route = route.map_or("", |route| &*route.name);
         let age_ms = u64::try_from(arrived.elapsed().as_millis()).unwrap_or(u64::MAX);
         self.metrics.refused(refusal.code);
+        let version = self.index.borrow().as_ref().map(|index| index.version());
         tracing::info!(
             request = id,
             route,
             status = refusal.status.as_u16(),
             code = refusal.code,
             retry_after_ms = refusal.retry_after_ms,
+            document = version,
+            confirmed_age_ms = self.confirmed_age_ms(),
             age_ms,
             "refused"
         );
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -62,6 +62,8 @@
 /// A copy of a generation's memory that an entry wants to make.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TurnRequest {
+    /// The request whose generation is copied, for the log.
+    pub request: Arc<str>,
     pub source: SocketAddr,
     /// Engines that may take the copy, the best one first, and how long it takes.
     pub targets: Vec<(SocketAddr, u64)>,
