--- /dev/null
+++ b/src/domain/fleet/choice.rs
@@ -0,0 +1,254 @@
+//! The choice of an instance for a request.
+
+// Times in milliseconds and counts of tokens stay far below what a float holds exactly.
+#![allow(clippy::cast_precision_loss)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::instance::Instance;
+use super::view::View;
+use crate::domain::document::EngineSpec;
+use crate::domain::fleet::ListedState;
+use crate::model::ZoneName;
+
+/// Tokens that an engine reads of prompts per millisecond beside running generations. The
+/// platform's engines read 112 tokens in a step that takes 7 ms longer than the reading itself.
+const PREFILL_TOKENS_PER_MS: u64 = 7;
+/// Part of an engine's memory that is planned for, in hundredths. The rest absorbs answers that are
+/// longer than their estimate.
+const PLANNED_MEMORY_PERCENT: u64 = 92;
+/// Part that is planned for with short generations: they are over before the long ones beside them
+/// have grown.
+const SHORT_MEMORY_PERCENT: u64 = 110;
+/// Generations that are expected to produce less end within a second.
+const LONG_OUTPUT_TOKENS: u64 = 100;
+/// Part that is planned for with generations that are moved, of which much would be lost. Few
+/// generations reach their full length at the same time.
+const MOVE_MEMORY_PERCENT: u64 = 105;
+/// Part of an engine's memory up to which it takes copies of generations that run elsewhere. The
+/// rest is for generations of its own, which would have to be preempted otherwise.
+const BACKUP_MEMORY_PERCENT: u64 = 70;
+/// No copies are made once this much of all engines' memory is planned for.
+const BACKUP_FLEET_PERCENT: u64 = 58;
+/// Weight of an engine's planned memory in its score: a full engine counts as this much waiting.
+const MEMORY_WEIGHT_MS: u64 = 400;
+/// Waiting that a choice in another zone has to save, for the bytes that cross zones.
+const ZONE_PENALTY_MS: u64 = 40;
+/// Waiting that a plain call in another zone has to save; which take some 30 ms.
+const PLAIN_ZONE_PENALTY_MS: u64 = 20;
+/// Waiting that another zone has to save for the engine that takes a copy of a generation's memory: a copy between zones takes
+/// the link twice as long, and the generation may go on there.
+const COPY_ZONE_PENALTY_MS: u64 = 600;
+/// Waiting added for an instance that has just started.
+const COLD_PENALTY_MS: u64 = 150;
+/// Upper bound of the random part of a score. Entries that share old information would otherwise
+/// all choose the same instance.
+const JITTER_MS: u64 = 25;
+/// Expected time of a plain call before one was measured.
+const FIRST_PLAIN_MS: f64 = 30.0;
+
+/// What a generation is expected to need.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Demand {
+    pub prompt_tokens: u64,
+    pub output_tokens: u64,
+}
+
+impl Demand {
+    /// Returns the memory needed at the end.
+    pub fn total_tokens(&self) -> u64 {
+        self.prompt_tokens + self.output_tokens
+    }
+
+    /// Returns true for a generation that takes longer than about a second.
+    pub fn is_long(&self) -> bool {
+        self.output_tokens >= LONG_OUTPUT_TOKENS
+    }
+}
+
+/// What an engine is looked for.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    pub service: &'a str,
+    pub demand: Demand,
+    pub engine: EngineSpec,
+    pub excluded: &'a [Arc<str>],
+    pub now_ms: u64,
+    pub random: u64,
+}
+
+/// What an engine has to offer for a generation, or for a copy of one.
+#[derive(Debug, Clone, Copy)]
+struct Wanted<'a> {
+    /// Part of its memory that may be planned for, in hundredths.
+    planned_percent: u64,
+    near: &'a ZoneName,
+    /// Engines of another zone count as this much waiting.
+    zone_penalty_ms: u64,
+}
+
+/// A chosen instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placed {
+    pub identity: Arc<str>,
+    pub address: SocketAddr,
+    /// True if it is in the zone that it was looked for near.
+    pub same_zone: bool,
+}
+
+impl View {
+    /// Chooses an instance for a plain call, the one with the lowest expected time. `excluded` were
+    /// tried before. Instances that are avoided are used only if no other is left.
+    pub fn choose_plain(
+        &self,
+        service: &str,
+        excluded: &[Arc<str>],
+        now_ms: u64,
+        random: u64,
+    ) -> Option<Placed> {
+        let open = |instance: &&Instance| {
+            !excluded.contains(&instance.listed.identity)
+                && instance.listed.state == ListedState::Ready
+                && instance.leaving.is_none()
+        };
+        let typical_ms = self.typical_ms(service);
+        let score = |instance: &Instance| {
+            let waiting =
+                f64::from(instance.total_running()) / f64::from(instance.listed.slots.max(1));
+            let time_ms = instance.expected_ms(typical_ms, now_ms) * (1.0 + waiting);
+            let avoided = if instance.avoid_until_ms > now_ms {
+                1e6
+            } else {
+                0.0
+            };
+            let away = instance.listed.zone != self.zone;
+            let zone_ms = if away { PLAIN_ZONE_PENALTY_MS } else { 0 };
+            time_ms + avoided + zone_ms as f64 + fixed_penalty_ms(instance, random)
+        };
+        let best = self
+            .members(service)
+            .filter(open)
+            .map(|instance| (score(instance), instance))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b));
+        best.map(|(_, instance)| placed(instance, &self.zone))
+    }
+
+    /// Chooses an engine for a generation: one whose memory and slots are planned to hold it, with
+    /// the shortest expected wait for the first token. Returns none if no engine has room.
+    pub fn choose_engine(&self, ask: &Ask<'_>) -> Option<Placed> {
+        let wanted = Wanted {
+            planned_percent: match ask.demand.is_long() {
+                true => PLANNED_MEMORY_PERCENT,
+                false => SHORT_MEMORY_PERCENT,
+            },
+            near: &self.zone,
+            zone_penalty_ms: ZONE_PENALTY_MS,
+        };
+        self.ranked(ask, wanted, 1).pop()
+    }
+
+    /// Returns engines that a generation may be moved to from `source`, the best one first.
+    pub fn targets(&self, ask: &Ask<'_>, source: &str, most: usize) -> Vec<Placed> {
+        let wanted = Wanted {
+            planned_percent: MOVE_MEMORY_PERCENT,
+            near: self.zone_of(source),
+            zone_penalty_ms: COPY_ZONE_PENALTY_MS,
+        };
+        self.ranked(ask, wanted, most)
+    }
+
+    /// Chooses an engine that keeps a copy of a generation's memory that runs at `source`. Returns
+    /// none if that would leave too little for others.
+    pub fn choose_backup(&self, ask: &Ask<'_>, source: &str) -> Option<Placed> {
+        if self.memory_percent(ask.service, ask.engine, ask.now_ms) > BACKUP_FLEET_PERCENT {
+            return None;
+        }
+        let wanted = Wanted {
+            planned_percent: BACKUP_MEMORY_PERCENT,
+            near: self.zone_of(source),
+            zone_penalty_ms: COPY_ZONE_PENALTY_MS,
+        };
+        self.ranked(ask, wanted, 1).pop()
+    }
+
+    /// Returns up to `most` engines that have what is wanted, the best one first.
+    fn ranked(&self, ask: &Ask<'_>, wanted: Wanted<'_>, most: usize) -> Vec<Placed> {
+        let (demand, engine, now_ms) = (ask.demand, ask.engine, ask.now_ms);
+        let planned = engine.memory_tokens * wanted.planned_percent / 100;
+        let fits = |instance: &&Instance| {
+            let committed = instance.total_committed();
+            instance.usable(now_ms)
+                && instance.holds_now(demand.prompt_tokens, engine.memory_tokens)
+                && !ask.excluded.contains(&instance.listed.identity)
+                && instance.total_running() < engine.slots
+                && (committed + demand.total_tokens() <= planned || committed == 0)
+        };
+        let score = |instance: &Instance| {
+            let prefill_ms = instance.total_prefill() / PREFILL_TOKENS_PER_MS;
+            let memory_ms = MEMORY_WEIGHT_MS * instance.total_committed() / planned.max(1);
+            let zone_ms = match instance.listed.zone == *wanted.near {
+                true => 0,
+                false => wanted.zone_penalty_ms,
+            };
+            (prefill_ms + memory_ms + zone_ms) as f64 + fixed_penalty_ms(instance, ask.random)
+        };
+        let fitting = self.members(ask.service).filter(fits);
+        let mut ranked: Vec<(f64, &Instance)> = fitting.map(|i| (score(i), i)).collect();
+        ranked.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        ranked
+            .into_iter()
+            .take(most)
+            .map(|(_, instance)| placed(instance, wanted.near))
+            .collect()
+    }
+
+    /// Returns the average time of a plain call over the instances of a service. An instance that
+    /// was not used yet counts as typical; a fixed time would keep it unused where calls are faster.
+    fn typical_ms(&self, service: &str) -> f64 {
+        let observed = self.members(service).filter(|i| i.answered);
+        let (sum, count) = observed.fold((0.0, 0.0), |(sum, count), instance| {
+            (sum + instance.average_ms, count + 1.0)
+        });
+        if count > 0.0 {
+            sum / count
+        } else {
+            FIRST_PLAIN_MS
+        }
+    }
+
+    fn zone_of(&self, identity: &str) -> &ZoneName {
+        let instance = self.instances.get(identity);
+        instance.map_or(&self.zone, |instance| &instance.listed.zone)
+    }
+
+    /// Returns the planned memory of a service's usable engines in use, in hundredths.
+    pub fn memory_percent(&self, service: &str, engine: EngineSpec, now_ms: u64) -> u64 {
+        let mut held = 0;
+        let mut total = 0;
+        for instance in self.members(service).filter(|i| i.usable(now_ms)) {
+            held += instance.total_committed();
+            total += engine.memory_tokens;
+        }
+        (100 * held).checked_div(total).unwrap_or(100)
+    }
+}
+
+fn placed(instance: &Instance, near: &ZoneName) -> Placed {
+    Placed {
+        identity: Arc::clone(&instance.listed.identity),
+        address: instance.listed.address,
+        same_zone: instance.listed.zone == *near,
+    }
+}
+
+fn fixed_penalty_ms(instance: &Instance, random: u64) -> f64 {
+    let cold_ms = if instance.listed.cold {
+        COLD_PENALTY_MS
+    } else {
+        0
+    };
+    let bytes = instance.listed.identity.as_bytes();
+    let jitter_ms = xxhash_rust::xxh3::xxh3_64_with_seed(bytes, random) % JITTER_MS;
+    (cold_ms + jitter_ms) as f64
+}
--- /dev/null
+++ b/src/domain/fleet/instance.rs
@@ -0,0 +1,164 @@
+//! What an entry knows of one instance.
+
+// Times in milliseconds and counts of tokens stay far below what a float holds exactly.
+#![allow(clippy::cast_precision_loss)]
+
+use super::{Listed, ListedState, Pulse, Report};
+
+/// Time for which an instance that could not be reached is avoided; doubled for each failure.
+const AVOID_FIRST_MS: u64 = 400;
+const AVOID_MOST_MS: u64 = 4_000;
+/// Weight of the newest answer in an instance's running averages, one in this many.
+const AVERAGE_OVER: f64 = 12.0;
+/// Time in which what was learned of an instance counts half. Without it an instance that failed
+/// once would never be tried again while others are free.
+const MEMORY_HALF_LIFE_MS: f64 = 3_000.0;
+/// An instance that fails all its requests counts as this many times as slow.
+const FAILURE_WEIGHT: f64 = 12.0;
+
+/// What an entry knew of an instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Known {
+    pub running: u32,
+    pub committed_tokens: u64,
+    pub prefill_tokens: u64,
+    /// Memory in use by the newest report, and the report's age at the hub.
+    pub used_tokens: Option<u64>,
+    pub report_age_ms: Option<u64>,
+}
+
+/// That an instance is leaving, and when it will be gone if that is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Leaving {
+    pub gone_at_ms: Option<u64>,
+}
+
+/// How a request ended at an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Answered {
+        took_ms: u64,
+    },
+    /// The instance answered with a failure of its own.
+    Failed,
+    /// The instance did not run the request.
+    Refused,
+    /// No connection, or no complete answer.
+    Unreachable,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Instance {
+    pub(super) listed: Listed,
+    /// What this entry has placed there.
+    pub(super) running: u32,
+    pub(super) committed_tokens: u64,
+    pub(super) prefill_tokens: u64,
+    /// What the others have, as of the last sync.
+    pub(super) others: Option<Pulse>,
+    pub(super) leaving: Option<Leaving>,
+    pub(super) avoid_until_ms: u64,
+    pub(super) failures_in_row: u32,
+    /// Average time of answered calls; meaningless before the first one.
+    pub(super) average_ms: f64,
+    pub(super) answered: bool,
+    pub(super) failure_rate: f64,
+    /// When the last request ended.
+    pub(super) observed_ms: u64,
+}
+
+impl Instance {
+    pub(super) fn new(listed: Listed) -> Self {
+        Self {
+            listed,
+            running: 0,
+            committed_tokens: 0,
+            prefill_tokens: 0,
+            others: None,
+            leaving: None,
+            avoid_until_ms: 0,
+            failures_in_row: 0,
+            average_ms: 0.0,
+            answered: false,
+            failure_rate: 0.0,
+            observed_ms: 0,
+        }
+    }
+
+    pub(super) fn usable(&self, now_ms: u64) -> bool {
+        self.listed.state == ListedState::Ready
+            && self.leaving.is_none()
+            && self.avoid_until_ms <= now_ms
+    }
+
+    pub(super) fn total_running(&self) -> u32 {
+        self.running + self.others.as_ref().map_or(0, |pulse| pulse.running)
+    }
+
+    pub(super) fn total_committed(&self) -> u64 {
+        self.committed_tokens
+            + self
+                .others
+                .as_ref()
+                .map_or(0, |pulse| pulse.committed_tokens)
+    }
+
+    pub(super) fn total_prefill(&self) -> u64 {
+        self.prefill_tokens + self.others.as_ref().map_or(0, |pulse| pulse.prefill_tokens)
+    }
+
+    /// Returns the expected time of a plain call on an idle instance. What was learned of it fades
+    /// into what is typical of its service.
+    pub(super) fn expected_ms(&self, typical_ms: f64, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.observed_ms) as f64;
+        let kept = (-age_ms / MEMORY_HALF_LIFE_MS).exp2();
+        let average_ms = match self.answered {
+            false => typical_ms,
+            true => typical_ms + (self.average_ms - typical_ms) * kept,
+        };
+        average_ms * (1.0 + FAILURE_WEIGHT * self.failure_rate * kept)
+    }
+
+    /// Learns from how a request ended.
+    pub(super) fn observe(&mut self, outcome: Outcome, now_ms: u64) {
+        let failed = match outcome {
+            Outcome::Answered { took_ms } => {
+                let took_ms = took_ms as f64;
+                match self.answered {
+                    false => self.average_ms = took_ms,
+                    true => self.average_ms += (took_ms - self.average_ms) / AVERAGE_OVER,
+                }
+                self.answered = true;
+                0.0
+            }
+            Outcome::Failed => 1.0,
+            Outcome::Refused => 0.5,
+            Outcome::Unreachable => {
+                let avoid_ms = AVOID_FIRST_MS << self.failures_in_row.min(8);
+                self.avoid_until_ms = now_ms + avoid_ms.min(AVOID_MOST_MS);
+                self.failures_in_row += 1;
+                1.0
+            }
+        };
+        if outcome != Outcome::Unreachable {
+            self.failures_in_row = 0;
+        }
+        self.observed_ms = now_ms;
+        self.failure_rate += (failed - self.failure_rate) / AVERAGE_OVER;
+    }
+
+    /// Returns true if the memory in use, as last reported, leaves room for so many tokens. Copies
+    /// that nobody takes up are not counted in what entries have placed.
+    pub(super) fn holds_now(&self, tokens: u64, memory_tokens: u64) -> bool {
+        let used = self.report().map_or(0, |report| report.used_tokens);
+        used == 0 || used + tokens <= memory_tokens
+    }
+
+    pub(super) fn report(&self) -> Option<&Report> {
+        self.others
+            .as_ref()?
+            .report
+            .as_ref()
+            .map(|(report, _)| report)
+    }
+}
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -1,7 +1,9 @@
 //! The upstream instances that requests are sent to: what the platform lists, what they report, and
 //! what the entries have placed on them.
 
+mod choice;
 mod hub;
+mod instance;
 mod turns;
 mod view;
 
@@ -12,9 +14,11 @@
 
 use crate::model::ZoneName;
 
+pub use choice::{Ask, Demand, Placed};
 pub use hub::Hub;
+pub use instance::{Known, Leaving, Outcome};
 pub use turns::{CopyPlan, Target, Turn, Turns};
-pub use view::{Ask, Demand, Known, Leaving, Outcome, Placed, View};
+pub use view::View;
 
 /// The state of an instance in the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod metrics;
 mod migrate;
 mod plain;
+mod relay;
 mod request;
 mod sync;
 mod ticket;
--- /dev/null
+++ b/src/roles/gateway/relay.rs
@@ -0,0 +1,427 @@
+//! A running generation on its way to its caller: events are passed on as they come, and the
+//! generation goes on at another engine when its own leaves.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use super::Gateway;
+use super::answer::{Body, BrokenAnswer, Refusal};
+use super::events::Events;
+use super::generation::lost;
+use super::migrate::{Migration, Moved, Plan};
+use super::plain::caller_headers;
+use super::request::Job;
+use super::ticket::Ticket;
+use super::upstream::Exchange;
+use crate::adapters::clock::monotonic_ms;
+use crate::domain::document::EngineSpec;
+use crate::domain::fleet::Outcome;
+use crate::platform::headers;
+
+/// Time for a move to finish after its generation's stream has ended.
+const MOVE_LIMIT: Duration = Duration::from_secs(2);
+/// Time for an engine that holds a copy to take the generation up.
+const CONTINUE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Time from the first event until the copy can be expected to hold the prompt: half a gigabyte
+/// over a link of 3 GB/s, behind others. An engine was seen to have no copy after 400 ms.
+const BACKUP_FIRST_MS: u64 = 1_200;
+/// A generation is taken up from its copy this long before its engine is gone at the latest.
+const BACKUP_MARGIN_MS: u64 = 200;
+/// An engine that sends no event for this long is taken for dead if there is a copy. Pauses of
+/// more than 180 ms count as stalls; engines make an event in 30 to 100 ms.
+const EVENT_SILENCE: Duration = Duration::from_millis(500);
+
+/// Where a generation runs.
+pub(super) struct Source {
+    pub(super) exchange: Exchange,
+    pub(super) ticket: Ticket,
+}
+
+/// A generation that is passed on to its caller.
+pub(super) struct Relay {
+    gateway: Arc<Gateway>,
+    job: Job,
+    engine: EngineSpec,
+    source: Option<Source>,
+    events: Events,
+    /// The id of the last event that was passed on.
+    last_event: Option<u64>,
+    /// True while the next event has to follow the last one: after a move.
+    expects_next: bool,
+    migration: Option<Migration>,
+    /// The engine that keeps a copy of the memory.
+    backup: Option<Ticket>,
+    first_event_ms: Option<u64>,
+    /// Time from the request to the first event.
+    first_after_ms: Option<u64>,
+    /// When the last event came.
+    event_at: Instant,
+    /// When the generation is to be taken up from its copy, once its engine is leaving.
+    switch_at_ms: Option<u64>,
+    news: watch::Receiver<u64>,
+    done: bool,
+}
+
+impl Relay {
+    /// Returns a generation whose engine has answered.
+    pub(super) fn new(
+        gateway: Arc<Gateway>,
+        job: Job,
+        engine: EngineSpec,
+        source: Source,
+        backup: Option<Ticket>,
+    ) -> Self {
+        Self {
+            news: gateway.leaving_news.subscribe(),
+            gateway,
+            job,
+            engine,
+            source: Some(source),
+            events: Events::default(),
+            last_event: None,
+            expects_next: false,
+            migration: None,
+            backup,
+            first_event_ms: None,
+            first_after_ms: None,
+            event_at: Instant::now(),
+            switch_at_ms: None,
+            done: false,
+        }
+    }
+
+    /// Returns the answer once its first event has come.
+    pub(super) async fn into_answer(mut self) -> Result<Response<Body>, Refusal> {
+        let head = self.source.as_ref().map(|source| {
+            let head = &source.exchange.head;
+            (head.status, caller_headers(&head.headers))
+        });
+        let (Some((status, headers)), Some(Ok(first))) = (head, self.next().await) else {
+            return Err(lost());
+        };
+        self.gateway.metrics.first_event(self.job.age_ms());
+        let rest = stream::unfold(self, |mut relay| async move {
+            let frame = relay.next().await?;
+            Some((frame, relay))
+        });
+        let frames = futures::StreamExt::chain(stream::iter([Ok(first)]), rest);
+        let mut answer = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
+        *answer.status_mut() = status;
+        *answer.headers_mut() = headers;
+        Ok(answer)
+    }
+
+    /// Returns the next whole events; none after the end of the stream.
+    async fn next(&mut self) -> Option<Result<Frame<Bytes>, BrokenAnswer>> {
+        if self.done {
+            return None;
+        }
+        match self.advance().await {
+            Ok(Some(bytes)) => Some(Ok(Frame::data(bytes))),
+            Ok(None) => None,
+            Err(cause) => {
+                self.done = true;
+                self.log_end(&cause);
+                Some(Err(BrokenAnswer(cause)))
+            }
+        }
+    }
+
+    async fn advance(&mut self) -> Result<Option<Bytes>, String> {
+        loop {
+            if let Some(bytes) = self.whole_events()? {
+                return Ok(Some(bytes));
+            }
+            self.consider_move();
+            let wake_at = self.wake_at();
+            let Some(source) = self.source.as_mut() else {
+                self.take_move().await?;
+                continue;
+            };
+            tokio::select! {
+                biased;
+                frame = source.exchange.body.frame() => match frame {
+                    Some(Ok(frame)) => {
+                        if let Some(data) = frame.data_ref() {
+                            self.events.push(data);
+                        }
+                    }
+                    None if !is_stopped(self.migration.as_ref()) => return Ok(self.end()),
+                    None => self.leave_source("its generation was moved"),
+                    Some(Err(error)) => {
+                        let cause = format!("{} broke off: {error}", source.ticket.identity);
+                        if self.migration.is_none() {
+                            source.ticket.observe(Outcome::Unreachable);
+                        }
+                        self.leave_source(&cause);
+                    }
+                },
+                _ = self.news.changed() => {}
+                () = sleep_until(wake_at), if wake_at < self.job.deadline => {
+                    if self.is_silent() {
+                        self.leave_source("the engine is silent");
+                    }
+                }
+                () = sleep_until(self.job.deadline) => return Err("out of time".to_owned()),
+            }
+        }
+    }
+
+    /// Returns the whole events that have come, without those that were passed on before.
+    fn whole_events(&mut self) -> Result<Option<Bytes>, String> {
+        let mut whole = bytes::BytesMut::new();
+        while let Some(event) = self.events.next() {
+            if let (true, Some(last), Some(id)) = (self.expects_next, self.last_event, event.id) {
+                match id {
+                    _ if id <= last => continue,
+                    _ if id > last + 1 => {
+                        return Err(format!("event {id} follows event {last} after a move"));
+                    }
+                    _ => self.expects_next = false,
+                }
+            }
+            self.last_event = event.id.or(self.last_event);
+            whole.extend_from_slice(&event.bytes);
+        }
+        if whole.is_empty() {
+            return Ok(None);
+        }
+        if let Some(source) = &mut self.source {
+            source.ticket.prompt_read();
+        }
+        self.event_at = Instant::now();
+        self.first_event_ms.get_or_insert_with(monotonic_ms);
+        let age_ms = self.job.age_ms();
+        self.first_after_ms.get_or_insert(age_ms);
+        Ok(Some(whole.freeze()))
+    }
+
+    /// Ends a complete stream; returns what follows its last event.
+    fn end(&mut self) -> Option<Bytes> {
+        if let Some(Source { exchange, ticket }) = self.source.take() {
+            let took_ms = self.job.age_ms();
+            ticket.observe(Outcome::Answered { took_ms });
+            self.gateway.pool.finish(exchange);
+        }
+        self.done = true;
+        self.log_end("complete");
+        self.events.rest()
+    }
+
+    /// Leaves the engine if it is leaving: for the copy if there is one, else by a move.
+    fn consider_move(&mut self) {
+        let (None, Some(source)) = (&self.migration, &self.source) else {
+            return;
+        };
+        // A generation is there to be moved from its first token on.
+        let Some(first_event_ms) = self.first_event_ms else {
+            return;
+        };
+        let identity = Arc::clone(&source.ticket.identity);
+        let now_ms = monotonic_ms();
+        let (leaving, backup_leaving) = self.gateway.with_view(|view| {
+            let backup = self.backup.as_ref();
+            let backup_leaving = backup.is_some_and(|b| view.leaving(&b.identity).is_some());
+            (view.leaving(&identity), backup_leaving)
+        });
+        if backup_leaving {
+            self.backup = None;
+        }
+        let Some(leaving) = leaving else {
+            return;
+        };
+        if self.backup.is_some() {
+            let latest_ms = leaving
+                .gone_at_ms
+                .unwrap_or(u64::MAX)
+                .saturating_sub(BACKUP_MARGIN_MS);
+            let switch_at_ms = (first_event_ms + BACKUP_FIRST_MS).min(latest_ms);
+            self.switch_at_ms = Some(switch_at_ms);
+            if now_ms >= switch_at_ms {
+                self.leave_source("the engine is leaving");
+            }
+            return;
+        }
+        if !self.engine.moves {
+            return;
+        }
+        tracing::info!(
+            request = &*self.job.id,
+            instance = &*identity,
+            gone_in_ms = leaving.gone_at_ms.map(|at_ms| at_ms.saturating_sub(now_ms)),
+            last_event = self.last_event,
+            "engine is leaving; the generation is moved"
+        );
+        let from = source.ticket.address;
+        let plan = Plan {
+            request_id: Arc::clone(&self.job.id),
+            service: Arc::clone(&self.job.service),
+            from,
+            from_identity: identity,
+            demand: self.job.demand,
+            held_tokens: self.held_tokens(),
+            engine: self.engine,
+            gone_at_ms: leaving.gone_at_ms,
+        };
+        self.migration = Some(Migration::begin(Arc::clone(&self.gateway), plan));
+    }
+
+    /// Returns the tokens that the generation holds in memory now.
+    fn held_tokens(&self) -> u64 {
+        let events = self.last_event.unwrap_or_default();
+        self.job.demand.prompt_tokens + events * u64::from(self.engine.tokens_per_event)
+    }
+
+    /// Returns when the stream has to be looked at even if nothing comes.
+    fn wake_at(&self) -> Instant {
+        let silent_at = match self.backup {
+            Some(_) if self.first_event_ms.is_some() => self.event_at + EVENT_SILENCE,
+            _ => self.job.deadline,
+        };
+        match self.switch_at_ms {
+            Some(at_ms) => {
+                let wait_ms = at_ms.saturating_sub(monotonic_ms()).max(1);
+                silent_at.min(Instant::now() + Duration::from_millis(wait_ms))
+            }
+            None => silent_at,
+        }
+    }
+
+    fn is_silent(&self) -> bool {
+        self.backup.is_some()
+            && self.first_event_ms.is_some()
+            && self.event_at.elapsed() >= EVENT_SILENCE
+    }
+
+    /// Gives up the stream of an engine whose generation is moved.
+    fn leave_source(&mut self, cause: &str) {
+        tracing::info!(
+            request = &*self.job.id,
+            cause,
+            last_event = self.last_event,
+            "stream waits for its move"
+        );
+        self.source = None;
+        self.switch_at_ms = None;
+        self.events.clear();
+    }
+
+    /// Takes the generation up at the engine that holds its memory.
+    async fn take_move(&mut self) -> Result<(), String> {
+        let (ticket, copy) = match (self.migration.take(), self.backup.take()) {
+            (Some(migration), _) => match timeout(MOVE_LIMIT, migration.finish()).await {
+                Ok(Some(Moved {
+                    ticket,
+                    from,
+                    handle,
+                })) => (ticket, format!("{from}/{handle}")),
+                Ok(None) => return Err("the generation could not be moved".to_owned()),
+                Err(_) => return Err("the move took too long".to_owned()),
+            },
+            (None, Some(ticket)) => {
+                let copy = format!("{}/{}", ticket.address, self.job.id);
+                (ticket, copy)
+            }
+            (None, None) => return Err("no engine holds the generation".to_owned()),
+        };
+        let backup = self.gateway.choose_backup(&self.job, self.engine, &ticket);
+        let request = with_backup(self.continued(&ticket, &copy), backup.as_ref());
+        let sending = self
+            .gateway
+            .pool
+            .send(ticket.address, request, &self.job.id);
+        let exchange = match timeout(CONTINUE_LIMIT, sending).await {
+            Ok(Ok(exchange)) if exchange.head.status.is_success() => exchange,
+            Ok(Ok(exchange)) => {
+                return Err(format!(
+                    "{} answered {}",
+                    ticket.identity, exchange.head.status
+                ));
+            }
+            Ok(Err(failure)) => return Err(format!("{}: {failure}", ticket.identity)),
+            Err(_) => {
+                return Err(format!(
+                    "{} does not take the generation up",
+                    ticket.identity
+                ));
+            }
+        };
+        self.gateway.metrics.moved("continued");
+        tracing::info!(
+            request = &*self.job.id,
+            instance = &*ticket.identity,
+            last_event = self.last_event,
+            "generation continued"
+        );
+        self.expects_next = true;
+        self.event_at = Instant::now();
+        self.first_event_ms = Some(monotonic_ms());
+        self.backup = backup;
+        self.source = Some(Source { exchange, ticket });
+        Ok(())
+    }
+
+    /// Returns the request that takes the generation up from a copy.
+    fn continued(&self, ticket: &Ticket, copy: &str) -> Request<Full<Bytes>> {
+        let mut request = self.job.request_for(&ticket.identity);
+        let sent = request.headers_mut();
+        if let Some(value) = headers::value(copy) {
+            sent.insert(headers::CONTINUE_FROM, value);
+        }
+        if let Some(value) = self
+            .last_event
+            .and_then(|id| headers::value(&id.to_string()))
+        {
+            sent.insert(headers::LAST_EVENT, value);
+        }
+        request
+    }
+
+    fn log_end(&self, outcome: &str) {
+        let label = if outcome == "complete" {
+            "complete"
+        } else {
+            "broken"
+        };
+        self.gateway.metrics.stream(label);
+        let instance = self
+            .source
+            .as_ref()
+            .map(|source| Arc::clone(&source.ticket.identity));
+        tracing::info!(
+            request = &*self.job.id,
+            route = &*self.job.route.name,
+            outcome,
+            instance = instance.as_deref(),
+            last_event = self.last_event,
+            first_event_after_ms = self.first_after_ms,
+            age_ms = self.job.age_ms(),
+            "stream ended"
+        );
+    }
+}
+
+/// Returns the request with the engine that is to keep a copy.
+pub(super) fn with_backup(
+    mut request: Request<Full<Bytes>>,
+    backup: Option<&Ticket>,
+) -> Request<Full<Bytes>> {
+    if let Some(value) = backup.and_then(|b| headers::value(&b.address.to_string())) {
+        request.headers_mut().insert(headers::BACKUP, value);
+    }
+    request
+}
+
+/// Returns true if a generation's engine may have stopped it for its move.
+fn is_stopped(migration: Option<&Migration>) -> bool {
+    migration.is_some_and(Migration::stop_was_asked)
+}
