--- a/src/roles/control/replica/formation.rs
+++ b/src/roles/control/replica/formation.rs
@@ -26,7 +26,8 @@
 pub(super) async fn run(replica: Replica, peers: watch::Receiver<Peers>, own: Endpoint) {
     loop {
         let Peers { known, may_form } = peers.borrow().clone();
-        let listed = known.iter().any(|peer| peer.name == own.name);
+        // A single instance may name no peers at all.
+        let listed = known.is_empty() || known.iter().any(|peer| peer.name == own.name);
         let others: Vec<PeerAddress> = known
             .into_iter()
             .filter(|peer| peer.name != own.name)
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -60,7 +60,11 @@
 
 impl DirectoryRole {
     /// Starts the role; the log is opened in the background and again after a failure of its disk.
-    pub fn start(settings: &DirectorySettings, rpc_address: SocketAddr) -> Arc<Self> {
+    pub fn start(
+        settings: &DirectorySettings,
+        rpc_address: SocketAddr,
+        peers: &[SocketAddr],
+    ) -> Arc<Self> {
         let endpoint = Endpoint {
             name: InstanceName::from(rpc_address.to_string().as_str()),
             rpc_address,
@@ -68,7 +72,7 @@
         let (news, _) = watch::channel(0);
         let machine = Arc::new(Machine::new(news.clone()));
         let (peers, _) = watch::channel(Peers {
-            known: Vec::new(),
+            known: named(peers),
             may_form: settings.may_form,
         });
         let role = Arc::new(Self {
@@ -97,13 +101,7 @@
 
     /// Sets the addresses of the control instances that the settings name.
     pub fn set_peers(&self, addresses: &[SocketAddr]) {
-        let known: Vec<PeerAddress> = addresses
-            .iter()
-            .map(|address| PeerAddress {
-                name: InstanceName::from(address.to_string().as_str()),
-                address: *address,
-            })
-            .collect();
+        let known = named(addresses);
         self.peers.send_if_modified(|peers| {
             let changed = peers.known != known;
             peers.known = known;
@@ -237,3 +235,14 @@
         }
     }
 }
+
+/// Returns control instances by their addresses, which are their names in the log.
+fn named(addresses: &[SocketAddr]) -> Vec<PeerAddress> {
+    addresses
+        .iter()
+        .map(|address| PeerAddress {
+            name: InstanceName::from(address.to_string().as_str()),
+            address: *address,
+        })
+        .collect()
+}
--- a/src/roles/sidecar/core.rs
+++ b/src/roles/sidecar/core.rs
@@ -190,7 +190,8 @@
         let limit_ms = self.settings.drain_limit_ms;
         let deadline_ms = limit_ms.map(|limit_ms| monotonic_ms().saturating_add(limit_ms));
         while open() > 0 {
-            if deadline_ms.is_some_and(|deadline_ms| deadline_ms <= monotonic_ms()) {
+            // Both are whole milliseconds: at the deadline itself a part of one may be left.
+            if deadline_ms.is_some_and(|deadline_ms| deadline_ms < monotonic_ms()) {
                 tracing::warn!(open = open(), "drain_limit_ms has passed; stopping anyway");
                 return;
             }
--- a/src/roles/site/mod.rs
+++ b/src/roles/site/mod.rs
@@ -33,13 +33,12 @@
     web::serve_metrics(settings.admin_address).await?;
     let directory = match &settings.directory {
         Some(directory) => {
-            let role = DirectoryRole::start(directory, settings.rpc_address);
+            let role = DirectoryRole::start(directory, settings.rpc_address, &watched.borrow());
             let listener = TcpListener::bind(settings.rpc_address).await?;
             let mut services = Services::default();
             role.offer(&mut services);
             tokio::spawn(serve(listener, services));
             serve_operators(&role, directory.operator_address).await?;
-            role.set_peers(&watched.borrow());
             Some(role)
         }
         None => None,
