--- a/src/domain/fleet/choice.rs
+++ b/src/domain/fleet/choice.rs
@@ -6,10 +6,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::ListedState;
 use super::instance::Instance;
 use super::view::View;
 use crate::domain::document::EngineSpec;
-use crate::domain::fleet::ListedState;
 use crate::model::ZoneName;
 
 /// Tokens that an engine reads of prompts per millisecond beside running generations. The
@@ -35,10 +35,10 @@
 const MEMORY_WEIGHT_MS: u64 = 400;
 /// Waiting that a choice in another zone has to save, for the bytes that cross zones.
 const ZONE_PENALTY_MS: u64 = 40;
-/// Waiting that a plain call in another zone has to save; which take some 30 ms.
+/// The same for plain calls. It is below the 30 ms that one takes, so that a loaded zone overflows.
 const PLAIN_ZONE_PENALTY_MS: u64 = 20;
-/// Waiting that another zone has to save for the engine that takes a copy of a generation's memory: a copy between zones takes
-/// the link twice as long, and the generation may go on there.
+/// The same for the engine that takes a copy of a generation's memory. A copy between zones takes
+/// the link twice as long, and notices are too short for that if a near engine has room.
 const COPY_ZONE_PENALTY_MS: u64 = 600;
 /// Waiting added for an instance that has just started.
 const COLD_PENALTY_MS: u64 = 150;
--- a/src/domain/fleet/hub.rs
+++ b/src/domain/fleet/hub.rs
@@ -84,9 +84,9 @@
         self.loads.len()
     }
 
-    /// Returns the revision of the list.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the revision of the list, or none if it was never read.
+    pub fn revision(&self) -> Option<u64> {
+        self.listed_ms.map(|_| self.revision)
     }
 
     /// Returns the age of the list, or none if it was never read.
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -41,13 +41,6 @@
     }
 }
 
-/// A copy of a generation's memory at another replica.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Move {
-    /// Names the copy at the replica that the generation ran on.
-    pub handle: Arc<str>,
-}
-
 #[derive(Deserialize)]
 struct MoveAnswer {
     handle: serde_json::Value,
@@ -101,14 +94,15 @@
 }
 
 /// Copies the memory of a running generation from its replica to `target`. With `stop`, the
-/// generation stops first and its stream ends there.
+/// generation stops first and its stream ends there. Returns the handle of the copy, which names it at
+/// `source`.
 pub async fn move_generation(
     source: SocketAddr,
     request_id: &str,
     target: SocketAddr,
     stop: bool,
     limit: Duration,
-) -> Result<Move, CallFailure> {
+) -> Result<Arc<str>, CallFailure> {
     let body = serde_json::json!({
         "identifier": request_id,
         "to": target.to_string(),
@@ -117,12 +111,10 @@
     let answer = call(source, Method::POST, "/kv-move", body.to_string(), limit).await?;
     let answer: MoveAnswer =
         serde_json::from_slice(&answer).map_err(|error| CallFailure::Failed(error.to_string()))?;
-    let handle = match answer.handle {
-        serde_json::Value::String(handle) => handle,
-        other => other.to_string(),
-    };
-    Ok(Move {
-        handle: handle.into(),
+    // The platform does not say whether handles are text or numbers.
+    Ok(match answer.handle {
+        serde_json::Value::String(handle) => handle.into(),
+        other => other.to_string().into(),
     })
 }
 
--- a/src/platform/reports.rs
+++ b/src/platform/reports.rs
@@ -4,7 +4,7 @@
 
 use crate::domain::fleet::Report;
 
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct Wire {
     queued_requests: u32,
@@ -19,19 +19,6 @@
     state: Option<String>,
 }
 
-impl Default for Wire {
-    fn default() -> Self {
-        Self {
-            queued_requests: 0,
-            active_requests: 0,
-            kv_cache_used: 0.0,
-            kv_cache_total: 0.0,
-            leaves_ms: None,
-            state: None,
-        }
-    }
-}
-
 /// Decodes a report; fails if it is not one.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 pub fn decode_report(body: &[u8]) -> Result<Report, String> {
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -28,9 +28,7 @@
             .machine
             .published()
             .map_or(0, |published| published.version);
-        let revision = self
-            .0
-            .with_hub(|hub| hub.list_age_ms(0).map(|_| hub.revision()));
+        let revision = self.0.with_hub(|hub| hub.revision());
         version > request.version || (revision.is_some() && revision != request.revision)
     }
 }
@@ -59,16 +57,17 @@
             .filter(|published| published.version > request.version);
         let now_ms = monotonic_ms();
         role.with_hub(|hub| {
-            let list_age_ms = hub.list_age_ms(now_ms);
-            let differs = list_age_ms.is_some() && request.revision != Some(hub.revision());
+            let revision = hub
+                .revision()
+                .filter(|held| request.revision != Some(*held));
             SyncReply {
                 confirmed,
                 document,
-                fleet: differs.then(|| Fleet {
-                    revision: hub.revision(),
+                fleet: revision.map(|revision| Fleet {
+                    revision,
                     listed: hub.listed().to_vec(),
                 }),
-                list_age_ms,
+                list_age_ms: hub.list_age_ms(now_ms),
                 pulses: hub.pulses(&request.entry, now_ms),
                 entries: u32::try_from(hub.entries()).unwrap_or(u32::MAX),
                 leader: role.other_leader(),
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -23,6 +23,7 @@
 /// Part of the time to come back that is random, in hundredths, so that callers turned away
 /// together do not return together.
 const RETRY_SPREAD_PERCENT: u64 = 40;
+
 impl Gateway {
     /// Starts a generation and returns its stream once the first event is there.
     pub(super) async fn generate(
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -17,7 +17,7 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::EngineSpec;
 use crate::domain::fleet::{Ask, Demand, Placed};
-use crate::platform::{CallFailure, Move, move_generation};
+use crate::platform::{CallFailure, move_generation};
 use crate::rpc::directory::TurnRequest;
 
 /// Without a turn from control, the generation is stopped this long before its engine is gone:
@@ -123,7 +123,7 @@
         error = stopped.as_ref().err().map(ToString::to_string),
         "generation moved"
     );
-    let Move { handle } = stopped.ok()?;
+    let handle = stopped.ok()?;
     Some(Moved {
         ticket,
         from: plan.from,
@@ -274,7 +274,7 @@
     (bits / bits_per_ms + COPY_SETUP_MS) * if same_zone { 1 } else { 2 }
 }
 
-async fn call_move(plan: &Plan, target: SocketAddr, stop: bool) -> Result<Move, CallFailure> {
+async fn call_move(plan: &Plan, target: SocketAddr, stop: bool) -> Result<Arc<str>, CallFailure> {
     let mut busy = 0;
     loop {
         let answer = move_generation(plan.from, &plan.request_id, target, stop, COPY_LIMIT).await;
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -33,12 +33,27 @@
 }
 
 impl Gateway {
-    /// Passes a plain call on and returns its answer.
+    /// Passes a plain call on and returns its answer. An instance's own failure is the answer only if
+    /// no other instance may be asked or gives one.
     pub(super) async fn call(self: &Arc<Self>, job: &Job) -> Result<Response<Body>, Refusal> {
+        let mut failure = None;
+        let result = self.ask_instances(job, &mut failure).await;
+        match (result, failure) {
+            (Err(_), Some((head, body))) => Ok(answer(&head, body)),
+            (result, _) => result,
+        }
+    }
+
+    /// Asks one instance after the other for as long as that is allowed. A failure after which
+    /// another one was asked is left in `failure`.
+    async fn ask_instances(
+        self: &Arc<Self>,
+        job: &Job,
+        failure: &mut Option<(response::Parts, Bytes)>,
+    ) -> Result<Response<Body>, Refusal> {
         let mut tried = Vec::new();
         let mut ran = 0;
         loop {
-            let again = !tried.is_empty();
             let chosen = self.with_view(|view| {
                 view.choose_plain(&job.service, &tried, monotonic_ms(), rand::random())
             });
@@ -48,24 +63,24 @@
             if job.left_ms() == 0 {
                 return Err(out_of_time(ran));
             }
-            if again && !self.may_repeat(&job.service) {
+            if !tried.is_empty() && !self.may_repeat(&job.service) {
                 return Err(out_of_instances(ran));
             }
             tried.push(Arc::clone(&placed.identity));
             let ticket = Ticket::begin(self, placed, None);
             let sent = self.send_plain(job, &ticket).await;
+            let more = tried.len() < MAX_SENDS;
             let may_run_again =
                 job.route.repeat == Repeat::Safe && ran + 1 < job.route.max_attempts;
             match sent {
-                Sent::Answer(head, body) => {
-                    let failed = head.status.is_server_error();
-                    if failed && may_run_again && tried.len() < MAX_SENDS {
-                        let another = self.call_elsewhere(job, &tried).await;
-                        return Ok(another.unwrap_or_else(|| answer(&head, body)));
-                    }
-                    return Ok(answer(&head, body));
+                Sent::Answer(head, body)
+                    if head.status.is_server_error() && may_run_again && more =>
+                {
+                    *failure = Some((head, body));
+                    ran += 1;
                 }
-                Sent::NotRun if tried.len() < MAX_SENDS => {}
+                Sent::Answer(head, body) => return Ok(answer(&head, body)),
+                Sent::NotRun if more => {}
                 Sent::NotRun => return Err(out_of_instances(ran)),
                 Sent::Unknown if may_run_again => ran += 1,
                 Sent::Unknown => {
@@ -78,26 +93,6 @@
         }
     }
 
-    /// Sends a call that may be repeated to one more instance, after a failure of the first one.
-    /// Returns its answer if it is a success.
-    async fn call_elsewhere(
-        self: &Arc<Self>,
-        job: &Job,
-        tried: &[Arc<str>],
-    ) -> Option<Response<Body>> {
-        let placed = self.with_view(|view| {
-            view.choose_plain(&job.service, tried, monotonic_ms(), rand::random())
-        })?;
-        if job.left_ms() == 0 || !self.may_repeat(&job.service) {
-            return None;
-        }
-        let ticket = Ticket::begin(self, placed, None);
-        match self.send_plain(job, &ticket).await {
-            Sent::Answer(head, body) if head.status.is_success() => Some(answer(&head, body)),
-            _ => None,
-        }
-    }
-
     async fn send_plain(&self, job: &Job, ticket: &Ticket) -> Sent {
         let begun_ms = monotonic_ms();
         let request = job.request_for(&ticket.identity);
--- /dev/null
+++ b/tests/entry_support/fake_sidecar.rs
@@ -0,0 +1,508 @@
+//! A sidecar that does what a test plans.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use lilacspindle::adapters::clock::monotonic_ms;
+use lilacspindle::call_handler;
+use lilacspindle::domain::members::{Member, Phase, Role, Serves, UpstreamInfo};
+use lilacspindle::domain::state::{Command, Response, State, View};
+use lilacspindle::domain::table::{
+    KindRow, ModelRow, Row, RowKey, ServiceRow, Target, WorkspaceRow,
+};
+use lilacspindle::model::*;
+use lilacspindle::roles::entry::EntryRole;
+use lilacspindle::roles::subscriber::{Subscriber, SubscriberSettings, ViewStore, Watchers};
+use lilacspindle::rpc::control::*;
+use lilacspindle::rpc::sidecar::*;
+use lilacspindle::rpc::{Service, Services, Stamp, serve};
+use lilacspindle::settings::{EntrySettings, StalePolicy};
+use tarpc::context::Context;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Runtime;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout};
+
+/// What the fake sidecar does with a start.
+#[derive(Debug, Clone)]
+pub enum Plan {
+    /// Produces `t0 t1 ..`, then ends; stops early and stays silent at `stall_at`.
+    Tokens {
+        count: u32,
+        step_ms: u64,
+        stall_at: Option<u32>,
+    },
+    /// Produces some tokens, then ends without a result.
+    Fail {
+        after: u32,
+        outcome: Outcome,
+    },
+    Refuse(RefusalCode),
+    /// Never answers the start, and may or may not run it.
+    Swallow {
+        runs: bool,
+    },
+}
+
+#[derive(Debug, Default)]
+struct Produced {
+    workspace: Option<WorkspaceName>,
+    reader: Option<InstanceRef>,
+    tokens: Vec<String>,
+    end: Option<End>,
+}
+
+#[derive(Default)]
+pub struct Seen {
+    pub starts: Vec<StartRequest>,
+    pub calls: Vec<CallRequest>,
+    pub readopts: Vec<ReadoptRequest>,
+    pub cancels: Vec<GenerationId>,
+    /// Times that each generation was really run.
+    pub runs: BTreeMap<GenerationId, u32>,
+    produced: BTreeMap<GenerationId, Produced>,
+    answers: BTreeMap<GenerationId, ServiceResponse>,
+    tombstones: BTreeSet<GenerationId>,
+    polls: u64,
+}
+
+pub struct Fake {
+    pub me: InstanceRef,
+    pub upstream: UpstreamName,
+    pub plan: Mutex<Plan>,
+    /// Replies to polls are repeated, crossed and start at wrong offsets.
+    pub scrambles: bool,
+    /// Whether a readopt finds the stream at the engine.
+    pub adopts: bool,
+    pub leaving: Mutex<bool>,
+    /// Plain calls are run but not answered until this many were received.
+    pub mute_calls: Mutex<u32>,
+    /// Plain calls are refused for overload.
+    pub refuse_calls: Mutex<bool>,
+    pub seen: Mutex<Seen>,
+    changed: Notify,
+}
+
+#[derive(Clone)]
+pub struct FakeServer(pub Arc<Fake>);
+
+pub fn tokens(count: u32) -> Plan {
+    Plan::Tokens {
+        count,
+        step_ms: 2,
+        stall_at: None,
+    }
+}
+
+impl Fake {
+    pub fn new(name: &str, incarnation: u64, plan: Plan) -> Self {
+        Self {
+            me: InstanceRef {
+                name: name.into(),
+                incarnation: Incarnation(incarnation),
+            },
+            upstream: format!("{name}-engine").as_str().into(),
+            plan: Mutex::new(plan),
+            scrambles: false,
+            adopts: true,
+            leaving: Mutex::new(false),
+            mute_calls: Mutex::new(0),
+            refuse_calls: Mutex::new(false),
+            seen: Mutex::default(),
+            changed: Notify::new(),
+        }
+    }
+
+    pub fn seen(&self) -> MutexGuard<'_, Seen> {
+        self.seen.lock().unwrap()
+    }
+
+    fn stamp(&self) -> Stamp {
+        Stamp {
+            sender: self.me.clone(),
+            table_version: TableVersion(1),
+            leaving: *self.leaving.lock().unwrap(),
+        }
+    }
+
+    fn load(&self) -> LoadReport {
+        let load = |name: UpstreamName| UpstreamLoad {
+            upstream: name,
+            healthy: true,
+            leaving: false,
+            versions: vec!["v1".to_owned()],
+            running: 0,
+            queued: 0,
+            used_tokens: 0,
+            capacity_tokens: 10_000,
+            backlog_tokens: 0,
+            tokens_per_s: 0,
+        };
+        let service = UpstreamName::from(format!("{}-service", self.me.name).as_str());
+        LoadReport {
+            upstreams: vec![load(self.upstream.clone()), load(service)],
+            fence: Fence(1),
+        }
+    }
+
+    fn begin(self: &Arc<Self>, start: &StartRequest) {
+        let mut seen = self.seen();
+        let entry = seen.produced.entry(start.generation).or_default();
+        if entry.workspace.is_some() {
+            return;
+        }
+        entry.workspace = Some(start.workspace.clone());
+        *seen.runs.entry(start.generation).or_default() += 1;
+        drop(seen);
+        let (fake, generation) = (Arc::clone(self), start.generation);
+        let plan = self.plan.lock().unwrap().clone();
+        tokio::spawn(async move { fake.produce(generation, plan, 0).await });
+    }
+
+    async fn produce(&self, generation: GenerationId, plan: Plan, from: u32) {
+        let (count, step_ms, stall_at, end) = match plan {
+            Plan::Tokens {
+                count,
+                step_ms,
+                stall_at,
+            } => (
+                count,
+                step_ms,
+                stall_at,
+                End::Finished {
+                    reason: "stop".to_owned(),
+                },
+            ),
+            Plan::Fail { after, outcome } => {
+                let refusal = refusal(RefusalCode::UpstreamLost);
+                (after, 2, None, End::Failed { outcome, refusal })
+            }
+            Plan::Refuse(_) | Plan::Swallow { .. } => (
+                0,
+                0,
+                Some(0),
+                End::Finished {
+                    reason: String::new(),
+                },
+            ),
+        };
+        for index in from..count {
+            if stall_at == Some(index) {
+                return;
+            }
+            sleep(Duration::from_millis(step_ms)).await;
+            let mut seen = self.seen();
+            let Some(produced) = seen.produced.get_mut(&generation) else {
+                return;
+            };
+            if produced.end.is_some() {
+                return;
+            }
+            produced.tokens.push(format!("t{index} "));
+            drop(seen);
+            self.changed.notify_waiters();
+        }
+        if let Some(produced) = self.seen().produced.get_mut(&generation) {
+            produced.end.get_or_insert(end);
+        }
+        self.changed.notify_waiters();
+    }
+
+    fn updates(&self, request: &PollRequest) -> (Vec<StreamUpdate>, bool) {
+        let mut seen = self.seen();
+        seen.polls += 1;
+        let poll = seen.polls;
+        let mut has_news = false;
+        let mut updates = Vec::new();
+        for cursor in &request.cursors {
+            if let Some(produced) = seen.produced.get_mut(&cursor.generation) {
+                produced.reader = Some(request.stamp.sender.clone());
+            }
+            let known = seen.produced.get(&cursor.generation);
+            let known = known.filter(|it| it.workspace.as_ref() == Some(&cursor.workspace));
+            let mut update = StreamUpdate {
+                generation: cursor.generation,
+                chunk: None,
+                end: None,
+                origin: None,
+                unknown: known.is_none(),
+            };
+            has_news |= known.is_none();
+            if let Some(produced) = known {
+                let from = cursor.from_offset as usize;
+                update.origin = (from == 0).then(|| Origin {
+                    upstream: self.upstream.clone(),
+                    engine_stream: cursor.generation.to_string(),
+                });
+                let total = u32::try_from(produced.tokens.len()).unwrap();
+                update.end = produced.end.clone().map(|end| (total, end));
+                if produced.tokens.len() > from || produced.end.is_some() {
+                    has_news = true;
+                    // A scrambled reply is one that belongs to another poll.
+                    let from = match self.scrambles {
+                        true if poll.is_multiple_of(3) => from.saturating_sub(2),
+                        true if poll.is_multiple_of(5) => (from + 1).min(produced.tokens.len()),
+                        _ => from,
+                    };
+                    update.chunk = Some(Chunk {
+                        offset: u32::try_from(from).unwrap(),
+                        tokens: produced.tokens[from.min(produced.tokens.len())..].to_vec(),
+                    });
+                }
+            }
+            if self.scrambles {
+                updates.push(update.clone());
+            }
+            updates.push(update);
+        }
+        (updates, has_news)
+    }
+}
+
+fn refusal(code: RefusalCode) -> Refusal {
+    Refusal {
+        code,
+        message: "as planned".to_owned(),
+        retry_after_ms: Some(1_500),
+    }
+}
+
+impl Sidecar for FakeServer {
+    async fn ping(self, _: Context) {}
+
+    async fn start(self, _: Context, request: StartRequest) -> StartReply {
+        let (stamp, load) = (self.0.stamp(), self.0.load());
+        if request.incarnation != self.0.me.incarnation {
+            return StartReply::WrongIncarnation { stamp };
+        }
+        self.0.seen().starts.push(request.clone());
+        if self.0.seen().tombstones.contains(&request.generation) {
+            return StartReply::Refused {
+                stamp,
+                refusal: refusal(RefusalCode::Cancelled),
+                load,
+            };
+        }
+        let plan = self.0.plan.lock().unwrap().clone();
+        match plan {
+            Plan::Refuse(code) => {
+                self.0.seen().tombstones.insert(request.generation);
+                return StartReply::Refused {
+                    stamp,
+                    refusal: refusal(code),
+                    load,
+                };
+            }
+            Plan::Swallow { runs } => {
+                if runs {
+                    self.0.begin(&request);
+                }
+                sleep(Duration::from_mins(1)).await;
+            }
+            _ => self.0.begin(&request),
+        }
+        StartReply::Accepted { stamp, load }
+    }
+
+    async fn poll(self, _: Context, request: PollRequest) -> PollReply {
+        let until = Instant::now() + Duration::from_millis(request.hold_ms);
+        loop {
+            let changed = self.0.changed.notified();
+            let (updates, has_news) = self.0.updates(&request);
+            if has_news || Instant::now() >= until {
+                return PollReply {
+                    stamp: self.0.stamp(),
+                    updates,
+                    load: self.0.load(),
+                };
+            }
+            let _ = tokio::time::timeout_at(until, changed).await;
+        }
+    }
+
+    async fn cancel(self, _: Context, request: CancelRequest) -> CancelReply {
+        let stamp = self.0.stamp();
+        if request.incarnation != self.0.me.incarnation {
+            return CancelReply::WrongIncarnation { stamp };
+        }
+        let mut seen = self.0.seen();
+        seen.cancels.push(request.generation);
+        if seen.answers.contains_key(&request.generation) {
+            return CancelReply::Ended { stamp };
+        }
+        let Some(produced) = seen.produced.get_mut(&request.generation) else {
+            seen.tombstones.insert(request.generation);
+            return CancelReply::NotRun { stamp };
+        };
+        let produced_tokens = u32::try_from(produced.tokens.len()).unwrap();
+        let is_read_elsewhere = produced
+            .reader
+            .as_ref()
+            .is_some_and(|reader| *reader != request.stamp.sender);
+        if produced.end.is_some() || is_read_elsewhere {
+            return CancelReply::Ended { stamp };
+        }
+        produced.end = Some(End::Failed {
+            outcome: Outcome::Unknown,
+            refusal: refusal(RefusalCode::Cancelled),
+        });
+        CancelReply::Stopped {
+            stamp,
+            produced_tokens,
+        }
+    }
+
+    async fn call(self, _: Context, request: CallRequest) -> CallReply {
+        let (stamp, load) = (self.0.stamp(), self.0.load());
+        if request.incarnation != self.0.me.incarnation {
+            return CallReply::WrongIncarnation { stamp };
+        }
+        self.0.seen().calls.push(request.clone());
+        let is_dead = self.0.seen().tombstones.contains(&request.generation);
+        if is_dead || *self.0.refuse_calls.lock().unwrap() {
+            self.0.seen().tombstones.insert(request.generation);
+            let refusal = refusal(RefusalCode::Overload);
+            return CallReply::Refused {
+                stamp,
+                outcome: Outcome::NotRun,
+                refusal,
+                load,
+            };
+        }
+        let response = {
+            let mut seen = self.0.seen();
+            let known = seen.answers.get(&request.generation).cloned();
+            known.unwrap_or_else(|| {
+                let run = seen.runs.len();
+                *seen.runs.entry(request.generation).or_default() += 1;
+                let body = format!("run {run} of {} {}", request.method, request.path_and_query);
+                let headers = vec![("content-type".to_owned(), "text/plain".to_owned())];
+                let response = ServiceResponse {
+                    status: 201,
+                    headers,
+                    body: body.into_bytes(),
+                };
+                seen.answers.insert(request.generation, response.clone());
+                response
+            })
+        };
+        let is_mute = {
+            let mut mute = self.0.mute_calls.lock().unwrap();
+            let is_mute = *mute > 0;
+            *mute = mute.saturating_sub(1);
+            is_mute
+        };
+        if is_mute {
+            sleep(Duration::from_mins(1)).await;
+        }
+        CallReply::Response {
+            stamp,
+            response,
+            load,
+        }
+    }
+
+    async fn readopt(self, _: Context, request: ReadoptRequest) -> ReadoptReply {
+        let stamp = self.0.stamp();
+        if request.incarnation != self.0.me.incarnation {
+            return ReadoptReply::WrongIncarnation { stamp };
+        }
+        let generation = request.start.generation;
+        let from = request.from_offset;
+        let workspace = request.start.workspace.clone();
+        self.0.seen().readopts.push(request);
+        if !self.0.adopts {
+            return ReadoptReply::Lost { stamp };
+        }
+        let tokens = (0..from).map(|index| format!("t{index} ")).collect();
+        let produced = Produced {
+            workspace: Some(workspace),
+            reader: None,
+            tokens,
+            end: None,
+        };
+        self.0.seen().produced.insert(generation, produced);
+        let plan = self.0.plan.lock().unwrap().clone();
+        tokio::spawn(async move { self.0.produce(generation, plan, from).await });
+        ReadoptReply::Adopted { stamp }
+    }
+
+    async fn probe(self, _: Context, _: ProbeRequest) -> ProbeReply {
+        ProbeReply {
+            stamp: self.0.stamp(),
+            load: self.0.load(),
+        }
+    }
+}
+
+/// A fake sidecar with threads of its own, so that it can be killed with its connections.
+pub struct RunningFake {
+    pub fake: Arc<Fake>,
+    pub address: SocketAddr,
+    runtime: Option<Runtime>,
+}
+
+impl RunningFake {
+    pub fn start(fake: Fake) -> Self {
+        let fake = Arc::new(fake);
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let listener = std::thread::scope(|scope| {
+            scope
+                .spawn(|| runtime.block_on(TcpListener::bind("127.0.0.1:0")).unwrap())
+                .join()
+                .unwrap()
+        });
+        let address = listener.local_addr().unwrap();
+        let mut services = Services::default();
+        services.offer(
+            Service::Sidecar,
+            call_handler!(Service::Sidecar, FakeServer(Arc::clone(&fake))),
+        );
+        runtime.spawn(serve(listener, services));
+        Self {
+            fake,
+            address,
+            runtime: Some(runtime),
+        }
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    pub fn member(&self) -> Member {
+        let upstream = |name: UpstreamName, serves| UpstreamInfo {
+            name,
+            serves,
+            versions: vec!["v1".to_owned()],
+        };
+        let service = UpstreamName::from(format!("{}-service", self.fake.me.name).as_str());
+        Member {
+            name: self.fake.me.name.clone(),
+            incarnation: self.fake.me.incarnation,
+            fence: Fence(1),
+            roles: vec![Role::Sidecar],
+            zone: "z1".into(),
+            rpc_address: self.address,
+            phase: Phase::Live,
+            upstreams: vec![
+                upstream(self.fake.upstream.clone(), Serves::Model("tutor".into())),
+                upstream(service, Serves::Service("cards".into())),
+            ],
+        }
+    }
+}
+
+impl Drop for RunningFake {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/tests/site_logs.rs
@@ -0,0 +1,34 @@
+//! Logging under load.
+
+mod site_support;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use site_support::{Site, document};
+
+/// Requests whose lines fill a pipe of 64 KiB and the queue of 2,048 lines.
+const REQUESTS: usize = 4_000;
+
+/// Guards against requests that wait for a log which nobody reads.
+#[tokio::test]
+async fn unread_log_stops_no_request() {
+    let mut site = Site::serving(&document(1)).await;
+    site.restart_entry_unread(1);
+    site.wait_ready(1).await;
+    let mut stream = TcpStream::connect(site.caller_address(1)).await.unwrap();
+    let mut answer = vec![0; 4_096];
+    for _ in 0..REQUESTS {
+        stream
+            .write_all(b"GET /none HTTP/1.1\r\nHost: calls.example\r\n\r\n")
+            .await
+            .unwrap();
+        let length = stream.read(&mut answer).await.unwrap();
+        assert!(answer[..length].starts_with(b"HTTP/1.1 404"));
+    }
+    let dropped = site
+        .entry_metric(1, "lilac_log_lines_dropped_total")
+        .await
+        .unwrap();
+    assert!(dropped > 0.0 && dropped < 4_000.0, "{dropped}");
+}
--- a/tests/site_path.rs
+++ b/tests/site_path.rs
@@ -7,45 +7,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use site_support::{Reply, Request, Site, answer, client, document, sse, wait_for};
+use site_support::{
+    Reply, Request, Site, answer, call, caller, client, document, proper, sse, wait_for,
+    wait_routable,
+};
 
 const NOT_RUN: (&str, &str) = ("X-Lilacspindle-Not-Executed", "1");
 
-/// Returns an instance's proper answer to a plain call.
-fn proper(request: &Request) -> Vec<Reply> {
-    let headers = [
-        ("X-Lilacspindle-Request-Id", request.id()),
-        ("X-Lilacspindle-Response-Seal", "seal"),
-    ];
-    vec![Reply::Bytes(answer("200 OK", &headers, b"proper"))]
-}
-
-/// Sends a request as a caller with the key `k1`.
-async fn call(site: &Site, path: &str, id: &str) -> reqwest::Response {
-    caller(site, path, id).send().await.unwrap()
-}
-
-fn caller(site: &Site, path: &str, id: &str) -> reqwest::RequestBuilder {
-    client()
-        .post(format!("http://{}{path}", site.caller_address(1)))
-        .header("Host", "calls.example")
-        .header("Authorization", "Bearer k1")
-        .header("X-Lilacspindle-Request-Id", id)
-        .header("X-Lilacspindle-Deadline-Milliseconds", "3000")
-        .header("X-Lilacspindle-Model", "m")
-        .header("X-Lilacspindle-Token-Usage", "3000,800")
-        .header("X-Lilacspindle-Length-Hint", "800")
-        .body("the body")
-}
-
-/// Waits until the entry knows the instances: until a call no longer finds none.
-async fn wait_routable(site: &Site, path: &str) {
-    wait_for("an instance is known", || async {
-        call(site, path, "warm-up").await.status() != 503
-    })
-    .await;
-}
-
 /// Guards against a request that reaches an instance changed: another body, a caller's own system
 /// headers, the key, no deadline, no expected instance.
 #[tokio::test]
@@ -383,107 +351,6 @@
     assert!(left_at.elapsed() < Duration::from_secs(5));
 }
 
-/// Guards against events that are held back, joined wrongly or lost.
-#[tokio::test]
-async fn stream_is_passed_on_event_by_event() {
-    let mut site = Site::serving(&document(1)).await;
-    let _upstream = site
-        .upstream("model", |request: &Request| {
-            let id = request.id();
-            let rest = sse(id, 2..=3, false, true);
-            let (a, b) = rest.split_at(11);
-            vec![
-                Reply::Bytes(sse(id, 1..=1, true, false)),
-                Reply::Pause(Duration::from_millis(300)),
-                Reply::Bytes(a.to_vec()),
-                Reply::Pause(Duration::from_millis(50)),
-                Reply::Bytes(b.to_vec()),
-            ]
-        })
-        .await;
-    wait_routable(&site, "/stream/x").await;
-    let mut stream = call(&site, "/stream/x", "id-1").await;
-    assert_eq!(
-        stream.chunk().await.unwrap().unwrap(),
-        "id: 1\ndata: piece 1\n\n"
-    );
-    let mut rest = Vec::new();
-    while let Some(chunk) = stream.chunk().await.unwrap() {
-        rest.extend_from_slice(&chunk);
-    }
-    assert_eq!(rest, b"id: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n");
-}
-
-/// Guards against a generation that is lost with its engine although another one holds its memory,
-/// and against pieces that come twice or are missing at the join.
-#[tokio::test]
-async fn broken_stream_goes_on_from_its_copy() {
-    let mut site = Site::serving(&document(1)).await;
-    let script = |request: &Request| {
-        let id = request.id();
-        match request.header("kv-from") {
-            _ if request.path != "/stream/x" => vec![Reply::Bytes(sse(id, 1..=1, true, true))],
-            None => vec![Reply::Bytes(sse(id, 1..=3, true, false)), Reply::Close],
-            // The engine may send an event again that was made before.
-            Some(_) => vec![Reply::Bytes(sse(id, 3..=5, true, true))],
-        }
-    };
-    let first = site.upstream("model", script).await;
-    let second = site.upstream("model", script).await;
-    wait_for("both engines are known", || async {
-        let _ = call(&site, "/stream/warm", "warm").await.bytes().await;
-        let all = || {
-            first
-                .requests("/stream/warm")
-                .into_iter()
-                .chain(second.requests("/stream/warm"))
-        };
-        all().any(|request| request.header("x-lilacspindle-cache-backup").is_some())
-    })
-    .await;
-    let got = call(&site, "/stream/x", "id-1").await;
-    let events: Vec<String> = (1..=5)
-        .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
-        .collect();
-    let expected = events.concat();
-    assert_eq!(got.text().await.unwrap(), expected);
-    let mut requests = first.requests("/stream/x");
-    requests.extend(second.requests("/stream/x"));
-    assert_eq!(requests.len(), 2);
-    let next = requests
-        .iter()
-        .find(|r| r.header("kv-from").is_some())
-        .unwrap();
-    let begun = requests
-        .iter()
-        .find(|r| r.header("kv-from").is_none())
-        .unwrap();
-    let copy = format!(
-        "{}/id-1",
-        begun.header("x-lilacspindle-cache-backup").unwrap()
-    );
-    assert_eq!(next.header("kv-from"), Some(copy.as_str()));
-    assert_eq!(next.header("last-event-id"), Some("3"));
-}
-
-/// Guards against a stream that looks complete although its engine broke off and nobody holds a copy.
-#[tokio::test]
-async fn broken_stream_without_a_copy_does_not_look_complete() {
-    let mut site = Site::serving(&document(1)).await;
-    let _upstream = site
-        .upstream("model", |request: &Request| {
-            vec![
-                Reply::Bytes(sse(request.id(), 1..=2, true, request.path != "/stream/x")),
-                Reply::Close,
-            ]
-        })
-        .await;
-    wait_routable(&site, "/stream/warm").await;
-    let got = call(&site, "/stream/x", "id-1").await;
-    assert_eq!(got.status(), 200);
-    assert!(got.bytes().await.is_err());
-}
-
 /// Guards against a stop that cuts requests, and against an entry that takes itself for ready while
 /// it stops.
 #[tokio::test]
--- /dev/null
+++ b/tests/site_streams.rs
@@ -0,0 +1,180 @@
+//! Streams through a real entry: passed on, continued elsewhere, and broken off.
+
+mod site_support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use site_support::{Reply, Request, Site, answer, call, document, sse, wait_for, wait_routable};
+
+/// Guards against events that are held back, joined wrongly or lost.
+#[tokio::test]
+async fn stream_is_passed_on_event_by_event() {
+    let mut site = Site::serving(&document(1)).await;
+    let _upstream = site
+        .upstream("model", |request: &Request| {
+            let id = request.id();
+            let rest = sse(id, 2..=3, false, true);
+            let (a, b) = rest.split_at(11);
+            vec![
+                Reply::Bytes(sse(id, 1..=1, true, false)),
+                Reply::Pause(Duration::from_millis(300)),
+                Reply::Bytes(a.to_vec()),
+                Reply::Pause(Duration::from_millis(50)),
+                Reply::Bytes(b.to_vec()),
+            ]
+        })
+        .await;
+    wait_routable(&site, "/stream/x").await;
+    let mut stream = call(&site, "/stream/x", "id-1").await;
+    assert_eq!(
+        stream.chunk().await.unwrap().unwrap(),
+        "id: 1\ndata: piece 1\n\n"
+    );
+    let mut rest = Vec::new();
+    while let Some(chunk) = stream.chunk().await.unwrap() {
+        rest.extend_from_slice(&chunk);
+    }
+    assert_eq!(rest, b"id: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n");
+}
+
+/// Guards against a generation that is lost with its engine although another one holds its memory,
+/// and against pieces that come twice or are missing at the join.
+#[tokio::test]
+async fn broken_stream_goes_on_from_its_copy() {
+    let mut site = Site::serving(&document(1)).await;
+    let script = |request: &Request| {
+        let id = request.id();
+        match request.header("kv-from") {
+            _ if request.path != "/stream/x" => vec![Reply::Bytes(sse(id, 1..=1, true, true))],
+            None => vec![Reply::Bytes(sse(id, 1..=3, true, false)), Reply::Close],
+            // The engine may send an event again that was made before.
+            Some(_) => vec![Reply::Bytes(sse(id, 3..=5, true, true))],
+        }
+    };
+    let first = site.upstream("model", script).await;
+    let second = site.upstream("model", script).await;
+    wait_for("both engines are known", || async {
+        let _ = call(&site, "/stream/warm", "warm").await.bytes().await;
+        let all = || {
+            first
+                .requests("/stream/warm")
+                .into_iter()
+                .chain(second.requests("/stream/warm"))
+        };
+        all().any(|request| request.header("x-lilacspindle-cache-backup").is_some())
+    })
+    .await;
+    let got = call(&site, "/stream/x", "id-1").await;
+    let events: Vec<String> = (1..=5)
+        .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
+        .collect();
+    let expected = events.concat();
+    assert_eq!(got.text().await.unwrap(), expected);
+    let mut requests = first.requests("/stream/x");
+    requests.extend(second.requests("/stream/x"));
+    assert_eq!(requests.len(), 2);
+    let next = requests
+        .iter()
+        .find(|r| r.header("kv-from").is_some())
+        .unwrap();
+    let begun = requests
+        .iter()
+        .find(|r| r.header("kv-from").is_none())
+        .unwrap();
+    let copy = format!(
+        "{}/id-1",
+        begun.header("x-lilacspindle-cache-backup").unwrap()
+    );
+    assert_eq!(next.header("kv-from"), Some(copy.as_str()));
+    assert_eq!(next.header("last-event-id"), Some("3"));
+}
+
+/// Guards against a stream that looks complete although its engine broke off and nobody holds a copy.
+#[tokio::test]
+async fn broken_stream_without_a_copy_does_not_look_complete() {
+    let mut site = Site::serving(&document(1)).await;
+    let _upstream = site
+        .upstream("model", |request: &Request| {
+            vec![
+                Reply::Bytes(sse(request.id(), 1..=2, true, request.path != "/stream/x")),
+                Reply::Close,
+            ]
+        })
+        .await;
+    wait_routable(&site, "/stream/warm").await;
+    let got = call(&site, "/stream/x", "id-1").await;
+    assert_eq!(got.status(), 200);
+    assert!(got.bytes().await.is_err());
+}
+
+/// Guards against a generation that is lost with an engine that gives notice: the notice has to
+/// reach the entry through the sidecar, the memory has to be copied before the generation is stopped,
+/// and the generation has to go on where the copy is.
+#[tokio::test]
+async fn generation_moves_before_its_engine_leaves() {
+    let mut without_copies = document(1);
+    without_copies["services"][1]["engine"]["backups"] = json!(false);
+    let mut site = Site::serving(&without_copies).await;
+    let leaving = Arc::new(AtomicBool::new(false));
+    let script = |leaving: Arc<AtomicBool>| {
+        move |request: &Request| {
+            let id = request.id();
+            let moved = request.header("kv-from").is_some();
+            let report = match leaving.load(Ordering::SeqCst) {
+                true => json!({"kvCacheUsed": 4_000, "kvCacheTotal": 34_000, "leaves_ms": 1_500}),
+                false => json!({"kvCacheUsed": 4_000, "kvCacheTotal": 34_000}),
+            };
+            let json_answer = |body: &serde_json::Value| {
+                vec![Reply::Bytes(answer(
+                    "200 OK",
+                    &[],
+                    body.to_string().as_bytes(),
+                ))]
+            };
+            match request.path.as_str() {
+                "/report" => json_answer(&report),
+                "/kv-move" => json_answer(&json!({"handle": "h7", "made": 3})),
+                "/stream/x" if moved => vec![Reply::Bytes(sse(id, 4..=5, true, true))],
+                "/stream/x" => vec![
+                    Reply::Bytes(sse(id, 1..=3, true, false)),
+                    Reply::Pause(Duration::from_millis(2_500)),
+                    Reply::Close,
+                ],
+                _ => vec![Reply::Bytes(sse(id, 1..=1, true, true))],
+            }
+        }
+    };
+    let source = site.upstream("model", script(Arc::clone(&leaving))).await;
+    wait_routable(&site, "/stream/warm").await;
+    site.start_sidecar(&source);
+    let mut stream = call(&site, "/stream/x", "id-1").await;
+    assert!(stream.chunk().await.unwrap().is_some());
+    let target = site.upstream("model", script(Arc::default())).await;
+    leaving.store(true, Ordering::SeqCst);
+    let mut rest = Vec::new();
+    while let Some(chunk) = stream.chunk().await.unwrap() {
+        rest.extend_from_slice(&chunk);
+    }
+    assert!(rest.ends_with(b"id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n"));
+    let moves: Vec<Value> = source
+        .requests("/kv-move")
+        .iter()
+        .map(|request| serde_json::from_slice(&request.body).unwrap())
+        .collect();
+    let stops: Vec<&Value> = moves.iter().map(|call| &call["last"]).collect();
+    assert_eq!(stops, [&json!(false), &json!(true)]);
+    assert!(moves.iter().all(|call| call["identifier"] == "id-1"));
+    assert!(
+        moves
+            .iter()
+            .all(|call| call["to"] == target.address.to_string())
+    );
+    let continued = &target.requests("/stream/x")[0];
+    let copy = format!("{}/h7", source.address);
+    assert_eq!(continued.header("kv-from"), Some(copy.as_str()));
+    assert_eq!(continued.header("last-event-id"), Some("3"));
+}
--- /dev/null
+++ b/tests/site_support/callers.rs
@@ -0,0 +1,39 @@
+//! Callers' requests to the entry of machine 1.
+
+use super::{Reply, Request, Site, answer, client, wait_for};
+
+/// Returns an instance's proper answer to a plain call.
+pub fn proper(request: &Request) -> Vec<Reply> {
+    let headers = [
+        ("X-Lilacspindle-Request-Id", request.id()),
+        ("X-Lilacspindle-Response-Seal", "seal"),
+    ];
+    vec![Reply::Bytes(answer("200 OK", &headers, b"proper"))]
+}
+
+/// Sends a request as a caller with the key `k1`.
+pub async fn call(site: &Site, path: &str, id: &str) -> reqwest::Response {
+    caller(site, path, id).send().await.unwrap()
+}
+
+/// Returns the request of such a caller, to be changed or sent.
+pub fn caller(site: &Site, path: &str, id: &str) -> reqwest::RequestBuilder {
+    client()
+        .post(format!("http://{}{path}", site.caller_address(1)))
+        .header("Host", "calls.example")
+        .header("Authorization", "Bearer k1")
+        .header("X-Lilacspindle-Request-Id", id)
+        .header("X-Lilacspindle-Deadline-Milliseconds", "3000")
+        .header("X-Lilacspindle-Model", "m")
+        .header("X-Lilacspindle-Token-Usage", "3000,800")
+        .header("X-Lilacspindle-Length-Hint", "800")
+        .body("the body")
+}
+
+/// Waits until the entry knows the instances: until a call no longer finds none.
+pub async fn wait_routable(site: &Site, path: &str) {
+    wait_for("an instance is known", || async {
+        call(site, path, "warm-up").await.status() != 503
+    })
+    .await;
+}
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -4,6 +4,7 @@
 // Each test program uses a part of this module.
 #![allow(dead_code)]
 
+mod callers;
 mod replica;
 
 use std::collections::BTreeMap;
@@ -17,6 +18,8 @@
 
 // As above, for the re-exports.
 #[allow(unused_imports)]
+pub use callers::{call, caller, proper, wait_routable};
+#[allow(unused_imports)]
 pub use replica::{Reply, Request, Upstream, answer, sse};
 
 /// Time in which a started site has to serve. Debug builds on a busy machine need some.
@@ -158,8 +161,7 @@
 
     fn start(&mut self, name: &str, settings: &str) {
         self.kill(name);
-        let file = self.folder.join(format!("{name}.ini"));
-        std::fs::write(&file, settings).unwrap();
+        let file = self.settings_file(name, settings);
         let log = self.folder.join(format!("{name}.log"));
         let log = std::fs::OpenOptions::new()
             .create(true)
@@ -176,6 +178,25 @@
         self.processes.insert(name.to_owned(), child);
     }
 
+    fn settings_file(&self, name: &str, settings: &str) -> PathBuf {
+        let file = self.folder.join(format!("{name}.ini"));
+        std::fs::write(&file, settings).unwrap();
+        file
+    }
+
+    /// Starts the entry of a machine again with a standard output that nobody reads.
+    pub fn restart_entry_unread(&mut self, machine: u8) {
+        let name = format!("entry-{machine}");
+        self.kill(&name);
+        let child = Command::new(env!("CARGO_BIN_EXE_lilacspindled"))
+            .arg("run")
+            .arg(self.folder.join(format!("{name}.ini")))
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        self.processes.insert(name, child);
+    }
+
     /// Kills a process.
     pub fn kill(&mut self, name: &str) {
         if let Some(mut child) = self.processes.remove(name) {
@@ -223,6 +244,37 @@
         upstream
     }
 
+    /// Starts a sidecar that reports on an engine.
+    pub fn start_sidecar(&mut self, engine: &Upstream) {
+        let text = format!(
+            "{}[reporter]\nengine_address = {}\n",
+            self.instance_lines("sidecar-1", 1, 7_208, 7_209),
+            engine.address,
+        );
+        self.start("sidecar-1", &text);
+    }
+
+    /// Names other control addresses in the settings of processes that are started from now on.
+    pub fn set_seeds(&mut self, machines: &[u8]) {
+        self.seeds = machines
+            .iter()
+            .map(|n| self.address(*n, OPERATOR_PORT))
+            .collect();
+    }
+
+    /// Returns where a control instance takes calls of other processes.
+    pub fn rpc_address(&self, machine: u8) -> SocketAddr {
+        self.address(machine, RPC_PORT)
+    }
+
+    /// Returns a metric of an entry.
+    pub async fn entry_metric(&self, machine: u8, name: &str) -> Option<f64> {
+        let url = format!("http://{}/metrics", self.address(machine, ENTRY_ADMIN_PORT));
+        let text = client().get(url).send().await.ok()?.text().await.ok()?;
+        let line = text.lines().find(|line| line.starts_with(name))?.to_owned();
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
     /// Returns the URL of an operator's call.
     pub fn operator_url(&self, machine: u8, path: &str) -> String {
         format!("http://{}{path}", self.address(machine, OPERATOR_PORT))
