Let the test proxy of the command line serve whole connections

Cause: the proxy closed each connection after one answer. The command line keeps its connection, so a request sent while the proxy closed it was never read there: the edit then went to the leader once, and the test found that it was not sent again.

Shown: with a pause of 200 ms between the proxy's answer and its close the test failed with the same message in the one run made; with the same pause and whole connections it passed. The client did what it should in both.

Change: the proxy serves a connection until its client closes it, and breaks only answers to POST. The assertions are unchanged.

--- a/tests/cli_commands.rs
+++ b/tests/cli_commands.rs
@@ -203,19 +203,31 @@
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         for client in listener.incoming() {
-            let mut client = client.unwrap();
-            let mut server = TcpStream::connect(target).unwrap();
-            let request = read_message(&mut client);
-            server.write_all(&request).unwrap();
-            let answer = read_message(&mut server);
-            if !request.starts_with(b"POST") {
-                client.write_all(&answer).unwrap();
-            }
+            let client = client.unwrap();
+            std::thread::spawn(move || break_answers_of(client, target));
         }
     });
     address
 }
 
+/// Serves one connection until its client closes it. One that were closed after an answer could be
+/// closed while the client sends its next request there, which would then not be passed on.
+fn break_answers_of(mut client: TcpStream, target: SocketAddr) {
+    loop {
+        let request = read_message(&mut client);
+        if request.is_empty() {
+            return;
+        }
+        let mut server = TcpStream::connect(target).unwrap();
+        server.write_all(&request).unwrap();
+        let answer = read_message(&mut server);
+        if request.starts_with(b"POST") {
+            return;
+        }
+        client.write_all(&answer).unwrap();
+    }
+}
+
 /// Reads one HTTP message with a content-length.
 fn read_message(stream: &mut TcpStream) -> Vec<u8> {
     let (mut bytes, mut buffer) = (Vec::new(), [0; 4096]);
