Use an instance again that starts again under its identity

Cause: an entry marks an instance as leaving by its list, its report or a 421, and never took the mark back while the identity stayed known.

Change: an instance counts as started again when its start is later, its address is another, or a list shows it ready 2 s after one showed it leaving. Reports and list entries of an earlier start are ignored. Bytes of the list that are no text spoil their entry, not the page.

--- a/src/domain/fleet/instance.rs
+++ b/src/domain/fleet/instance.rs
@@ -15,6 +15,9 @@
 const MEMORY_HALF_LIFE_MS: f64 = 3_000.0;
 /// An instance that fails all its requests counts as this many times as slow.
 const FAILURE_WEIGHT: f64 = 12.0;
+/// A list that calls a leaving instance ready is believed if it was read this long after the first
+/// word of its leaving: answers of the platform's list lag by most of a second, each by another time.
+const LIST_BELIEVED_AFTER_MS: u64 = 2_000;
 
 /// What an entry knew of an instance.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -57,6 +60,8 @@
     /// What the others have, as of the last sync.
     pub(super) others: Option<Pulse>,
     pub(super) leaving: Option<Leaving>,
+    /// When the list first showed that it leaves.
+    delisted_ms: Option<u64>,
     pub(super) avoid_until_ms: u64,
     pub(super) failures_in_row: u32,
     /// Average time of answered calls; meaningless before the first one.
@@ -76,6 +81,7 @@
             prefill_tokens: 0,
             others: None,
             leaving: None,
+            delisted_ms: None,
             avoid_until_ms: 0,
             failures_in_row: 0,
             average_ms: 0.0,
@@ -85,6 +91,55 @@
         }
     }
 
+    /// Takes what a list that was read at `read_ms` says of the instance. What it says of an earlier
+    /// start is ignored.
+    pub(super) fn list(&mut self, listed: Listed, read_ms: u64) {
+        if listed.born_ms.is_some() && listed.born_ms < self.listed.born_ms {
+            return;
+        }
+        let believed_ms = self.delisted_ms.map(|at_ms| at_ms + LIST_BELIEVED_AFTER_MS);
+        let is_back = listed.state == ListedState::Ready
+            && believed_ms.is_some_and(|believed_ms| read_ms >= believed_ms);
+        let started_later = listed.born_ms > self.listed.born_ms && self.listed.born_ms.is_some();
+        if is_back || started_later || listed.address != self.listed.address {
+            self.forget();
+        }
+        let born_ms = listed.born_ms.or(self.listed.born_ms);
+        self.listed = Listed { born_ms, ..listed };
+        if self.listed.state == ListedState::Draining {
+            self.delist(None, read_ms);
+        }
+    }
+
+    /// Takes from a list that was read at `read_ms` that the instance leaves, or is gone.
+    pub(super) fn delist(&mut self, gone_at_ms: Option<u64>, read_ms: u64) {
+        self.delisted_ms.get_or_insert(read_ms);
+        self.leaving.get_or_insert(Leaving { gone_at_ms });
+    }
+
+    /// Takes when the instance that reports has started. Returns false for a report of an earlier
+    /// start.
+    pub(super) fn started(&mut self, born_ms: Option<u64>) -> bool {
+        match (born_ms, self.listed.born_ms) {
+            (Some(born_ms), Some(held_ms)) if born_ms < held_ms => return false,
+            (Some(born_ms), Some(held_ms)) if born_ms > held_ms => {
+                self.forget();
+                self.listed.state = ListedState::Ready;
+            }
+            _ => {}
+        }
+        self.listed.born_ms = born_ms.or(self.listed.born_ms);
+        true
+    }
+
+    /// Forgets what was learned of an instance that has started again. What this entry has placed
+    /// there is still counted off as its requests end.
+    fn forget(&mut self) {
+        let counted = (self.running, self.committed_tokens, self.prefill_tokens);
+        *self = Self::new(self.listed.clone());
+        (self.running, self.committed_tokens, self.prefill_tokens) = counted;
+    }
+
     pub(super) fn usable(&self, now_ms: u64) -> bool {
         self.listed.state == ListedState::Ready
             && self.leaving.is_none()
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -30,7 +30,7 @@
 /// One instance of the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listed {
-    /// Unique to one start of an instance, unless a restarted one keeps it.
+    /// Unique to an instance; one that starts again may keep it.
     pub identity: Arc<str>,
     pub service: Arc<str>,
     pub address: SocketAddr,
@@ -39,6 +39,9 @@
     pub state: ListedState,
     /// True while the instance is slow after its start.
     pub cold: bool,
+    /// When the instance started, in Unix time, if it says so. One that starts again may keep its
+    /// identity.
+    pub born_ms: Option<u64>,
 }
 
 /// What an engine says of itself.
@@ -52,6 +55,8 @@
     /// Time until the instance is gone, once it knows.
     pub leaves_in_ms: Option<u64>,
     pub draining: bool,
+    /// When the instance started, in Unix time, if it says so.
+    pub born_ms: Option<u64>,
 }
 
 impl Report {
--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::instance::{Instance, Known, Leaving, Outcome};
-use super::{Demand, Listed, ListedState, Load, Pulse};
+use super::{Demand, Listed, Load, Pulse};
 use crate::model::ZoneName;
 
 /// The instances that an entry knows.
@@ -49,17 +49,11 @@
                 .instances
                 .entry(identity)
                 .or_insert_with(|| Instance::new(listed.clone()));
-            // A replica may start again under its old identity, at another address.
-            instance.listed = listed;
-            if instance.listed.state == ListedState::Draining && instance.leaving.is_none() {
-                instance.leaving = Some(Leaving { gone_at_ms: None });
-            }
+            instance.list(listed, read_ms);
         }
         for (identity, instance) in &mut self.instances {
-            if !names.contains(identity) && instance.leaving.is_none() {
-                instance.leaving = Some(Leaving {
-                    gone_at_ms: Some(now_ms),
-                });
+            if !names.contains(identity) {
+                instance.delist(Some(now_ms), read_ms);
             }
         }
         self.instances
@@ -82,6 +76,10 @@
             let Some(instance) = self.instances.get_mut(&pulse.identity) else {
                 continue;
             };
+            let reported = pulse.report.and_then(|(report, _)| report.born_ms);
+            if !instance.started(reported) {
+                continue;
+            }
             if let Some((report, age_ms)) = pulse.report.filter(|(report, _)| report.leaves()) {
                 let gone_at_ms = report
                     .leaves_in_ms
@@ -155,7 +153,8 @@
         }
     }
 
-    /// Takes word from the instance at an address that it is not the one that is listed there.
+    /// Takes word from the instance at an address that it is not the one that is listed there. It is
+    /// used again once the list has shown it gone, elsewhere or with a later start.
     pub fn misdirected(&mut self, identity: &str, now_ms: u64) {
         if let Some(instance) = self.instances.get_mut(identity) {
             instance.leaving = Some(Leaving {
--- a/src/platform/instances.rs
+++ b/src/platform/instances.rs
@@ -28,13 +28,17 @@
     /// How much longer the instance is slow after its start.
     #[serde(default)]
     cold_remaining_ms: f64,
+    /// Unix milliseconds of the start.
+    born: Option<u64>,
 }
 
 /// Decodes one page of the list; returns its instances and the token of the next page. Entries that
 /// cannot be read name no instance to use, so they are counted and left out. Fails if the page
 /// itself cannot be read.
 pub fn decode_instances(body: &[u8]) -> Result<(Vec<Listed>, Option<String>), String> {
-    let page: Page = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    // Bytes that are no text spoil the entry that they are in, not the page.
+    let text = String::from_utf8_lossy(body);
+    let page: Page = serde_json::from_str(&text).map_err(|error| error.to_string())?;
     let total = page.instances.len();
     let listed: Vec<Listed> = page
         .instances
@@ -51,6 +55,9 @@
 }
 
 fn decode_entry(value: Value) -> Option<Listed> {
+    if value.to_string().contains(char::REPLACEMENT_CHARACTER) {
+        return None;
+    }
     let entry: Entry = serde_json::from_value(value).ok()?;
     let state = match entry.state.as_str() {
         "ready" => ListedState::Ready,
@@ -65,5 +72,6 @@
         slots: entry.slots,
         state,
         cold: entry.cold_remaining_ms > 0.0,
+        born_ms: entry.born,
     })
 }
--- a/src/platform/reports.rs
+++ b/src/platform/reports.rs
@@ -17,6 +17,8 @@
     leaves_ms: Option<f64>,
     /// `ready`, or another word while the replica leaves.
     state: Option<String>,
+    /// Unix milliseconds of the start.
+    born: Option<u64>,
 }
 
 /// Decodes a report; fails if it is not one.
@@ -30,5 +32,6 @@
         total_tokens: wire.kv_cache_total.max(0.0) as u64,
         leaves_in_ms: wire.leaves_ms.map(|ms| ms.max(0.0) as u64),
         draining: wire.state.as_deref() == Some("draining"),
+        born_ms: wire.born,
     })
 }
--- a/tests/fleet_choice.rs
+++ b/tests/fleet_choice.rs
@@ -40,6 +40,7 @@
         slots: 24,
         state: ListedState::Ready,
         cold: false,
+        born_ms: None,
     }
 }
 
@@ -51,6 +52,7 @@
         total_tokens: 34_000,
         leaves_in_ms,
         draining: false,
+        born_ms: None,
     }
 }
 
@@ -157,6 +159,70 @@
     assert!(view.leaving("i-7").is_none());
 }
 
+/// Guards against an instance that is never used again because it left once: it may start again
+/// under its identity.
+#[test]
+fn instance_that_starts_again_is_used_again() {
+    let ready = || listed(1, "a");
+    let draining = || Listed {
+        state: ListedState::Draining,
+        ..ready()
+    };
+    let mut view = View::new(ZoneName::from("a"));
+    let list = |view: &mut View, listed, read_ms| view.list(listed, None, read_ms, read_ms);
+    list(&mut view, vec![ready()], 0);
+    view.begin("i-1", Some(LONG));
+    list(&mut view, vec![draining()], 1_000);
+    // An answer that lags more than the one before.
+    list(&mut view, vec![ready()], 1_700);
+    assert_eq!(view.usable("model", 1_700), 0);
+    list(&mut view, vec![], 2_000);
+    list(&mut view, vec![ready()], 4_000);
+    assert_eq!(view.usable("model", 4_000), 1);
+    assert_eq!(view.loads()[0].running, 1, "a request is still open there");
+    // An instance that says when it has started is believed at once.
+    let born = |born_ms| Listed {
+        born_ms: Some(born_ms),
+        ..ready()
+    };
+    list(&mut view, vec![born(10)], 5_000);
+    view.misdirected("i-1", 5_100);
+    assert_eq!(view.usable("model", 5_100), 0);
+    list(&mut view, vec![born(11)], 5_200);
+    assert_eq!(view.usable("model", 5_200), 1);
+}
+
+/// Guards against a report of an instance's earlier start that makes the new one look leaving, and
+/// against a list that lags behind the report of a new start.
+#[test]
+fn reports_count_for_one_start_of_an_instance() {
+    let born = |born_ms, report| Report {
+        born_ms: Some(born_ms),
+        ..report
+    };
+    let mut view = View::new(ZoneName::from("a"));
+    let first = Listed {
+        born_ms: Some(10),
+        ..listed(1, "a")
+    };
+    view.list(vec![first.clone()], None, 0, 0);
+    let leaves = pulse(1, Some(born(9, report(0, Some(500)))), 0);
+    assert!(!view.pulse(vec![leaves], 100));
+    assert_eq!(view.usable("model", 100), 1);
+    let leaves = pulse(1, Some(born(10, report(0, Some(500)))), 0);
+    assert!(view.pulse(vec![leaves], 200));
+    assert_eq!(view.usable("model", 200), 0);
+    view.pulse(vec![pulse(1, Some(born(11, report(0, None))), 0)], 900);
+    assert_eq!(view.usable("model", 900), 1);
+    // The list still shows the start before.
+    let draining = Listed {
+        state: ListedState::Draining,
+        ..first
+    };
+    view.list(vec![draining], None, 1_000, 1_000);
+    assert_eq!(view.usable("model", 1_000), 1);
+}
+
 /// Guards against copies that take the room of generations once engines are filled.
 #[test]
 fn copies_are_made_only_while_memory_is_free() {
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -126,6 +126,11 @@
         (ListedState::Draining, true)
     );
     assert!(decode_instances(b"{\"instances\": 4}").is_err());
+    let spoiled = page.replace("nowhere", "10.0.0.9:80").into_bytes();
+    let at = spoiled.windows(11).position(|part| part == b"10.0.0.9:80");
+    let mut spoiled = spoiled;
+    spoiled[at.unwrap()] = 0xff;
+    assert_eq!(decode_instances(&spoiled).unwrap().0.len(), 1);
 }
 
 /// Guards against a notice that is overlooked.
