Answer late request heads with 408 and two body lengths with 400

Cause: the document's limit for request heads was decoded and not used; the HTTP library closes a late head without an answer after the idle limit, and takes a request with a length and chunks by its chunks.

Change: a guard around callers' connections times request heads from their first byte, refuses both, and counts them with malformed and too large heads in lilac_gateway_refused_total. New tests also cover a body that never ends and a list that answers 429.

--- a/src/adapters/web/mod.rs
+++ b/src/adapters/web/mod.rs
@@ -1,5 +1,7 @@
 //! Small HTTP servers for operators, probes and metrics.
 
+mod guard;
+
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -18,6 +20,8 @@
 
 use crate::adapters::telemetry::render_metrics;
 
+pub use guard::{Exchange, GuardedStream};
+
 /// Connections without a request are closed after this time.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 /// Pause after a failed accept, which is most likely for want of file descriptors.
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -30,7 +30,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::adapters::clock::monotonic_ms;
-use crate::adapters::web;
+use crate::adapters::web::{self, Exchange, GuardedStream};
 use crate::domain::admission::Waiting;
 use crate::domain::document::Index;
 use crate::domain::fleet::View;
@@ -53,6 +53,7 @@
 /// Limits of connections that are accepted before a document is known.
 const FIRST_HEADER_BYTES: usize = 16_384;
 const FIRST_IDLE_MS: u64 = 15_000;
+const FIRST_HEAD_MS: u64 = 3_000;
 /// Smallest buffer that the HTTP library accepts.
 const MIN_HEADER_BYTES: usize = 8_192;
 /// After SIGTERM new connections are still served for this long: the platform needs two failed
@@ -246,10 +247,21 @@
             .map(|index| index.document().limits);
         let header_bytes = limits.map_or(FIRST_HEADER_BYTES, |limits| limits.header_bytes);
         let idle_ms = limits.map_or(FIRST_IDLE_MS, |limits| limits.idle_timeout_ms);
-        let gateway = Arc::clone(&self);
+        let head_ms = limits.map_or(FIRST_HEAD_MS, |limits| limits.header_timeout_ms);
+        let exchange = Arc::new(Exchange::default());
+        let stream = GuardedStream::new(
+            stream,
+            Arc::clone(&exchange),
+            Duration::from_millis(head_ms.max(1)),
+        );
+        let (gateway, requests) = (Arc::clone(&self), Arc::clone(&exchange));
         let service = service_fn(move |request| {
             let gateway = Arc::clone(&gateway);
-            async move { Ok::<_, Infallible>(gateway.answer(request).await) }
+            let open = requests.open();
+            async move {
+                let answer = gateway.answer(request).await;
+                Ok::<_, Infallible>(answer.map(|body| open.until_end_of(body)))
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -265,9 +277,20 @@
                 connection.await
             }
         };
-        if let Err(error) = ended {
-            tracing::debug!(%error, "caller's connection ended");
-        }
+        let Err(error) = ended else {
+            return;
+        };
+        let code = match exchange.fault() {
+            Some(fault) => fault.code(),
+            None if error.is_parse_too_large() => "head_too_large",
+            None if error.is_parse() => "malformed",
+            None => {
+                tracing::debug!(%error, "caller's connection ended");
+                return;
+            }
+        };
+        self.metrics.refused(code);
+        tracing::info!(code, %error, "request head refused");
     }
 }
 
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -11,6 +11,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,8 @@
 pub struct Site {
     pub folder: PathBuf,
     pub list: List,
+    /// True while the platform's list answers 429.
+    pub list_refuses: Arc<AtomicBool>,
     network: [u8; 2],
     processes: BTreeMap<String, Child>,
     seeds: Vec<SocketAddr>,
@@ -81,8 +84,13 @@
         std::fs::create_dir_all(&folder).unwrap();
         let list = List::default();
         let listed = Arc::clone(&list);
+        let list_refuses = Arc::new(AtomicBool::new(false));
+        let refuses = Arc::clone(&list_refuses);
         let list_address = SocketAddr::from(([127, network[0], network[1], 1], LIST_PORT));
         let server = Upstream::start(list_address, move |_| {
+            if refuses.load(Ordering::Relaxed) {
+                return vec![Reply::Bytes(answer("429 Too Many Requests", &[], b""))];
+            }
             let body = json!({"instances": *listed.lock().unwrap(), "next": null}).to_string();
             vec![Reply::Bytes(answer("200 OK", &[], body.as_bytes()))]
         })
@@ -90,6 +98,7 @@
         let mut site = Self {
             folder,
             list,
+            list_refuses,
             network,
             processes: BTreeMap::new(),
             seeds: Vec::new(),
