Test crossed answers and the end of a stop with the mechanism switched off

Cause: two mechanisms were switched off and their tests still passed: the check of the id that an answer repeats (extra bytes are seen by the HTTP library first), and refusing new connections 2.5 s after SIGTERM (the process had ended by then).

Change: an answer with another id has a test of its own; the stop is tested while an older request is open. A report of an earlier start no longer drops the loads that come with it.

Result: both tests fail with the mechanism off and pass with it.

--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::instance::{Instance, Known, Leaving, Outcome};
-use super::{Demand, Listed, Load, Pulse};
+use super::{Demand, Listed, Load, Pulse, Report};
 use crate::model::ZoneName;
 
 /// The instances that an entry knows.
@@ -72,14 +72,12 @@
             instance.others = None;
         }
         let mut news = false;
-        for pulse in pulses {
+        for mut pulse in pulses {
             let Some(instance) = self.instances.get_mut(&pulse.identity) else {
                 continue;
             };
-            let reported = pulse.report.and_then(|(report, _)| report.born_ms);
-            if !instance.started(reported) {
-                continue;
-            }
+            let current = |(report, _): &(Report, u64)| instance.started(report.born_ms);
+            pulse.report = pulse.report.filter(current);
             if let Some((report, age_ms)) = pulse.report.filter(|(report, _)| report.leaves()) {
                 let gone_at_ms = report
                     .leaves_in_ms
--- a/tests/site_path.rs
+++ b/tests/site_path.rs
@@ -8,8 +8,8 @@
 use tokio::net::TcpStream;
 
 use site_support::{
-    Reply, Request, Site, answer, call, caller, client, document, proper, sse, wait_for,
-    wait_routable,
+    Reply, Request, Site, answer, call, caller, client, document, patient_caller, proper, sse,
+    wait_for, wait_routable,
 };
 
 const NOT_RUN: (&str, &str) = ("X-Lilacspindle-Not-Executed", "1");
@@ -283,6 +283,27 @@
     }
 }
 
+/// Guards against the answer to another request that comes in place of the own one.
+#[tokio::test]
+async fn answer_with_another_id_reaches_nobody() {
+    let mut site = Site::serving(&document(1)).await;
+    let upstream = site
+        .upstream("plain", |request: &Request| match request.path.as_str() {
+            "/once/crossed" => {
+                let headers = [("X-Lilacspindle-Request-Id", "id-of-another")];
+                vec![Reply::Bytes(answer("200 OK", &headers, b"another's"))]
+            }
+            _ => proper(request),
+        })
+        .await;
+    wait_routable(&site, "/once/x").await;
+    let crossed = call(&site, "/once/crossed", "id-1").await;
+    assert_eq!(crossed.status(), 502);
+    assert_eq!(upstream.requests("/once/crossed").len(), 1);
+    // The connection that it came on is not used again.
+    assert_eq!(call(&site, "/once/x", "id-2").await.status(), 200);
+}
+
 /// Guards against an answer without length that is lost or cut.
 #[tokio::test]
 async fn answer_without_length_ends_with_its_connection() {
@@ -341,11 +362,13 @@
 /// it stops.
 #[tokio::test]
 async fn planned_stop_finishes_open_requests() {
-    let mut site = Site::serving(&document(1)).await;
+    let mut document = document(1);
+    document["routes"][0]["timeoutMs"] = 10_000.into();
+    let mut site = Site::serving(&document).await;
     let _upstream = site
         .upstream("plain", |request: &Request| match request.path.as_str() {
             "/once/slow" => {
-                let mut replies = vec![Reply::Pause(Duration::from_millis(1_500))];
+                let mut replies = vec![Reply::Pause(Duration::from_millis(4_500))];
                 replies.extend(proper(request));
                 replies
             }
@@ -353,7 +376,7 @@
         })
         .await;
     wait_routable(&site, "/once/x").await;
-    let slow = tokio::spawn(caller(&site, "/once/slow", "id-1").send());
+    let slow = tokio::spawn(patient_caller(&site, "/once/slow", "id-1", 9_000).send());
     tokio::time::sleep(Duration::from_millis(300)).await;
     site.signal("entry-1", "TERM");
     wait_for("the entry is not ready", || async {
@@ -364,9 +387,13 @@
     let long = call(&site, "/stream/x", "id-2").await;
     assert_eq!(long.status(), 503);
     assert!(long.headers().contains_key("retry-after"));
+    // After the platform has had time to send callers elsewhere, nothing new is taken, also while
+    // older requests are open.
+    wait_for("new connections are refused", || async {
+        TcpStream::connect(site.caller_address(1)).await.is_err()
+    })
+    .await;
+    assert!(!slow.is_finished());
     assert_eq!(slow.await.unwrap().unwrap().status(), 200);
-    // After the platform has had time to send callers elsewhere, nothing new is taken.
-    tokio::time::sleep(Duration::from_secs(2)).await;
-    assert!(caller(&site, "/once/late", "id-3").send().await.is_err());
     assert!(site.ended("entry-1", Duration::from_secs(10)).await);
 }
--- a/tests/site_support/callers.rs
+++ b/tests/site_support/callers.rs
@@ -18,12 +18,22 @@
 
 /// Returns the request of such a caller, to be changed or sent.
 pub fn caller(site: &Site, path: &str, id: &str) -> reqwest::RequestBuilder {
+    patient_caller(site, path, id, 3_000)
+}
+
+/// Returns the request of a caller that waits for so long.
+pub fn patient_caller(
+    site: &Site,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+) -> reqwest::RequestBuilder {
     client()
         .post(format!("http://{}{path}", site.caller_address(1)))
         .header("Host", "calls.example")
         .header("Authorization", "Bearer k1")
         .header("X-Lilacspindle-Request-Id", id)
-        .header("X-Lilacspindle-Deadline-Milliseconds", "3000")
+        .header("X-Lilacspindle-Deadline-Milliseconds", deadline_ms)
         .header("X-Lilacspindle-Model", "m")
         .header("X-Lilacspindle-Token-Usage", "3000,800")
         .header("X-Lilacspindle-Length-Hint", "800")
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -19,7 +19,7 @@
 
 // As above, for the re-exports.
 #[allow(unused_imports)]
-pub use callers::{call, caller, proper, wait_routable};
+pub use callers::{call, caller, patient_caller, proper, wait_routable};
 #[allow(unused_imports)]
 pub use replica::{Reply, Request, Upstream, answer, sse};
 
