Choose a generation's engine among three at random

Loads of other entries are up to 0.4 s old and all entries chose the best engine by them.

Change: the best of three engines at random is taken.

--- a/src/domain/fleet/choice.rs
+++ b/src/domain/fleet/choice.rs
@@ -45,6 +45,9 @@
 /// Upper bound of the random part of a score. Entries that share old information would otherwise
 /// all choose the same instance.
 const JITTER_MS: u64 = 25;
+/// Engines at random that a generation chooses among. Loads of other entries are up to 400 ms old;
+/// the best of all engines would get the generations of all entries until they show.
+const SAMPLED_ENGINES: usize = 3;
 /// Expected time of a plain call before one was measured.
 const FIRST_PLAIN_MS: f64 = 30.0;
 
@@ -88,6 +91,13 @@
     zone_penalty_ms: u64,
 }
 
+impl Wanted<'_> {
+    /// Returns how much of an engine's memory may be planned for.
+    fn planned_tokens(&self, engine: EngineSpec) -> u64 {
+        engine.memory_tokens * self.planned_percent / 100
+    }
+}
+
 /// A chosen instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Placed {
@@ -135,7 +145,8 @@
     }
 
     /// Chooses an engine for a generation: one whose memory and slots are planned to hold it, with
-    /// the shortest expected wait for the first token. Returns none if no engine has room.
+    /// the shortest expected wait for the first token among a few at random. Returns none if no
+    /// engine has room.
     pub fn choose_engine(&self, ask: &Ask<'_>) -> Option<Placed> {
         let wanted = Wanted {
             planned_percent: match ask.demand.is_long() {
@@ -145,7 +156,10 @@
             near: &self.zone,
             zone_penalty_ms: ZONE_PENALTY_MS,
         };
-        self.ranked(ask, wanted, 1).pop()
+        let mut sample = self.fitting(ask, wanted);
+        sample.sort_by_key(|instance| order(instance, ask.random));
+        sample.truncate(SAMPLED_ENGINES);
+        ranked(sample, ask, wanted, 1).pop()
     }
 
     /// Returns engines that a generation may be moved to from `source`, the best one first.
@@ -155,7 +169,7 @@
             near: self.zone_of(source),
             zone_penalty_ms: COPY_ZONE_PENALTY_MS,
         };
-        self.ranked(ask, wanted, most)
+        ranked(self.fitting(ask, wanted), ask, wanted, most)
     }
 
     /// Chooses an engine that keeps a copy of a generation's memory that runs at `source`. Returns
@@ -169,13 +183,13 @@
             near: self.zone_of(source),
             zone_penalty_ms: COPY_ZONE_PENALTY_MS,
         };
-        self.ranked(ask, wanted, 1).pop()
+        ranked(self.fitting(ask, wanted), ask, wanted, 1).pop()
     }
 
-    /// Returns up to `most` engines that have what is wanted, the best one first.
-    fn ranked(&self, ask: &Ask<'_>, wanted: Wanted<'_>, most: usize) -> Vec<Placed> {
+    /// Returns the engines that have what is wanted.
+    fn fitting(&self, ask: &Ask<'_>, wanted: Wanted<'_>) -> Vec<&Instance> {
         let (demand, engine, now_ms) = (ask.demand, ask.engine, ask.now_ms);
-        let planned = engine.memory_tokens * wanted.planned_percent / 100;
+        let planned = wanted.planned_tokens(engine);
         let fits = |instance: &&Instance| {
             let committed = instance.total_committed();
             instance.usable(now_ms)
@@ -184,23 +198,7 @@
                 && instance.total_running() < engine.slots
                 && (committed + demand.total_tokens() <= planned || committed == 0)
         };
-        let score = |instance: &Instance| {
-            let prefill_ms = instance.total_prefill() / PREFILL_TOKENS_PER_MS;
-            let memory_ms = MEMORY_WEIGHT_MS * instance.total_committed() / planned.max(1);
-            let zone_ms = match instance.listed.zone == *wanted.near {
-                true => 0,
-                false => wanted.zone_penalty_ms,
-            };
-            (prefill_ms + memory_ms + zone_ms) as f64 + fixed_penalty_ms(instance, ask.random)
-        };
-        let fitting = self.members(ask.service).filter(fits);
-        let mut ranked: Vec<(f64, &Instance)> = fitting.map(|i| (score(i), i)).collect();
-        ranked.sort_by(|(a, _), (b, _)| a.total_cmp(b));
-        ranked
-            .into_iter()
-            .take(most)
-            .map(|(_, instance)| placed(instance, wanted.near))
-            .collect()
+        self.members(ask.service).filter(fits).collect()
     }
 
     /// Returns the average time of a plain call over the instances of a service. An instance that
@@ -234,6 +232,27 @@
     }
 }
 
+/// Returns up to `most` engines, the best one first.
+fn ranked(engines: Vec<&Instance>, ask: &Ask<'_>, wanted: Wanted<'_>, most: usize) -> Vec<Placed> {
+    let planned = wanted.planned_tokens(ask.engine);
+    let score = |instance: &Instance| {
+        let prefill_ms = instance.total_prefill() / PREFILL_TOKENS_PER_MS;
+        let memory_ms = MEMORY_WEIGHT_MS * instance.total_committed() / planned.max(1);
+        let zone_ms = match instance.listed.zone == *wanted.near {
+            true => 0,
+            false => wanted.zone_penalty_ms,
+        };
+        (prefill_ms + memory_ms + zone_ms) as f64 + fixed_penalty_ms(instance, ask.random)
+    };
+    let mut ranked: Vec<(f64, &Instance)> = engines.into_iter().map(|i| (score(i), i)).collect();
+    ranked.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    ranked
+        .into_iter()
+        .take(most)
+        .map(|(_, instance)| placed(instance, wanted.near))
+        .collect()
+}
+
 fn placed(instance: &Instance, near: &ZoneName) -> Placed {
     Placed {
         identity: Arc::clone(&instance.listed.identity),
@@ -248,7 +267,10 @@
     } else {
         0
     };
-    let bytes = instance.listed.identity.as_bytes();
-    let jitter_ms = xxhash_rust::xxh3::xxh3_64_with_seed(bytes, random) % JITTER_MS;
-    (cold_ms + jitter_ms) as f64
+    (cold_ms + order(instance, random) % JITTER_MS) as f64
+}
+
+/// Returns the place of an instance in a random order.
+fn order(instance: &Instance, random: u64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(instance.listed.identity.as_bytes(), random)
 }
--- a/tests/fleet_choice.rs
+++ b/tests/fleet_choice.rs
@@ -126,6 +126,22 @@
     }
 }
 
+/// Guards against the load of the grown deployments: many entries with the same old loads all choose
+/// the engine that has just started.
+#[test]
+fn entries_with_old_loads_choose_different_engines() {
+    let mut view = view(40);
+    view.pulse((2..=40).map(|n| pulse(n, None, 8_000)).collect(), 1_000);
+    let chosen = (0..30).filter(|entry| {
+        let ask = Ask {
+            random: *entry,
+            ..ask(&[])
+        };
+        &*view.choose_engine(&ask).unwrap().identity == "i-1"
+    });
+    assert!(chosen.count() <= 6);
+}
+
 /// Guards against new work for an instance that leaves, by its report or by the list.
 #[test]
 fn leaving_instances_get_no_work() {
