Give generations their places at the hub

Change: an entry offers up to eight engines at random to the leader's hub, which knows all loads and the places it has just given, and gives the one with the shortest wait. Without an answer in 60 ms, or a leader, the entry chooses by its own view as before.

--- a/src/domain/fleet/choice.rs
+++ b/src/domain/fleet/choice.rs
@@ -6,8 +6,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use super::ListedState;
 use super::instance::Instance;
+use super::places::{Offer, Wish};
 use super::view::View;
 use crate::domain::document::EngineSpec;
 use crate::model::ZoneName;
@@ -48,11 +51,14 @@
 /// Engines at random that a generation chooses among. Loads of other entries are up to 400 ms old;
 /// the best of all engines would get the generations of all entries until they show.
 const SAMPLED_ENGINES: usize = 3;
+/// Engines at random that are offered to the hub, which knows the newest loads. More of them make a
+/// call larger and gain little.
+const OFFERED_ENGINES: usize = 8;
 /// Expected time of a plain call before one was measured.
 const FIRST_PLAIN_MS: f64 = 30.0;
 
 /// What a generation is expected to need.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
     pub prompt_tokens: u64,
     pub output_tokens: u64,
@@ -96,6 +102,15 @@
     fn planned_tokens(&self, engine: EngineSpec) -> u64 {
         engine.memory_tokens * self.planned_percent / 100
     }
+
+    /// Returns what counts against an engine beside its load.
+    fn penalty_ms(&self, instance: &Instance, random: u64) -> u64 {
+        let zone_ms = match instance.listed.zone == *self.near {
+            true => 0,
+            false => self.zone_penalty_ms,
+        };
+        zone_ms + fixed_penalty_ms(instance, random)
+    }
 }
 
 /// A chosen instance.
@@ -105,6 +120,8 @@
     pub address: SocketAddr,
     /// True if it is in the zone that it was looked for near.
     pub same_zone: bool,
+    /// True if the hub chose it, by the newest loads of all entries.
+    pub by_hub: bool,
 }
 
 impl View {
@@ -134,7 +151,7 @@
             };
             let away = instance.listed.zone != self.zone;
             let zone_ms = if away { PLAIN_ZONE_PENALTY_MS } else { 0 };
-            time_ms + avoided + zone_ms as f64 + fixed_penalty_ms(instance, random)
+            time_ms + avoided + (zone_ms + fixed_penalty_ms(instance, random)) as f64
         };
         let best = self
             .members(service)
@@ -144,22 +161,50 @@
         best.map(|(_, instance)| placed(instance, &self.zone))
     }
 
-    /// Chooses an engine for a generation: one whose memory and slots are planned to hold it, with
+    /// Chooses an engine for a generation without the hub: one whose memory and slots are planned to hold it, with
     /// the shortest expected wait for the first token among a few at random. Returns none if no
     /// engine has room.
     pub fn choose_engine(&self, ask: &Ask<'_>) -> Option<Placed> {
-        let wanted = Wanted {
-            planned_percent: match ask.demand.is_long() {
+        let wanted = self.wanted_for(ask.demand);
+        ranked(self.sample(ask, wanted, SAMPLED_ENGINES), ask, wanted, 1).pop()
+    }
+
+    /// Returns what an entry offers to the hub for a generation, and the engines of the offers.
+    pub fn wish(&self, ask: &Ask<'_>, entry: &Arc<str>) -> (Wish, Vec<Placed>) {
+        let wanted = self.wanted_for(ask.demand);
+        let sample = self.sample(ask, wanted, OFFERED_ENGINES);
+        let offer = |instance: &&Instance| Offer {
+            identity: Arc::clone(&instance.listed.identity),
+            penalty_ms: wanted.penalty_ms(instance, ask.random),
+        };
+        let wish = Wish {
+            entry: Arc::clone(entry),
+            demand: ask.demand,
+            planned_tokens: wanted.planned_tokens(ask.engine),
+            slots: ask.engine.slots,
+            offers: sample.iter().map(offer).collect(),
+        };
+        let engines = sample.into_iter().map(|i| placed(i, &self.zone)).collect();
+        (wish, engines)
+    }
+
+    fn wanted_for(&self, demand: Demand) -> Wanted<'_> {
+        Wanted {
+            planned_percent: match demand.is_long() {
                 true => PLANNED_MEMORY_PERCENT,
                 false => SHORT_MEMORY_PERCENT,
             },
             near: &self.zone,
             zone_penalty_ms: ZONE_PENALTY_MS,
-        };
+        }
+    }
+
+    /// Returns engines at random of those that have what is wanted.
+    fn sample(&self, ask: &Ask<'_>, wanted: Wanted<'_>, most: usize) -> Vec<&Instance> {
         let mut sample = self.fitting(ask, wanted);
         sample.sort_by_key(|instance| order(instance, ask.random));
-        sample.truncate(SAMPLED_ENGINES);
-        ranked(sample, ask, wanted, 1).pop()
+        sample.truncate(most);
+        sample
     }
 
     /// Returns engines that a generation may be moved to from `source`, the best one first.
@@ -236,21 +281,13 @@
 fn ranked(engines: Vec<&Instance>, ask: &Ask<'_>, wanted: Wanted<'_>, most: usize) -> Vec<Placed> {
     let planned = wanted.planned_tokens(ask.engine);
     let score = |instance: &Instance| {
-        let prefill_ms = instance.total_prefill() / PREFILL_TOKENS_PER_MS;
-        let memory_ms = MEMORY_WEIGHT_MS * instance.total_committed() / planned.max(1);
-        let zone_ms = match instance.listed.zone == *wanted.near {
-            true => 0,
-            false => wanted.zone_penalty_ms,
-        };
-        (prefill_ms + memory_ms + zone_ms) as f64 + fixed_penalty_ms(instance, ask.random)
+        let (prefill, committed) = (instance.total_prefill(), instance.total_committed());
+        waiting_ms(prefill, committed, planned) + wanted.penalty_ms(instance, ask.random)
     };
-    let mut ranked: Vec<(f64, &Instance)> = engines.into_iter().map(|i| (score(i), i)).collect();
-    ranked.sort_by(|(a, _), (b, _)| a.total_cmp(b));
-    ranked
-        .into_iter()
-        .take(most)
-        .map(|(_, instance)| placed(instance, wanted.near))
-        .collect()
+    let mut ranked = engines;
+    ranked.sort_by_key(|instance| score(instance));
+    let best = ranked.into_iter().take(most);
+    best.map(|instance| placed(instance, wanted.near)).collect()
 }
 
 fn placed(instance: &Instance, near: &ZoneName) -> Placed {
@@ -258,16 +295,23 @@
         identity: Arc::clone(&instance.listed.identity),
         address: instance.listed.address,
         same_zone: instance.listed.zone == *near,
+        by_hub: false,
     }
 }
 
-fn fixed_penalty_ms(instance: &Instance, random: u64) -> f64 {
+fn fixed_penalty_ms(instance: &Instance, random: u64) -> u64 {
     let cold_ms = if instance.listed.cold {
         COLD_PENALTY_MS
     } else {
         0
     };
-    (cold_ms + order(instance, random) % JITTER_MS) as f64
+    cold_ms + order(instance, random) % JITTER_MS
+}
+
+/// Returns what an engine's load counts as, as time until a prompt is read there.
+pub(super) fn waiting_ms(prefill_tokens: u64, committed_tokens: u64, planned_tokens: u64) -> u64 {
+    let memory_ms = MEMORY_WEIGHT_MS * committed_tokens / planned_tokens.max(1);
+    prefill_tokens / PREFILL_TOKENS_PER_MS + memory_ms
 }
 
 /// Returns the place of an instance in a random order.
--- a/src/domain/fleet/hub.rs
+++ b/src/domain/fleet/hub.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::places::{Held, Places, Wish};
 use super::{Listed, Load, Pulse, Report};
 
 /// Loads of an entry that has not synced for this long no longer count. Entries sync at least
@@ -27,6 +28,7 @@
     listed_ms: Option<u64>,
     reports: BTreeMap<SocketAddr, (Report, u64)>,
     loads: BTreeMap<Arc<str>, Loads>,
+    places: Places,
 }
 
 impl Hub {
@@ -67,12 +69,28 @@
             by_instance,
         };
         self.loads.insert(Arc::clone(entry), loads);
+        self.places.told(entry, now_ms);
         self.loads
             .retain(|_, loads| now_ms < loads.received_ms + LOAD_KEPT_MS);
         self.reports
             .retain(|_, (_, received_ms)| now_ms < *received_ms + REPORT_KEPT_MS);
     }
 
+    /// Gives a generation a place. Returns the position of its engine among those offered, or none
+    /// if no one of them has room.
+    pub fn place(&mut self, wish: &Wish, now_ms: u64) -> Option<usize> {
+        let (listed, loads, reports) = (&self.listed, &self.loads, &self.reports);
+        let held = |identity: &str| {
+            let at = listed.binary_search_by(|listed| (*listed.identity).cmp(identity));
+            let address = listed[at.ok()?].address;
+            let leaves = reports
+                .get(&address)
+                .is_some_and(|(report, _)| report.leaves());
+            (!leaves).then(|| held_by(loads.values(), identity))
+        };
+        self.places.give(wish, held, now_ms)
+    }
+
     /// Returns true if the instance at an address has reported that it leaves.
     pub fn is_leaving(&self, address: SocketAddr) -> bool {
         let report = self.reports.get(&address);
@@ -102,28 +120,40 @@
 
     /// Returns what an entry needs to know of each instance.
     pub fn pulses(&self, entry: &Arc<str>, now_ms: u64) -> Vec<Pulse> {
-        let others = || self.loads.iter().filter(|(name, _)| *name != entry);
+        let others = || {
+            let others = self.loads.iter().filter(|(name, _)| *name != entry);
+            others.map(|(_, loads)| loads)
+        };
         self.listed
             .iter()
             .filter_map(|listed| {
                 let report = self.reports.get(&listed.address);
-                let mut pulse = Pulse {
+                let mut held = held_by(others(), &listed.identity);
+                let places = &self.places;
+                held.add(places.of_others(&listed.identity, Some(entry), now_ms));
+                let pulse = Pulse {
                     identity: Arc::clone(&listed.identity),
                     report: report.map(|(report, at)| (*report, now_ms.saturating_sub(*at))),
-                    running: 0,
-                    committed_tokens: 0,
-                    prefill_tokens: 0,
+                    running: held.running,
+                    committed_tokens: held.committed_tokens,
+                    prefill_tokens: held.prefill_tokens,
                 };
-                for (_, loads) in others() {
-                    if let Some(load) = loads.by_instance.get(&listed.identity) {
-                        pulse.running += load.running;
-                        pulse.committed_tokens += load.committed_tokens;
-                        pulse.prefill_tokens += load.prefill_tokens;
-                    }
-                }
                 let quiet = pulse.report.is_none() && pulse.running == 0;
                 (!quiet).then_some(pulse)
             })
             .collect()
     }
 }
+
+/// Returns what entries have told of an instance.
+fn held_by<'a>(loads: impl Iterator<Item = &'a Loads>, identity: &str) -> Held {
+    let mut total = Held::default();
+    for load in loads.filter_map(|loads| loads.by_instance.get(identity)) {
+        total.add(Held {
+            running: load.running,
+            committed_tokens: load.committed_tokens,
+            prefill_tokens: load.prefill_tokens,
+        });
+    }
+    total
+}
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod choice;
 mod hub;
 mod instance;
+mod places;
 mod turns;
 mod view;
 
@@ -17,6 +18,7 @@
 pub use choice::{Ask, Demand, Placed};
 pub use hub::Hub;
 pub use instance::{Known, Leaving, Outcome};
+pub use places::{Offer, Wish};
 pub use turns::{CopyPlan, Target, Turn, Turns};
 pub use view::View;
 
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -8,9 +8,10 @@
 
 use super::DirectoryRole;
 use crate::adapters::clock::monotonic_ms;
-use crate::domain::fleet::{CopyPlan, Target};
+use crate::domain::fleet::{CopyPlan, Target, Wish};
 use crate::rpc::directory::{
-    Directory, Fleet, ReportReply, ReportRequest, SyncReply, SyncRequest, TurnReply, TurnRequest,
+    Directory, Fleet, PlaceReply, ReportReply, ReportRequest, SyncReply, SyncRequest, TurnReply,
+    TurnRequest,
 };
 
 /// The longest time that an answer waits for news.
@@ -75,6 +76,17 @@
         })
     }
 
+    async fn place(self, _: Context, request: Wish) -> PlaceReply {
+        let role = &self.0;
+        if !role.leads() {
+            return PlaceReply::Elsewhere;
+        }
+        match role.with_hub(|hub| hub.place(&request, monotonic_ms())) {
+            Some(at) => PlaceReply::At(at),
+            None => PlaceReply::Full,
+        }
+    }
+
     async fn turn(self, _: Context, request: TurnRequest) -> Option<TurnReply> {
         let now_ms = monotonic_ms();
         let targets = request.targets.into_iter();
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode};
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 
 use super::Gateway;
 use super::answer::{Body, Refusal};
@@ -17,12 +17,18 @@
 use crate::domain::admission::Waiting;
 use crate::domain::document::EngineSpec;
 use crate::domain::fleet::{Ask, Outcome, Placed};
+use crate::rpc::directory::PlaceReply;
 
 /// Engines tried while each says that it did not run the request.
 const MAX_SENDS: usize = 3;
 /// Part of the time to come back that is random, in hundredths, so that callers turned away
 /// together do not return together.
 const RETRY_SPREAD_PERCENT: u64 = 40;
+/// Upper bound on the time to ask control for a place. Control answers within 5 ms; a late answer
+/// must not cost a generation its target.
+const PLACE_LIMIT: Duration = Duration::from_millis(60);
+/// Those that wait for room ask again within this time after news of it.
+const ASK_SPREAD_MS: u64 = 40;
 
 impl Gateway {
     /// Starts a generation and returns its stream once the first event is there.
@@ -45,6 +51,7 @@
             }
             tried.push(Arc::clone(&placed.identity));
             let known = self.with_view(|view| view.known(&placed.identity));
+            let by_hub = placed.by_hub;
             let ticket = Ticket::begin(&self, placed, Some(demand));
             let backup = self.choose_backup(&job, engine, &ticket);
             let request = with_backup(job.request_for(&ticket.identity), backup.as_ref());
@@ -54,6 +61,7 @@
                 instance = &*ticket.identity,
                 backup = backup.as_ref().map(|backup| &*backup.identity),
                 attempt = tried.len(),
+                by_hub,
                 prompt_tokens = demand.prompt_tokens,
                 output_tokens = demand.output_tokens,
                 running = known.running,
@@ -110,11 +118,7 @@
 
     /// Returns an engine with room. Waits for one if room is expected in time.
     async fn find_room(&self, job: &Job, engine: EngineSpec, tried: &[Arc<str>]) -> Option<Placed> {
-        let choose = || {
-            let ask = ask(job, engine, tried);
-            self.with_view(|view| view.choose_engine(&ask))
-        };
-        if let Some(placed) = choose() {
+        if let Some(placed) = self.place(job, engine, tried).await {
             return Some(placed);
         }
         let limit_ms = Waiting::limit_ms(job.route.target_ms);
@@ -128,7 +132,7 @@
         let deadline = job.arrived + Duration::from_millis(limit_ms);
         loop {
             let news = self.room_news.notified();
-            if let Some(placed) = choose() {
+            if let Some(placed) = self.place(job, engine, tried).await {
                 tracing::info!(
                     request = &*job.id,
                     instance = &*placed.identity,
@@ -138,6 +142,38 @@
                 return Some(placed);
             }
             timeout_at(deadline, news).await.ok()?;
+            // Many that wait hear of the same room; they do not all ask at once, nor all the time.
+            sleep(Duration::from_millis(rand::random::<u64>() % ASK_SPREAD_MS)).await;
+        }
+    }
+
+    /// Returns an engine with room, by the newest loads if control answers in time.
+    async fn place(&self, job: &Job, engine: EngineSpec, tried: &[Arc<str>]) -> Option<Placed> {
+        let asked = ask(job, engine, tried);
+        let (wish, mut engines) = self.with_view(|view| view.wish(&asked, &self.name));
+        if engines.is_empty() {
+            return None;
+        }
+        let link = self.control_link();
+        let answer = match link {
+            Some(link) => {
+                let calling = link.call(PLACE_LIMIT, |client, context| async move {
+                    client.place(context, wish).await
+                });
+                calling.await.ok()
+            }
+            None => None,
+        };
+        match answer {
+            Some(PlaceReply::At(at)) if at < engines.len() => Some(Placed {
+                by_hub: true,
+                ..engines.swap_remove(at)
+            }),
+            Some(PlaceReply::Full) => None,
+            _ => {
+                self.metrics.places_without_control.inc();
+                self.with_view(|view| view.choose_engine(&asked))
+            }
         }
     }
 
--- a/src/roles/gateway/metrics.rs
+++ b/src/roles/gateway/metrics.rs
@@ -18,6 +18,7 @@
     first_event_ms: Histogram,
     pub(super) document_version: prometheus::IntGauge,
     pub(super) sync_failures: IntCounter,
+    pub(super) places_without_control: IntCounter,
 }
 
 impl Metrics {
@@ -59,8 +60,13 @@
                 "Calls to control that failed.",
             )
             .expect("constant options are valid"),
+            places_without_control: IntCounter::new(
+                "lilac_gateway_places_without_control_total",
+                "Generations that were placed by the entry's own view.",
+            )
+            .expect("constant options are valid"),
         };
-        let all: [Box<dyn prometheus::core::Collector>; 7] = [
+        let all: [Box<dyn prometheus::core::Collector>; 8] = [
             Box::new(metrics.refused.clone()),
             Box::new(metrics.sent.clone()),
             Box::new(metrics.moved.clone()),
@@ -68,6 +74,7 @@
             Box::new(metrics.first_event_ms.clone()),
             Box::new(metrics.document_version.clone()),
             Box::new(metrics.sync_failures.clone()),
+            Box::new(metrics.places_without_control.clone()),
         ];
         for collector in all {
             // Fails if a test starts a second gateway in this process; the first one is shown.
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -4,8 +4,8 @@
 //! generation is stopped and only what is new is copied, so that the caller sees a short pause.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use http::StatusCode;
@@ -221,12 +221,7 @@
         targets: &[Placed],
         unused: Option<(SocketAddr, u64)>,
     ) -> Granted {
-        let link = self
-            .control
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
-        let Some(link) = link else {
+        let Some(link) = self.control_link() else {
             return Granted::Unknown;
         };
         let asked_ms = monotonic_ms();
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -181,6 +181,12 @@
         use_view(&mut self.view.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Returns the control instance that answered last.
+    fn control_link(&self) -> Option<Arc<Link<DirectoryClient>>> {
+        let link = self.control.lock().unwrap_or_else(PoisonError::into_inner);
+        link.clone()
+    }
+
     fn with_waiting<T>(&self, use_it: impl FnOnce(&mut Waiting) -> T) -> T {
         use_it(&mut self.waiting.lock().unwrap_or_else(PoisonError::into_inner))
     }
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::domain::fleet::{Listed, Load, Pulse, Report};
+use crate::domain::fleet::{Listed, Load, Pulse, Report, Wish};
 
 /// A version of the document as the operator published it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,6 +67,17 @@
     pub leader: Option<SocketAddr>,
 }
 
+/// The answer to a generation that asks for a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlaceReply {
+    /// The position of the engine among those offered.
+    At(usize),
+    /// None of them has room.
+    Full,
+    /// The instance does not lead, so entries tell their loads to another one.
+    Elsewhere,
+}
+
 /// A copy of a generation's memory that an entry wants to make.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TurnRequest {
@@ -96,6 +107,8 @@
     /// Answered at once; the heartbeat of a connection.
     async fn ping();
     async fn sync(request: SyncRequest) -> SyncReply;
+    /// Returns the place of a generation.
+    async fn place(request: Wish) -> PlaceReply;
     /// Returns the turn of a copy; none if it cannot end in time.
     async fn turn(request: TurnRequest) -> Option<TurnReply>;
     async fn report(request: ReportRequest) -> ReportReply;
--- /dev/null
+++ b/tests/fleet_places.rs
@@ -0,0 +1,164 @@
+//! Places of generations given out by the hub, without I/O.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use lilacspindle::domain::fleet::{Demand, Hub, Listed, ListedState, Load, Offer, Report, Wish};
+use lilacspindle::model::ZoneName;
+use quickcheck::quickcheck;
+
+const LONG: Demand = Demand {
+    prompt_tokens: 3_000,
+    output_tokens: 1_000,
+};
+const PLANNED_TOKENS: u64 = 20_000;
+const ENTRY: &str = "entry-1";
+
+fn listed(number: usize) -> Listed {
+    Listed {
+        identity: format!("i-{number}").into(),
+        service: "model".into(),
+        address: address(number),
+        zone: ZoneName::from("a"),
+        slots: 24,
+        state: ListedState::Ready,
+        cold: false,
+        born_ms: None,
+    }
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, u8::try_from(number).unwrap()], 8_000))
+}
+
+fn hub(engines: usize) -> Hub {
+    let mut hub = Hub::new(1);
+    hub.list((0..engines).map(listed).collect(), 0);
+    hub
+}
+
+fn wish(entry: &str, engines: impl Iterator<Item = usize>) -> Wish {
+    Wish {
+        entry: entry.into(),
+        demand: LONG,
+        planned_tokens: PLANNED_TOKENS,
+        slots: 24,
+        offers: engines
+            .map(|number| Offer {
+                identity: format!("i-{number}").into(),
+                penalty_ms: 0,
+            })
+            .collect(),
+    }
+}
+
+/// Returns the loads of an entry with so many generations at one engine.
+fn loads(number: usize, running: u32) -> Vec<Load> {
+    let count = u64::from(running);
+    vec![Load {
+        identity: format!("i-{number}").into(),
+        running,
+        committed_tokens: count * LONG.total_tokens(),
+        prefill_tokens: count * LONG.prompt_tokens,
+    }]
+}
+
+/// Guards against the load of the grown deployments: generations that come between two syncs of
+/// their entries meet at one engine, and wait for each other's prompts.
+#[test]
+fn generations_of_one_moment_get_different_engines() {
+    let mut hub = hub(44);
+    let mut given = [0; 44];
+    for number in 0..44 {
+        let wish = wish(&format!("entry-{}", number % 26), 0..44);
+        given[hub.place(&wish, 5).unwrap()] += 1;
+    }
+    assert_eq!(given, [1; 44]);
+}
+
+/// Guards against a generation that counts twice once its entry tells of it, and against one that
+/// is forgotten because the entry's loads were on their way when it got its place.
+#[test]
+fn place_counts_until_its_entry_tells_of_it() {
+    let entry: Arc<str> = ENTRY.into();
+    let other: Arc<str> = "entry-2".into();
+    let mut hub = hub(1);
+    assert_eq!(hub.place(&wish(ENTRY, 0..1), 1_000), Some(0));
+    let seen = |hub: &Hub, now_ms| hub.pulses(&other, now_ms).first().map_or(0, |p| p.running);
+    hub.load(&entry, Vec::new(), 1_005);
+    assert_eq!(seen(&hub, 1_010), 1);
+    assert!(
+        hub.pulses(&entry, 1_010).is_empty(),
+        "the entry knows its own"
+    );
+    hub.load(&entry, loads(0, 1), 1_200);
+    assert_eq!(seen(&hub, 1_210), 1);
+    hub.load(&entry, Vec::new(), 1_400);
+    assert_eq!(seen(&hub, 1_410), 0);
+}
+
+/// Guards against room that stays taken by an entry that never tells of its generation.
+#[test]
+fn place_of_a_silent_entry_expires() {
+    let mut hub = hub(1);
+    for _ in 0..5 {
+        assert_eq!(hub.place(&wish(ENTRY, 0..1), 0), Some(0));
+    }
+    assert_eq!(hub.place(&wish(ENTRY, 0..1), 500), None);
+    assert_eq!(hub.place(&wish(ENTRY, 0..1), 700), Some(0));
+}
+
+/// Guards against a place at an engine that is leaving, gone or worse than another one.
+#[test]
+fn place_is_at_the_best_engine_that_stays() {
+    let entry: Arc<str> = ENTRY.into();
+    let mut hub = hub(4);
+    let report = Report {
+        queued: 0,
+        running: 0,
+        used_tokens: 0,
+        total_tokens: 34_000,
+        leaves_in_ms: Some(1_500),
+        draining: false,
+        born_ms: None,
+    };
+    hub.report(address(0), report, 0);
+    hub.load(&entry, loads(1, 2), 0);
+    let mut offers = wish(ENTRY, [9, 0, 1, 2, 3].into_iter());
+    offers.offers[3].penalty_ms = 100;
+    assert_eq!(hub.place(&offers, 10), Some(4));
+    assert_eq!(hub.place(&offers, 10), Some(3));
+    assert_eq!(hub.place(&wish(ENTRY, 0..1), 10), None);
+}
+
+quickcheck! {
+    /// Guards against engines that are filled beyond what is planned for, whatever entries ask and
+    /// tell, and when.
+    fn engines_are_never_planned_beyond_their_memory(steps: Vec<(u8, u8, u16, bool)>) -> bool {
+        let mut hub = hub(3);
+        let mut now_ms = 0;
+        // What each entry runs, by engine.
+        let mut running = [[0u32; 3]; 4];
+        for (entry, engine, pause_ms, asks) in steps {
+            now_ms += u64::from(pause_ms % 200);
+            let (entry, engine) = (usize::from(entry % 4), usize::from(engine % 3));
+            let name: Arc<str> = format!("entry-{entry}").into();
+            if asks {
+                let offered = [engine, (engine + 1) % 3];
+                if let Some(at) = hub.place(&wish(&name, offered.into_iter()), now_ms) {
+                    running[entry][offered[at]] += 1;
+                }
+            }
+            // Every entry syncs at least every 200 ms, or its places would expire.
+            for (entry, placed) in running.iter().enumerate() {
+                let told = (0..3).flat_map(|number| loads(number, placed[number])).collect();
+                hub.load(&format!("entry-{entry}").into(), told, now_ms + 20);
+            }
+            now_ms += 20;
+        }
+        (0..3).all(|engine| {
+            let total: u32 = running.iter().map(|placed| placed[engine]).sum();
+            u64::from(total) * LONG.total_tokens() <= PLANNED_TOKENS
+        })
+    }
+}
--- a/tests/site_controls.rs
+++ b/tests/site_controls.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use lilacspindle::call_handler;
+use lilacspindle::domain::fleet::Wish;
 use lilacspindle::rpc::directory::{
-    Directory, Published, ReportReply, ReportRequest, SyncReply, SyncRequest, TurnReply,
-    TurnRequest,
+    Directory, PlaceReply, Published, ReportReply, ReportRequest, SyncReply, SyncRequest,
+    TurnReply, TurnRequest,
 };
 use lilacspindle::rpc::{Service, Services, serve};
 use tarpc::context::Context;
@@ -50,6 +51,10 @@
         }
     }
 
+    async fn place(self, _: Context, _: Wish) -> PlaceReply {
+        PlaceReply::Elsewhere
+    }
+
     async fn turn(self, _: Context, _: TurnRequest) -> Option<TurnReply> {
         None
     }
