Hold the room of a move's target at the hub

Change: a turn is granted only to a target that has room by the hub's loads, places and reports, and holds that room like a place. The memory asked for is what the generation holds now, not its prompt.

--- a/src/domain/fleet/choice.rs
+++ b/src/domain/fleet/choice.rs
@@ -166,24 +166,16 @@
     /// engine has room.
     pub fn choose_engine(&self, ask: &Ask<'_>) -> Option<Placed> {
         let wanted = self.wanted_for(ask.demand);
-        ranked(self.sample(ask, wanted, SAMPLED_ENGINES), ask, wanted, 1).pop()
+        let sample = self.sample(ask, wanted, SAMPLED_ENGINES);
+        let best = ranked(sample, ask, wanted, 1).pop();
+        best.map(|instance| placed(instance, wanted.near))
     }
 
     /// Returns what an entry offers to the hub for a generation, and the engines of the offers.
     pub fn wish(&self, ask: &Ask<'_>, entry: &Arc<str>) -> (Wish, Vec<Placed>) {
         let wanted = self.wanted_for(ask.demand);
         let sample = self.sample(ask, wanted, OFFERED_ENGINES);
-        let offer = |instance: &&Instance| Offer {
-            identity: Arc::clone(&instance.listed.identity),
-            penalty_ms: wanted.penalty_ms(instance, ask.random),
-        };
-        let wish = Wish {
-            entry: Arc::clone(entry),
-            demand: ask.demand,
-            planned_tokens: wanted.planned_tokens(ask.engine),
-            slots: ask.engine.slots,
-            offers: sample.iter().map(offer).collect(),
-        };
+        let wish = wish(ask, wanted, entry, &sample, true);
         let engines = sample.into_iter().map(|i| placed(i, &self.zone)).collect();
         (wish, engines)
     }
@@ -207,14 +199,24 @@
         sample
     }
 
-    /// Returns engines that a generation may be moved to from `source`, the best one first.
-    pub fn targets(&self, ask: &Ask<'_>, source: &str, most: usize) -> Vec<Placed> {
+    /// Returns what an entry offers to the hub for a generation that is moved from `source`, and the
+    /// engines of the offers, the best one first.
+    pub fn targets(
+        &self,
+        ask: &Ask<'_>,
+        source: &str,
+        entry: &Arc<str>,
+        most: usize,
+    ) -> (Wish, Vec<Placed>) {
         let wanted = Wanted {
             planned_percent: MOVE_MEMORY_PERCENT,
             near: self.zone_of(source),
             zone_penalty_ms: COPY_ZONE_PENALTY_MS,
         };
-        ranked(self.fitting(ask, wanted), ask, wanted, most)
+        let best = ranked(self.fitting(ask, wanted), ask, wanted, most);
+        let wish = wish(ask, wanted, entry, &best, false);
+        let engines = best.into_iter().map(|i| placed(i, wanted.near)).collect();
+        (wish, engines)
     }
 
     /// Chooses an engine that keeps a copy of a generation's memory that runs at `source`. Returns
@@ -228,7 +230,8 @@
             near: self.zone_of(source),
             zone_penalty_ms: COPY_ZONE_PENALTY_MS,
         };
-        ranked(self.fitting(ask, wanted), ask, wanted, 1).pop()
+        let best = ranked(self.fitting(ask, wanted), ask, wanted, 1).pop();
+        best.map(|instance| placed(instance, wanted.near))
     }
 
     /// Returns the engines that have what is wanted.
@@ -238,7 +241,7 @@
         let fits = |instance: &&Instance| {
             let committed = instance.total_committed();
             instance.usable(now_ms)
-                && instance.holds_now(demand.prompt_tokens, engine.memory_tokens)
+                && instance.holds_now(demand.prompt_tokens)
                 && !ask.excluded.contains(&instance.listed.identity)
                 && instance.total_running() < engine.slots
                 && (committed + demand.total_tokens() <= planned || committed == 0)
@@ -278,16 +281,40 @@
 }
 
 /// Returns up to `most` engines, the best one first.
-fn ranked(engines: Vec<&Instance>, ask: &Ask<'_>, wanted: Wanted<'_>, most: usize) -> Vec<Placed> {
+fn ranked<'a>(
+    mut engines: Vec<&'a Instance>,
+    ask: &Ask<'_>,
+    wanted: Wanted<'_>,
+    most: usize,
+) -> Vec<&'a Instance> {
     let planned = wanted.planned_tokens(ask.engine);
-    let score = |instance: &Instance| {
+    engines.sort_by_cached_key(|instance| {
         let (prefill, committed) = (instance.total_prefill(), instance.total_committed());
         waiting_ms(prefill, committed, planned) + wanted.penalty_ms(instance, ask.random)
+    });
+    engines.truncate(most);
+    engines
+}
+
+fn wish(
+    ask: &Ask<'_>,
+    wanted: Wanted<'_>,
+    entry: &Arc<str>,
+    offered: &[&Instance],
+    reads_prompt: bool,
+) -> Wish {
+    let offer = |instance: &&Instance| Offer {
+        identity: Arc::clone(&instance.listed.identity),
+        penalty_ms: wanted.penalty_ms(instance, ask.random),
     };
-    let mut ranked = engines;
-    ranked.sort_by_key(|instance| score(instance));
-    let best = ranked.into_iter().take(most);
-    best.map(|instance| placed(instance, wanted.near)).collect()
+    Wish {
+        entry: Arc::clone(entry),
+        demand: ask.demand,
+        planned_tokens: wanted.planned_tokens(ask.engine),
+        slots: ask.engine.slots,
+        reads_prompt,
+        offers: offered.iter().map(offer).collect(),
+    }
 }
 
 fn placed(instance: &Instance, near: &ZoneName) -> Placed {
--- a/src/domain/fleet/hub.rs
+++ b/src/domain/fleet/hub.rs
@@ -76,25 +76,47 @@
             .retain(|_, (_, received_ms)| now_ms < *received_ms + REPORT_KEPT_MS);
     }
 
-    /// Gives a generation a place. Returns the position of its engine among those offered, or none
-    /// if no one of them has room.
+    /// Gives a generation the place with the shortest wait. Returns the position of its engine
+    /// among those offered, or none if no one of them has room.
     pub fn place(&mut self, wish: &Wish, now_ms: u64) -> Option<usize> {
-        let (listed, loads, reports) = (&self.listed, &self.loads, &self.reports);
+        let rooms = self.rooms(wish, now_ms);
+        let (at, _) = rooms.into_iter().min_by_key(|(_, wait_ms)| *wait_ms)?;
+        self.places.give(wish, &wish.offers[at], now_ms);
+        Some(at)
+    }
+
+    /// Gives a generation the place of one offer.
+    pub fn take(&mut self, wish: &Wish, at: usize, now_ms: u64) {
+        if let Some(offer) = wish.offers.get(at) {
+            self.places.give(wish, offer, now_ms);
+        }
+    }
+
+    /// Returns the positions and addresses of the engines offered that have room.
+    pub fn with_room(&self, wish: &Wish, now_ms: u64) -> Vec<(usize, SocketAddr)> {
+        let rooms = self.rooms(wish, now_ms).into_iter();
+        let address = |at: usize| self.find(&wish.offers[at].identity).map(|l| l.address);
+        rooms
+            .filter_map(|(at, _)| Some((at, address(at)?)))
+            .collect()
+    }
+
+    fn rooms(&self, wish: &Wish, now_ms: u64) -> Vec<(usize, u64)> {
         let held = |identity: &str| {
-            let at = listed.binary_search_by(|listed| (*listed.identity).cmp(identity));
-            let address = listed[at.ok()?].address;
-            let leaves = reports
-                .get(&address)
-                .is_some_and(|(report, _)| report.leaves());
-            (!leaves).then(|| held_by(loads.values(), identity))
+            let address = self.find(identity)?.address;
+            let takes_work = self.reports.get(&address).is_none_or(|(report, _)| {
+                !report.leaves() && report.holds(wish.demand.prompt_tokens)
+            });
+            takes_work.then(|| held_by(self.loads.values(), identity))
         };
-        self.places.give(wish, held, now_ms)
+        self.places.rooms(wish, held, now_ms)
     }
 
-    /// Returns true if the instance at an address has reported that it leaves.
-    pub fn is_leaving(&self, address: SocketAddr) -> bool {
-        let report = self.reports.get(&address);
-        report.is_some_and(|(report, _)| report.leaves())
+    fn find(&self, identity: &str) -> Option<&Listed> {
+        let at = self
+            .listed
+            .binary_search_by(|listed| (*listed.identity).cmp(identity));
+        self.listed.get(at.ok()?)
     }
 
     /// Returns the number of entries that synced lately.
--- a/src/domain/fleet/instance.rs
+++ b/src/domain/fleet/instance.rs
@@ -202,11 +202,9 @@
         self.failure_rate += (failed - self.failure_rate) / AVERAGE_OVER;
     }
 
-    /// Returns true if the memory in use, as last reported, leaves room for so many tokens. Copies
-    /// that nobody takes up are not counted in what entries have placed.
-    pub(super) fn holds_now(&self, tokens: u64, memory_tokens: u64) -> bool {
-        let used = self.report().map_or(0, |report| report.used_tokens);
-        used == 0 || used + tokens <= memory_tokens
+    /// Returns true if the memory in use, as last reported, leaves room for so many tokens.
+    pub(super) fn holds_now(&self, tokens: u64) -> bool {
+        self.report().is_none_or(|report| report.holds(tokens))
     }
 
     pub(super) fn report(&self) -> Option<&Report> {
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -66,6 +66,12 @@
     pub fn leaves(&self) -> bool {
         self.draining || self.leaves_in_ms.is_some()
     }
+
+    /// Returns true if the memory in use leaves room for so many tokens. Copies that nobody takes up
+    /// are not counted in what entries have placed.
+    pub fn holds(&self, tokens: u64) -> bool {
+        self.used_tokens == 0 || self.used_tokens + tokens <= self.total_tokens
+    }
 }
 
 /// What one entry has placed on an instance.
--- a/src/domain/fleet/places.rs
+++ b/src/domain/fleet/places.rs
@@ -33,6 +33,8 @@
     pub planned_tokens: u64,
     /// Generations that an engine runs at once.
     pub slots: u32,
+    /// False for a generation that comes with its memory.
+    pub reads_prompt: bool,
     pub offers: Vec<Offer>,
 }
 
@@ -56,7 +58,7 @@
 #[derive(Debug, Clone)]
 struct Place {
     entry: Arc<str>,
-    demand: Demand,
+    held: Held,
     given_ms: u64,
 }
 
@@ -67,16 +69,15 @@
 }
 
 impl Places {
-    /// Gives a place at the engine with the shortest wait. `held` returns what entries have told of
-    /// an engine, or none if it takes nothing new. Returns the position of the engine's offer, or
-    /// none if no offer has room.
-    pub(super) fn give(
-        &mut self,
+    /// Returns the positions of the offers with room, and the wait at each. `held` returns what
+    /// entries have told of an engine, or none if it takes nothing new.
+    pub(super) fn rooms(
+        &self,
         wish: &Wish,
         held: impl Fn(&str) -> Option<Held>,
         now_ms: u64,
-    ) -> Option<usize> {
-        let waits = wish.offers.iter().enumerate().filter_map(|(at, offer)| {
+    ) -> Vec<(usize, u64)> {
+        let rooms = wish.offers.iter().enumerate().filter_map(|(at, offer)| {
             let mut total = held(&offer.identity)?;
             total.add(self.of_others(&offer.identity, None, now_ms));
             let needed = total.committed_tokens + wish.demand.total_tokens();
@@ -87,17 +88,27 @@
                 total.committed_tokens,
                 wish.planned_tokens,
             );
-            fits.then_some((load_ms + offer.penalty_ms, at))
+            fits.then_some((at, load_ms + offer.penalty_ms))
         });
-        let (_, at) = waits.min()?;
+        rooms.collect()
+    }
+
+    /// Gives a place at the engine of an offer.
+    pub(super) fn give(&mut self, wish: &Wish, offer: &Offer, now_ms: u64) {
         let place = Place {
             entry: Arc::clone(&wish.entry),
-            demand: wish.demand,
+            held: Held {
+                running: 1,
+                committed_tokens: wish.demand.total_tokens(),
+                prefill_tokens: match wish.reads_prompt {
+                    true => wish.demand.prompt_tokens,
+                    false => 0,
+                },
+            },
             given_ms: now_ms,
         };
-        let identity = Arc::clone(&wish.offers[at].identity);
-        self.given.entry(identity).or_default().push(place);
-        Some(at)
+        let given = self.given.entry(Arc::clone(&offer.identity));
+        given.or_default().push(place);
     }
 
     /// Returns what was given at an engine to other entries than `entry`.
@@ -107,11 +118,7 @@
             if entry == Some(&*place.entry) || now_ms >= place.given_ms + PLACE_KEPT_MS {
                 continue;
             }
-            total.add(Held {
-                running: 1,
-                committed_tokens: place.demand.total_tokens(),
-                prefill_tokens: place.demand.prompt_tokens,
-            });
+            total.add(place.held);
         }
         total
     }
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -1,5 +1,6 @@
 //! The calls of entries and sidecars.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
@@ -89,15 +90,18 @@
 
     async fn turn(self, _: Context, request: TurnRequest) -> Option<TurnReply> {
         let now_ms = monotonic_ms();
-        let targets = request.targets.into_iter();
+        let wish = &request.wish;
+        let rooms = self.0.with_hub(|hub| hub.with_room(wish, now_ms));
+        let target = |(at, address): &(usize, SocketAddr)| {
+            let takes_ms = *request.takes_ms.get(*at)?;
+            Some(Target {
+                address: *address,
+                takes_ms,
+            })
+        };
         let plan = CopyPlan {
             source: request.source,
-            targets: self.0.with_hub(|hub| {
-                targets
-                    .filter(|(address, _)| !hub.is_leaving(*address))
-                    .map(|(address, takes_ms)| Target { address, takes_ms })
-                    .collect()
-            }),
+            targets: rooms.iter().filter_map(target).collect(),
             gone_at_ms: request.gone_in_ms.map(|in_ms| now_ms + in_ms),
         };
         let mut turns = self.0.turns.lock().unwrap_or_else(PoisonError::into_inner);
@@ -105,8 +109,14 @@
             turns.give_back(request.source, target, takes_ms);
         }
         let turn = turns.grant(&plan, now_ms);
-        tracing::info!(request = &*request.request, source = %plan.source, targets = plan.targets.len(),
-            gone_in_ms = request.gone_in_ms, target = turn.map(|turn| turn.target.to_string()),
+        drop(turns);
+        let granted =
+            |(_, address): &&(usize, SocketAddr)| turn.is_some_and(|turn| turn.target == *address);
+        if let Some((at, _)) = rooms.iter().find(granted) {
+            self.0.with_hub(|hub| hub.take(wish, *at, now_ms));
+        }
+        tracing::info!(request = &*request.request, source = %plan.source, offered = wish.offers.len(),
+            targets = plan.targets.len(), gone_in_ms = request.gone_in_ms, target = turn.map(|turn| turn.target.to_string()),
             copy_in_ms = turn.map(|turn| turn.copy_at_ms.saturating_sub(now_ms)), "turn of a copy");
         turn.map(|turn| TurnReply {
             target: turn.target,
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -16,7 +16,7 @@
 use super::ticket::Ticket;
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::EngineSpec;
-use crate::domain::fleet::{Ask, Demand, Placed};
+use crate::domain::fleet::{Ask, Demand, Placed, Wish};
 use crate::platform::{CallFailure, move_generation};
 use crate::rpc::directory::TurnRequest;
 
@@ -55,6 +55,16 @@
     pub(super) gone_at_ms: Option<u64>,
 }
 
+impl Plan {
+    /// Returns what the generation holds now, and what it is expected to add.
+    fn left(&self) -> Demand {
+        Demand {
+            prompt_tokens: self.held_tokens,
+            output_tokens: self.demand.total_tokens().saturating_sub(self.held_tokens),
+        }
+    }
+}
+
 /// A finished move: the generation has stopped, and its memory is at the ticket's engine.
 pub(super) struct Moved {
     pub(super) ticket: Ticket,
@@ -140,22 +150,22 @@
         .unwrap_or(monotonic_ms() + UNKNOWN_NOTICE_MS);
     let mut unused = None;
     while excluded.len() <= MAX_TARGETS && monotonic_ms() + STOP_MARGIN_MS < last_try_ms {
-        let mut targets = gateway.with_view(|view| {
+        let (wish, mut targets) = gateway.with_view(|view| {
             let ask = Ask {
                 service: &plan.service,
-                demand: plan.demand,
+                demand: plan.left(),
                 engine: plan.engine,
                 excluded: &excluded,
                 now_ms: monotonic_ms(),
                 random: rand::random(),
             };
-            view.targets(&ask, &plan.from_identity, OFFERED_TARGETS)
+            view.targets(&ask, &plan.from_identity, &gateway.name, OFFERED_TARGETS)
         });
         if targets.is_empty() {
             sleep(NO_TARGET_PAUSE).await;
             continue;
         }
-        let (placed, stop_at_ms) = match gateway.turn(plan, &targets, unused.take()).await {
+        let (placed, stop_at_ms) = match gateway.turn(plan, wish, &targets, unused.take()).await {
             Granted::At {
                 target,
                 copy_at_ms,
@@ -218,6 +228,7 @@
     async fn turn(
         &self,
         plan: &Plan,
+        wish: Wish,
         targets: &[Placed],
         unused: Option<(SocketAddr, u64)>,
     ) -> Granted {
@@ -229,9 +240,10 @@
             request: Arc::clone(&plan.request_id),
             source: plan.from,
             unused,
-            targets: targets
+            wish,
+            takes_ms: targets
                 .iter()
-                .map(|target| (target.address, copy_takes_ms(plan, target.same_zone)))
+                .map(|target| copy_takes_ms(plan, target.same_zone))
                 .collect(),
             gone_in_ms: plan.gone_at_ms.map(|at_ms| at_ms.saturating_sub(asked_ms)),
         };
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -86,8 +86,10 @@
     pub source: SocketAddr,
     /// The target and time of a turn that could not be used, and is given back.
     pub unused: Option<(SocketAddr, u64)>,
-    /// Engines that may take the copy, the best one first, and how long it takes.
-    pub targets: Vec<(SocketAddr, u64)>,
+    /// Engines that may take the copy, the best one first, and what they need to hold.
+    pub wish: Wish,
+    /// How long the copy to each of them takes.
+    pub takes_ms: Vec<u64>,
     /// Time until the source is gone, if that is known.
     pub gone_in_ms: Option<u64>,
 }
--- a/tests/fleet_places.rs
+++ b/tests/fleet_places.rs
@@ -43,6 +43,7 @@
         demand: LONG,
         planned_tokens: PLANNED_TOKENS,
         slots: 24,
+        reads_prompt: true,
         offers: engines
             .map(|number| Offer {
                 identity: format!("i-{number}").into(),
@@ -131,6 +132,35 @@
     assert_eq!(hub.place(&wish(ENTRY, 0..1), 10), None);
 }
 
+/// Guards against the load of grown chalkline quiet-1: the generations of a leaving engine all go to
+/// one target, which refuses those that it has no room for, and time is lost.
+#[test]
+fn moves_of_one_moment_get_targets_with_room() {
+    let mut hub = hub(2);
+    let moved = Wish {
+        planned_tokens: LONG.total_tokens(),
+        reads_prompt: false,
+        ..wish(ENTRY, 0..2)
+    };
+    assert_eq!(hub.with_room(&moved, 0), [(0, address(0)), (1, address(1))]);
+    hub.take(&moved, 0, 0);
+    assert_eq!(hub.with_room(&moved, 0), [(1, address(1))]);
+    let pulses = hub.pulses(&"entry-2".into(), 10);
+    assert_eq!((pulses[0].running, pulses[0].prefill_tokens), (1, 0));
+    // Memory in use counts too, as the engine reports it.
+    let full = Report {
+        queued: 0,
+        running: 0,
+        used_tokens: 32_000,
+        total_tokens: 34_000,
+        leaves_in_ms: None,
+        draining: false,
+        born_ms: None,
+    };
+    hub.report(address(1), full, 10);
+    assert!(hub.with_room(&moved, 10).is_empty());
+}
+
 quickcheck! {
     /// Guards against engines that are filled beyond what is planned for, whatever entries ask and
     /// tell, and when.
