--- a/src/domain/fleet/hub.rs
+++ b/src/domain/fleet/hub.rs
@@ -19,6 +19,14 @@
     by_instance: BTreeMap<Arc<str>, Load>,
 }
 
+/// What a list says that the one before did not.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ListChange {
+    /// An instance is new, or in another state.
+    Listed(Listed),
+    Gone(Arc<str>),
+}
+
 /// Collects what is known of the fleet.
 #[derive(Debug, Default)]
 pub struct Hub {
@@ -40,16 +48,26 @@
         }
     }
 
-    /// Takes a list read from the platform; returns true if it differs from the last one.
-    pub fn list(&mut self, mut listed: Vec<Listed>, now_ms: u64) -> bool {
+    /// Takes a list read from the platform; returns what differs from the last one.
+    pub fn list(&mut self, mut listed: Vec<Listed>, now_ms: u64) -> Vec<ListChange> {
         self.listed_ms = Some(now_ms);
         listed.sort_by(|a, b| a.identity.cmp(&b.identity));
-        if listed == self.listed {
-            return false;
+        let before = std::mem::replace(&mut self.listed, listed);
+        let was = |new: &Listed| before.iter().find(|old| old.identity == new.identity);
+        let mut changes: Vec<ListChange> = self
+            .listed
+            .iter()
+            .filter(|new| was(new) != Some(*new))
+            .map(|new| ListChange::Listed(new.clone()))
+            .collect();
+        let gone = before
+            .into_iter()
+            .filter(|old| self.find(&old.identity).is_none());
+        changes.extend(gone.map(|old| ListChange::Gone(old.identity)));
+        if !changes.is_empty() {
+            self.revision += 1;
         }
-        self.listed = listed;
-        self.revision += 1;
-        true
+        changes
     }
 
     /// Takes an instance's report; returns true if entries should hear of it at once.
--- a/src/domain/fleet/instance.rs
+++ b/src/domain/fleet/instance.rs
@@ -50,6 +50,18 @@
     Unreachable,
 }
 
+/// What a request's end has changed in the belief that an instance can be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trust {
+    Unchanged,
+    /// It is avoided for so long, after so many failures in a row.
+    Lost {
+        avoid_ms: u64,
+        failures: u32,
+    },
+    Regained,
+}
+
 #[derive(Debug, Clone)]
 pub(super) struct Instance {
     pub(super) listed: Listed,
@@ -175,7 +187,8 @@
     }
 
     /// Learns from how a request ended.
-    pub(super) fn observe(&mut self, outcome: Outcome, now_ms: u64) {
+    pub(super) fn observe(&mut self, outcome: Outcome, now_ms: u64) -> Trust {
+        let mut trust = Trust::Unchanged;
         let failed = match outcome {
             Outcome::Answered { took_ms } => {
                 let took_ms = took_ms as f64;
@@ -190,16 +203,22 @@
             Outcome::Refused => 0.5,
             Outcome::Unreachable => {
                 let avoid_ms = AVOID_FIRST_MS << self.failures_in_row.min(8);
-                self.avoid_until_ms = now_ms + avoid_ms.min(AVOID_MOST_MS);
+                let avoid_ms = avoid_ms.min(AVOID_MOST_MS);
+                self.avoid_until_ms = now_ms + avoid_ms;
                 self.failures_in_row += 1;
+                trust = Trust::Lost {
+                    avoid_ms,
+                    failures: self.failures_in_row,
+                };
                 1.0
             }
         };
-        if outcome != Outcome::Unreachable {
-            self.failures_in_row = 0;
+        if outcome != Outcome::Unreachable && std::mem::take(&mut self.failures_in_row) > 0 {
+            trust = Trust::Regained;
         }
         self.observed_ms = now_ms;
         self.failure_rate += (failed - self.failure_rate) / AVERAGE_OVER;
+        trust
     }
 
     /// Returns true if the memory in use, as last reported, leaves room for so many tokens.
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -16,8 +16,8 @@
 use crate::model::ZoneName;
 
 pub use choice::{Ask, Demand, Placed};
-pub use hub::Hub;
-pub use instance::{Known, Leaving, Outcome};
+pub use hub::{Hub, ListChange};
+pub use instance::{Known, Leaving, Outcome, Trust};
 pub use places::{Offer, Wish};
 pub use turns::{CopyPlan, Target, Turn, Turns};
 pub use view::View;
--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::instance::{Instance, Known, Leaving, Outcome};
+use super::instance::{Instance, Known, Leaving, Outcome, Trust};
 use super::{Demand, Listed, Load, Pulse, Report};
 use crate::model::ZoneName;
 
@@ -145,9 +145,10 @@
     }
 
     /// Learns from how a request ended.
-    pub fn observe(&mut self, identity: &str, outcome: Outcome, now_ms: u64) {
-        if let Some(instance) = self.instances.get_mut(identity) {
-            instance.observe(outcome, now_ms);
+    pub fn observe(&mut self, identity: &str, outcome: Outcome, now_ms: u64) -> Trust {
+        match self.instances.get_mut(identity) {
+            Some(instance) => instance.observe(outcome, now_ms),
+            None => Trust::Unchanged,
         }
     }
 
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -15,7 +15,7 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::adapters::disk::{DiskError, FileOps};
 use crate::call_handler;
-use crate::domain::fleet::{Hub, Turns};
+use crate::domain::fleet::{Hub, ListChange, Turns};
 use crate::domain::log::{Options, RoleName};
 use crate::model::InstanceName;
 use crate::platform;
@@ -222,7 +222,9 @@
                     if std::mem::take(&mut failing) {
                         tracing::info!(%address, "the platform's list answers again");
                     }
-                    if self.with_hub(|hub| hub.list(listed, monotonic_ms())) {
+                    let changes = self.with_hub(|hub| hub.list(listed, monotonic_ms()));
+                    changes.iter().for_each(log_change);
+                    if !changes.is_empty() {
                         self.announce();
                     }
                 }
@@ -236,6 +238,24 @@
     }
 }
 
+fn log_change(change: &ListChange) {
+    match change {
+        ListChange::Listed(listed) => tracing::info!(
+            instance = &*listed.identity,
+            service = &*listed.service,
+            address = %listed.address,
+            zone = &*listed.zone.0,
+            state = ?listed.state,
+            cold = listed.cold,
+            born_ms = listed.born_ms,
+            "instance is listed"
+        ),
+        ListChange::Gone(identity) => {
+            tracing::info!(instance = &**identity, "instance is no longer listed");
+        }
+    }
+}
+
 /// Returns control instances by their addresses, which are their names in the log.
 fn named(addresses: &[SocketAddr]) -> Vec<PeerAddress> {
     addresses
--- a/tests/fleet_choice.rs
+++ b/tests/fleet_choice.rs
@@ -6,8 +6,8 @@
 use lilacspindle::domain::admission::Waiting;
 use lilacspindle::domain::document::EngineSpec;
 use lilacspindle::domain::fleet::{
-    Ask, CopyPlan, Demand, Hub, Listed, ListedState, Load, Outcome, Pulse, Report, Target, Turns,
-    View,
+    Ask, CopyPlan, Demand, Hub, ListChange, Listed, ListedState, Load, Outcome, Pulse, Report,
+    Target, Turns, View,
 };
 use lilacspindle::domain::retry::WindowBudget;
 use lilacspindle::model::ZoneName;
@@ -325,8 +325,12 @@
 #[test]
 fn hub_tells_the_loads_of_the_others() {
     let mut hub = Hub::new(0);
-    assert!(hub.list(vec![listed(1, "a")], 0));
-    assert!(!hub.list(vec![listed(1, "a")], 10));
+    let first = listed(1, "a");
+    assert_eq!(
+        hub.list(vec![first.clone()], 0),
+        [ListChange::Listed(first.clone())]
+    );
+    assert_eq!(hub.list(vec![first], 10), []);
     let load = Load {
         identity: "i-1".into(),
         running: 2,
@@ -345,6 +349,22 @@
     assert!(!hub.report(address(1), report(0, Some(1_900)), 5_200));
 }
 
+/// Guards against a change of the list that entries and the log do not hear of.
+#[test]
+fn hub_names_what_a_list_changes() {
+    let mut hub = Hub::new(0);
+    hub.list(vec![listed(1, "a"), listed(2, "a"), listed(3, "a")], 0);
+    let revision = hub.revision();
+    let draining = Listed {
+        state: ListedState::Draining,
+        ..listed(2, "a")
+    };
+    let changes = hub.list(vec![draining.clone(), listed(1, "a")], 10);
+    let gone = ListChange::Gone("i-3".into());
+    assert_eq!(changes, [ListChange::Listed(draining), gone]);
+    assert_ne!(hub.revision(), revision);
+}
+
 /// Guards against the load of chalkline scale-1: an engine with more generations than its link can
 /// copy loses them all, because the last copies queue behind first ones.
 #[test]
