Judge readiness by times instead of ages

Cause: a process counts as ready once its table was confirmed after its start. The check read the clock twice, so a confirmation of 1 ms before the start counted in the milliseconds in which the clock went on between the readings.

Change: is_ready compares the time of the confirmation.

--- a/src/roles/subscriber/follow.rs
+++ b/src/roles/subscriber/follow.rs
@@ -126,9 +126,10 @@
     ///
     /// An older confirmation may lie before what the former run of this instance had applied.
     pub fn is_ready(&self) -> bool {
+        // Compares times, not ages: the clock may go on between two readings.
         self.store
-            .confirmed_age_ms()
-            .is_some_and(|age_ms| monotonic_ms().saturating_sub(age_ms) >= self.started_at_ms)
+            .confirmed_at_ms()
+            .is_some_and(|at_ms| at_ms >= self.started_at_ms)
     }
 
     /// Returns a view that new work may be done under. Waits up to a second for a version that a
--- a/src/roles/subscriber/store.rs
+++ b/src/roles/subscriber/store.rs
@@ -118,9 +118,14 @@
         }
     }
 
+    /// Returns when the view was last known to be current; none if it never was.
+    pub fn confirmed_at_ms(&self) -> Option<u64> {
+        self.lock().confirmed_at_ms
+    }
+
     /// Returns how long ago the view was known to be current; none if it never was.
     pub fn confirmed_age_ms(&self) -> Option<u64> {
-        let at_ms = self.lock().confirmed_at_ms?;
+        let at_ms = self.confirmed_at_ms()?;
         Some(monotonic_ms().saturating_sub(at_ms))
     }
 
