Use the usual terms for placement and split two large test files

No behaviour changes; the metric of placements without control is lilac_gateway_local_placements_total.

--- a/src/domain/fleet/choice.rs
+++ b/src/domain/fleet/choice.rs
@@ -10,7 +10,7 @@
 
 use super::ListedState;
 use super::instance::Instance;
-use super::places::{Offer, Wish};
+use super::placement::{Candidate, PlacementRequest};
 use super::view::View;
 use crate::domain::document::EngineSpec;
 use crate::model::ZoneName;
@@ -51,9 +51,9 @@
 /// Engines at random that a generation chooses among. Loads of other entries are up to 400 ms old;
 /// the best of all engines would get the generations of all entries until they show.
 const SAMPLED_ENGINES: usize = 3;
-/// Engines at random that are offered to the hub, which knows the newest loads. Not compared with
+/// Engines at random that the hub, which knows the newest loads, chooses among. Not compared with
 /// other numbers; eight identities take about 0.2 KB.
-const OFFERED_ENGINES: usize = 8;
+const CANDIDATES: usize = 8;
 /// Expected time of a plain call before one was measured.
 const FIRST_PLAIN_MS: f64 = 30.0;
 
@@ -87,7 +87,7 @@
     pub random: u64,
 }
 
-/// What an engine has to offer for a generation, or for a copy of one.
+/// What is required of an engine for a generation, or for a copy of one.
 #[derive(Debug, Clone, Copy)]
 struct Wanted<'a> {
     /// Part of its memory that may be planned for, in hundredths.
@@ -171,13 +171,17 @@
         best.map(|instance| placed(instance, wanted.near))
     }
 
-    /// Returns what an entry offers to the hub for a generation, and the engines of the offers.
-    pub fn wish(&self, ask: &Ask<'_>, entry: &Arc<str>) -> (Wish, Vec<Placed>) {
+    /// Returns what an entry asks the hub for to place a generation, and its candidates.
+    pub fn placement_request(
+        &self,
+        ask: &Ask<'_>,
+        entry: &Arc<str>,
+    ) -> (PlacementRequest, Vec<Placed>) {
         let wanted = self.wanted_for(ask.demand);
-        let sample = self.sample(ask, wanted, OFFERED_ENGINES);
-        let wish = wish(ask, wanted, entry, &sample, true);
+        let sample = self.sample(ask, wanted, CANDIDATES);
+        let request = placement_request(ask, wanted, entry, &sample, true);
         let engines = sample.into_iter().map(|i| placed(i, &self.zone)).collect();
-        (wish, engines)
+        (request, engines)
     }
 
     fn wanted_for(&self, demand: Demand) -> Wanted<'_> {
@@ -199,24 +203,24 @@
         sample
     }
 
-    /// Returns what an entry offers to the hub for a generation that is moved from `source`, and the
-    /// engines of the offers, the best one first.
+    /// Returns what an entry asks the hub for to move a generation from `source`, and its candidates,
+    /// the best one first.
     pub fn targets(
         &self,
         ask: &Ask<'_>,
         source: &str,
         entry: &Arc<str>,
         most: usize,
-    ) -> (Wish, Vec<Placed>) {
+    ) -> (PlacementRequest, Vec<Placed>) {
         let wanted = Wanted {
             planned_percent: MOVE_MEMORY_PERCENT,
             near: self.zone_of(source),
             zone_penalty_ms: COPY_ZONE_PENALTY_MS,
         };
         let best = ranked(self.fitting(ask, wanted), ask, wanted, most);
-        let wish = wish(ask, wanted, entry, &best, false);
+        let request = placement_request(ask, wanted, entry, &best, false);
         let engines = best.into_iter().map(|i| placed(i, wanted.near)).collect();
-        (wish, engines)
+        (request, engines)
     }
 
     /// Chooses an engine that keeps a copy of a generation's memory that runs at `source`. Returns
@@ -296,24 +300,24 @@
     engines
 }
 
-fn wish(
+fn placement_request(
     ask: &Ask<'_>,
     wanted: Wanted<'_>,
     entry: &Arc<str>,
-    offered: &[&Instance],
+    engines: &[&Instance],
     reads_prompt: bool,
-) -> Wish {
-    let offer = |instance: &&Instance| Offer {
+) -> PlacementRequest {
+    let candidate = |instance: &&Instance| Candidate {
         identity: Arc::clone(&instance.listed.identity),
         penalty_ms: wanted.penalty_ms(instance, ask.random),
     };
-    Wish {
+    PlacementRequest {
         entry: Arc::clone(entry),
         demand: ask.demand,
         planned_tokens: wanted.planned_tokens(ask.engine),
         slots: ask.engine.slots,
         reads_prompt,
-        offers: offered.iter().map(offer).collect(),
+        candidates: engines.iter().map(candidate).collect(),
     }
 }
 
--- a/src/domain/fleet/hub.rs
+++ b/src/domain/fleet/hub.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::places::{Held, Places, Wish};
+use super::placement::{PlacementRequest, Reservations, Usage};
 use super::{Listed, Load, Pulse, Report};
 
 /// Loads of an entry that has not synced for this long no longer count. Entries sync at least
@@ -36,7 +36,7 @@
     listed_ms: Option<u64>,
     reports: BTreeMap<SocketAddr, (Report, u64)>,
     loads: BTreeMap<Arc<str>, Loads>,
-    places: Places,
+    reservations: Reservations,
 }
 
 impl Hub {
@@ -87,47 +87,49 @@
             by_instance,
         };
         self.loads.insert(Arc::clone(entry), loads);
-        self.places.told(entry, now_ms);
+        self.reservations.reported(entry, now_ms);
         self.loads
             .retain(|_, loads| now_ms < loads.received_ms + LOAD_KEPT_MS);
         self.reports
             .retain(|_, (_, received_ms)| now_ms < *received_ms + REPORT_KEPT_MS);
     }
 
-    /// Gives a generation the place with the shortest wait. Returns the position of its engine
-    /// among those offered, or none if no one of them has room.
-    pub fn place(&mut self, wish: &Wish, now_ms: u64) -> Option<usize> {
-        let rooms = self.rooms(wish, now_ms);
-        let (at, _) = rooms.into_iter().min_by_key(|(_, wait_ms)| *wait_ms)?;
-        self.places.give(wish, &wish.offers[at], now_ms);
+    /// Reserves room for a generation at the candidate with the shortest wait. Returns the
+    /// position of the candidate, or none if no one has room.
+    pub fn place(&mut self, request: &PlacementRequest, now_ms: u64) -> Option<usize> {
+        let fitting = self.fitting(request, now_ms);
+        let (at, _) = fitting.into_iter().min_by_key(|(_, wait_ms)| *wait_ms)?;
+        self.reservations
+            .reserve(request, &request.candidates[at], now_ms);
         Some(at)
     }
 
-    /// Gives a generation the place of one offer.
-    pub fn take(&mut self, wish: &Wish, at: usize, now_ms: u64) {
-        if let Some(offer) = wish.offers.get(at) {
-            self.places.give(wish, offer, now_ms);
+    /// Reserves room for a generation at one candidate.
+    pub fn reserve(&mut self, request: &PlacementRequest, at: usize, now_ms: u64) {
+        if let Some(candidate) = request.candidates.get(at) {
+            self.reservations.reserve(request, candidate, now_ms);
         }
     }
 
-    /// Returns the positions and addresses of the engines offered that have room.
-    pub fn with_room(&self, wish: &Wish, now_ms: u64) -> Vec<(usize, SocketAddr)> {
-        let rooms = self.rooms(wish, now_ms).into_iter();
-        let address = |at: usize| self.find(&wish.offers[at].identity).map(|l| l.address);
-        rooms
-            .filter_map(|(at, _)| Some((at, address(at)?)))
-            .collect()
+    /// Returns the positions and addresses of the candidates with room.
+    pub fn with_room(&self, request: &PlacementRequest, now_ms: u64) -> Vec<(usize, SocketAddr)> {
+        let fitting = self.fitting(request, now_ms).into_iter();
+        let with_address = fitting.filter_map(|(at, _)| {
+            let listed = self.find(&request.candidates[at].identity)?;
+            Some((at, listed.address))
+        });
+        with_address.collect()
     }
 
-    fn rooms(&self, wish: &Wish, now_ms: u64) -> Vec<(usize, u64)> {
-        let held = |identity: &str| {
+    fn fitting(&self, request: &PlacementRequest, now_ms: u64) -> Vec<(usize, u64)> {
+        let usage = |identity: &str| {
             let address = self.find(identity)?.address;
             let takes_work = self.reports.get(&address).is_none_or(|(report, _)| {
-                !report.leaves() && report.holds(wish.demand.prompt_tokens)
+                !report.leaves() && report.holds(request.demand.prompt_tokens)
             });
-            takes_work.then(|| held_by(self.loads.values(), identity))
+            takes_work.then(|| reported_usage(self.loads.values(), identity))
         };
-        self.places.rooms(wish, held, now_ms)
+        self.reservations.with_room(request, usage, now_ms)
     }
 
     fn find(&self, identity: &str) -> Option<&Listed> {
@@ -168,15 +170,15 @@
             .iter()
             .filter_map(|listed| {
                 let report = self.reports.get(&listed.address);
-                let mut held = held_by(others(), &listed.identity);
-                let places = &self.places;
-                held.add(places.of_others(&listed.identity, Some(entry), now_ms));
+                let mut usage = reported_usage(others(), &listed.identity);
+                let reservations = &self.reservations;
+                usage.add(reservations.reserved(&listed.identity, Some(entry), now_ms));
                 let pulse = Pulse {
                     identity: Arc::clone(&listed.identity),
                     report: report.map(|(report, at)| (*report, now_ms.saturating_sub(*at))),
-                    running: held.running,
-                    committed_tokens: held.committed_tokens,
-                    prefill_tokens: held.prefill_tokens,
+                    running: usage.running,
+                    committed_tokens: usage.committed_tokens,
+                    prefill_tokens: usage.prefill_tokens,
                 };
                 let quiet = pulse.report.is_none() && pulse.running == 0;
                 (!quiet).then_some(pulse)
@@ -185,11 +187,11 @@
     }
 }
 
-/// Returns what entries have told of an instance.
-fn held_by<'a>(loads: impl Iterator<Item = &'a Loads>, identity: &str) -> Held {
-    let mut total = Held::default();
+/// Returns what entries have reported of an instance.
+fn reported_usage<'a>(loads: impl Iterator<Item = &'a Loads>, identity: &str) -> Usage {
+    let mut total = Usage::default();
     for load in loads.filter_map(|loads| loads.by_instance.get(identity)) {
-        total.add(Held {
+        total.add(Usage {
             running: load.running,
             committed_tokens: load.committed_tokens,
             prefill_tokens: load.prefill_tokens,
--- a/src/domain/fleet/instance.rs
+++ b/src/domain/fleet/instance.rs
@@ -52,7 +52,7 @@
 
 /// What a request's end has changed in the belief that an instance can be reached.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Trust {
+pub enum Reachability {
     Unchanged,
     /// It is avoided for so long, after so many failures in a row.
     Lost {
@@ -114,7 +114,7 @@
             && believed_ms.is_some_and(|believed_ms| read_ms >= believed_ms);
         let started_later = listed.born_ms > self.listed.born_ms && self.listed.born_ms.is_some();
         if is_back || started_later || listed.address != self.listed.address {
-            self.forget();
+            self.reset();
         }
         let born_ms = listed.born_ms.or(self.listed.born_ms);
         self.listed = Listed { born_ms, ..listed };
@@ -129,13 +129,13 @@
         self.leaving.get_or_insert(Leaving { gone_at_ms });
     }
 
-    /// Takes when the instance that reports has started. Returns false for a report of an earlier
-    /// start.
-    pub(super) fn started(&mut self, born_ms: Option<u64>) -> bool {
+    /// Compares the start of the instance that reports with the known one, and begins anew after a
+    /// later one. Returns false for a report of an earlier start.
+    pub(super) fn accept_start(&mut self, born_ms: Option<u64>) -> bool {
         match (born_ms, self.listed.born_ms) {
             (Some(born_ms), Some(held_ms)) if born_ms < held_ms => return false,
             (Some(born_ms), Some(held_ms)) if born_ms > held_ms => {
-                self.forget();
+                self.reset();
                 self.listed.state = ListedState::Ready;
             }
             _ => {}
@@ -146,7 +146,7 @@
 
     /// Forgets what was learned of an instance that has started again. What this entry has placed
     /// there is still counted off as its requests end.
-    fn forget(&mut self) {
+    fn reset(&mut self) {
         let counted = (self.running, self.committed_tokens, self.prefill_tokens);
         *self = Self::new(self.listed.clone());
         (self.running, self.committed_tokens, self.prefill_tokens) = counted;
@@ -187,8 +187,8 @@
     }
 
     /// Learns from how a request ended.
-    pub(super) fn observe(&mut self, outcome: Outcome, now_ms: u64) -> Trust {
-        let mut trust = Trust::Unchanged;
+    pub(super) fn observe(&mut self, outcome: Outcome, now_ms: u64) -> Reachability {
+        let mut reachability = Reachability::Unchanged;
         let failed = match outcome {
             Outcome::Answered { took_ms } => {
                 let took_ms = took_ms as f64;
@@ -206,7 +206,7 @@
                 let avoid_ms = avoid_ms.min(AVOID_MOST_MS);
                 self.avoid_until_ms = now_ms + avoid_ms;
                 self.failures_in_row += 1;
-                trust = Trust::Lost {
+                reachability = Reachability::Lost {
                     avoid_ms,
                     failures: self.failures_in_row,
                 };
@@ -214,11 +214,11 @@
             }
         };
         if outcome != Outcome::Unreachable && std::mem::take(&mut self.failures_in_row) > 0 {
-            trust = Trust::Regained;
+            reachability = Reachability::Regained;
         }
         self.observed_ms = now_ms;
         self.failure_rate += (failed - self.failure_rate) / AVERAGE_OVER;
-        trust
+        reachability
     }
 
     /// Returns true if the memory in use, as last reported, leaves room for so many tokens.
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -4,7 +4,7 @@
 mod choice;
 mod hub;
 mod instance;
-mod places;
+mod placement;
 mod turns;
 mod view;
 
@@ -17,8 +17,8 @@
 
 pub use choice::{Ask, Demand, Placed};
 pub use hub::{Hub, ListChange};
-pub use instance::{Known, Leaving, Outcome, Trust};
-pub use places::{Offer, Wish};
+pub use instance::{Known, Leaving, Outcome, Reachability};
+pub use placement::{Candidate, PlacementRequest};
 pub use turns::{CopyPlan, Target, Turn, Turns};
 pub use view::View;
 
--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use super::instance::{Instance, Known, Leaving, Outcome, Trust};
+use super::instance::{Instance, Known, Leaving, Outcome, Reachability};
 use super::{Demand, Listed, Load, Pulse, Report};
 use crate::model::ZoneName;
 
@@ -76,7 +76,7 @@
             let Some(instance) = self.instances.get_mut(&pulse.identity) else {
                 continue;
             };
-            let current = |(report, _): &(Report, u64)| instance.started(report.born_ms);
+            let current = |(report, _): &(Report, u64)| instance.accept_start(report.born_ms);
             pulse.report = pulse.report.filter(current);
             if let Some((report, age_ms)) = pulse.report.filter(|(report, _)| report.leaves()) {
                 let gone_at_ms = report
@@ -145,10 +145,10 @@
     }
 
     /// Learns from how a request ended.
-    pub fn observe(&mut self, identity: &str, outcome: Outcome, now_ms: u64) -> Trust {
+    pub fn observe(&mut self, identity: &str, outcome: Outcome, now_ms: u64) -> Reachability {
         match self.instances.get_mut(identity) {
             Some(instance) => instance.observe(outcome, now_ms),
-            None => Trust::Unchanged,
+            None => Reachability::Unchanged,
         }
     }
 
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -9,7 +9,7 @@
 
 use super::DirectoryRole;
 use crate::adapters::clock::monotonic_ms;
-use crate::domain::fleet::{CopyPlan, Target, Wish};
+use crate::domain::fleet::{CopyPlan, PlacementRequest, Target};
 use crate::rpc::directory::{
     Directory, Fleet, PlaceReply, ReportReply, ReportRequest, SyncReply, SyncRequest, TurnReply,
     TurnRequest,
@@ -77,10 +77,10 @@
         })
     }
 
-    async fn place(self, _: Context, request: Wish) -> PlaceReply {
+    async fn place(self, _: Context, request: PlacementRequest) -> PlaceReply {
         let role = &self.0;
         if !role.leads() {
-            return PlaceReply::Elsewhere;
+            return PlaceReply::NotLeader;
         }
         match role.with_hub(|hub| hub.place(&request, monotonic_ms())) {
             Some(at) => PlaceReply::At(at),
@@ -90,8 +90,8 @@
 
     async fn turn(self, _: Context, request: TurnRequest) -> Option<TurnReply> {
         let now_ms = monotonic_ms();
-        let wish = &request.wish;
-        let rooms = self.0.with_hub(|hub| hub.with_room(wish, now_ms));
+        let placement = &request.placement;
+        let fitting = self.0.with_hub(|hub| hub.with_room(placement, now_ms));
         let target = |(at, address): &(usize, SocketAddr)| {
             let takes_ms = *request.takes_ms.get(*at)?;
             Some(Target {
@@ -101,7 +101,7 @@
         };
         let plan = CopyPlan {
             source: request.source,
-            targets: rooms.iter().filter_map(target).collect(),
+            targets: fitting.iter().filter_map(target).collect(),
             gone_at_ms: request.gone_in_ms.map(|in_ms| now_ms + in_ms),
         };
         let mut turns = self.0.turns.lock().unwrap_or_else(PoisonError::into_inner);
@@ -112,11 +112,11 @@
         drop(turns);
         let granted =
             |(_, address): &&(usize, SocketAddr)| turn.is_some_and(|turn| turn.target == *address);
-        if let Some((at, _)) = rooms.iter().find(granted) {
-            self.0.with_hub(|hub| hub.take(wish, *at, now_ms));
+        if let Some((at, _)) = fitting.iter().find(granted) {
+            self.0.with_hub(|hub| hub.reserve(placement, *at, now_ms));
         }
-        tracing::info!(request = &*request.request, source = %plan.source, offered = wish.offers.len(),
-            targets = plan.targets.len(), gone_in_ms = request.gone_in_ms, target = turn.map(|turn| turn.target.to_string()),
+        tracing::info!(request = &*request.request, source = %plan.source, candidates = placement.candidates.len(),
+            with_room = plan.targets.len(), gone_in_ms = request.gone_in_ms, target = turn.map(|turn| turn.target.to_string()),
             copy_in_ms = turn.map(|turn| turn.copy_at_ms.saturating_sub(now_ms)), "turn of a copy");
         turn.map(|turn| TurnReply {
             target: turn.target,
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -150,7 +150,8 @@
     /// Returns an engine with room, by the newest loads if control answers in time.
     async fn place(&self, job: &Job, engine: EngineSpec, tried: &[Arc<str>]) -> Option<Placed> {
         let asked = ask(job, engine, tried);
-        let (wish, mut engines) = self.with_view(|view| view.wish(&asked, &self.name));
+        let (request, mut engines) =
+            self.with_view(|view| view.placement_request(&asked, &self.name));
         if engines.is_empty() {
             return None;
         }
@@ -158,7 +159,7 @@
         let answer = match link {
             Some(link) => {
                 let calling = link.call(PLACE_LIMIT, |client, context| async move {
-                    client.place(context, wish).await
+                    client.place(context, request).await
                 });
                 calling.await.ok()
             }
@@ -171,7 +172,7 @@
             }),
             Some(PlaceReply::Full) => None,
             _ => {
-                self.metrics.places_without_control.inc();
+                self.metrics.local_placements.inc();
                 self.with_view(|view| view.choose_engine(&asked))
             }
         }
--- a/src/roles/gateway/metrics.rs
+++ b/src/roles/gateway/metrics.rs
@@ -18,7 +18,7 @@
     first_event_ms: Histogram,
     pub(super) document_version: prometheus::IntGauge,
     pub(super) sync_failures: IntCounter,
-    pub(super) places_without_control: IntCounter,
+    pub(super) local_placements: IntCounter,
 }
 
 impl Metrics {
@@ -60,9 +60,9 @@
                 "Calls to control that failed.",
             )
             .expect("constant options are valid"),
-            places_without_control: IntCounter::new(
-                "lilac_gateway_places_without_control_total",
-                "Generations that were placed by the entry's own view.",
+            local_placements: IntCounter::new(
+                "lilac_gateway_local_placements_total",
+                "Generations placed by the entry's own view, without control.",
             )
             .expect("constant options are valid"),
         };
@@ -74,7 +74,7 @@
             Box::new(metrics.first_event_ms.clone()),
             Box::new(metrics.document_version.clone()),
             Box::new(metrics.sync_failures.clone()),
-            Box::new(metrics.places_without_control.clone()),
+            Box::new(metrics.local_placements.clone()),
         ];
         for collector in all {
             // Fails if a test starts a second gateway in this process; the first one is shown.
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -16,7 +16,7 @@
 use super::ticket::Ticket;
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::EngineSpec;
-use crate::domain::fleet::{Ask, Demand, Placed, Wish};
+use crate::domain::fleet::{Ask, Demand, Placed, PlacementRequest};
 use crate::platform::{CallFailure, move_generation};
 use crate::rpc::directory::TurnRequest;
 
@@ -32,7 +32,7 @@
 /// Engines tried as the target of a copy.
 const MAX_TARGETS: usize = 3;
 /// Engines that control may choose the target of a copy from.
-const OFFERED_TARGETS: usize = 5;
+const CANDIDATE_TARGETS: usize = 5;
 /// Pause before a call is repeated while another one is in progress.
 const BUSY_PAUSE: Duration = Duration::from_millis(40);
 const MAX_BUSY: usize = 10;
@@ -150,7 +150,7 @@
         .unwrap_or(monotonic_ms() + UNKNOWN_NOTICE_MS);
     let mut unused = None;
     while excluded.len() <= MAX_TARGETS && monotonic_ms() + STOP_MARGIN_MS < last_try_ms {
-        let (wish, mut targets) = gateway.with_view(|view| {
+        let (placement, mut targets) = gateway.with_view(|view| {
             let ask = Ask {
                 service: &plan.service,
                 demand: plan.left(),
@@ -159,31 +159,32 @@
                 now_ms: monotonic_ms(),
                 random: rand::random(),
             };
-            view.targets(&ask, &plan.from_identity, &gateway.name, OFFERED_TARGETS)
+            view.targets(&ask, &plan.from_identity, &gateway.name, CANDIDATE_TARGETS)
         });
         if targets.is_empty() {
             sleep(NO_TARGET_PAUSE).await;
             continue;
         }
-        let (placed, stop_at_ms) = match gateway.turn(plan, wish, &targets, unused.take()).await {
-            Granted::At {
-                target,
-                copy_at_ms,
-                stop_at_ms,
-            } => {
-                let wait_ms = copy_at_ms.saturating_sub(monotonic_ms());
-                sleep(Duration::from_millis(wait_ms)).await;
-                (targets.swap_remove(target), stop_at_ms)
-            }
-            Granted::Unknown => {
-                let gone_at_ms = plan.gone_at_ms.unwrap_or_default();
-                (
-                    targets.swap_remove(0),
-                    gone_at_ms.saturating_sub(STOP_MARGIN_MS),
-                )
-            }
-            Granted::Denied => break,
-        };
+        let (placed, stop_at_ms) =
+            match gateway.turn(plan, placement, &targets, unused.take()).await {
+                Granted::At {
+                    target,
+                    copy_at_ms,
+                    stop_at_ms,
+                } => {
+                    let wait_ms = copy_at_ms.saturating_sub(monotonic_ms());
+                    sleep(Duration::from_millis(wait_ms)).await;
+                    (targets.swap_remove(target), stop_at_ms)
+                }
+                Granted::Unknown => {
+                    let gone_at_ms = plan.gone_at_ms.unwrap_or_default();
+                    (
+                        targets.swap_remove(0),
+                        gone_at_ms.saturating_sub(STOP_MARGIN_MS),
+                    )
+                }
+                Granted::Denied => break,
+            };
         excluded.push(Arc::clone(&placed.identity));
         unused = Some((placed.address, copy_takes_ms(plan, placed.same_zone)));
         let mut ticket = Ticket::begin(gateway, placed, Some(plan.demand));
@@ -228,7 +229,7 @@
     async fn turn(
         &self,
         plan: &Plan,
-        wish: Wish,
+        placement: PlacementRequest,
         targets: &[Placed],
         unused: Option<(SocketAddr, u64)>,
     ) -> Granted {
@@ -240,7 +241,7 @@
             request: Arc::clone(&plan.request_id),
             source: plan.from,
             unused,
-            wish,
+            placement,
             takes_ms: targets
                 .iter()
                 .map(|target| copy_takes_ms(plan, target.same_zone))
--- a/src/roles/gateway/ticket.rs
+++ b/src/roles/gateway/ticket.rs
@@ -5,7 +5,7 @@
 
 use super::Gateway;
 use crate::adapters::clock::monotonic_ms;
-use crate::domain::fleet::{Demand, Outcome, Placed, Trust};
+use crate::domain::fleet::{Demand, Outcome, Placed, Reachability};
 
 /// Counts a request at an instance; dropping it ends the count.
 pub(super) struct Ticket {
@@ -41,16 +41,16 @@
     /// Learns from how the request went.
     pub(super) fn observe(&self, outcome: Outcome) {
         let now_ms = monotonic_ms();
-        let trust = self
+        let reachability = self
             .gateway
             .with_view(|view| view.observe(&self.identity, outcome, now_ms));
         let instance = &*self.identity;
-        match trust {
-            Trust::Unchanged => {}
-            Trust::Lost { avoid_ms, failures } => {
+        match reachability {
+            Reachability::Unchanged => {}
+            Reachability::Lost { avoid_ms, failures } => {
                 tracing::info!(instance, avoid_ms, failures, "instance is avoided");
             }
-            Trust::Regained => tracing::info!(instance, "instance answers again"),
+            Reachability::Regained => tracing::info!(instance, "instance answers again"),
         }
     }
 }
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::domain::fleet::{Listed, Load, Pulse, Report, Wish};
+use crate::domain::fleet::{Listed, Load, PlacementRequest, Pulse, Report};
 
 /// A version of the document as the operator published it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,15 +67,15 @@
     pub leader: Option<SocketAddr>,
 }
 
-/// The answer to a generation that asks for a place.
+/// The answer to a placement request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlaceReply {
-    /// The position of the engine among those offered.
+    /// The position of the candidate.
     At(usize),
-    /// None of them has room.
+    /// No candidate has room.
     Full,
     /// The instance does not lead, so entries tell their loads to another one.
-    Elsewhere,
+    NotLeader,
 }
 
 /// A copy of a generation's memory that an entry wants to make.
@@ -87,7 +87,7 @@
     /// The target and time of a turn that could not be used, and is given back.
     pub unused: Option<(SocketAddr, u64)>,
     /// Engines that may take the copy, the best one first, and what they need to hold.
-    pub wish: Wish,
+    pub placement: PlacementRequest,
     /// How long the copy to each of them takes.
     pub takes_ms: Vec<u64>,
     /// Time until the source is gone, if that is known.
@@ -109,8 +109,8 @@
     /// Answered at once; the heartbeat of a connection.
     async fn ping();
     async fn sync(request: SyncRequest) -> SyncReply;
-    /// Returns the place of a generation.
-    async fn place(request: Wish) -> PlaceReply;
+    /// Reserves room for a generation at one of its candidates.
+    async fn place(request: PlacementRequest) -> PlaceReply;
     /// Returns the turn of a copy; none if it cannot end in time.
     async fn turn(request: TurnRequest) -> Option<TurnReply>;
     async fn report(request: ReportRequest) -> ReportReply;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 mod caller;
+mod rows;
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
@@ -13,21 +14,16 @@
 use std::time::{Duration, Instant};
 
 use lilacspindle::domain::state::{Command as LogCommand, EditAnswer, EditId, Response, RowChange};
-use lilacspindle::domain::table::{
-    KindRow, ModelRow, Row, RowKey, ServiceRow, Target, WorkspaceRow,
-};
-use lilacspindle::model::{
-    Incarnation, InstanceName, InstanceRef, KindName, ModelName, ServiceName, TableVersion,
-    WorkspaceName,
-};
+use lilacspindle::model::{Incarnation, InstanceName, InstanceRef, TableVersion};
 use lilacspindle::proxy::Proxy;
 use lilacspindle::roles::subscriber::ControlCalls;
 use lilacspindle::rpc::Stamp;
-use lilacspindle::rpc::sidecar::Lane;
 
 // As above, for the re-exports.
 #[allow(unused_imports)]
 pub use caller::{Streamed, client, completion, read_stream};
+#[allow(unused_imports)]
+pub use rows::{rows, workspace_row};
 
 /// Time in which a started fleet has to be ready. Debug builds on a busy machine need some.
 const READY_LIMIT: Duration = Duration::from_secs(30);
@@ -461,61 +457,3 @@
         .spawn()
         .unwrap()
 }
-
-/// Returns the rows that tests of the path start with.
-pub fn rows() -> Vec<RowChange> {
-    let model = || Target::Model(ModelName::from("tutor"));
-    let service = || Target::Service(ServiceName::from("cards"));
-    let rows = [
-        (
-            RowKey::Workspace(WorkspaceName::from("demo")),
-            workspace_row(None),
-        ),
-        (
-            RowKey::Model(ModelName::from("tutor")),
-            Row::Model(ModelRow {
-                version: "v1".to_owned(),
-                prepare_version: None,
-                adapter: None,
-            }),
-        ),
-        (
-            RowKey::Service(ServiceName::from("cards")),
-            Row::Service(ServiceRow {
-                repeatable: true,
-                deadline_ms: 10_000,
-            }),
-        ),
-        kind("essay", Lane::Long, true, model()),
-        kind("hint", Lane::Small, true, model()),
-        kind("card", Lane::Small, true, service()),
-        kind("scan", Lane::Small, false, service()),
-    ];
-    rows.into_iter()
-        .map(|(key, row)| RowChange {
-            key,
-            row: Some(row),
-        })
-        .collect()
-}
-
-/// Returns a row of a workspace with some room.
-pub fn workspace_row(room_slots: Option<u32>) -> Row {
-    Row::Workspace(WorkspaceRow {
-        weight: 10,
-        room_slots,
-        api_key_sha256: None,
-        max_tokens: 4_096,
-    })
-}
-
-fn kind(name: &str, lane: Lane, repeatable: bool, target: Target) -> (RowKey, Row) {
-    let row = KindRow {
-        lane,
-        repeatable,
-        room_slots: None,
-        deadline_ms: 60_000,
-        target,
-    };
-    (RowKey::Kind(None, KindName::from(name)), Row::Kind(row))
-}
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -1,19 +1,18 @@
 //! A sidecar and a control instance for tests of the entry, each served over TCP.
 
 // Each test program uses a part of this module.
-#![allow(dead_code, unused_imports)]
+#![allow(dead_code)]
 
 mod callers;
 mod fake_sidecar;
+mod running_fake;
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use lilacspindle::adapters::clock::monotonic_ms;
 use lilacspindle::call_handler;
-use lilacspindle::domain::members::{Member, Phase, Role, Serves, UpstreamInfo};
 use lilacspindle::domain::state::{Command, Response, State, View};
 use lilacspindle::domain::table::{
     KindRow, ModelRow, Row, RowKey, ServiceRow, Target, WorkspaceRow,
@@ -23,16 +22,15 @@
 use lilacspindle::roles::subscriber::{Subscriber, SubscriberSettings, ViewStore, Watchers};
 use lilacspindle::rpc::control::*;
 use lilacspindle::rpc::sidecar::*;
-use lilacspindle::rpc::{Service, Services, Stamp, serve};
+use lilacspindle::rpc::{Service, Services, serve};
 use lilacspindle::settings::{EntrySettings, StalePolicy};
 use tarpc::context::Context;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::runtime::Runtime;
-use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::sleep;
 
 pub use callers::*;
 pub use fake_sidecar::*;
+pub use running_fake::*;
 
 /// Applies commands to the real state machine; without a log behind it.
 #[derive(Clone, Default)]
--- a/tests/fleet_choice.rs
+++ b/tests/fleet_choice.rs
@@ -252,8 +252,8 @@
     ];
     view.list(all, Some(1), 0, 0);
     let excluded: [Arc<str>; 1] = ["i-1".into()];
-    let (wish, targets) = view.targets(&ask(&excluded), "i-1", &"entry-1".into(), 2);
-    assert_eq!(wish.offers[0].identity, targets[0].identity);
+    let (request, targets) = view.targets(&ask(&excluded), "i-1", &"entry-1".into(), 2);
+    assert_eq!(request.candidates[0].identity, targets[0].identity);
     assert_eq!(&*targets[0].identity, "i-3");
     assert!(targets[0].same_zone && !targets[1].same_zone);
     assert_eq!(
--- a/tests/fleet_places.rs
+++ b/tests/fleet_placement.rs
@@ -1,11 +1,11 @@
-//! Places of generations given out by the hub, without I/O.
+//! Placement of generations by the hub, without I/O.
 
 mod fleet_support;
 
 use std::sync::Arc;
 
 use fleet_support::{LONG, address, listed, report};
-use lilacspindle::domain::fleet::{Hub, Load, Offer, Wish};
+use lilacspindle::domain::fleet::{Candidate, Hub, Load, PlacementRequest};
 use quickcheck::quickcheck;
 
 const PLANNED_TOKENS: u64 = 20_000;
@@ -17,15 +17,15 @@
     hub
 }
 
-fn wish(entry: &str, engines: impl Iterator<Item = u8>) -> Wish {
-    Wish {
+fn request(entry: &str, engines: impl Iterator<Item = u8>) -> PlacementRequest {
+    PlacementRequest {
         entry: entry.into(),
         demand: LONG,
         planned_tokens: PLANNED_TOKENS,
         slots: 24,
         reads_prompt: true,
-        offers: engines
-            .map(|number| Offer {
+        candidates: engines
+            .map(|number| Candidate {
                 identity: format!("i-{number}").into(),
                 penalty_ms: 0,
             })
@@ -51,8 +51,8 @@
     let mut hub = hub(44);
     let mut given = [0; 44];
     for number in 0..44 {
-        let wish = wish(&format!("entry-{}", number % 26), 0..44);
-        given[hub.place(&wish, 5).unwrap()] += 1;
+        let request = request(&format!("entry-{}", number % 26), 0..44);
+        given[hub.place(&request, 5).unwrap()] += 1;
     }
     assert_eq!(given, [1; 44]);
 }
@@ -60,11 +60,11 @@
 /// Guards against a generation that counts twice once its entry tells of it, and against one that
 /// is forgotten because the entry's loads were on their way when it got its place.
 #[test]
-fn place_counts_until_its_entry_tells_of_it() {
+fn reservation_counts_until_its_entry_reports_it() {
     let entry: Arc<str> = ENTRY.into();
     let other: Arc<str> = "entry-2".into();
     let mut hub = hub(1);
-    assert_eq!(hub.place(&wish(ENTRY, 0..1), 1_000), Some(0));
+    assert_eq!(hub.place(&request(ENTRY, 0..1), 1_000), Some(0));
     let seen = |hub: &Hub, now_ms| hub.pulses(&other, now_ms).first().map_or(0, |p| p.running);
     hub.load(&entry, Vec::new(), 1_005);
     assert_eq!(seen(&hub, 1_010), 1);
@@ -80,27 +80,27 @@
 
 /// Guards against room that stays taken by an entry that never tells of its generation.
 #[test]
-fn place_of_a_silent_entry_expires() {
+fn reservation_of_a_silent_entry_expires() {
     let mut hub = hub(1);
     for _ in 0..5 {
-        assert_eq!(hub.place(&wish(ENTRY, 0..1), 0), Some(0));
+        assert_eq!(hub.place(&request(ENTRY, 0..1), 0), Some(0));
     }
-    assert_eq!(hub.place(&wish(ENTRY, 0..1), 500), None);
-    assert_eq!(hub.place(&wish(ENTRY, 0..1), 700), Some(0));
+    assert_eq!(hub.place(&request(ENTRY, 0..1), 500), None);
+    assert_eq!(hub.place(&request(ENTRY, 0..1), 700), Some(0));
 }
 
 /// Guards against a place at an engine that is leaving, gone or worse than another one.
 #[test]
-fn place_is_at_the_best_engine_that_stays() {
+fn placement_is_at_the_best_engine_that_stays() {
     let entry: Arc<str> = ENTRY.into();
     let mut hub = hub(4);
     hub.report(address(0), report(0, Some(1_500)), 0);
     hub.load(&entry, loads(1, 2), 0);
-    let mut offers = wish(ENTRY, [9, 0, 1, 2, 3].into_iter());
-    offers.offers[3].penalty_ms = 100;
-    assert_eq!(hub.place(&offers, 10), Some(4));
-    assert_eq!(hub.place(&offers, 10), Some(3));
-    assert_eq!(hub.place(&wish(ENTRY, 0..1), 10), None);
+    let mut candidates = request(ENTRY, [9, 0, 1, 2, 3].into_iter());
+    candidates.candidates[3].penalty_ms = 100;
+    assert_eq!(hub.place(&candidates, 10), Some(4));
+    assert_eq!(hub.place(&candidates, 10), Some(3));
+    assert_eq!(hub.place(&request(ENTRY, 0..1), 10), None);
 }
 
 /// Guards against the load of grown chalkline quiet-1: the generations of a leaving engine all go to
@@ -108,13 +108,13 @@
 #[test]
 fn moves_of_one_moment_get_targets_with_room() {
     let mut hub = hub(2);
-    let moved = Wish {
+    let moved = PlacementRequest {
         planned_tokens: LONG.total_tokens(),
         reads_prompt: false,
-        ..wish(ENTRY, 0..2)
+        ..request(ENTRY, 0..2)
     };
     assert_eq!(hub.with_room(&moved, 0), [(0, address(0)), (1, address(1))]);
-    hub.take(&moved, 0, 0);
+    hub.reserve(&moved, 0, 0);
     assert_eq!(hub.with_room(&moved, 0), [(1, address(1))]);
     let pulses = hub.pulses(&"entry-2".into(), 10);
     assert_eq!((pulses[0].running, pulses[0].prefill_tokens), (1, 0));
@@ -137,8 +137,8 @@
             let (entry, engine) = (usize::from(entry % 4), engine % 3);
             if asks {
                 let offered = [engine, (engine + 1) % 3];
-                let wish = wish(&format!("entry-{entry}"), offered.into_iter());
-                if let Some(at) = hub.place(&wish, now_ms) {
+                let request = request(&format!("entry-{entry}"), offered.into_iter());
+                if let Some(at) = hub.place(&request, now_ms) {
                     running[entry][usize::from(offered[at])] += 1;
                 }
             }
--- a/tests/site_controls.rs
+++ b/tests/site_controls.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use lilacspindle::call_handler;
-use lilacspindle::domain::fleet::Wish;
+use lilacspindle::domain::fleet::PlacementRequest;
 use lilacspindle::rpc::directory::{
     Directory, PlaceReply, Published, ReportReply, ReportRequest, SyncReply, SyncRequest,
     TurnReply, TurnRequest,
@@ -51,8 +51,8 @@
         }
     }
 
-    async fn place(self, _: Context, _: Wish) -> PlaceReply {
-        PlaceReply::Elsewhere
+    async fn place(self, _: Context, _: PlacementRequest) -> PlaceReply {
+        PlaceReply::NotLeader
     }
 
     async fn turn(self, _: Context, _: TurnRequest) -> Option<TurnReply> {
