Run control on all machines with a disk; let instances without one lead to it

Cause: the grown deployments have to bear two lost disks, and control ran on four machines (one a zone, count = 1), so two voters of four were left.

At most nine instances vote. Copies of generations also begin in the gaps between those granted before.

It now sends until the failing one was asked, 64 at most.

--- a/src/domain/fleet/turns.rs
+++ b/src/domain/fleet/turns.rs
@@ -41,12 +41,42 @@
     pub stop_at_ms: u64,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+/// A copy that was granted on a link, to or from the engine at the other end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Grant {
+    begin_ms: u64,
+    end_ms: u64,
+    other_end: SocketAddr,
+}
+
+#[derive(Debug, Clone, Default)]
 struct Link {
-    busy_until_ms: u64,
+    grants: Vec<Grant>,
     last_copies: u64,
 }
 
+impl Link {
+    /// Returns when a grant ends that overlaps a copy, or none if the link is free for it.
+    fn taken_until_ms(&self, begin_ms: u64, takes_ms: u64) -> Option<u64> {
+        let overlaps =
+            |grant: &&Grant| grant.begin_ms < begin_ms + takes_ms && begin_ms < grant.end_ms;
+        self.grants
+            .iter()
+            .filter(overlaps)
+            .map(|grant| grant.end_ms)
+            .max()
+    }
+
+    fn give_back(&mut self, other_end: SocketAddr, takes_ms: u64) {
+        let unused = self.grants.iter().position(|grant| {
+            grant.other_end == other_end && grant.end_ms - grant.begin_ms == takes_ms
+        });
+        if let Some(at) = unused {
+            self.grants.remove(at);
+        }
+    }
+}
+
 /// The links that copies were granted on.
 #[derive(Debug, Default)]
 pub struct Turns {
@@ -54,42 +84,71 @@
 }
 
 impl Turns {
-    /// Takes a turn back that could not be used. The turns granted after it keep their times.
+    /// Takes a turn back that could not be used. The other turns keep their times.
     pub fn give_back(&mut self, source: SocketAddr, target: SocketAddr, takes_ms: u64) {
-        for address in [source, target] {
+        for (address, other_end) in [(source, target), (target, source)] {
             if let Some(link) = self.links.get_mut(&address) {
-                link.busy_until_ms = link.busy_until_ms.saturating_sub(takes_ms);
+                link.give_back(other_end, takes_ms);
             }
         }
     }
 
     /// Returns the turn of a copy, to the target where it ends first, or none if it cannot end in
-    /// time.
+    /// time. It may come before copies that were granted earlier, if both links are free until then.
     pub fn grant(&mut self, plan: &CopyPlan, now_ms: u64) -> Option<Turn> {
-        self.links
-            .retain(|_, link| link.busy_until_ms + 2 * LAST_COPIES_MS > now_ms);
-        let busy_until_ms = |address| self.links.get(address).map_or(0, |link| link.busy_until_ms);
-        let source_free_ms = now_ms.max(busy_until_ms(&plan.source));
+        self.drop_past(now_ms);
         let ends = plan.targets.iter().map(|target| {
-            let copy_at_ms = source_free_ms.max(busy_until_ms(&target.address));
-            (copy_at_ms + target.takes_ms, copy_at_ms, target.address)
+            let begin_ms = self.first_free_ms(plan.source, target, now_ms);
+            (begin_ms + target.takes_ms, begin_ms, target.address)
         });
-        let (end_ms, copy_at_ms, target) = ends.min_by_key(|(end_ms, ..)| *end_ms)?;
+        let (end_ms, begin_ms, target) = ends.min_by_key(|(end_ms, ..)| *end_ms)?;
         let latest_ms = plan
             .gone_at_ms
             .map(|at_ms| at_ms.saturating_sub(LAST_COPIES_MS));
         if latest_ms.is_some_and(|latest_ms| end_ms > latest_ms) {
             return None;
         }
+        for (address, other_end) in [(plan.source, target), (target, plan.source)] {
+            let grant = Grant {
+                begin_ms,
+                end_ms,
+                other_end,
+            };
+            self.links.entry(address).or_default().grants.push(grant);
+        }
         let source = self.links.entry(plan.source).or_default();
-        source.busy_until_ms = end_ms;
         let place = source.last_copies % MAX_LAST_COPIES;
         source.last_copies += 1;
-        self.links.entry(target).or_default().busy_until_ms = end_ms;
         Some(Turn {
             target,
-            copy_at_ms,
+            copy_at_ms: begin_ms,
             stop_at_ms: latest_ms.map_or(end_ms, |at_ms| at_ms + place * LAST_COPY_MS),
         })
     }
+
+    /// Returns when both links are free for a copy.
+    fn first_free_ms(&self, source: SocketAddr, target: &Target, now_ms: u64) -> u64 {
+        let links = [source, target.address].map(|address| self.links.get(&address));
+        let mut begin_ms = now_ms;
+        loop {
+            let taken = links.iter().flatten();
+            let until_ms = taken
+                .filter_map(|link| link.taken_until_ms(begin_ms, target.takes_ms))
+                .max();
+            match until_ms {
+                Some(until_ms) => begin_ms = until_ms,
+                None => return begin_ms,
+            }
+        }
+    }
+
+    /// Forgets links whose copies ended before the last copies of their engines, too.
+    fn drop_past(&mut self, now_ms: u64) {
+        let is_current = |grant: &Grant| grant.end_ms + 2 * LAST_COPIES_MS > now_ms;
+        self.links
+            .retain(|_, link| link.grants.iter().any(is_current));
+        for link in self.links.values_mut() {
+            link.grants.retain(is_current);
+        }
+    }
 }
--- a/src/domain/log/members.rs
+++ b/src/domain/log/members.rs
@@ -133,6 +133,13 @@
     fn with_promoted(&mut self, now_ms: u64) -> Option<Config> {
         let (commit, limit_ms) = (self.commit, self.limits.election_ms);
         let mut config = self.config()?.clone();
+        let voters: Vec<InstanceName> = config
+            .members
+            .values()
+            .filter(|member| member.voter)
+            .map(|member| member.name.clone())
+            .collect();
+        let has_room = voters.len() < self.options.max_voters;
         let Role::Leader(leading) = &mut self.role else {
             return None;
         };
@@ -148,7 +155,9 @@
             if progress.matched < target {
                 continue;
             }
-            if now_ms <= set_ms + limit_ms {
+            // The old identity of a replaced voter is removed next.
+            let may_vote = has_room || voters.contains(&member.name);
+            if may_vote && now_ms <= set_ms + limit_ms {
                 member.voter = true;
                 return Some(config);
             }
--- a/src/domain/log/state.rs
+++ b/src/domain/log/state.rs
@@ -18,8 +18,13 @@
     /// The leader removes a voter that was silent for this long, if three voters remain that all
     /// answer. None keeps silent voters, for groups whose members are named in their settings.
     pub drop_silent_ms: Option<u64>,
+    /// Further members stay learners. Each voter adds to what every commit waits for.
+    pub max_voters: usize,
 }
 
+/// Nine voters bear the loss of four; the fleet may set aside no more instances for control.
+const MAX_VOTERS: usize = 9;
+
 impl Default for Options {
     fn default() -> Self {
         Self {
@@ -28,6 +33,7 @@
             lease_checks: true,
             sync_before_ack: true,
             drop_silent_ms: None,
+            max_voters: MAX_VOTERS,
         }
     }
 }
--- a/src/roles/control/replica/driver.rs
+++ b/src/roles/control/replica/driver.rs
@@ -345,6 +345,10 @@
         self.status.send_if_modified(|held| {
             let changed = *held != shown;
             log_removed(&held.voters, &shown);
+            let (voters, learners) = (shown.voters.len(), shown.learners.len());
+            if (held.voters.len(), held.learners.len()) != (voters, learners) {
+                tracing::info!(voters, learners, "members changed");
+            }
             if changed && (held.role != shown.role || held.term != shown.term) {
                 tracing::info!(identity = %shown.identity, role = ?shown.role, term = shown.term,
                     "role of the replica");
--- a/src/roles/control/replica/formation.rs
+++ b/src/roles/control/replica/formation.rs
@@ -12,6 +12,7 @@
 use super::driver::Input;
 use super::{Endpoint, Peers, Replica, ReplicaStatus};
 use crate::domain::log::NodeId;
+use crate::model::InstanceName;
 use crate::rpc::peer::{HelloReply, HelloRequest, PeerClient};
 use crate::rpc::{Service, connect, deadline_after};
 use crate::settings::PeerAddress;
@@ -36,14 +37,26 @@
         if status.stopped.is_some() {
             return;
         }
+        let caller = Caller {
+            own: &own,
+            identity: Some(status.identity),
+        };
         // The entry that added this replica may have been replaced by a new leader's.
         if is_member(&status, &own) && status.leader.is_some() {
+            // Named instances that keep no log learn of the cluster by these calls.
+            let strangers = others.iter().filter(|peer| !is_listed(&status, &peer.name));
+            join_all(strangers.map(|peer| hello(peer, caller))).await;
             sleep(CHECK).await;
             continue;
         }
-        let replies = join_all(others.iter().map(|peer| hello(peer, &own, status.identity))).await;
-        let forms = may_form && listed;
-        if let Some(input) = next_step(&status, &own, &others, &replies, forms) {
+        let replies = join_all(others.iter().map(|peer| hello(peer, caller))).await;
+        let peers = NamedPeers {
+            others: &others,
+            replies: &replies,
+            may_form,
+            listed,
+        };
+        if let Some(input) = next_step(&status, &own, &peers) {
             // A full queue delays formation to the next attempt.
             let _ = replica.send(input);
         }
@@ -56,18 +69,30 @@
     members.any(|member| member.identity == status.identity && member.address == own.rpc_address)
 }
 
-/// Returns the step that the answers of all other configured instances allow.
-fn next_step(
-    status: &ReplicaStatus,
-    own: &Endpoint,
-    others: &[PeerAddress],
-    replies: &[Option<HelloReply>],
+fn is_listed(status: &ReplicaStatus, name: &InstanceName) -> bool {
+    let mut members = status.voters.iter().chain(&status.learners);
+    members.any(|member| member.name == *name)
+}
+
+/// The other instances that the settings name, and what they answered.
+struct NamedPeers<'a> {
+    others: &'a [PeerAddress],
+    replies: &'a [Option<HelloReply>],
     may_form: bool,
-) -> Option<Input> {
-    let answered = || {
-        let pairs = others.iter().zip(replies);
+    /// True if the settings name this instance as well.
+    listed: bool,
+}
+
+impl NamedPeers<'_> {
+    fn answered(&self) -> impl Iterator<Item = (&PeerAddress, &HelloReply)> {
+        let pairs = self.others.iter().zip(self.replies);
         pairs.filter_map(|(peer, reply)| Some((peer, reply.as_ref()?)))
-    };
+    }
+}
+
+/// Returns the step that the answers of all other configured instances allow.
+fn next_step(status: &ReplicaStatus, own: &Endpoint, peers: &NamedPeers) -> Option<Input> {
+    let answered = || peers.answered();
     let clustered = answered().any(|(_, reply)| reply.cluster.is_some());
     if clustered || status.cluster.is_some() {
         let members = answered().filter(|(_, reply)| reply.cluster.is_some());
@@ -76,7 +101,10 @@
                 let leader = reply
                     .leader
                     .map(|(identity, address)| (NodeId(identity), address));
-                std::iter::once((NodeId(reply.identity), peer.address)).chain(leader)
+                let member = reply
+                    .keeps_log
+                    .then_some((NodeId(reply.identity), peer.address));
+                member.into_iter().chain(leader)
             })
             .filter(|(identity, _)| *identity != status.identity)
             .collect();
@@ -86,25 +114,51 @@
             name: own.name.clone(),
         });
     }
-    let first = others.iter().all(|peer| own.name < peer.name);
-    if !may_form || !first || answered().count() < others.len() {
+    if !peers.may_form || answered().count() < peers.others.len() {
+        return None;
+    }
+    let keepers = || answered().filter(|(_, reply)| reply.keeps_log);
+    let forms = match peers.listed {
+        true => keepers().all(|(peer, _)| own.name < peer.name),
+        false if keepers().next().is_none() => founder(peers) == Some(&own.name),
+        false => false,
+    };
+    if !forms {
         return None;
     }
-    let mut members: BTreeMap<_, _> = answered()
+    let mut members: BTreeMap<_, _> = keepers()
         .map(|(peer, reply)| (NodeId(reply.identity), (peer.name.clone(), peer.address)))
         .collect();
     members.insert(status.identity, (own.name.clone(), own.rpc_address));
     // Two configured addresses that reach one instance do not make two members.
-    let complete = members.len() == others.len() + 1;
+    let complete = members.len() == keepers().count() + 1;
     complete.then_some(Input::Bootstrap { members })
 }
 
-async fn hello(peer: &PeerAddress, own: &Endpoint, identity: NodeId) -> Option<HelloReply> {
+/// Returns the instance that forms the cluster if no named one keeps the log. All instances take it
+/// from the same named one, so there is one founder.
+fn founder<'a>(peers: &'a NamedPeers) -> Option<&'a InstanceName> {
+    let (_, first) = peers.answered().min_by_key(|(peer, _)| &peer.name)?;
+    first.founder.as_ref()
+}
+
+/// Who says hello.
+#[derive(Clone, Copy)]
+pub(crate) struct Caller<'a> {
+    pub own: &'a Endpoint,
+    /// None if the caller keeps no log.
+    pub identity: Option<NodeId>,
+}
+
+/// Returns what a peer says of itself; none if it does not answer, or another instance does.
+pub(crate) async fn hello(peer: &PeerAddress, caller: Caller<'_>) -> Option<HelloReply> {
     let transport = connect(peer.address, Service::Peer).await.ok()?;
     let client = PeerClient::new(client::Config::default(), transport).spawn();
     let request = HelloRequest {
-        name: own.name.clone(),
-        identity: identity.0,
+        name: caller.own.name.clone(),
+        address: caller.own.rpc_address,
+        identity: caller.identity.map_or(0, |identity| identity.0),
+        keeps_log: caller.identity.is_some(),
     };
     let reply = client
         .hello(deadline_after(HELLO_LIMIT), request)
--- a/src/roles/control/replica/mod.rs
+++ b/src/roles/control/replica/mod.rs
@@ -21,6 +21,7 @@
 use crate::settings::{ControlSettings, PeerAddress};
 use driver::{Driver, Input};
 
+pub(crate) use formation::{Caller, hello};
 pub use server::PeerServer;
 pub use status::{MemberStatus, ReplicaStatus};
 
--- a/src/roles/control/replica/server.rs
+++ b/src/roles/control/replica/server.rs
@@ -51,11 +51,14 @@
         HelloReply {
             name: self.name.clone(),
             identity: status.identity.0,
+            keeps_log: true,
             cluster: status.cluster,
+            term: status.term,
             leader: status
                 .leader
                 .as_ref()
                 .map(|leader| (leader.identity.0, leader.address)),
+            founder: None,
         }
     }
 }
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -1,6 +1,7 @@
 //! The directory: the shared document on the replicated log, and the hub of the fleet.
 
 mod machine;
+mod observer;
 mod operators;
 mod service;
 
@@ -25,6 +26,7 @@
 use crate::settings::{ControlSettings, DirectorySettings, PeerAddress};
 
 use machine::Machine;
+use observer::{Observer, ObserverServer};
 
 pub use machine::{PutAnswer, PutDocument};
 pub use operators::serve_operators;
@@ -44,7 +46,9 @@
 /// The directory role of one process.
 pub struct DirectoryRole {
     settings: DirectorySettings,
-    control: ControlSettings,
+    /// None without a data folder.
+    control: Option<ControlSettings>,
+    observer: Option<Arc<Observer>>,
     endpoint: Endpoint,
     machine: Arc<Machine>,
     hub: Mutex<Hub>,
@@ -75,14 +79,20 @@
             known: named(peers),
             may_form: settings.may_form,
         });
+        let control = settings.data_folder.as_ref().map(|folder| ControlSettings {
+            data_folder: folder.clone(),
+            peers: Vec::new(),
+            election_ms: settings.election_ms,
+            snapshot_entries: settings.snapshot_entries,
+            platform_list: None,
+        });
+        let observer = match control {
+            Some(_) => None,
+            None => Some(Observer::new(endpoint.clone(), peers.subscribe())),
+        };
         let role = Arc::new(Self {
-            control: ControlSettings {
-                data_folder: settings.data_folder.clone(),
-                peers: Vec::new(),
-                election_ms: settings.election_ms,
-                snapshot_entries: settings.snapshot_entries,
-                platform_list: None,
-            },
+            control,
+            observer,
             settings: settings.clone(),
             endpoint,
             machine,
@@ -94,7 +104,15 @@
             asked_ms: Mutex::new(0),
             stopping: watch::Sender::new(false),
         });
-        tokio::spawn(Arc::clone(&role).keep_open());
+        match &role.observer {
+            Some(observer) => {
+                tracing::info!("no data folder; this instance only names the leader");
+                tokio::spawn(Arc::clone(observer).run(role.stopping.subscribe()));
+            }
+            None => {
+                tokio::spawn(Arc::clone(&role).keep_open());
+            }
+        }
         tokio::spawn(Arc::clone(&role).keep_listed());
         role
     }
@@ -114,7 +132,11 @@
         let role = Arc::clone(self);
         // The replica is replaced when the log is opened again, so each connection asks for it.
         let peers: Handler = Arc::new(move |stream| {
-            if let Some(replica) = role.replica() {
+            if let Some(observer) = &role.observer {
+                let server = ObserverServer(Arc::clone(observer));
+                let handler = call_handler!(Service::Peer, server);
+                handler(stream);
+            } else if let Some(replica) = role.replica() {
                 let handler = call_handler!(Service::Peer, replica.server());
                 handler(stream);
             }
@@ -150,6 +172,9 @@
 
     /// Returns the RPC address of the leader, if another instance leads.
     fn other_leader(&self) -> Option<SocketAddr> {
+        if let Some(observer) = &self.observer {
+            return observer.leader();
+        }
         let leader = self.replica()?.status().leader?;
         (leader.address != self.endpoint.rpc_address).then_some(leader.address)
     }
@@ -162,13 +187,13 @@
         self.news.send_modify(|count| *count += 1);
     }
 
-    fn open(&self) -> Result<Replica, DiskError> {
+    fn open(&self, control: &ControlSettings) -> Result<Replica, DiskError> {
         let options = Options {
             drop_silent_ms: Some(DROP_SILENT_MS),
             ..Options::default()
         };
         Replica::open_among(
-            &self.control,
+            control,
             self.endpoint.clone(),
             Machine::driven_by_log(&self.machine),
             FileOps::real(),
@@ -178,9 +203,12 @@
     }
 
     async fn keep_open(self: Arc<Self>) {
+        let Some(control) = &self.control else {
+            return;
+        };
         let mut stopping = self.stopping.subscribe();
         while !*stopping.borrow_and_update() {
-            match self.open() {
+            match self.open(control) {
                 Ok(replica) => {
                     let mut status = replica.watch();
                     *self.replica.lock().unwrap_or_else(PoisonError::into_inner) = Some(replica);
--- a/src/roles/directory/operators.rs
+++ b/src/roles/directory/operators.rs
@@ -38,15 +38,15 @@
 impl DirectoryRole {
     async fn answer(&self, request: Request<Incoming>, port: u16) -> Page {
         match (request.method(), request.uri().path()) {
-            (&Method::GET, paths::READ) => self.read().await,
+            (&Method::GET, paths::READ) => self.read(port).await,
             (&Method::POST, paths::PUBLISH) => self.publish(request, port).await,
             _ => web::text(StatusCode::NOT_FOUND, "no such call\n"),
         }
     }
 
-    async fn read(&self) -> Page {
+    async fn read(&self, port: u16) -> Page {
         let Some(replica) = self.replica() else {
-            return unavailable("the replicated log is closed");
+            return self.without_log(port, paths::READ);
         };
         if let Err(error) = replica.confirm(READ_LIMIT).await {
             return unavailable(&format!("cannot confirm the newest document: {error}"));
@@ -76,7 +76,7 @@
             }
         };
         let Some(replica) = self.replica() else {
-            return unavailable("the replicated log is closed");
+            return self.without_log(port, paths::PUBLISH);
         };
         let command = PutDocument {
             version: document.version,
@@ -99,13 +99,22 @@
             }
             Err(SubmitError::NotLeader {
                 leader: Some(leader),
-            }) => moved(SocketAddr::new(leader.ip(), port)),
+            }) => moved(SocketAddr::new(leader.ip(), port), paths::PUBLISH),
             Err(error) => {
                 tracing::warn!(version = document.version, %error, "document not acknowledged");
                 unavailable(&format!("not acknowledged: {error}"))
             }
         }
     }
+
+    /// Leads an operator from an instance without a data folder to the leader.
+    fn without_log(&self, port: u16, path: &str) -> Page {
+        match (&self.observer, self.other_leader()) {
+            (Some(_), Some(leader)) => moved(SocketAddr::new(leader.ip(), port), path),
+            (Some(_), None) => unavailable("this instance keeps no log and knows no leader"),
+            (None, _) => unavailable("the replicated log is closed"),
+        }
+    }
 }
 
 fn json(body: Bytes) -> Page {
@@ -115,8 +124,8 @@
     page
 }
 
-fn moved(to: SocketAddr) -> Page {
-    let location = format!("http://{to}{}", paths::PUBLISH);
+fn moved(to: SocketAddr, path: &str) -> Page {
+    let location = format!("http://{to}{path}");
     let mut page = web::text(StatusCode::TEMPORARY_REDIRECT, "another instance leads\n");
     if let Ok(location) = header::HeaderValue::from_str(&location) {
         page.headers_mut().insert(header::LOCATION, location);
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -64,6 +64,7 @@
                 .filter(|held| request.revision != Some(*held));
             SyncReply {
                 confirmed,
+                keeps_log: role.observer.is_none(),
                 document,
                 fleet: revision.map(|revision| Fleet {
                     revision,
@@ -116,7 +117,9 @@
             self.0.with_hub(|hub| hub.reserve(placement, *at, now_ms));
         }
         tracing::info!(request = &*request.request, source = %plan.source, candidates = placement.candidates.len(),
-            with_room = plan.targets.len(), gone_in_ms = request.gone_in_ms, target = turn.map(|turn| turn.target.to_string()),
+            with_room = plan.targets.len(), gone_in_ms = request.gone_in_ms,
+            takes_ms = plan.targets.iter().map(|target| target.takes_ms).min(),
+            target = turn.map(|turn| turn.target.to_string()),
             copy_in_ms = turn.map(|turn| turn.copy_at_ms.saturating_sub(now_ms)), "turn of a copy");
         turn.map(|turn| TurnReply {
             target: turn.target,
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -59,7 +59,10 @@
                     }
                     if !reply.confirmed {
                         self.metrics.sync_failures.inc();
-                        controls.unconfirmed();
+                        // An instance without a log never confirms; the leader that it names may.
+                        if reply.keeps_log || reply.leader.is_none() {
+                            controls.unconfirmed();
+                        }
                         sleep(FAILED_PAUSE).await;
                     }
                     let answering = controls.link();
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -40,6 +40,8 @@
 pub struct SyncReply {
     /// True if no newer document than the one told or known was acknowledged before the call.
     pub confirmed: bool,
+    /// False if the instance has no data folder; it can only name the leader.
+    pub keeps_log: bool,
     /// A newer document than the caller's.
     pub document: Option<Published>,
     /// The list, if it is another than the caller's.
--- a/src/rpc/peer.rs
+++ b/src/rpc/peer.rs
@@ -20,7 +20,10 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HelloRequest {
     pub name: InstanceName,
+    pub address: SocketAddr,
     pub identity: u64,
+    /// True if the caller keeps the log, and so can be a member of the cluster.
+    pub keeps_log: bool,
 }
 
 /// The answer to a hello.
@@ -28,11 +31,18 @@
 pub struct HelloReply {
     pub name: InstanceName,
     pub identity: u64,
-    /// The cluster that the instance belongs to; none while its data folder is empty.
+    /// False if the instance has no data folder and only leads others to the cluster.
+    pub keeps_log: bool,
+    /// The cluster that the instance belongs to, or knows if it keeps no log; none while its data
+    /// folder is empty.
     pub cluster: Option<u64>,
+    pub term: u64,
     /// The leader that the instance knows: identity and address. It may not be among the peers that
     /// the asking instance was told of.
     pub leader: Option<(u64, SocketAddr)>,
+    /// The instance that forms the cluster if none of the named instances keeps the log. Told by
+    /// instances that keep none.
+    pub founder: Option<InstanceName>,
 }
 
 /// The calls between control instances.
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -55,7 +55,9 @@
 pub struct DirectorySettings {
     /// Where operators call.
     pub operator_address: SocketAddr,
-    pub data_folder: PathBuf,
+    /// None on a machine without a disk: the instance then keeps no log and leads callers to those
+    /// that do.
+    pub data_folder: Option<PathBuf>,
     /// The platform's list of instances.
     pub list_address: Option<SocketAddr>,
     /// True at the first start of the whole system, when the named control instances may form a
@@ -75,7 +77,9 @@
             operator_address: reader
                 .required(section, "operator_address")
                 .unwrap_or(loopback),
-            data_folder: reader.required(section, "data_folder").unwrap_or_default(),
+            data_folder: reader
+                .optional(section, "data_folder")
+                .filter(|folder: &PathBuf| !folder.as_os_str().is_empty()),
             list_address: reader.optional(section, "list_address"),
             may_form: reader.or(section, "may_form", false),
             election_ms: reader.bounded(section, "election_ms", 350, 100..=60_000),
--- a/tests/entry_recovery.rs
+++ b/tests/entry_recovery.rs
@@ -93,7 +93,11 @@
         let good = RunningFake::start(Fake::new("s2", 1, tokens(10)));
         let control = FakeControl::default().listen().await;
         let entry = start_entry("e1", view(&[&bad, &good]), control).await;
-        for _ in 0..8 {
+        // Either replica may be chosen for each request; of 120 runs with eight requests two never
+        // asked the failing one.
+        let mut sent = 0;
+        while sent < 8 || (bad.fake.seen().starts.is_empty() && sent < 64) {
+            sent += 1;
             let (status, text) = text_of(post(&entry, "/v1/completions", WHOLE)).await;
             assert_eq!(status, 200, "{plan:?}: {text}");
             let answer: serde_json::Value = serde_json::from_str(&text).unwrap();
--- a/tests/fleet_hub.rs
+++ b/tests/fleet_hub.rs
@@ -135,6 +135,28 @@
     assert_eq!((turn.target, turn.copy_at_ms), (address(4), 0));
 }
 
+/// Guards against the load of chalkline trouble-3: a target that takes the last copy of one engine
+/// counted as busy until then, and all four generations of another engine were lost.
+#[test]
+fn copy_goes_before_a_later_one_at_the_same_target() {
+    let mut turns = Turns::default();
+    let plan = |source, target| CopyPlan {
+        source: address(source),
+        targets: vec![Target {
+            address: address(target),
+            takes_ms: 200,
+        }],
+        gone_at_ms: Some(1_700),
+    };
+    for target in [3, 4, 4, 4, 3] {
+        turns.grant(&plan(1, target), 0).unwrap();
+    }
+    let begins: Vec<_> = (0..3)
+        .map(|_| turns.grant(&plan(2, 3), 0).unwrap().copy_at_ms)
+        .collect();
+    assert_eq!(begins, [200, 400, 600]);
+}
+
 /// Guards against links that stay reserved for copies that their target refused: on a recorded day
 /// (atlas inc-3a48) the target was leaving too, and five generations lost their turns with it.
 #[test]
--- a/tests/log_core.rs
+++ b/tests/log_core.rs
@@ -34,6 +34,10 @@
 
 /// Returns replica 1 of three with a configuration entry and a command of term 2.
 fn replica() -> Core {
+    replica_with(Options::default())
+}
+
+fn replica_with(options: Options) -> Core {
     let entry = |index, term, payload| Entry {
         index,
         term,
@@ -54,15 +58,7 @@
         election_ms: ELECTION_MS,
         snapshot_entries: 100,
     };
-    Core::new(
-        NodeId(1),
-        address(1),
-        limits,
-        Options::default(),
-        recovered,
-        1,
-        0,
-    )
+    Core::new(NodeId(1), address(1), limits, options, recovered, 1, 0)
 }
 
 fn packet(from: u64, term: u64, body: Body) -> Packet {
@@ -95,7 +91,11 @@
 
 /// Returns replica 1 as the leader of term 4, at 300 ms.
 fn leader() -> Core {
-    let mut core = replica();
+    leader_with(Options::default())
+}
+
+fn leader_with(options: Options) -> Core {
+    let mut core = replica_with(options);
     core.tick(300);
     settle(&mut core, 300);
     for pre in [true, false] {
@@ -210,20 +210,11 @@
     }
 }
 
-/// Guards against a learner that becomes a voter before it has synced what is committed.
-#[test]
-fn learner_votes_only_once_it_has_caught_up() {
-    let mut core = leader();
-    appended(
-        &mut core,
-        2,
-        3,
-        Echo {
-            sent_ms: 300,
-            round: 2,
-        },
-        301,
-    );
+/// Returns a leader with two other voters that have entry 4, and replica 4 as a learner.
+fn leader_with_learner(options: Options) -> Core {
+    let mut core = leader_with(options);
+    let echo = |sent_ms| Echo { sent_ms, round: 2 };
+    appended(&mut core, 2, 3, echo(300), 301);
     settle(&mut core, 301);
     let join = Body::Join {
         name: InstanceName::from("n4"),
@@ -231,46 +222,44 @@
     core.step(NodeId(4), packet(4, 0, join), 302);
     core.tick(303);
     settle(&mut core, 303);
-    let member = |core: &Core| core.config().map(|config| config.is_voter(NodeId(4)));
     assert!(
         core.config()
             .is_some_and(|config| config.members.contains_key(&NodeId(4)))
     );
-    appended(
-        &mut core,
-        2,
-        4,
-        Echo {
-            sent_ms: 303,
-            round: 2,
-        },
-        304,
-    );
+    appended(&mut core, 2, 4, echo(303), 304);
     settle(&mut core, 304);
     core.tick(305);
     settle(&mut core, 305);
-    appended(
-        &mut core,
-        4,
-        3,
-        Echo {
-            sent_ms: 305,
-            round: 2,
-        },
-        306,
-    );
-    core.tick(307);
-    assert_eq!(member(&core), Some(false), "it lacks entry 4");
-    appended(
-        &mut core,
-        4,
-        4,
-        Echo {
-            sent_ms: 305,
-            round: 2,
-        },
-        308,
-    );
-    core.tick(309);
-    assert_eq!(member(&core), Some(true));
+    core
+}
+
+/// Tells the leader what the learner has synced; returns whether it votes now.
+fn votes_with(core: &mut Core, matched: u64, now_ms: u64) -> bool {
+    let echo = Echo {
+        sent_ms: 305,
+        round: 2,
+    };
+    appended(core, 4, matched, echo, now_ms);
+    core.tick(now_ms + 1);
+    core.config()
+        .is_some_and(|config| config.is_voter(NodeId(4)))
+}
+
+/// Guards against a learner that becomes a voter before it has synced what is committed.
+#[test]
+fn learner_votes_only_once_it_has_caught_up() {
+    let mut core = leader_with_learner(Options::default());
+    assert!(!votes_with(&mut core, 3, 306), "it lacks entry 4");
+    assert!(votes_with(&mut core, 4, 308));
+}
+
+/// Guards against commits that wait for more and more voters as control instances are added.
+#[test]
+fn learner_stays_one_while_there_are_voters_enough() {
+    let options = Options {
+        max_voters: 3,
+        ..Options::default()
+    };
+    let mut core = leader_with_learner(options);
+    assert!(!votes_with(&mut core, 4, 306));
 }
--- a/tests/site_controls.rs
+++ b/tests/site_controls.rs
@@ -42,6 +42,7 @@
         };
         SyncReply {
             confirmed: !self.cut_off,
+            keeps_log: true,
             document: (!self.cut_off && request.version == 0).then_some(published),
             fleet: None,
             list_age_ms: None,
--- /dev/null
+++ b/tests/site_observers.rs
@@ -0,0 +1,91 @@
+//! Control instances on machines without a disk, and the loss of as many disks as the group bears.
+
+mod site_support;
+
+use site_support::{Site, document, wait_for};
+
+async fn is_in_force(site: &Site, machine: u8, body: &[u8]) -> bool {
+    site.read_back(machine).await.as_deref() == Some(body)
+}
+
+/// Guards against a core that never forms because one of the named machines has no disk, and
+/// against operators and entries that are stuck at such a machine.
+#[tokio::test]
+async fn named_machine_without_a_disk_leads_to_the_leader() {
+    let mut site = Site::new(3).await;
+    site.start_observer(1, true);
+    for machine in 2..=4 {
+        site.start_control(machine, true);
+    }
+    let body = document(1).to_string().into_bytes();
+    assert_eq!(site.publish_bytes(1, body.clone()).await, 200);
+    assert!(is_in_force(&site, 1, &body).await);
+    assert!(is_in_force(&site, 4, &body).await);
+    site.set_seeds(&[1]);
+    site.start_entry(1);
+    site.wait_ready(1).await;
+}
+
+/// Guards against two clusters, or none, when none of the named machines has a disk.
+#[tokio::test]
+async fn one_core_forms_when_no_named_machine_has_a_disk() {
+    let mut site = Site::new(3).await;
+    for machine in 1..=3 {
+        site.start_observer(machine, true);
+    }
+    for machine in 4..=6 {
+        site.start_control(machine, true);
+    }
+    let body = document(1).to_string().into_bytes();
+    assert_eq!(site.publish_bytes(2, body.clone()).await, 200);
+    for machine in 4..=6 {
+        wait_for("the document is read back", || {
+            is_in_force(&site, machine, &body)
+        })
+        .await;
+    }
+    // Those without a disk forget the cluster when they start again; its members call them.
+    for machine in 1..=3 {
+        site.kill(&format!("control-{machine}"));
+    }
+    for machine in 1..=3 {
+        site.start_observer(machine, false);
+    }
+    site.start_entry(1);
+    site.wait_ready(1).await;
+}
+
+/// Guards against a deployment that has to bear two lost disks and does not recover from them: on
+/// ten of 32 hunted days of the grown sites four voters were left with two disks.
+#[tokio::test]
+async fn five_instances_bear_the_loss_of_two_disks_while_all_are_down() {
+    let mut site = Site::new(3).await;
+    for machine in 1..=5 {
+        site.start_control(machine, true);
+    }
+    let body = document(1).to_string().into_bytes();
+    assert_eq!(site.publish_bytes(1, body.clone()).await, 200);
+    wait_for("all five vote", || async {
+        let promoted = |machine: u8| {
+            let name = format!("control-{machine}");
+            !site.log_lines(&name, "\"voters\":5").is_empty()
+        };
+        (1..=5).any(promoted)
+    })
+    .await;
+    for machine in 1..=5 {
+        site.kill(&format!("control-{machine}"));
+    }
+    for machine in [1, 4] {
+        std::fs::remove_dir_all(site.data_folder(machine)).unwrap();
+    }
+    for machine in 1..=5 {
+        site.start_control(machine, false);
+    }
+    for machine in 1..=5 {
+        wait_for("the document is there again", || {
+            is_in_force(&site, machine, &body)
+        })
+        .await;
+    }
+}
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -149,6 +149,17 @@
         self.start(&name, &text);
     }
 
+    /// Starts, or starts again, the control instance of a machine without a disk.
+    pub fn start_observer(&mut self, machine: u8, may_form: bool) {
+        let name = format!("control-{machine}");
+        let text = format!(
+            "{}[directory]\noperator_address = {}\nmay_form = {may_form}\n",
+            self.instance_lines(&name, machine, RPC_PORT, ADMIN_PORT),
+            self.address(machine, OPERATOR_PORT),
+        );
+        self.start(&name, &text);
+    }
+
     /// Returns where a control instance keeps its log.
     pub fn data_folder(&self, machine: u8) -> PathBuf {
         self.folder.join(format!("data-{machine}"))
