Leave a target of a move that begins to leave, and give back the own turn only

A turn that was given back was found by its time and engines, so that of two alike the one under way was freed; the new test of moves showed it.

Change: while it waits, an entry watches its target and asks again at once. The hub knows turns by request; who asks again gives back the own earlier turn. A denied generation asks again every 250 ms, since others may end. Sidecars read their engine's report every 40 ms instead of 100.

--- a/src/domain/fleet/turns.rs
+++ b/src/domain/fleet/turns.rs
@@ -8,8 +8,8 @@
 //! the link, since one long copy may cost three short ones their turn.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use super::Demand;
 
@@ -34,6 +34,8 @@
 /// A copy that an entry wants to make.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CopyPlan {
+    /// The request whose generation is copied. If it asks again, it gives its earlier turn back.
+    pub request: Arc<str>,
     pub source: SocketAddr,
     /// The best one first.
     pub targets: Vec<Target>,
@@ -59,86 +61,54 @@
     });
 }
 
-/// A copy that was granted on a link, to or from the engine at the other end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// A copy that was granted; it takes the links of both engines.
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct Grant {
+    request: Arc<str>,
+    source: SocketAddr,
+    target: SocketAddr,
     begin_ms: u64,
     end_ms: u64,
-    other_end: SocketAddr,
-}
-
-#[derive(Debug, Clone, Default)]
-struct Link {
-    grants: Vec<Grant>,
-    last_copies: u64,
 }
 
-impl Link {
-    /// Returns when a grant ends that overlaps a copy, or none if the link is free for it.
-    fn taken_until_ms(&self, begin_ms: u64, takes_ms: u64) -> Option<u64> {
-        let overlaps =
-            |grant: &&Grant| grant.begin_ms < begin_ms + takes_ms && begin_ms < grant.end_ms;
-        self.grants
-            .iter()
-            .filter(overlaps)
-            .map(|grant| grant.end_ms)
-            .max()
-    }
-
-    fn give_back(&mut self, other_end: SocketAddr, takes_ms: u64) {
-        let unused = self.grants.iter().position(|grant| {
-            grant.other_end == other_end && grant.end_ms - grant.begin_ms == takes_ms
-        });
-        if let Some(at) = unused {
-            self.grants.remove(at);
-        }
+impl Grant {
+    fn uses(&self, address: SocketAddr) -> bool {
+        self.source == address || self.target == address
     }
 }
 
-/// The links that copies were granted on.
+/// The copies that were granted.
 #[derive(Debug, Default)]
 pub struct Turns {
-    links: BTreeMap<SocketAddr, Link>,
+    grants: Vec<Grant>,
 }
 
 impl Turns {
-    /// Takes a turn back that could not be used. The other turns keep their times.
-    pub fn give_back(&mut self, source: SocketAddr, target: SocketAddr, takes_ms: u64) {
-        for (address, other_end) in [(source, target), (target, source)] {
-            if let Some(link) = self.links.get_mut(&address) {
-                link.give_back(other_end, takes_ms);
-            }
-        }
-    }
-
     /// Returns the turn of a copy, to the target where it ends first, or none if it cannot end in
     /// time. It may come before copies that were granted earlier, if both links are free until then.
     pub fn grant(&mut self, plan: &CopyPlan, now_ms: u64) -> Option<Turn> {
-        self.drop_past(now_ms);
+        self.grants
+            .retain(|grant| grant.end_ms + KEPT_MS > now_ms && grant.request != plan.request);
         let ends = plan.targets.iter().map(|target| {
             let begin_ms = self.first_free_ms(plan.source, target, now_ms);
             (begin_ms + target.takes_ms, begin_ms, target.address)
         });
         let (end_ms, begin_ms, target) = ends.min_by_key(|(end_ms, ..)| *end_ms)?;
-        let last_copies = self
-            .links
-            .get(&plan.source)
-            .map_or(0, |link| link.last_copies);
+        let of_source = |grant: &&Grant| grant.source == plan.source;
+        let last_copies = self.grants.iter().filter(of_source).count() as u64;
         // The copy that is granted last is the first to be completed, after it has just been made.
         let margin_ms = LAST_COPY_MARGIN_MS + last_copies * LAST_COPY_MS;
         let latest_ms = plan.gone_at_ms.map(|at_ms| at_ms.saturating_sub(margin_ms));
         if latest_ms.is_some_and(|latest_ms| end_ms > latest_ms) {
             return None;
         }
-        for (address, other_end) in [(plan.source, target), (target, plan.source)] {
-            let grant = Grant {
-                begin_ms,
-                end_ms,
-                other_end,
-            };
-            self.links.entry(address).or_default().grants.push(grant);
-        }
-        self.links.entry(plan.source).or_default().last_copies += 1;
+        self.grants.push(Grant {
+            request: Arc::clone(&plan.request),
+            source: plan.source,
+            target,
+            begin_ms,
+            end_ms,
+        });
         Some(Turn {
             target,
             copy_at_ms: begin_ms,
@@ -148,26 +118,17 @@
 
     /// Returns when both links are free for a copy.
     fn first_free_ms(&self, source: SocketAddr, target: &Target, now_ms: u64) -> u64 {
-        let links = [source, target.address].map(|address| self.links.get(&address));
         let mut begin_ms = now_ms;
         loop {
-            let taken = links.iter().flatten();
-            let until_ms = taken
-                .filter_map(|link| link.taken_until_ms(begin_ms, target.takes_ms))
-                .max();
-            match until_ms {
-                Some(until_ms) => begin_ms = until_ms,
+            let overlapping = self.grants.iter().filter(|grant| {
+                (grant.uses(source) || grant.uses(target.address))
+                    && grant.begin_ms < begin_ms + target.takes_ms
+                    && begin_ms < grant.end_ms
+            });
+            match overlapping.map(|grant| grant.end_ms).max() {
+                Some(end_ms) => begin_ms = end_ms,
                 None => return begin_ms,
             }
         }
     }
-
-    fn drop_past(&mut self, now_ms: u64) {
-        let is_current = |grant: &Grant| grant.end_ms + KEPT_MS > now_ms;
-        self.links
-            .retain(|_, link| link.grants.iter().any(is_current));
-        for link in self.links.values_mut() {
-            link.grants.retain(is_current);
-        }
-    }
 }
--- a/src/roles/directory/turns.rs
+++ b/src/roles/directory/turns.rs
@@ -70,16 +70,16 @@
             })
         };
         let plan = CopyPlan {
+            request: Arc::clone(&request.request),
             source: request.source,
             targets: fitting.iter().filter_map(target).collect(),
             gone_at_ms: request.gone_in_ms.map(|in_ms| now_ms + in_ms),
         };
-        let mut turns = self.turns.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((target, takes_ms)) = request.unused {
-            turns.give_back(request.source, target, takes_ms);
-        }
-        let turn = turns.grant(&plan, now_ms);
-        drop(turns);
+        let turn = self
+            .turns
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .grant(&plan, now_ms);
         let granted =
             |(_, address): &&(usize, SocketAddr)| turn.is_some_and(|turn| turn.target == *address);
         if let Some((at, _)) = fitting.iter().find(granted) {
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -10,7 +10,7 @@
 
 use http::StatusCode;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::Gateway;
 use super::ticket::Ticket;
@@ -38,6 +38,8 @@
 const MAX_BUSY: usize = 10;
 /// Pause before a target is looked for again after none had room.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(80);
+/// Pause before a turn is asked for again after it was denied: others may have given theirs back.
+const DENIED_PAUSE: Duration = Duration::from_millis(250);
 /// Time in which a target is looked for if nobody knows when the engine will be gone; engines that
 /// drain go on for at least 3 s.
 const UNKNOWN_NOTICE_MS: u64 = 2_500;
@@ -148,7 +150,6 @@
     let last_try_ms = plan
         .gone_at_ms
         .unwrap_or(monotonic_ms() + UNKNOWN_NOTICE_MS);
-    let mut unused = None;
     while excluded.len() <= MAX_TARGETS && monotonic_ms() + STOP_MARGIN_MS < last_try_ms {
         let (placement, mut targets) = gateway.with_view(|view| {
             let ask = Ask {
@@ -165,28 +166,32 @@
             sleep(NO_TARGET_PAUSE).await;
             continue;
         }
-        let (placed, stop_at_ms) =
-            match gateway.turn(plan, placement, &targets, unused.take()).await {
-                Granted::At {
-                    target,
-                    copy_at_ms,
-                    stop_at_ms,
-                } => {
-                    let wait_ms = copy_at_ms.saturating_sub(monotonic_ms());
-                    sleep(Duration::from_millis(wait_ms)).await;
-                    (targets.swap_remove(target), stop_at_ms)
+        let (placed, stop_at_ms) = match gateway.turn(plan, placement, &targets).await {
+            Granted::At {
+                target,
+                copy_at_ms,
+                stop_at_ms,
+            } => {
+                let placed = targets.swap_remove(target);
+                if gateway.leaves_before(&placed.identity, copy_at_ms).await {
+                    excluded.push(Arc::clone(&placed.identity));
+                    continue;
                 }
-                Granted::Unknown => {
-                    let gone_at_ms = plan.gone_at_ms.unwrap_or_default();
-                    (
-                        targets.swap_remove(0),
-                        gone_at_ms.saturating_sub(STOP_MARGIN_MS),
-                    )
-                }
-                Granted::Denied => break,
-            };
+                (placed, stop_at_ms)
+            }
+            Granted::Unknown => {
+                let gone_at_ms = plan.gone_at_ms.unwrap_or_default();
+                (
+                    targets.swap_remove(0),
+                    gone_at_ms.saturating_sub(STOP_MARGIN_MS),
+                )
+            }
+            Granted::Denied => {
+                sleep(DENIED_PAUSE).await;
+                continue;
+            }
+        };
         excluded.push(Arc::clone(&placed.identity));
-        unused = Some((placed.address, copy_takes_ms(plan, placed.same_zone)));
         let mut ticket = Ticket::begin(gateway, placed, Some(plan.demand));
         ticket.prompt_read();
         match call_move(plan, ticket.address, false).await {
@@ -225,14 +230,26 @@
 }
 
 impl Gateway {
+    /// Waits until a time; returns true as soon as it is known that the engine leaves. Engines are
+    /// reclaimed several at once, and each learns it at another moment.
+    async fn leaves_before(&self, identity: &Arc<str>, at_ms: u64) -> bool {
+        let mut news = self.leaving_news.subscribe();
+        loop {
+            if self.with_view(|view| view.leaving(identity).is_some()) {
+                return true;
+            }
+            let wait_ms = at_ms.saturating_sub(monotonic_ms());
+            if timeout(Duration::from_millis(wait_ms), news.changed())
+                .await
+                .is_err()
+            {
+                return false;
+            }
+        }
+    }
+
     /// Asks control for the turn of a copy to one of the targets.
-    async fn turn(
-        &self,
-        plan: &Plan,
-        placement: PlacementRequest,
-        targets: &[Placed],
-        unused: Option<(SocketAddr, u64)>,
-    ) -> Granted {
+    async fn turn(&self, plan: &Plan, placement: PlacementRequest, targets: &[Placed]) -> Granted {
         let Some(link) = self.control_link() else {
             return Granted::Unknown;
         };
@@ -240,7 +257,6 @@
         let request = TurnRequest {
             request: Arc::clone(&plan.request_id),
             source: plan.from,
-            unused,
             demand: plan.demand,
             placement,
             takes_ms: targets
--- a/src/roles/reporter/mod.rs
+++ b/src/roles/reporter/mod.rs
@@ -14,7 +14,7 @@
 
 /// Time between reads of the engine's report. Notices are as short as 1.5 s, of which moving the
 /// running generations takes most.
-const READ_EVERY: Duration = Duration::from_millis(100);
+const READ_EVERY: Duration = Duration::from_millis(40);
 const READ_LIMIT: Duration = Duration::from_millis(500);
 /// Longest time between two reports to the directory.
 const TELL_EVERY: Duration = Duration::from_millis(300);
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -83,11 +83,9 @@
 /// A copy of a generation's memory that an entry wants to make.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TurnRequest {
-    /// The request whose generation is copied, for the log.
+    /// The request whose generation is copied. If it asks again, it gives its earlier turn back.
     pub request: Arc<str>,
     pub source: SocketAddr,
-    /// The target and time of a turn that could not be used, and is given back.
-    pub unused: Option<(SocketAddr, u64)>,
     /// What the generation needs in all, done and to do: what is lost without the copy.
     pub demand: Demand,
     /// Engines that may take the copy, the best one first, and what they need to hold.
--- a/tests/fleet_hub.rs
+++ b/tests/fleet_hub.rs
@@ -54,21 +54,27 @@
     assert_ne!(hub.revision(), revision);
 }
 
+/// Returns the plan of a copy that may go to these targets, each with the time that it takes.
+fn plan(request: usize, source: u8, targets: &[(u8, u64)], gone_at_ms: u64) -> CopyPlan {
+    let target = |&(number, takes_ms): &(u8, u64)| Target {
+        address: address(number),
+        takes_ms,
+    };
+    CopyPlan {
+        request: format!("id-{request}").into(),
+        source: address(source),
+        targets: targets.iter().map(target).collect(),
+        gone_at_ms: Some(gone_at_ms),
+    }
+}
+
 /// Guards against the load of chalkline scale-1: an engine with more generations than its link can
 /// copy loses them all, because the last copies queue behind first ones.
 #[test]
 fn link_gets_only_as_many_copies_as_end_in_time() {
     let mut turns = Turns::default();
-    let plan = |target| CopyPlan {
-        source: address(1),
-        targets: vec![Target {
-            address: address(target),
-            takes_ms: 230,
-        }],
-        gone_at_ms: Some(1_700),
-    };
     let granted: Vec<_> = (2..=12)
-        .filter_map(|n| turns.grant(&plan(n), 100))
+        .filter_map(|n| turns.grant(&plan(n.into(), 1, &[(n, 230)], 1_700), 100))
         .collect();
     assert_eq!(granted.len(), 5);
     for pair in granted.windows(2) {
@@ -88,16 +94,9 @@
         let mut turns = Turns::default();
         let mut granted: Vec<(CopyPlan, u64)> = Vec::new();
         for (source, target, takes_ms, gone_in_ms) in wishes {
-            let (source, target) = (source % 4, 4 + target % 4);
-            let target = Target {
-                address: address(target),
-                takes_ms: u64::from(takes_ms % 600) + 1,
-            };
-            let plan = CopyPlan {
-                source: address(source),
-                targets: vec![target],
-                gone_at_ms: Some(1_000 + u64::from(gone_in_ms % 3_000)),
-            };
+            let targets = [(4 + target % 4, u64::from(takes_ms % 600) + 1)];
+            let gone_at_ms = 1_000 + u64::from(gone_in_ms % 3_000);
+            let plan = plan(granted.len(), source % 4, &targets, gone_at_ms);
             if let Some(turn) = turns.grant(&plan, 1_000) {
                 granted.push((plan, turn.copy_at_ms));
             }
@@ -106,7 +105,8 @@
             let end_ms = at_ms + plan.targets[0].takes_ms;
             let in_time = plan.gone_at_ms.is_none_or(|gone_at_ms| end_ms < gone_at_ms);
             in_time && granted[..position].iter().all(|(other, other_ms)| {
-                let shares = other.source == plan.source || other.targets == plan.targets;
+                let shares = other.source == plan.source
+                    || other.targets[0].address == plan.targets[0].address;
                 let other_end_ms = other_ms + other.targets[0].takes_ms;
                 !shares || other_end_ms <= *at_ms || end_ms <= *other_ms
             })
@@ -119,21 +119,12 @@
 #[test]
 fn copy_goes_to_the_target_where_it_ends_first() {
     let mut turns = Turns::default();
-    let target = |number, takes_ms| Target {
-        address: address(number),
-        takes_ms,
-    };
-    let plan = |source, targets: &[Target]| CopyPlan {
-        source: address(source),
-        targets: targets.to_vec(),
-        gone_at_ms: Some(1_700),
-    };
-    for _ in 0..3 {
-        turns.grant(&plan(1, &[target(3, 200)]), 0).unwrap();
+    for request in 0..3 {
+        let plan = plan(request, 1, &[(3, 200)], 1_700);
+        turns.grant(&plan, 0).unwrap();
     }
-    let turn = turns
-        .grant(&plan(2, &[target(3, 200), target(4, 400)]), 0)
-        .unwrap();
+    let plan = plan(4, 2, &[(3, 200), (4, 400)], 1_700);
+    let turn = turns.grant(&plan, 0).unwrap();
     assert_eq!((turn.target, turn.copy_at_ms), (address(4), 0));
 }
 
@@ -142,19 +133,13 @@
 #[test]
 fn copy_goes_before_a_later_one_at_the_same_target() {
     let mut turns = Turns::default();
-    let plan = |source, target| CopyPlan {
-        source: address(source),
-        targets: vec![Target {
-            address: address(target),
-            takes_ms: 200,
-        }],
-        gone_at_ms: Some(1_700),
-    };
-    for target in [3, 4, 4, 4, 3] {
-        turns.grant(&plan(1, target), 0).unwrap();
+    for (request, target) in [3, 4, 4, 4, 3].into_iter().enumerate() {
+        let plan = plan(request, 1, &[(target, 200)], 1_700);
+        turns.grant(&plan, 0).unwrap();
     }
-    let begins: Vec<_> = (0..3)
-        .map(|_| turns.grant(&plan(2, 3), 0).unwrap().copy_at_ms)
+    let begins: Vec<_> = (5..8)
+        .map(|request| plan(request, 2, &[(3, 200)], 1_700))
+        .map(|plan| turns.grant(&plan, 0).unwrap().copy_at_ms)
         .collect();
     assert_eq!(begins, [200, 400, 600]);
 }
@@ -170,15 +155,8 @@
         output_tokens: 900,
     };
     sort_by_worth(&mut asking, |takes_ms| (demand(takes_ms), *takes_ms));
-    let granted = asking.iter().filter(|takes_ms| {
-        let plan = CopyPlan {
-            source: address(1),
-            targets: vec![Target {
-                address: address(2),
-                takes_ms: **takes_ms,
-            }],
-            gone_at_ms: Some(1_430),
-        };
+    let granted = asking.iter().enumerate().filter(|(request, takes_ms)| {
+        let plan = plan(*request, 1, &[(2, **takes_ms)], 1_430);
         turns.grant(&plan, 0).is_some()
     });
     assert_eq!(granted.count(), 3);
@@ -189,17 +167,29 @@
 #[test]
 fn unused_turn_is_given_back() {
     let mut turns = Turns::default();
-    let plan = |number| CopyPlan {
-        source: address(1),
-        targets: vec![Target {
-            address: address(number),
-            takes_ms: 300,
-        }],
-        gone_at_ms: Some(1_700),
-    };
-    while turns.grant(&plan(2), 0).is_some() {}
-    assert!(turns.grant(&plan(3), 0).is_none());
-    turns.give_back(address(1), address(2), 300);
-    assert!(turns.grant(&plan(3), 0).is_some());
-    assert!(turns.grant(&plan(3), 0).is_none());
+    let mut granted = 0;
+    while turns
+        .grant(&plan(granted, 1, &[(2, 300)], 1_700), 0)
+        .is_some()
+    {
+        granted += 1;
+    }
+    assert!(turns.grant(&plan(9, 1, &[(3, 300)], 1_700), 0).is_none());
+    let again = plan(granted - 1, 1, &[(3, 300)], 1_700);
+    assert!(turns.grant(&again, 0).is_some());
+    assert!(turns.grant(&plan(9, 1, &[(3, 300)], 1_700), 0).is_none());
+}
+
+/// Guards against a turn that is given back in place of another one that is as long, between the
+/// same engines: the copy under way would lose its link.
+#[test]
+fn only_the_own_turn_is_given_back() {
+    let mut turns = Turns::default();
+    for request in [0, 1] {
+        turns
+            .grant(&plan(request, 1, &[(2, 300)], 1_700), 0)
+            .unwrap();
+    }
+    let again = plan(1, 1, &[(3, 300)], 1_700);
+    assert_eq!(turns.grant(&again, 0).unwrap().copy_at_ms, 300);
 }
--- a/tests/site_streams.rs
+++ b/tests/site_streams.rs
@@ -2,13 +2,17 @@
 
 mod site_support;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use serde_json::{Value, json};
 
-use site_support::{Reply, Request, Site, answer, call, document, sse, wait_for, wait_routable};
+use site_support::{
+    Reply, Request, Site, Upstream, answer, call, document, patient_caller, sse, wait_for,
+    wait_routable,
+};
 
 /// Guards against events that are held back, joined wrongly or lost.
 #[tokio::test]
@@ -111,6 +115,40 @@
     assert!(got.bytes().await.is_err());
 }
 
+/// Returns the script of an engine that takes generations up and, once it is `leaving`, gives notice
+/// and breaks its streams off.
+fn movable(
+    leaving: Arc<AtomicBool>,
+    notice_ms: u64,
+) -> impl Fn(&Request) -> Vec<Reply> + Send + Sync {
+    move |request: &Request| {
+        let id = request.id();
+        let moved = request.header("kv-from").is_some();
+        let report = match leaving.load(Ordering::SeqCst) {
+            true => json!({"kvCacheUsed": 4_000, "kvCacheTotal": 34_000, "leaves_ms": notice_ms}),
+            false => json!({"kvCacheUsed": 4_000, "kvCacheTotal": 34_000}),
+        };
+        let json_answer = |body: &serde_json::Value| {
+            vec![Reply::Bytes(answer(
+                "200 OK",
+                &[],
+                body.to_string().as_bytes(),
+            ))]
+        };
+        match request.path.as_str() {
+            "/report" => json_answer(&report),
+            "/kv-move" => json_answer(&json!({"handle": "h7", "made": 3})),
+            "/stream/x" if moved => vec![Reply::Bytes(sse(id, 4..=5, true, true))],
+            "/stream/x" => vec![
+                Reply::Bytes(sse(id, 1..=3, true, false)),
+                Reply::Pause(Duration::from_millis(notice_ms + 1_000)),
+                Reply::Close,
+            ],
+            _ => vec![Reply::Bytes(sse(id, 1..=1, true, true))],
+        }
+    }
+}
+
 /// Guards against a generation that is lost with an engine that gives notice: the notice has to
 /// reach the entry through the sidecar, the memory has to be copied before the generation is stopped,
 /// and the generation has to go on where the copy is.
@@ -120,40 +158,14 @@
     without_copies["services"][1]["engine"]["backups"] = json!(false);
     let mut site = Site::serving(&without_copies).await;
     let leaving = Arc::new(AtomicBool::new(false));
-    let script = |leaving: Arc<AtomicBool>| {
-        move |request: &Request| {
-            let id = request.id();
-            let moved = request.header("kv-from").is_some();
-            let report = match leaving.load(Ordering::SeqCst) {
-                true => json!({"kvCacheUsed": 4_000, "kvCacheTotal": 34_000, "leaves_ms": 1_500}),
-                false => json!({"kvCacheUsed": 4_000, "kvCacheTotal": 34_000}),
-            };
-            let json_answer = |body: &serde_json::Value| {
-                vec![Reply::Bytes(answer(
-                    "200 OK",
-                    &[],
-                    body.to_string().as_bytes(),
-                ))]
-            };
-            match request.path.as_str() {
-                "/report" => json_answer(&report),
-                "/kv-move" => json_answer(&json!({"handle": "h7", "made": 3})),
-                "/stream/x" if moved => vec![Reply::Bytes(sse(id, 4..=5, true, true))],
-                "/stream/x" => vec![
-                    Reply::Bytes(sse(id, 1..=3, true, false)),
-                    Reply::Pause(Duration::from_millis(2_500)),
-                    Reply::Close,
-                ],
-                _ => vec![Reply::Bytes(sse(id, 1..=1, true, true))],
-            }
-        }
-    };
-    let source = site.upstream("model", script(Arc::clone(&leaving))).await;
+    let source = site
+        .upstream("model", movable(Arc::clone(&leaving), 1_500))
+        .await;
     wait_routable(&site, "/stream/warm").await;
     site.start_sidecar(&source);
     let mut stream = call(&site, "/stream/x", "id-1").await;
     assert!(stream.chunk().await.unwrap().is_some());
-    let target = site.upstream("model", script(Arc::default())).await;
+    let target = site.upstream("model", movable(Arc::default(), 1_500)).await;
     leaving.store(true, Ordering::SeqCst);
     let mut rest = Vec::new();
     while let Some(chunk) = stream.chunk().await.unwrap() {
@@ -178,3 +190,62 @@
     assert_eq!(continued.header("kv-from"), Some(copy.as_str()));
     assert_eq!(continued.header("last-event-id"), Some("3"));
 }
+
+/// Guards against a copy that waits for its turn although its target has begun to leave, and fails
+/// when there is no time for another one. Engines are reclaimed several at once.
+#[tokio::test]
+async fn target_that_leaves_before_its_copy_is_replaced_at_once() {
+    let notice_ms = 4_000;
+    let mut slow_links = document(1);
+    slow_links["services"][1]["engine"]["backups"] = json!(false);
+    slow_links["routes"][2]["timeoutMs"] = json!(20_000);
+    // 3,000 tokens take 1.6 s.
+    slow_links["services"][1]["engine"]["linkMbps"] = json!(2_400.0);
+    let mut site = Site::serving(&slow_links).await;
+    let leaving = Arc::new(AtomicBool::new(false));
+    let source = movable(Arc::clone(&leaving), notice_ms);
+    let source = site.upstream("model", source).await;
+    wait_routable(&site, "/stream/warm").await;
+    site.start_sidecar(&source);
+    let mut streams = Vec::new();
+    for id in ["id-1", "id-2"] {
+        let request = patient_caller(&site, "/stream/x", id, 20_000);
+        let mut stream = request.send().await.unwrap();
+        assert!(stream.chunk().await.unwrap().is_some());
+        streams.push(stream);
+    }
+    let first = site
+        .upstream("model", movable(Arc::default(), notice_ms))
+        .await;
+    leaving.store(true, Ordering::SeqCst);
+    wait_for("one copy has begun", || async {
+        source.requests("/kv-move").len() == 1
+    })
+    .await;
+    // The other copy waits 1.6 s for the link of the source.
+    let second = site
+        .upstream("model", movable(Arc::default(), notice_ms))
+        .await;
+    site.list.lock().unwrap()[1]["state"] = json!("draining");
+    for mut stream in streams {
+        let mut last = Vec::new();
+        while let Some(chunk) = stream.chunk().await.unwrap() {
+            last = chunk.to_vec();
+        }
+        assert!(last.ends_with(b"id: 5\ndata: piece 5\n\n"));
+    }
+    let moves = source.requests("/kv-move");
+    let targets_of = |id: &str| -> BTreeSet<String> {
+        let calls = moves
+            .iter()
+            .map(|request| serde_json::from_slice::<Value>(&request.body).unwrap());
+        calls
+            .filter(|call| call["identifier"] == id)
+            .map(|call| call["to"].as_str().unwrap().to_owned())
+            .collect()
+    };
+    let mut targets = [targets_of("id-1"), targets_of("id-2")];
+    targets.sort_by_key(|targets| targets.contains(&second.address.to_string()));
+    let only = |upstream: &Upstream| BTreeSet::from([upstream.address.to_string()]);
+    assert_eq!(targets, [only(&first), only(&second)]);
+}
