Say in a plain call's line what its instance was chosen from

Cause: only generations told what their engine was chosen from, so that one of several bad instances of a plain service could not be found afterwards.

Change: the lines of plain calls name the attempt, the running calls, the average time and the failures known of the instance, and their age. An unused decoder of the load header is removed; the calls of sync share one function.

Test: plain_call_tells_what_its_instance_was_chosen_from.

--- a/src/domain/fleet/instance.rs
+++ b/src/domain/fleet/instance.rs
@@ -28,6 +28,11 @@
     /// Memory in use by the newest report, and the report's age at the hub.
     pub used_tokens: Option<u64>,
     pub report_age_ms: Option<u64>,
+    /// Average time of its plain calls, the part that failed in hundredths, and when the last one
+    /// ended. None before the first one.
+    pub average_ms: Option<u64>,
+    pub failed_percent: Option<u64>,
+    pub observed_age_ms: Option<u64>,
 }
 
 /// That an instance is leaving, and when it will be gone if that is known.
@@ -152,6 +157,24 @@
         (self.running, self.committed_tokens, self.prefill_tokens) = counted;
     }
 
+    /// Returns what is known of the instance.
+    // An average time is never negative, and the rate is between 0 and 1.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub(super) fn known(&self, now_ms: u64) -> Known {
+        let report = self.others.as_ref().and_then(|pulse| pulse.report);
+        let is_observed = self.observed_ms > 0;
+        Known {
+            running: self.total_running(),
+            committed_tokens: self.total_committed(),
+            prefill_tokens: self.total_prefill(),
+            used_tokens: report.map(|(report, _)| report.used_tokens),
+            report_age_ms: report.map(|(_, age_ms)| age_ms),
+            average_ms: self.answered.then_some(self.average_ms as u64),
+            failed_percent: is_observed.then_some((self.failure_rate * 100.0) as u64),
+            observed_age_ms: is_observed.then(|| now_ms.saturating_sub(self.observed_ms)),
+        }
+    }
+
     pub(super) fn usable(&self, now_ms: u64) -> bool {
         self.listed.state == ListedState::Ready
             && self.leaving.is_none()
--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -177,18 +177,9 @@
     }
 
     /// Returns what a choice of an instance was based on, for the log.
-    pub fn known(&self, identity: &str) -> Known {
-        let Some(instance) = self.instances.get(identity) else {
-            return Known::default();
-        };
-        let report = instance.others.as_ref().and_then(|pulse| pulse.report);
-        Known {
-            running: instance.total_running(),
-            committed_tokens: instance.total_committed(),
-            prefill_tokens: instance.total_prefill(),
-            used_tokens: report.map(|(report, _)| report.used_tokens),
-            report_age_ms: report.map(|(_, age_ms)| age_ms),
-        }
+    pub fn known(&self, identity: &str, now_ms: u64) -> Known {
+        let instance = self.instances.get(identity);
+        instance.map_or_else(Known::default, |instance| instance.known(now_ms))
     }
 
     pub(super) fn members(&self, service: &str) -> impl Iterator<Item = &Instance> {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -18,8 +18,6 @@
 pub const LENGTH_HINT: HeaderName = HeaderName::from_static("x-lilacspindle-length-hint");
 /// Says that the replica did not run the request.
 pub const NOT_RUN: HeaderName = HeaderName::from_static("x-lilacspindle-not-executed");
-/// Running, waiting and slots of the answering replica.
-pub const SERVER_LOAD: HeaderName = HeaderName::from_static("x-lilacspindle-server-load");
 /// Rank at the engine, 0 first to 9; engines take 5 if it is absent.
 pub const PRIORITY: HeaderName = HeaderName::from_static("x-lilacspindle-request-priority");
 /// Replica that receives a copy of the memory while it grows.
@@ -110,13 +108,6 @@
     Some((prompt.trim().parse().ok()?, output.trim().parse().ok()?))
 }
 
-/// Returns the running and waiting requests of a replica that tells its load.
-pub fn server_load(headers: &HeaderMap) -> Option<(u32, u32)> {
-    let mut parts = text(headers, &SERVER_LOAD)?.split(',');
-    let running = parts.next()?.trim().parse().ok()?;
-    Some((running, parts.next()?.trim().parse().ok()?))
-}
-
 /// Returns how long the sender keeps an idle connection; 0 if it closes it now.
 pub fn keep_alive_s(headers: &HeaderMap) -> Option<u64> {
     let connection = text(headers, &header::CONNECTION).unwrap_or_default();
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -50,7 +50,7 @@
                 return Err(self.no_room());
             }
             tried.push(Arc::clone(&placed.identity));
-            let known = self.with_view(|view| view.known(&placed.identity));
+            let known = self.with_view(|view| view.known(&placed.identity, monotonic_ms()));
             let by_hub = placed.by_hub;
             let ticket = Ticket::begin(&self, placed, Some(demand));
             let backup = self.choose_backup(&job, engine, &ticket);
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -13,7 +13,7 @@
 use super::upstream::SendFailure;
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::Repeat;
-use crate::domain::fleet::Outcome;
+use crate::domain::fleet::{Known, Outcome};
 use crate::platform::headers;
 
 /// Instances tried while each says that it did not run the request.
@@ -67,8 +67,10 @@
                 return Err(out_of_instances(ran));
             }
             tried.push(Arc::clone(&placed.identity));
+            let known = self.with_view(|view| view.known(&placed.identity, monotonic_ms()));
             let ticket = Ticket::begin(self, placed, None);
             let sent = self.send_plain(job, &ticket).await;
+            log_send(job, &ticket.identity, tried.len(), &known, &sent);
             let more = tried.len() < MAX_SENDS;
             let may_run_again =
                 job.route.repeat == Repeat::Safe && ran + 1 < job.route.max_attempts;
@@ -122,29 +124,37 @@
         };
         ticket.observe(outcome);
         self.metrics.sent(sent_label(&sent));
-        let age_ms = job.age_ms();
-        match &sent {
-            Sent::Answer(head, _) => tracing::info!(
-                request = &*job.id,
-                route = &*job.route.name,
-                instance = &*ticket.identity,
-                status = head.status.as_u16(),
-                age_ms,
-                "answered"
-            ),
-            _ => tracing::info!(
-                request = &*job.id,
-                route = &*job.route.name,
-                instance = &*ticket.identity,
-                outcome = sent_label(&sent),
-                age_ms,
-                "not answered"
-            ),
-        }
         sent
     }
 }
 
+/// Logs how a send ended, and what was known of the instance when it was chosen.
+fn log_send(job: &Job, instance: &str, attempt: usize, known: &Known, sent: &Sent) {
+    let status = match sent {
+        Sent::Answer(head, _) => Some(head.status.as_u16()),
+        _ => None,
+    };
+    tracing::info!(
+        request = &*job.id,
+        route = &*job.route.name,
+        instance,
+        attempt,
+        status,
+        outcome = sent_label(sent),
+        running = known.running,
+        average_ms = known.average_ms,
+        failed_percent = known.failed_percent,
+        observed_age_ms = known.observed_age_ms,
+        age_ms = job.age_ms(),
+        "{}",
+        if status.is_some() {
+            "answered"
+        } else {
+            "not answered"
+        }
+    );
+}
+
 fn sent_label(sent: &Sent) -> &'static str {
     match sent {
         Sent::Answer(..) => "answer",
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -14,8 +14,8 @@
 use crate::domain::document::Index;
 use crate::platform::{self, decode_document};
 use crate::roles::site::Controls;
-use crate::rpc::directory::{Published, SyncReply, SyncRequest};
-use crate::rpc::directory_link;
+use crate::rpc::directory::{DirectoryClient, Published, SyncReply, SyncRequest};
+use crate::rpc::{CallError, Link, directory_link};
 
 /// How long a call waits for news. Loads of other entries are as old as this.
 const HOLD_MS: u64 = 200;
@@ -53,12 +53,7 @@
             };
             let request = self.sync_request();
             let asked_ms = monotonic_ms();
-            let answer = link
-                .call(SYNC_LIMIT, |client, context| async move {
-                    client.sync(context, request).await
-                })
-                .await;
-            match answer {
+            match ask(&link, request).await {
                 Ok(reply) => {
                     controls.follow(reply.leader);
                     if let Some(age_ms) = reply.list_age_ms {
@@ -116,12 +111,7 @@
                 ..self.sync_request()
             };
             let asked_ms = monotonic_ms();
-            let answer = link
-                .call(SYNC_LIMIT, |client, context| async move {
-                    client.sync(context, request).await
-                })
-                .await;
-            match answer {
+            match ask(&link, request).await {
                 Ok(reply) if reply.confirmed => {
                     *self.control.lock().unwrap_or_else(PoisonError::into_inner) = Some(link);
                     self.learn(reply, asked_ms);
@@ -235,3 +225,10 @@
         }
     }
 }
+
+async fn ask(link: &Link<DirectoryClient>, request: SyncRequest) -> Result<SyncReply, CallError> {
+    link.call(SYNC_LIMIT, |client, context| async move {
+        client.sync(context, request).await
+    })
+    .await
+}
--- a/tests/site_logs.rs
+++ b/tests/site_logs.rs
@@ -5,7 +5,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use site_support::{Site, document};
+use site_support::{Site, call, document, proper, wait_for, wait_routable};
 
 /// Requests whose lines fill a pipe of 64 KiB and the queue of 2,048 lines.
 const REQUESTS: usize = 4_000;
@@ -32,3 +32,27 @@
         .unwrap();
     assert!(dropped > 0.0 && dropped < 4_000.0, "{dropped}");
 }
+
+/// Guards against a plain call whose line does not tell what its instance was chosen from: one of
+/// several bad instances could not be found afterwards.
+#[tokio::test]
+async fn plain_call_tells_what_its_instance_was_chosen_from() {
+    let mut site = Site::serving(&document(1)).await;
+    let _plain = site.upstream("plain", proper).await;
+    wait_routable(&site, "/safe/warm").await;
+    assert_eq!(call(&site, "/safe/x", "id-7").await.status(), 200);
+    wait_for("the line is written", || async {
+        !site.log_lines("entry-1", "id-7").is_empty()
+    })
+    .await;
+    let line = site.log_lines("entry-1", "id-7").remove(0);
+    for field in [
+        "attempt",
+        "running",
+        "average_ms",
+        "failed_percent",
+        "observed_age_ms",
+    ] {
+        assert!(line.contains(&format!("\"{field}\":")), "{field}: {line}");
+    }
+}
