--- a/src/domain/fleet/turns.rs
+++ b/src/domain/fleet/turns.rs
@@ -53,9 +53,9 @@
 
 /// Sorts generations that ask at the same time: what is worth most for its time on the link comes
 /// first. `of` returns what a generation needs in all, and how long its copy takes.
-pub fn sort_by_worth<T>(asking: &mut [T], of: impl Fn(&T) -> (Demand, u64)) {
-    asking.sort_by_cached_key(|asked| {
-        let (demand, takes_ms) = of(asked);
+pub fn sort_by_worth<T>(pending: &mut [T], of: impl Fn(&T) -> (Demand, u64)) {
+    pending.sort_by_cached_key(|turn| {
+        let (demand, takes_ms) = of(turn);
         let tokens = demand.prompt_tokens + READ_TOKENS_PER_OUTPUT * demand.output_tokens;
         Reverse(tokens * 1_000 / takes_ms.max(1))
     });
--- a/src/roles/control/replica/formation.rs
+++ b/src/roles/control/replica/formation.rs
@@ -44,8 +44,8 @@
         // The entry that added this replica may have been replaced by a new leader's.
         if is_member(&status, &own) && status.leader.is_some() {
             // Named instances that keep no log learn of the cluster by these calls.
-            let strangers = others.iter().filter(|peer| !is_listed(&status, &peer.name));
-            join_all(strangers.map(|peer| hello(peer, caller))).await;
+            let not_members = others.iter().filter(|peer| !is_listed(&status, &peer.name));
+            join_all(not_members.map(|peer| hello(peer, caller))).await;
             sleep(CHECK).await;
             continue;
         }
@@ -117,29 +117,29 @@
     if !peers.may_form || answered().count() < peers.others.len() {
         return None;
     }
-    let keepers = || answered().filter(|(_, reply)| reply.keeps_log);
+    let with_log = || answered().filter(|(_, reply)| reply.keeps_log);
     let forms = match peers.listed {
-        true => keepers().all(|(peer, _)| own.name < peer.name),
-        false if keepers().next().is_none() => founder(peers) == Some(&own.name),
+        true => with_log().all(|(peer, _)| own.name < peer.name),
+        false if with_log().next().is_none() => bootstrap_instance(peers) == Some(&own.name),
         false => false,
     };
     if !forms {
         return None;
     }
-    let mut members: BTreeMap<_, _> = keepers()
+    let mut members: BTreeMap<_, _> = with_log()
         .map(|(peer, reply)| (NodeId(reply.identity), (peer.name.clone(), peer.address)))
         .collect();
     members.insert(status.identity, (own.name.clone(), own.rpc_address));
     // Two configured addresses that reach one instance do not make two members.
-    let complete = members.len() == keepers().count() + 1;
+    let complete = members.len() == with_log().count() + 1;
     complete.then_some(Input::Bootstrap { members })
 }
 
 /// Returns the instance that forms the cluster if no named one keeps the log. All instances take it
-/// from the same named one, so there is one founder.
-fn founder<'a>(peers: &'a NamedPeers) -> Option<&'a InstanceName> {
+/// from the same named one, so there is only one.
+fn bootstrap_instance<'a>(peers: &'a NamedPeers) -> Option<&'a InstanceName> {
     let (_, first) = peers.answered().min_by_key(|(peer, _)| &peer.name)?;
-    first.founder.as_ref()
+    first.bootstrap_instance.as_ref()
 }
 
 /// Who says hello.
--- a/src/roles/control/replica/server.rs
+++ b/src/roles/control/replica/server.rs
@@ -58,7 +58,7 @@
                 .leader
                 .as_ref()
                 .map(|leader| (leader.identity.0, leader.address)),
-            founder: None,
+            bootstrap_instance: None,
         }
     }
 }
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -54,7 +54,7 @@
     machine: Arc<Machine>,
     hub: Mutex<Hub>,
     turns: Mutex<Turns>,
-    asking: Mutex<Vec<turns::Asking>>,
+    pending_turns: Mutex<Vec<turns::PendingTurn>>,
     replica: Mutex<Option<Replica>>,
     peers: watch::Sender<Peers>,
     /// Changes with each piece of news that entries wait for.
@@ -100,7 +100,7 @@
             machine,
             hub: Mutex::new(Hub::new(rand::random())),
             turns: Mutex::default(),
-            asking: Mutex::default(),
+            pending_turns: Mutex::default(),
             replica: Mutex::new(None),
             peers,
             news,
--- a/src/roles/directory/observer.rs
+++ b/src/roles/directory/observer.rs
@@ -34,7 +34,7 @@
     callers: BTreeMap<InstanceName, SocketAddr>,
     cluster: Option<u64>,
     leader: Option<Leader>,
-    founder: Option<InstanceName>,
+    bootstrap_instance: Option<InstanceName>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -129,8 +129,8 @@
         let is_new = !known.callers.contains_key(&request.name);
         if request.keeps_log && (!is_new || known.callers.len() < MAX_CALLERS) {
             known.callers.insert(request.name.clone(), request.address);
-            if may_form && known.cluster.is_none() && known.founder.is_none() {
-                known.founder = Some(request.name);
+            if may_form && known.cluster.is_none() && known.bootstrap_instance.is_none() {
+                known.bootstrap_instance = Some(request.name);
             }
         }
         let leader = known.leader;
@@ -141,7 +141,7 @@
             cluster: known.cluster,
             term: leader.map_or(0, |leader| leader.term),
             leader: leader.map(|leader| (leader.identity, leader.address)),
-            founder: known.founder.clone(),
+            bootstrap_instance: known.bootstrap_instance.clone(),
         }
     }
 }
--- a/src/roles/directory/turns.rs
+++ b/src/roles/directory/turns.rs
@@ -17,7 +17,7 @@
 const COLLECT: Duration = Duration::from_millis(6);
 
 /// A call that waits for its answer.
-pub(super) struct Asking {
+pub(super) struct PendingTurn {
     request: TurnRequest,
     reply: oneshot::Sender<Option<TurnReply>>,
 }
@@ -26,7 +26,7 @@
     /// Returns the turn of a copy; none if it cannot end in time.
     pub(super) async fn turn(self: &Arc<Self>, request: TurnRequest) -> Option<TurnReply> {
         let (reply, answer) = oneshot::channel();
-        if self.collect(Asking { request, reply }) {
+        if self.collect(PendingTurn { request, reply }) {
             let role = Arc::clone(self);
             tokio::spawn(async move {
                 sleep(COLLECT).await;
@@ -37,20 +37,27 @@
     }
 
     /// Adds a call; returns true for the first one of those that are answered together.
-    fn collect(&self, call: Asking) -> bool {
-        let mut asking = self.asking.lock().unwrap_or_else(PoisonError::into_inner);
-        asking.push(call);
-        asking.len() == 1
+    fn collect(&self, call: PendingTurn) -> bool {
+        let mut pending = self
+            .pending_turns
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        pending.push(call);
+        pending.len() == 1
     }
 
     fn answer_turns(&self) {
-        let mut asking =
-            std::mem::take(&mut *self.asking.lock().unwrap_or_else(PoisonError::into_inner));
-        sort_by_worth(&mut asking, |asked| {
-            let takes_ms = asked.request.takes_ms.iter().min();
-            (asked.request.demand, takes_ms.copied().unwrap_or_default())
+        let mut pending = std::mem::take(
+            &mut *self
+                .pending_turns
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner),
+        );
+        sort_by_worth(&mut pending, |turn| {
+            let takes_ms = turn.request.takes_ms.iter().min();
+            (turn.request.demand, takes_ms.copied().unwrap_or_default())
         });
-        for Asking { request, reply } in asking {
+        for PendingTurn { request, reply } in pending {
             // An entry that has given up has no use for its turn.
             if !reply.is_closed() {
                 let _ = reply.send(self.grant_turn(&request));
--- a/src/rpc/peer.rs
+++ b/src/rpc/peer.rs
@@ -42,7 +42,7 @@
     pub leader: Option<(u64, SocketAddr)>,
     /// The instance that forms the cluster if none of the named instances keeps the log. Told by
     /// instances that keep none.
-    pub founder: Option<InstanceName>,
+    pub bootstrap_instance: Option<InstanceName>,
 }
 
 /// The calls between control instances.
