--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -95,10 +95,12 @@
                     false => future::select_all(asking).await.0,
                 }
             };
-            // The settings may have named others meanwhile.
             if let Ok(address) = timeout(FIRST_ROUND, round).await {
                 return address;
             }
+            // The settings may have named others meanwhile.
+            self.metrics.sync_failures.inc();
+            tracing::warn!(?named, "no control instance confirms the document");
         }
     }
 
