Simplify what control instances tell each other, and close gaps of the tests

The limit of nine voters had no test that a full group replaces a voter.

Result: replaced_voter_votes_again_in_a_full_group fails without its condition and passes with it; log_core, site_observers, site_controls, fleet_hub, site_streams pass.

--- a/src/domain/fleet/turns.rs
+++ b/src/domain/fleet/turns.rs
@@ -13,13 +13,14 @@
 
 use super::Demand;
 
-/// Time from the stop of a generation until its engine is gone, at least. Of 420 last copies on the
-/// standard days half took 44 ms; the rest is for what runs late.
+/// Time from the stop of a generation until its engine is gone, at least. A last copy takes some
+/// 50 ms; the rest is for what runs late.
 const LAST_COPY_MARGIN_MS: u64 = 120;
 /// Time between two last copies: what was produced since the first one takes some 10 ms of the
 /// link, twice that between zones.
 const LAST_COPY_MS: u64 = 25;
-/// Grants are kept for this long after their copies, for the order of the last copies.
+/// A grant counts among the last copies of its engine for this long after its copy. Notices are
+/// shorter than this plus the time of a copy.
 const KEPT_MS: u64 = 2_000;
 /// A token that is produced costs an engine about as much as ten that are read.
 const READ_TOKENS_PER_OUTPUT: u64 = 10;
--- a/src/roles/control/replica/formation.rs
+++ b/src/roles/control/replica/formation.rs
@@ -102,8 +102,8 @@
                     .leader
                     .map(|(identity, address)| (NodeId(identity), address));
                 let member = reply
-                    .keeps_log
-                    .then_some((NodeId(reply.identity), peer.address));
+                    .identity
+                    .map(|identity| (NodeId(identity), peer.address));
                 member.into_iter().chain(leader)
             })
             .filter(|(identity, _)| *identity != status.identity)
@@ -117,7 +117,7 @@
     if !peers.may_form || answered().count() < peers.others.len() {
         return None;
     }
-    let with_log = || answered().filter(|(_, reply)| reply.keeps_log);
+    let with_log = || answered().filter_map(|(peer, reply)| Some((peer, NodeId(reply.identity?))));
     let forms = match peers.listed {
         true => with_log().all(|(peer, _)| own.name < peer.name),
         false if with_log().next().is_none() => bootstrap_instance(peers) == Some(&own.name),
@@ -127,7 +127,7 @@
         return None;
     }
     let mut members: BTreeMap<_, _> = with_log()
-        .map(|(peer, reply)| (NodeId(reply.identity), (peer.name.clone(), peer.address)))
+        .map(|(peer, identity)| (identity, (peer.name.clone(), peer.address)))
         .collect();
     members.insert(status.identity, (own.name.clone(), own.rpc_address));
     // Two configured addresses that reach one instance do not make two members.
@@ -157,8 +157,7 @@
     let request = HelloRequest {
         name: caller.own.name.clone(),
         address: caller.own.rpc_address,
-        identity: caller.identity.map_or(0, |identity| identity.0),
-        keeps_log: caller.identity.is_some(),
+        identity: caller.identity.map(|identity| identity.0),
     };
     let reply = client
         .hello(deadline_after(HELLO_LIMIT), request)
--- a/src/roles/control/replica/server.rs
+++ b/src/roles/control/replica/server.rs
@@ -50,8 +50,7 @@
         let status = self.status.borrow();
         HelloReply {
             name: self.name.clone(),
-            identity: status.identity.0,
-            keeps_log: true,
+            identity: Some(status.identity.0),
             cluster: status.cluster,
             term: status.term,
             leader: status
--- a/src/roles/directory/observer.rs
+++ b/src/roles/directory/observer.rs
@@ -18,7 +18,7 @@
 
 /// Time between rounds of questions. A leader that changes is known this much later.
 const ASK_EVERY: Duration = Duration::from_millis(300);
-/// Callers remembered; the cluster has fewer members.
+/// Callers remembered; a cluster has fewer members.
 const MAX_CALLERS: usize = 64;
 
 /// What an instance without a data folder knows of the cluster.
@@ -68,6 +68,7 @@
             };
             let asked = self.asked();
             let replies = join_all(asked.iter().map(|peer| hello(peer, caller))).await;
+            self.forget_silent(&asked, &replies);
             self.learn(replies.iter().flatten());
             tokio::select! {
                 () = sleep(ASK_EVERY) => {}
@@ -89,6 +90,19 @@
             .collect()
     }
 
+    /// Forgets callers that do not answer. Members call every second, so those that are back are
+    /// known again, and replaced ones do not hold up the questions.
+    fn forget_silent(&self, asked: &[PeerAddress], replies: &[Option<HelloReply>]) {
+        let mut known = self.lock();
+        for (peer, _) in asked
+            .iter()
+            .zip(replies)
+            .filter(|(_, reply)| reply.is_none())
+        {
+            known.callers.remove(&peer.name);
+        }
+    }
+
     /// Takes the leader of the highest term. An instance that was cut off names an older one.
     fn learn<'a>(&self, mut replies: impl Iterator<Item = &'a HelloReply> + Clone) {
         let leader = replies
@@ -126,9 +140,10 @@
     async fn hello(self, _: Context, request: HelloRequest) -> HelloReply {
         let may_form = self.0.peers.borrow().may_form;
         let mut known = self.0.lock();
-        let is_new = !known.callers.contains_key(&request.name);
-        if request.keeps_log && (!is_new || known.callers.len() < MAX_CALLERS) {
-            known.callers.insert(request.name.clone(), request.address);
+        if request.identity.is_some() {
+            if known.callers.len() < MAX_CALLERS {
+                known.callers.insert(request.name.clone(), request.address);
+            }
             if may_form && known.cluster.is_none() && known.bootstrap_instance.is_none() {
                 known.bootstrap_instance = Some(request.name);
             }
@@ -136,8 +151,7 @@
         let leader = known.leader;
         HelloReply {
             name: self.0.own.name.clone(),
-            identity: 0,
-            keeps_log: false,
+            identity: None,
             cluster: known.cluster,
             term: leader.map_or(0, |leader| leader.term),
             leader: leader.map(|leader| (leader.identity, leader.address)),
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -150,6 +150,7 @@
     let last_try_ms = plan
         .gone_at_ms
         .unwrap_or(monotonic_ms() + UNKNOWN_NOTICE_MS);
+    let mut denied: u32 = 0;
     while excluded.len() <= MAX_TARGETS && monotonic_ms() + STOP_MARGIN_MS < last_try_ms {
         let (placement, mut targets) = gateway.with_view(|view| {
             let ask = Ask {
@@ -187,6 +188,7 @@
                 )
             }
             Granted::Denied => {
+                denied += 1;
                 sleep(DENIED_PAUSE).await;
                 continue;
             }
@@ -209,8 +211,9 @@
     tracing::info!(
         request = &*plan.request_id,
         from = &*plan.from_identity,
-        tried = excluded.len() - 1,
-        "no engine has room for a move"
+        excluded = excluded.len() - 1,
+        denied,
+        "move given up"
     );
     None
 }
--- a/src/rpc/peer.rs
+++ b/src/rpc/peer.rs
@@ -21,18 +21,16 @@
 pub struct HelloRequest {
     pub name: InstanceName,
     pub address: SocketAddr,
-    pub identity: u64,
-    /// True if the caller keeps the log, and so can be a member of the cluster.
-    pub keeps_log: bool,
+    /// None if the caller has no data folder, and so cannot be a member of the cluster.
+    pub identity: Option<u64>,
 }
 
 /// The answer to a hello.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HelloReply {
     pub name: InstanceName,
-    pub identity: u64,
-    /// False if the instance has no data folder and only leads others to the cluster.
-    pub keeps_log: bool,
+    /// None if the instance has no data folder and only leads others to the cluster.
+    pub identity: Option<u64>,
     /// The cluster that the instance belongs to, or knows if it keeps no log; none while its data
     /// folder is empty.
     pub cluster: Option<u64>,
--- a/tests/log_core.rs
+++ b/tests/log_core.rs
@@ -210,33 +210,37 @@
     }
 }
 
-/// Returns a leader with two other voters that have entry 4, and replica 4 as a learner.
-fn leader_with_learner(options: Options) -> Core {
+/// Returns a leader with two other voters, of which 2 has entry 4, and replica 4 as a learner of this
+/// name that joined at `joins_ms`. Voter 3 is silent from 300 ms on.
+fn leader_with_learner(options: Options, name: &str, joins_ms: u64) -> Core {
     let mut core = leader_with(options);
     let echo = |sent_ms| Echo { sent_ms, round: 2 };
-    appended(&mut core, 2, 3, echo(300), 301);
-    settle(&mut core, 301);
+    for now_ms in (301..joins_ms).step_by(50) {
+        appended(&mut core, 2, 3, echo(now_ms - 1), now_ms);
+        core.tick(now_ms);
+        settle(&mut core, now_ms);
+    }
     let join = Body::Join {
-        name: InstanceName::from("n4"),
+        name: InstanceName::from(name),
     };
-    core.step(NodeId(4), packet(4, 0, join), 302);
-    core.tick(303);
-    settle(&mut core, 303);
+    core.step(NodeId(4), packet(4, 0, join), joins_ms);
+    core.tick(joins_ms + 1);
+    settle(&mut core, joins_ms + 1);
     assert!(
         core.config()
             .is_some_and(|config| config.members.contains_key(&NodeId(4)))
     );
-    appended(&mut core, 2, 4, echo(303), 304);
-    settle(&mut core, 304);
-    core.tick(305);
-    settle(&mut core, 305);
+    appended(&mut core, 2, 4, echo(joins_ms + 1), joins_ms + 2);
+    settle(&mut core, joins_ms + 2);
+    core.tick(joins_ms + 3);
+    settle(&mut core, joins_ms + 3);
     core
 }
 
 /// Tells the leader what the learner has synced; returns whether it votes now.
 fn votes_with(core: &mut Core, matched: u64, now_ms: u64) -> bool {
     let echo = Echo {
-        sent_ms: 305,
+        sent_ms: now_ms - 1,
         round: 2,
     };
     appended(core, 4, matched, echo, now_ms);
@@ -248,7 +252,7 @@
 /// Guards against a learner that becomes a voter before it has synced what is committed.
 #[test]
 fn learner_votes_only_once_it_has_caught_up() {
-    let mut core = leader_with_learner(Options::default());
+    let mut core = leader_with_learner(Options::default(), "n4", 302);
     assert!(!votes_with(&mut core, 3, 306), "it lacks entry 4");
     assert!(votes_with(&mut core, 4, 308));
 }
@@ -260,10 +264,21 @@
         max_voters: 3,
         ..Options::default()
     };
-    let mut core = leader_with_learner(options);
+    let mut core = leader_with_learner(options, "n4", 302);
     assert!(!votes_with(&mut core, 4, 306));
 }
 
+/// Guards against a full group that cannot replace a voter whose disk is lost.
+#[test]
+fn replaced_voter_votes_again_in_a_full_group() {
+    let options = Options {
+        max_voters: 3,
+        ..Options::default()
+    };
+    let mut core = leader_with_learner(options, "n3", 602);
+    assert!(votes_with(&mut core, 4, 606));
+}
+
 /// Guards against a group without a leader for a whole election timeout after a split vote: on
 /// chalkline scale-1, seed 13, it cost 0.45 s after all instances had been killed.
 #[test]
--- a/tests/site_controls.rs
+++ b/tests/site_controls.rs
@@ -71,10 +71,20 @@
 }
 
 async fn start(site: &Site, machine: u8, cut_off: bool, leader: Option<SocketAddr>) -> Scripted {
+    start_slow(site, machine, cut_off, leader, Duration::from_millis(100)).await
+}
+
+async fn start_slow(
+    site: &Site,
+    machine: u8,
+    cut_off: bool,
+    leader: Option<SocketAddr>,
+    answer_after: Duration,
+) -> Scripted {
     let scripted = Scripted {
         cut_off,
         leader,
-        answer_after: Duration::from_millis(100),
+        answer_after,
         syncs: Arc::default(),
         reports: Arc::default(),
     };
@@ -132,7 +142,8 @@
     for machine in 1..=4 {
         unsound.push(start(&site, machine, true, None).await);
     }
-    let _sound = start(&site, 5, false, None).await;
+    // It answers only after the others have surely been asked.
+    let _sound = start_slow(&site, 5, false, None, Duration::from_millis(500)).await;
     site.start_entry(1);
     site.wait_ready(1).await;
     let asked = unsound
--- a/tests/site_observers.rs
+++ b/tests/site_observers.rs
@@ -19,11 +19,20 @@
     }
     let body = document(1).to_string().into_bytes();
     assert_eq!(site.publish_bytes(1, body.clone()).await, 200);
-    assert!(is_in_force(&site, 1, &body).await);
-    assert!(is_in_force(&site, 4, &body).await);
+    for machine in 1..=4 {
+        wait_for("the document is read back", || {
+            is_in_force(&site, machine, &body)
+        })
+        .await;
+    }
     site.set_seeds(&[1]);
     site.start_entry(1);
     site.wait_ready(1).await;
+    // One of the members may be the leader that the instance without a disk has named so far.
+    site.kill("control-2");
+    let body = document(2).to_string().into_bytes();
+    assert_eq!(site.publish_bytes(1, body.clone()).await, 200);
+    wait_for("the document is read back", || is_in_force(&site, 1, &body)).await;
 }
 
 /// Guards against two clusters, or none, when none of the named machines has a disk.
@@ -56,7 +65,7 @@
 }
 
 /// Guards against a deployment that has to bear two lost disks and does not recover from them: on
-/// ten of 32 hunted days of the grown sites four voters were left with two disks.
+/// grown chalkline trouble-2, seed 805347995861, four voters were left with two disks.
 #[tokio::test]
 async fn five_instances_bear_the_loss_of_two_disks_while_all_are_down() {
     let mut site = Site::new(3).await;
