Take a stream that reaches its marked end for complete

Two generations had ended by themselves, one while its engine was asked to stop it (404), one after that call had failed. Once a stop had been asked for, the entry took any end of the stream for the stop and broke the complete answer off.

Change: a body that says where it ends, by chunks or a length, is complete when it does. One that ends with its connection is still taken for stopped.

--- a/src/roles/gateway/relay.rs
+++ b/src/roles/gateway/relay.rs
@@ -155,7 +155,13 @@
                             self.events.push(data);
                         }
                     }
-                    None if !is_stopped(self.migration.as_ref()) => return Ok(self.end()),
+                    // An engine breaks the stream of a generation that it has stopped off; one that
+                    // reaches its marked end is complete, whatever the move does meanwhile.
+                    None if source.exchange.marks_end()
+                        || !is_stopped(self.migration.as_ref()) =>
+                    {
+                        return Ok(self.end());
+                    }
                     None => self.leave_source("its generation was moved"),
                     Some(Err(error)) => {
                         let cause = format!("{} broke off: {error}", source.ticket.identity);
--- a/src/roles/gateway/upstream.rs
+++ b/src/roles/gateway/upstream.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, response};
+use http::{HeaderMap, Request, Response, header, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -84,6 +84,16 @@
     connection: Connection,
 }
 
+impl Exchange {
+    /// Returns true if the body says where it ends, so that one that breaks off is never taken for
+    /// complete. Others end with their connection.
+    pub(super) fn marks_end(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(header::TRANSFER_ENCODING)
+            || headers.contains_key(header::CONTENT_LENGTH)
+    }
+}
+
 impl Pool {
     /// Sends a request and returns the head of its answer.
     pub(super) async fn send(
