Let an engine serve from its start, before the platform's list shows it

Change: a sidecar asks its engine's health check once which instance it is after each start and tells the leader's hub, which adds the engine to the list until the list names it or the sidecar is silent for 2 s.

--- a/src/domain/document/mod.rs
+++ b/src/domain/document/mod.rs
@@ -74,6 +74,8 @@
 pub struct Service {
     pub name: Arc<str>,
     pub max_connections: u32,
+    /// Where an instance says that it is healthy, and which one it is.
+    pub health_path: Option<Arc<str>>,
     pub engine: Option<EngineSpec>,
 }
 
--- a/src/domain/fleet/hub.rs
+++ b/src/domain/fleet/hub.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::announced::Announcements;
 use super::placement::{PlacementRequest, Reservations, Usage};
 use super::{Listed, Load, Pulse, Report};
 
@@ -30,8 +31,12 @@
 /// Collects what is known of the fleet.
 #[derive(Debug, Default)]
 pub struct Hub {
+    /// What the platform lists.
+    platform: Vec<Listed>,
+    announcements: Announcements,
+    /// What entries are told: the platform's list, and the engines that it does not show yet.
     listed: Vec<Listed>,
-    /// Changes with the list.
+    /// Changes with what entries are told.
     revision: u64,
     listed_ms: Option<u64>,
     reports: BTreeMap<SocketAddr, (Report, u64)>,
@@ -49,8 +54,22 @@
     }
 
     /// Takes a list read from the platform; returns what differs from the last one.
-    pub fn list(&mut self, mut listed: Vec<Listed>, now_ms: u64) -> Vec<ListChange> {
+    pub fn list(&mut self, listed: Vec<Listed>, now_ms: u64) -> Vec<ListChange> {
         self.listed_ms = Some(now_ms);
+        self.platform = listed;
+        self.merge(now_ms)
+    }
+
+    /// Takes an engine that its sidecar has identified; returns what that changes.
+    pub fn announce(&mut self, engine: Listed, now_ms: u64) -> Vec<ListChange> {
+        match self.announcements.announce(engine, &self.platform, now_ms) {
+            true => self.merge(now_ms),
+            false => Vec::new(),
+        }
+    }
+
+    fn merge(&mut self, now_ms: u64) -> Vec<ListChange> {
+        let mut listed = self.announcements.merge(&self.platform, now_ms);
         listed.sort_by(|a, b| a.identity.cmp(&b.identity));
         let before = std::mem::replace(&mut self.listed, listed);
         let was = |new: &Listed| before.iter().find(|old| old.identity == new.identity);
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The upstream instances that requests are sent to: what the platform lists, what they report, and
 //! what the entries have placed on them.
 
+mod announced;
 mod choice;
 mod hub;
 mod instance;
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -15,7 +15,7 @@
 use tokio::time::error::Elapsed;
 use tokio::time::timeout;
 
-use super::{decode_instances, decode_report};
+use super::{decode_instances, decode_report, headers};
 use crate::domain::fleet::{Listed, Report};
 
 /// Upper bound on the body of an answer.
@@ -88,8 +88,25 @@
             }
             answer
         };
-        let body = judge(address, "/report", limit, timeout(limit, reading).await)?;
-        decode_report(&body).map_err(CallFailure::Failed)
+        let answer = judge(address, "/report", limit, timeout(limit, reading).await)?;
+        decode_report(answer.body()).map_err(CallFailure::Failed)
+    }
+}
+
+/// Returns the identity of the replica at an address, from its health check. Fails if it is not
+/// healthy, or about to leave.
+pub async fn read_identity(
+    address: SocketAddr,
+    health_path: &str,
+    limit: Duration,
+) -> Result<Arc<str>, CallFailure> {
+    let answer = call(address, Method::GET, health_path, String::new(), limit).await?;
+    let identity = answer.headers().get(headers::INSTANCE_ID);
+    match identity.map(|value| value.to_str()) {
+        Some(Ok(identity)) if !identity.is_empty() => Ok(identity.into()),
+        _ => Err(CallFailure::Failed(format!(
+            "{address}{health_path}: the answer names no instance"
+        ))),
     }
 }
 
@@ -109,8 +126,8 @@
         "last": stop,
     });
     let answer = call(source, Method::POST, "/kv-move", body.to_string(), limit).await?;
-    let answer: MoveAnswer =
-        serde_json::from_slice(&answer).map_err(|error| CallFailure::Failed(error.to_string()))?;
+    let answer: MoveAnswer = serde_json::from_slice(answer.body())
+        .map_err(|error| CallFailure::Failed(error.to_string()))?;
     // The platform does not say whether handles are text or numbers.
     Ok(match answer.handle {
         serde_json::Value::String(handle) => handle.into(),
@@ -120,7 +137,8 @@
 
 /// Returns the body of a successful `GET`.
 async fn get_json(address: SocketAddr, path: &str, limit: Duration) -> Result<Bytes, CallFailure> {
-    call(address, Method::GET, path, String::new(), limit).await
+    let answer = call(address, Method::GET, path, String::new(), limit).await?;
+    Ok(answer.into_body())
 }
 
 async fn call(
@@ -129,7 +147,7 @@
     path: &str,
     body: String,
     limit: Duration,
-) -> Result<Bytes, CallFailure> {
+) -> Result<Response<Bytes>, CallFailure> {
     let answer = async {
         let mut sender = open(address).await?;
         request(&mut sender, address, method, path, body).await
@@ -138,17 +156,17 @@
 }
 
 type Failure = Box<dyn std::error::Error + Send + Sync>;
-type Answer = Result<(StatusCode, Bytes), Failure>;
+type Answer = Result<Response<Bytes>, Failure>;
 
 fn judge(
     address: SocketAddr,
     path: &str,
     limit: Duration,
     answer: Result<Answer, Elapsed>,
-) -> Result<Bytes, CallFailure> {
+) -> Result<Response<Bytes>, CallFailure> {
     match answer {
-        Ok(Ok((status, body))) if status.is_success() => Ok(body),
-        Ok(Ok((status, body))) => Err(CallFailure::Status(status, body)),
+        Ok(Ok(answer)) if answer.status().is_success() => Ok(answer),
+        Ok(Ok(answer)) => Err(CallFailure::Status(answer.status(), answer.into_body())),
         Ok(Err(error)) => Err(CallFailure::Failed(format!("{address}{path}: {error}"))),
         Err(_) => {
             let limit_ms = limit.as_millis();
@@ -186,10 +204,10 @@
     let answer = sender
         .send_request(request.body(Full::new(Bytes::from(body)))?)
         .await?;
-    let status = answer.status();
-    let body = Limited::new(answer.into_body(), BODY_LIMIT_BYTES)
+    let (head, body) = answer.into_parts();
+    let body = Limited::new(body, BODY_LIMIT_BYTES)
         .collect()
         .await?
         .to_bytes();
-    Ok((status, body))
+    Ok(Response::from_parts(head, body))
 }
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -61,6 +61,8 @@
     #[serde(default)]
     max_connections: Option<u32>,
     #[serde(default)]
+    health_check_path: Option<Arc<str>>,
+    #[serde(default)]
     engine: Option<WireEngine>,
 }
 
@@ -185,6 +187,7 @@
     Service {
         name: wire.name,
         max_connections: wire.max_connections.unwrap_or(u32::MAX),
+        health_path: wire.health_check_path,
         engine: wire.engine.map(|engine| EngineSpec {
             slots: engine.slots,
             memory_tokens: engine.kv_cache_tokens,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -10,6 +10,8 @@
 /// Identity that the receiving replica must have; any other one refuses with 421.
 pub const EXPECTED_INSTANCE: HeaderName =
     HeaderName::from_static("x-lilacspindle-expected-instance");
+/// The identity of the replica that answers a health check.
+pub const INSTANCE_ID: HeaderName = HeaderName::from_static("x-lilacspindle-instance-id");
 /// The workspace that holds the caller's key.
 pub const WORKSPACE: HeaderName = HeaderName::from_static("x-lilacspindle-tenant");
 /// Prompt tokens and the most output tokens, separated by a comma.
--- a/src/roles/directory/machine.rs
+++ b/src/roles/directory/machine.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+use crate::domain::document::Document;
+use crate::platform::decode_document;
 use crate::roles::control::replica::StateMachine;
 use crate::rpc::directory::Published;
 use crate::rpc::{decode, encode};
@@ -29,6 +31,8 @@
 #[derive(Debug)]
 pub(crate) struct Machine {
     published: Mutex<Option<Published>>,
+    /// The newest document, decoded when it was last asked for.
+    decoded: Mutex<Option<Arc<Document>>>,
     news: watch::Sender<u64>,
 }
 
@@ -36,6 +40,7 @@
     pub(crate) fn new(news: watch::Sender<u64>) -> Self {
         Self {
             published: Mutex::new(None),
+            decoded: Mutex::new(None),
             news,
         }
     }
@@ -48,6 +53,17 @@
             .clone()
     }
 
+    /// Returns the newest document; none if there is none that this version can read.
+    pub(crate) fn document(&self) -> Option<Arc<Document>> {
+        let published = self.published()?;
+        let mut decoded = self.decoded.lock().unwrap_or_else(PoisonError::into_inner);
+        if decoded.as_ref().map(|document| document.version) != Some(published.version) {
+            // What cannot be read was refused when it was published.
+            *decoded = Some(Arc::new(decode_document(&published.body).ok()?));
+        }
+        decoded.clone()
+    }
+
     /// Returns the functions that the log calls.
     pub(crate) fn driven_by_log(machine: &Arc<Self>) -> StateMachine {
         let (applied, saved, restored) = (
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -17,11 +17,11 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::adapters::disk::{DiskError, FileOps};
 use crate::call_handler;
-use crate::domain::fleet::{Hub, ListChange, Turns};
+use crate::domain::fleet::{Hub, ListChange, Listed, ListedState, Turns};
 use crate::domain::log::{Options, RoleName};
 use crate::model::InstanceName;
 use crate::platform;
-use crate::rpc::directory::Directory;
+use crate::rpc::directory::{Directory, ReportRequest};
 use crate::rpc::peer::Peer;
 use crate::rpc::{Handler, Service, Services};
 use crate::settings::{ControlSettings, DirectorySettings, PeerAddress};
@@ -190,6 +190,37 @@
         self.news.send_modify(|count| *count += 1);
     }
 
+    /// Takes the identity of an engine from the report of its sidecar. Returns where engines of the
+    /// service tell it.
+    fn announced(&self, request: ReportRequest) -> Option<Arc<str>> {
+        let document = self.machine.document()?;
+        let name = request.service?;
+        let service = document.services.iter().find(|known| known.name == name)?;
+        if let (Some(identity), Some(engine)) = (request.identity, service.engine) {
+            let engine = Listed {
+                identity,
+                service: name,
+                address: request.address,
+                zone: request.zone,
+                slots: engine.slots,
+                state: ListedState::Ready,
+                // One that the list does not show yet has just started.
+                cold: true,
+                born_ms: request.report.born_ms,
+            };
+            let changes = self.with_hub(|hub| hub.announce(engine, monotonic_ms()));
+            self.tell_changes(&changes);
+        }
+        service.health_path.clone()
+    }
+
+    fn tell_changes(&self, changes: &[ListChange]) {
+        changes.iter().for_each(log_change);
+        if !changes.is_empty() {
+            self.announce();
+        }
+    }
+
     fn open(&self, control: &ControlSettings) -> Result<Replica, DiskError> {
         let options = Options {
             drop_silent_ms: Some(DROP_SILENT_MS),
@@ -254,10 +285,7 @@
                         tracing::info!(%address, "the platform's list answers again");
                     }
                     let changes = self.with_hub(|hub| hub.list(listed, monotonic_ms()));
-                    changes.iter().for_each(log_change);
-                    if !changes.is_empty() {
-                        self.announce();
-                    }
+                    self.tell_changes(&changes);
                 }
                 Err(error) => {
                     if !std::mem::replace(&mut failing, true) {
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -94,14 +94,16 @@
 
     async fn report(self, _: Context, request: ReportRequest) -> ReportReply {
         let role = &self.0;
-        let ReportRequest { address, report } = request;
+        let (address, report) = (request.address, request.report);
         if role.with_hub(|hub| hub.report(address, report, monotonic_ms())) {
             tracing::info!(%address, leaves_in_ms = report.leaves_in_ms, "instance is leaving");
             role.announce();
         }
+        let health_path = role.announced(request);
         ReportReply {
             leads: role.leads(),
             leader: role.other_leader(),
+            health_path,
         }
     }
 }
--- a/src/roles/reporter/mod.rs
+++ b/src/roles/reporter/mod.rs
@@ -1,7 +1,9 @@
 //! The reporter: tells the directory what the engine on the same machine says of itself. The
 //! engine knows first when it has to leave; the platform's list learns it most of a second later.
+//! The same holds for its start, so the reporter also tells which engine it is.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -9,8 +11,10 @@
 
 use super::site::Controls;
 use crate::domain::fleet::Report;
-use crate::platform::ReportReader;
+use crate::model::ZoneName;
+use crate::platform::{ReportReader, read_identity};
 use crate::rpc::directory::ReportRequest;
+use crate::settings::ReporterSettings;
 
 /// Time between reads of the engine's report. Notices are as short as 1.5 s, of which moving the
 /// running generations takes most.
@@ -19,11 +23,59 @@
 /// Longest time between two reports to the directory.
 const TELL_EVERY: Duration = Duration::from_millis(300);
 const TELL_LIMIT: Duration = Duration::from_millis(400);
+/// An engine is asked for its identity within this time of its start. Later the platform's list, which
+/// lags by 0.8 s on the sites planned for, shows it anyway; health checks have a price there.
+const IDENTIFY_WITHIN: Duration = Duration::from_millis(1_500);
+const IDENTIFY_LIMIT: Duration = Duration::from_millis(300);
+/// Health checks of one start of an engine, at most.
+const MAX_IDENTIFY: u32 = 2;
+
+/// An engine since its start, as far as this process has seen it.
+struct EngineStart {
+    seen_at: Instant,
+    born_ms: Option<u64>,
+    identity: Option<Arc<str>>,
+    asked: u32,
+}
+
+impl EngineStart {
+    fn new(report: Report) -> Self {
+        Self {
+            seen_at: Instant::now(),
+            born_ms: report.born_ms,
+            identity: None,
+            asked: 0,
+        }
+    }
+
+    /// Asks the engine for its identity if that is new to the list; returns true once it is known.
+    async fn identify(&mut self, engine: SocketAddr, health_path: &str) -> bool {
+        if self.identity.is_some()
+            || self.asked >= MAX_IDENTIFY
+            || self.seen_at.elapsed() > IDENTIFY_WITHIN
+        {
+            return false;
+        }
+        self.asked += 1;
+        match read_identity(engine, health_path, IDENTIFY_LIMIT).await {
+            Ok(identity) => self.identity = Some(identity),
+            Err(error) => tracing::info!(%engine, %error, "the engine does not tell its identity"),
+        }
+        self.identity.is_some()
+    }
+}
 
 /// Reports on an engine. Does not return.
-pub async fn run(engine: SocketAddr, seeds: watch::Receiver<Vec<SocketAddr>>) {
+pub async fn run(
+    settings: ReporterSettings,
+    zone: ZoneName,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+) {
+    let engine = settings.engine_address;
     let mut controls = Controls::new(seeds);
     let mut told: Option<(Instant, Report)> = None;
+    let mut start: Option<EngineStart> = None;
+    let mut health_path: Option<Arc<str>> = None;
     let mut reachable = true;
     let mut reader = ReportReader::default();
     loop {
@@ -32,14 +84,37 @@
                 if !std::mem::replace(&mut reachable, true) {
                     tracing::info!(%engine, "the engine answers again");
                 }
+                let same = |start: &EngineStart| start.born_ms == report.born_ms;
+                if !start.as_ref().is_some_and(same) {
+                    told = None;
+                }
+                let start = match start.take().filter(same) {
+                    Some(known) => start.insert(known),
+                    None => start.insert(EngineStart::new(report)),
+                };
+                if let Some(path) = &health_path
+                    && start.identify(engine, path).await
+                {
+                    tracing::info!(%engine, identity = start.identity.as_deref(),
+                        after_ms = start.seen_at.elapsed().as_millis(), "engine identified");
+                    told = None;
+                }
                 let due = told.is_none_or(|(at, before)| {
                     at.elapsed() >= TELL_EVERY || before.leaves() != report.leaves()
                 });
-                if due && tell(&mut controls, engine, report).await {
+                let request = ReportRequest {
+                    address: engine,
+                    report,
+                    zone: zone.clone(),
+                    service: settings.engine_service.clone(),
+                    identity: start.identity.clone(),
+                };
+                if due && tell(&mut controls, request, &mut health_path).await {
                     told = Some((Instant::now(), report));
                 }
             }
             Err(error) => {
+                start = None;
                 if std::mem::replace(&mut reachable, false) {
                     tracing::warn!(%engine, %error, "the engine does not report");
                 }
@@ -49,12 +124,16 @@
     }
 }
 
-/// Tells the directory; returns false if the leader was not reached.
-async fn tell(controls: &mut Controls, address: SocketAddr, report: Report) -> bool {
+/// Tells the directory, and learns where engines tell their identity; returns false if the leader
+/// was not reached.
+async fn tell(
+    controls: &mut Controls,
+    request: ReportRequest,
+    health_path: &mut Option<Arc<str>>,
+) -> bool {
     let Some(link) = controls.link() else {
         return false;
     };
-    let request = ReportRequest { address, report };
     let answer = link
         .call(TELL_LIMIT, |client, context| async move {
             client.report(context, request).await
@@ -67,6 +146,9 @@
                 // It may be cut off from the others, which have another leader.
                 controls.unconfirmed();
             }
+            if reply.health_path.is_some() {
+                *health_path = reply.health_path;
+            }
             reply.leads
         }
         Err(error) => {
--- a/src/roles/site/mod.rs
+++ b/src/roles/site/mod.rs
@@ -50,8 +50,9 @@
         }
         None => None,
     };
-    if let Some(settings) = &settings.reporter {
-        tokio::spawn(reporter::run(settings.engine_address, watched.clone()));
+    if let Some(reporter) = &settings.reporter {
+        let zone = settings.zone.clone();
+        tokio::spawn(reporter::run(reporter.clone(), zone, watched.clone()));
     }
     tracing::info!(instance = %settings.instance, zone = %settings.zone,
         gateway = gateway.is_some(), directory = directory.is_some(),
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::domain::fleet::{Demand, Listed, Load, PlacementRequest, Pulse, Report};
+use crate::model::ZoneName;
 
 /// A version of the document as the operator published it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,6 +60,11 @@
 pub struct ReportRequest {
     pub address: SocketAddr,
     pub report: Report,
+    pub zone: ZoneName,
+    /// The engine's service, if the sidecar's settings name it.
+    pub service: Option<Arc<str>>,
+    /// The engine's identity, if the sidecar has asked for it since the engine's start.
+    pub identity: Option<Arc<str>>,
 }
 
 /// Whether the report reached the instance whose hub the entries ask.
@@ -67,6 +73,8 @@
     pub leads: bool,
     /// The leader, if another instance is known to lead.
     pub leader: Option<SocketAddr>,
+    /// Where an engine of the service tells its identity, if the document names the service.
+    pub health_path: Option<Arc<str>>,
 }
 
 /// The answer to a placement request.
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use super::reader::Reader;
 
@@ -93,6 +94,8 @@
 pub struct ReporterSettings {
     /// The engine on the same machine.
     pub engine_address: SocketAddr,
+    /// The engine's service. Without it, the engine takes requests once the platform lists it.
+    pub engine_service: Option<Arc<str>>,
 }
 
 impl ReporterSettings {
@@ -102,6 +105,10 @@
             engine_address: reader
                 .required(section, "engine_address")
                 .unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))),
+            engine_service: reader
+                .optional(section, "engine_service")
+                .filter(|service: &String| !service.is_empty())
+                .map(Arc::from),
         })
     }
 }
--- a/tests/fleet_hub.rs
+++ b/tests/fleet_hub.rs
@@ -54,6 +54,75 @@
     assert_ne!(hub.revision(), revision);
 }
 
+/// Returns an engine as its sidecar announces it.
+fn announced(number: u8, identity: &str) -> Listed {
+    Listed {
+        identity: identity.into(),
+        cold: true,
+        ..listed(number, "a")
+    }
+}
+
+fn identities(hub: &Hub) -> Vec<&str> {
+    hub.listed()
+        .iter()
+        .map(|engine| &*engine.identity)
+        .collect()
+}
+
+/// Guards against the load of the grown deployments, where a seventh of the engines is replaced every
+/// few seconds: each new one was idle until the list showed it, most of a second later.
+#[test]
+fn announced_engine_counts_before_the_list_shows_it() {
+    let mut hub = Hub::new(0);
+    hub.list(vec![listed(1, "a")], 0);
+    let revision = hub.revision();
+    let engine = announced(2, "i-2");
+    let changes = hub.announce(engine.clone(), 100);
+    assert_eq!(changes, [ListChange::Listed(engine.clone())]);
+    assert_ne!(hub.revision(), revision);
+    assert_eq!(hub.announce(engine.clone(), 400), [], "it is no news");
+    hub.list(vec![listed(1, "a")], 500);
+    assert_eq!(identities(&hub), ["i-1", "i-2"]);
+    // What the list says of it counts from then on, also that it is gone.
+    hub.list(vec![listed(1, "a"), listed(2, "a")], 900);
+    assert_eq!(identities(&hub), ["i-1", "i-2"]);
+    assert!(!hub.listed()[1].cold);
+    hub.announce(engine, 1_000);
+    hub.list(vec![listed(1, "a")], 1_100);
+    assert_eq!(identities(&hub), ["i-1"]);
+}
+
+/// Guards against the load after a loss of power: the list names the engines of before, and all that
+/// is sent to them is refused.
+#[test]
+fn announced_engine_replaces_an_earlier_start_at_its_address() {
+    let mut hub = Hub::new(0);
+    hub.list(vec![listed(1, "a"), listed(2, "a")], 0);
+    hub.announce(announced(1, "j-1"), 100);
+    assert_eq!(identities(&hub), ["i-2", "j-1"]);
+    hub.list(vec![listed(1, "a"), listed(2, "a")], 300);
+    assert_eq!(identities(&hub), ["i-2", "j-1"], "the list is still old");
+    // A start after the announced one, which its sidecar has not seen.
+    hub.list(vec![announced(1, "k-1"), listed(2, "a")], 600);
+    assert_eq!(identities(&hub), ["i-2", "k-1"]);
+    hub.announce(announced(1, "j-1"), 700);
+    hub.list(vec![announced(1, "k-1"), listed(2, "a")], 900);
+    assert_eq!(identities(&hub), ["i-2", "k-1"]);
+}
+
+/// Guards against an engine that stays in use after its machine was lost before it was listed.
+#[test]
+fn announced_engine_is_dropped_with_its_sidecar() {
+    let mut hub = Hub::new(0);
+    hub.list(vec![listed(1, "a")], 0);
+    hub.announce(announced(2, "i-2"), 100);
+    hub.list(vec![listed(1, "a")], 2_000);
+    assert_eq!(identities(&hub), ["i-1", "i-2"]);
+    let changes = hub.list(vec![listed(1, "a")], 2_200);
+    assert_eq!(changes, [ListChange::Gone("i-2".into())]);
+}
+
 /// Returns the plan of a copy that may go to these targets, each with the time that it takes.
 fn plan(request: usize, source: u8, targets: &[(u8, u64)], gone_at_ms: u64) -> CopyPlan {
     let target = |&(number, takes_ms): &(u8, u64)| Target {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -99,6 +99,7 @@
             ("{{cloud.address}}", "10.200.0.63:8742"),
             ("{{bootstrap}}", "true"),
             ("{{app}}", "10.1.0.26:8745"),
+            ("{{service}}", "model"),
             ("{{bounds.gracePeriodS}}", "8"),
             ("{{bounds.retryBudgetRatio}}", "0.2"),
             ("{{bounds.retryBudgetSlack}}", "58"),
--- a/tests/site_controls.rs
+++ b/tests/site_controls.rs
@@ -66,6 +66,7 @@
         ReportReply {
             leads: false,
             leader: self.leader,
+            health_path: None,
         }
     }
 }
--- /dev/null
+++ b/tests/site_engines.rs
@@ -0,0 +1,75 @@
+//! Engines that their sidecars identify before the platform's list shows them.
+
+mod site_support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::sleep;
+
+use site_support::{
+    Reply, Request, Site, Upstream, answer, call, document, sse, wait_for, wait_routable,
+};
+
+/// Answers as the engine of a start would: its identity names the start, and it runs only what is
+/// meant for it.
+fn engine(start: &Arc<AtomicU64>) -> impl Fn(&Request) -> Vec<Reply> + Send + Sync + 'static {
+    let start = Arc::clone(start);
+    move |request: &Request| {
+        let born = start.load(Ordering::SeqCst);
+        let identity = format!("i-start-{born}");
+        let headers = [("X-Lilacspindle-Instance-Id", identity.as_str())];
+        let reply = match request.path.as_str() {
+            "/report" => answer(
+                "200 OK",
+                &[],
+                json!({ "born": born }).to_string().as_bytes(),
+            ),
+            "/health" => answer("200 OK", &headers, b""),
+            _ if request.header("x-lilacspindle-expected-instance") == Some(&identity) => {
+                sse(request.id(), 1..=2, true, true)
+            }
+            _ => answer("421 Misdirected Request", &[], b""),
+        };
+        vec![Reply::Bytes(reply)]
+    }
+}
+
+/// Returns how often an engine was asked for its identity.
+fn health_checks(engine: &Upstream) -> usize {
+    engine.requests("/health").len()
+}
+
+/// Guards against an engine that is idle until the list shows it, and against health checks that are
+/// repeated, which have a price on the platform.
+#[tokio::test]
+async fn engine_serves_before_the_list_shows_it() {
+    let mut site = Site::serving(&document(1)).await;
+    let start = Arc::new(AtomicU64::new(1));
+    let upstream = site.unlisted_upstream(engine(&start)).await;
+    site.start_sidecar(&upstream);
+    wait_routable(&site, "/stream/x").await;
+    let got = call(&site, "/stream/x", "id-1").await;
+    assert_eq!(got.status(), 200);
+    sleep(Duration::from_millis(700)).await;
+    assert_eq!(health_checks(&upstream), 1);
+}
+
+/// Guards against requests that are meant for the engine of before a restart: after a loss of power
+/// the list named old engines for most of a second, and callers were refused.
+#[tokio::test]
+async fn engine_that_starts_again_is_identified_anew() {
+    let mut site = Site::serving(&document(1)).await;
+    let start = Arc::new(AtomicU64::new(1));
+    let upstream = site.unlisted_upstream(engine(&start)).await;
+    site.start_sidecar(&upstream);
+    wait_routable(&site, "/stream/x").await;
+    start.store(2, Ordering::SeqCst);
+    wait_for("the new start serves", || async {
+        call(&site, "/stream/x", "id-1").await.status() == 200
+    })
+    .await;
+    assert_eq!(health_checks(&upstream), 2);
+}
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -254,9 +254,7 @@
         service: &str,
         script: impl Fn(&Request) -> Vec<Reply> + Send + Sync + 'static,
     ) -> Upstream {
-        self.upstreams += 1;
-        let address = self.address(1, FIRST_UPSTREAM_PORT + self.upstreams);
-        let upstream = Upstream::start(address, script).await;
+        let upstream = self.unlisted_upstream(script).await;
         self.list
             .lock()
             .unwrap()
@@ -264,10 +262,20 @@
         upstream
     }
 
-    /// Starts a sidecar that reports on an engine.
+    /// Starts an upstream instance that the list does not show.
+    pub async fn unlisted_upstream(
+        &mut self,
+        script: impl Fn(&Request) -> Vec<Reply> + Send + Sync + 'static,
+    ) -> Upstream {
+        self.upstreams += 1;
+        let address = self.address(1, FIRST_UPSTREAM_PORT + self.upstreams);
+        Upstream::start(address, script).await
+    }
+
+    /// Starts a sidecar that reports on an engine of the service `model`.
     pub fn start_sidecar(&mut self, engine: &Upstream) {
         let text = format!(
-            "{}[reporter]\nengine_address = {}\n",
+            "{}[reporter]\nengine_address = {}\nengine_service = model\n",
             self.instance_lines("sidecar-1", 1, 7_208, 7_209),
             engine.address,
         );
