Let generations wait in one queue at the hub, and know calls that come back

Each entry let its own wait, all asked the hub again at each piece of news, and room went to whoever asked first. Half of the room went to calls that had been refused before and could not start within their target any more: 149 of 691 long answers came late, and as many new calls were turned away. Ruled out: free room that nobody sees. When a generation waited from second 20 on, 90 to 100 % of the memory of all engines was planned for. Change: the hub keeps one queue (short first, then those that can start in time, then by arrival and size), measures how often room is found and refuses early what has no hope. It remembers calls that it refused for 15 s, so that one that comes back keeps its first arrival within its target and goes last after it.

--- a/src/domain/fleet/choice.rs
+++ b/src/domain/fleet/choice.rs
@@ -166,19 +166,25 @@
     /// none if no engine has room.
     pub fn choose_engine(&self, ask: &Ask<'_>) -> Option<Placed> {
         let wanted = self.wanted_for(ask.demand);
-        let sample = self.sample(ask, wanted, SAMPLED_ENGINES);
+        let sample = sample(self.fitting(ask, wanted), ask, SAMPLED_ENGINES);
         let best = ranked(sample, ask, wanted, 1).pop();
         best.map(|instance| placed(instance, wanted.near))
     }
 
-    /// Returns what an entry asks the hub for to place a generation, and its candidates.
+    /// Returns what an entry asks the hub for to place a generation, and its candidates: engines that
+    /// have room, or, for one that waits, those that may have room next.
     pub fn placement_request(
         &self,
         ask: &Ask<'_>,
         entry: &Arc<str>,
+        waits: bool,
     ) -> (PlacementRequest, Vec<Placed>) {
         let wanted = self.wanted_for(ask.demand);
-        let sample = self.sample(ask, wanted, CANDIDATES);
+        let engines = match waits {
+            true => self.open(ask).collect(),
+            false => self.fitting(ask, wanted),
+        };
+        let sample = sample(engines, ask, CANDIDATES);
         let request = placement_request(ask, wanted, entry, &sample, true);
         let engines = sample.into_iter().map(|i| placed(i, &self.zone)).collect();
         (request, engines)
@@ -195,14 +201,6 @@
         }
     }
 
-    /// Returns engines at random of those that have what is wanted.
-    fn sample(&self, ask: &Ask<'_>, wanted: Wanted<'_>, most: usize) -> Vec<&Instance> {
-        let mut sample = self.fitting(ask, wanted);
-        sample.sort_by_key(|instance| order(instance, ask.random));
-        sample.truncate(most);
-        sample
-    }
-
     /// Returns what an entry asks the hub for to move a generation from `source`, and its candidates,
     /// the best one first.
     pub fn targets(
@@ -238,19 +236,25 @@
         best.map(|instance| placed(instance, wanted.near))
     }
 
+    /// Returns the engines that take generations.
+    fn open<'a>(&'a self, ask: &'a Ask<'_>) -> impl Iterator<Item = &'a Instance> {
+        let open = |instance: &&Instance| {
+            instance.usable(ask.now_ms) && !ask.excluded.contains(&instance.listed.identity)
+        };
+        self.members(ask.service).filter(open)
+    }
+
     /// Returns the engines that have what is wanted.
-    fn fitting(&self, ask: &Ask<'_>, wanted: Wanted<'_>) -> Vec<&Instance> {
-        let (demand, engine, now_ms) = (ask.demand, ask.engine, ask.now_ms);
+    fn fitting<'a>(&'a self, ask: &'a Ask<'_>, wanted: Wanted<'_>) -> Vec<&'a Instance> {
+        let (demand, engine) = (ask.demand, ask.engine);
         let planned = wanted.planned_tokens(engine);
         let fits = |instance: &&Instance| {
             let committed = instance.total_committed();
-            instance.usable(now_ms)
-                && instance.holds_now(demand.prompt_tokens)
-                && !ask.excluded.contains(&instance.listed.identity)
+            instance.holds_now(demand.prompt_tokens)
                 && instance.total_running() < engine.slots
                 && (committed + demand.total_tokens() <= planned || committed == 0)
         };
-        self.members(ask.service).filter(fits).collect()
+        self.open(ask).filter(fits).collect()
     }
 
     /// Returns the average time of a plain call over the instances of a service. An instance that
@@ -284,6 +288,13 @@
     }
 }
 
+/// Returns up to `most` engines at random.
+fn sample<'a>(mut engines: Vec<&'a Instance>, ask: &Ask<'_>, most: usize) -> Vec<&'a Instance> {
+    engines.sort_by_key(|instance| order(instance, ask.random));
+    engines.truncate(most);
+    engines
+}
+
 /// Returns up to `most` engines, the best one first.
 fn ranked<'a>(
     mut engines: Vec<&'a Instance>,
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -6,6 +6,8 @@
 mod hub;
 mod instance;
 mod placement;
+mod queue;
+mod returning;
 mod turns;
 mod view;
 
@@ -20,6 +22,8 @@
 pub use hub::{Hub, ListChange};
 pub use instance::{Known, Leaving, Outcome, Reachability};
 pub use placement::{Candidate, PlacementRequest};
+pub use queue::{Outlook, RoomQueue, Verdict, Wish};
+pub use returning::TurnedAway;
 pub use turns::{CopyPlan, Target, Turn, Turns, sort_by_worth};
 pub use view::View;
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -16,6 +16,8 @@
 pub const WORKSPACE: HeaderName = HeaderName::from_static("x-lilacspindle-tenant");
 /// Prompt tokens and the most output tokens, separated by a comma.
 pub const TOKEN_USAGE: HeaderName = HeaderName::from_static("x-lilacspindle-token-usage");
+/// The parts of the prompt, each with its tokens; the last one belongs to the request or its session.
+pub const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-lilacspindle-prompt-prefix");
 /// The caller's estimate of its output tokens.
 pub const LENGTH_HINT: HeaderName = HeaderName::from_static("x-lilacspindle-length-hint");
 /// Says that the replica did not run the request.
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -3,6 +3,7 @@
 mod machine;
 mod observer;
 mod operators;
+mod places;
 mod service;
 mod turns;
 
@@ -53,6 +54,7 @@
     endpoint: Endpoint,
     machine: Arc<Machine>,
     hub: Mutex<Hub>,
+    waiting: Mutex<places::Waiting>,
     turns: Mutex<Turns>,
     pending_turns: Mutex<Vec<turns::PendingTurn>>,
     replica: Mutex<Option<Replica>>,
@@ -99,6 +101,7 @@
             endpoint,
             machine,
             hub: Mutex::new(Hub::new(rand::random())),
+            waiting: Mutex::default(),
             turns: Mutex::default(),
             pending_turns: Mutex::default(),
             replica: Mutex::new(None),
--- /dev/null
+++ b/src/roles/directory/places.rs
@@ -0,0 +1,150 @@
+//! Places for generations: given at once, or in the order of those that wait for room.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+use super::DirectoryRole;
+use crate::adapters::clock::monotonic_ms;
+use crate::domain::fleet::{RoomQueue, TurnedAway, Verdict, Wish};
+use crate::rpc::directory::{PlaceReply, PlaceRequest};
+
+/// Time between two looks for room while generations wait. A look at the loads of all entries takes
+/// longer than one of their calls, of which there are hundreds a second.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// The longest time that a call may wait for room.
+const MAX_HOLD: Duration = Duration::from_secs(1);
+
+/// The generations that wait, and their calls.
+#[derive(Default)]
+pub(super) struct Waiting {
+    queue: RoomQueue,
+    turned_away: TurnedAway,
+    calls: BTreeMap<u64, oneshot::Sender<PlaceReply>>,
+    /// True while a task looks for room.
+    looking: bool,
+}
+
+/// A generation in the queue; dropping it leaves the queue.
+struct Waiter<'a> {
+    role: &'a DirectoryRole,
+    id: u64,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.role.waiting();
+        waiting.queue.leave(self.id);
+        waiting.calls.remove(&self.id);
+    }
+}
+
+impl DirectoryRole {
+    /// Returns a place for a generation, or what it can expect.
+    pub(super) async fn place(self: &Arc<Self>, request: PlaceRequest) -> PlaceReply {
+        if !self.leads() {
+            return PlaceReply::NotLeader;
+        }
+        let hold = Duration::from_millis(request.hold_ms).min(MAX_HOLD);
+        let (call, now_ms) = (request.call, monotonic_ms());
+        let arrived_ms = now_ms.saturating_sub(request.waited_ms);
+        let first_ms = self.waiting().turned_away.first_ms(call, arrived_ms);
+        let wish = Wish {
+            demand: request.placement.demand,
+            since_ms: first_ms,
+            until_ms: now_ms + request.left_ms,
+            late: now_ms > first_ms + request.in_time_ms,
+        };
+        let reply = match self.place_or_join(request, wish, now_ms) {
+            Err(reply) => reply,
+            Ok((id, answer)) => {
+                let _waiter = Waiter { role: self, id };
+                match timeout(hold, answer).await {
+                    Ok(Ok(reply)) => reply,
+                    // No room yet, or this instance no longer leads.
+                    _ => PlaceReply::Ask,
+                }
+            }
+        };
+        let mut waiting = self.waiting();
+        match reply {
+            PlaceReply::Full(_) => waiting.turned_away.remember(call, first_ms, now_ms),
+            PlaceReply::At(_) => waiting.turned_away.forget(call),
+            PlaceReply::Wait(_) | PlaceReply::Ask | PlaceReply::NotLeader => {}
+        }
+        reply
+    }
+
+    /// Places a generation that nobody is ahead of, or lets it wait. Fails with the answer if it does
+    /// not wait.
+    fn place_or_join(
+        self: &Arc<Self>,
+        request: PlaceRequest,
+        wish: Wish,
+        now_ms: u64,
+    ) -> Result<(u64, oneshot::Receiver<PlaceReply>), PlaceReply> {
+        let placement = request.placement;
+        let mut waiting = self.waiting();
+        let outlook = waiting.queue.outlook(wish);
+        if outlook.ahead == 0
+            && let Some(at) = self.with_hub(|hub| hub.place(&placement, now_ms))
+        {
+            return Err(PlaceReply::At(at));
+        }
+        if now_ms + outlook.expected_ms > wish.until_ms {
+            return Err(PlaceReply::Full(outlook));
+        }
+        if request.hold_ms == 0 {
+            return Err(PlaceReply::Wait(outlook));
+        }
+        let id = waiting
+            .queue
+            .join(placement, wish, now_ms)
+            .map_err(PlaceReply::Full)?;
+        let (call, answer) = oneshot::channel();
+        waiting.calls.insert(id, call);
+        if !std::mem::replace(&mut waiting.looking, true) {
+            tokio::spawn(Arc::clone(self).look_for_room());
+        }
+        Ok((id, answer))
+    }
+
+    /// Looks for room until nobody waits.
+    async fn look_for_room(self: Arc<Self>) {
+        loop {
+            sleep(LOOK_EVERY).await;
+            let now_ms = monotonic_ms();
+            let mut waiting = self.waiting();
+            if !self.leads() {
+                // Those that wait ask the new leader.
+                waiting.calls.clear();
+                waiting.queue = RoomQueue::default();
+            }
+            let verdicts = self.with_hub(|hub| {
+                let place = |request: &_| hub.place(request, now_ms);
+                waiting.queue.serve(place, now_ms)
+            });
+            for (id, verdict) in verdicts {
+                let reply = match verdict {
+                    Verdict::Placed(at) => PlaceReply::At(at),
+                    Verdict::Refused(outlook) => PlaceReply::Full(outlook),
+                };
+                if let Some(call) = waiting.calls.remove(&id) {
+                    // The reservation of a call that was given up ends by itself.
+                    let _ = call.send(reply);
+                }
+            }
+            if waiting.queue.is_empty() {
+                waiting.looking = false;
+                return;
+            }
+        }
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -8,10 +8,9 @@
 
 use super::DirectoryRole;
 use crate::adapters::clock::monotonic_ms;
-use crate::domain::fleet::PlacementRequest;
 use crate::rpc::directory::{
-    Directory, Fleet, PlaceReply, ReportReply, ReportRequest, SyncReply, SyncRequest, TurnReply,
-    TurnRequest,
+    Directory, Fleet, PlaceReply, PlaceRequest, ReportReply, ReportRequest, SyncReply, SyncRequest,
+    TurnReply, TurnRequest,
 };
 
 /// The longest time that an answer waits for news.
@@ -77,15 +76,8 @@
         })
     }
 
-    async fn place(self, _: Context, request: PlacementRequest) -> PlaceReply {
-        let role = &self.0;
-        if !role.leads() {
-            return PlaceReply::NotLeader;
-        }
-        match role.with_hub(|hub| hub.place(&request, monotonic_ms())) {
-            Some(at) => PlaceReply::At(at),
-            None => PlaceReply::Full,
-        }
+    async fn place(self, _: Context, request: PlaceRequest) -> PlaceReply {
+        self.0.place(request).await
     }
 
     async fn turn(self, _: Context, request: TurnRequest) -> Option<TurnReply> {
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -16,8 +16,8 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::admission::Waiting;
 use crate::domain::document::EngineSpec;
-use crate::domain::fleet::{Ask, Outcome, Placed};
-use crate::rpc::directory::PlaceReply;
+use crate::domain::fleet::{Ask, Outcome, Outlook, Placed};
+use crate::rpc::directory::{PlaceReply, PlaceRequest};
 
 /// Engines tried while each says that it did not run the request.
 const MAX_SENDS: usize = 3;
@@ -27,7 +27,10 @@
 /// Upper bound on the time to ask control for a place. Both ways between zones take 3 ms on the sites
 /// planned for; a control instance that is gone must not cost a generation its target.
 const PLACE_LIMIT: Duration = Duration::from_millis(60);
-/// Those that wait for room ask again within this time after news of it.
+/// How long a call to control waits for room. Each one names other engines, and a leader that is lost
+/// costs those that wait this much.
+const HOLD_MS: u64 = 200;
+/// Those that wait without control ask again within this time after news of it.
 const ASK_SPREAD_MS: u64 = 40;
 
 impl Gateway {
@@ -43,9 +46,7 @@
                 return Err(Refusal::not_run("out_of_time", 0));
             }
             let demand = job.demand;
-            let Some(placed) = self.find_room(&job, engine, &tried).await else {
-                return Err(self.no_room());
-            };
+            let placed = self.find_room(&job, engine, &tried).await?;
             if !tried.is_empty() && !self.may_repeat(&job.service) {
                 return Err(self.no_room());
             }
@@ -116,72 +117,124 @@
         }
     }
 
-    /// Returns an engine with room. Waits for one if room is expected in time.
-    async fn find_room(&self, job: &Job, engine: EngineSpec, tried: &[Arc<str>]) -> Option<Placed> {
-        if let Some(placed) = self.place(job, engine, tried).await {
-            return Some(placed);
-        }
+    /// Returns an engine with room. Waits for one among the generations of all entries, in the order
+    /// of the hub. Fails at once if no room is expected in time.
+    async fn find_room(
+        &self,
+        job: &Job,
+        engine: EngineSpec,
+        tried: &[Arc<str>],
+    ) -> Result<Placed, Refusal> {
         let limit_ms = Waiting::limit_ms(job.route.target_ms);
-        let left_ms = limit_ms.saturating_sub(job.age_ms());
-        if self.with_view(|view| view.usable(&job.service, monotonic_ms())) == 0
-            || self.with_waiting(|waiting| waiting.join(left_ms)).is_err()
-        {
-            return None;
-        }
-        let _place = WaitingPlace(self);
-        let deadline = job.arrived + Duration::from_millis(limit_ms);
+        let mut hold_ms = 0;
         loop {
-            let news = self.room_news.notified();
-            if let Some(placed) = self.place(job, engine, tried).await {
-                tracing::info!(
-                    request = &*job.id,
-                    instance = &*placed.identity,
-                    age_ms = job.age_ms(),
-                    "found room"
-                );
-                return Some(placed);
+            let left_ms = limit_ms.saturating_sub(job.age_ms());
+            match self.ask_hub(job, engine, tried, left_ms, hold_ms).await {
+                HubAnswer::At(placed) => {
+                    if hold_ms > 0 {
+                        log_room(job, &placed);
+                    }
+                    return Ok(placed);
+                }
+                HubAnswer::Wait(outlook) => {
+                    log_outlook(job, outlook, left_ms, "waits for room");
+                    hold_ms = HOLD_MS;
+                }
+                HubAnswer::Ask => {}
+                HubAnswer::Full(outlook) => {
+                    log_outlook(job, outlook, left_ms, "no room is expected in time");
+                    return Err(come_back_in(outlook.retry_after_ms));
+                }
+                HubAnswer::None => return self.find_room_alone(job, engine, tried).await,
             }
-            timeout_at(deadline, news).await.ok()?;
-            // Many that wait hear of the same room; they do not all ask at once, nor all the time.
-            sleep(Duration::from_millis(rand::random::<u64>() % ASK_SPREAD_MS)).await;
         }
     }
 
-    /// Returns an engine with room, by the newest loads if control answers in time.
-    async fn place(&self, job: &Job, engine: EngineSpec, tried: &[Arc<str>]) -> Option<Placed> {
+    /// Asks control for a place; the answer may wait `hold_ms` for room.
+    async fn ask_hub(
+        &self,
+        job: &Job,
+        engine: EngineSpec,
+        tried: &[Arc<str>],
+        left_ms: u64,
+        hold_ms: u64,
+    ) -> HubAnswer {
         let asked = ask(job, engine, tried);
-        let (request, mut engines) =
-            self.with_view(|view| view.placement_request(&asked, &self.name));
-        if engines.is_empty() {
-            return None;
-        }
-        let link = self.control_link();
-        let answer = match link {
-            Some(link) => {
-                let calling = link.call(PLACE_LIMIT, |client, context| async move {
-                    client.place(context, request).await
-                });
-                calling.await.ok()
+        let (placement, mut engines) = self.with_view(|view| {
+            let (placement, engines) = view.placement_request(&asked, &self.name, hold_ms > 0);
+            match engines.is_empty() {
+                true => view.placement_request(&asked, &self.name, true),
+                false => (placement, engines),
             }
-            None => None,
+        });
+        let link = self.control_link().filter(|_| !engines.is_empty());
+        let Some(link) = link else {
+            return HubAnswer::None;
+        };
+        let request = PlaceRequest {
+            placement,
+            call: job.call(),
+            waited_ms: job.age_ms(),
+            in_time_ms: Waiting::limit_ms(job.route.target_ms),
+            left_ms,
+            hold_ms,
         };
+        let limit = PLACE_LIMIT + Duration::from_millis(hold_ms);
+        let answer = link
+            .call(limit, |client, context| async move {
+                client.place(context, request).await
+            })
+            .await;
         match answer {
-            Some(PlaceReply::At(at)) if at < engines.len() => Some(Placed {
+            Ok(PlaceReply::At(at)) if at < engines.len() => HubAnswer::At(Placed {
                 by_hub: true,
                 ..engines.swap_remove(at)
             }),
-            Some(PlaceReply::Full) => None,
-            _ => {
-                self.metrics.local_placements.inc();
-                self.with_view(|view| view.choose_engine(&asked))
+            Ok(PlaceReply::Wait(outlook)) => HubAnswer::Wait(outlook),
+            Ok(PlaceReply::Ask) => HubAnswer::Ask,
+            Ok(PlaceReply::Full(outlook)) => HubAnswer::Full(outlook),
+            Ok(PlaceReply::At(_) | PlaceReply::NotLeader) | Err(_) => HubAnswer::None,
+        }
+    }
+
+    /// Returns an engine with room by the loads that this entry knows, while control does not answer.
+    /// Waits for one if room is expected in time.
+    async fn find_room_alone(
+        &self,
+        job: &Job,
+        engine: EngineSpec,
+        tried: &[Arc<str>],
+    ) -> Result<Placed, Refusal> {
+        self.metrics.local_placements.inc();
+        let choose = || self.with_view(|view| view.choose_engine(&ask(job, engine, tried)));
+        if let Some(placed) = choose() {
+            return Ok(placed);
+        }
+        let limit_ms = Waiting::limit_ms(job.route.target_ms);
+        let left_ms = limit_ms.saturating_sub(job.age_ms());
+        if self.with_view(|view| view.usable(&job.service, monotonic_ms())) == 0 {
+            return Err(self.no_room());
+        }
+        self.with_waiting(|waiting| waiting.join(left_ms))
+            .map_err(come_back_in)?;
+        let _place = WaitingPlace(self);
+        let deadline = job.arrived + Duration::from_millis(limit_ms);
+        loop {
+            let news = self.room_news.notified();
+            if let Some(placed) = choose() {
+                log_room(job, &placed);
+                return Ok(placed);
+            }
+            if timeout_at(deadline, news).await.is_err() {
+                return Err(self.no_room());
             }
+            // Many that wait hear of the same room; they do not all ask at once, nor all the time.
+            sleep(Duration::from_millis(rand::random::<u64>() % ASK_SPREAD_MS)).await;
         }
     }
 
     fn no_room(&self) -> Refusal {
-        let after_ms = self.with_waiting(|waiting| waiting.retry_after_ms());
-        let spread_ms = rand::random::<u64>() % (after_ms * RETRY_SPREAD_PERCENT / 100).max(1);
-        Refusal::not_run("no_room", after_ms + spread_ms)
+        come_back_in(self.with_waiting(|waiting| waiting.retry_after_ms()))
     }
 
     /// Chooses an engine to keep a copy of a generation's memory, if it is worth one.
@@ -227,7 +280,20 @@
     }
 }
 
-/// A place among those that wait for room.
+/// What control says of a place.
+enum HubAnswer {
+    At(Placed),
+    /// There is no room yet; the generation may wait.
+    Wait(Outlook),
+    /// There was no room for as long as the call waited.
+    Ask,
+    /// No room is expected in time.
+    Full(Outlook),
+    /// No instance that leads answers, or no engine is known.
+    None,
+}
+
+/// A place among those of this entry that wait for room.
 struct WaitingPlace<'a>(&'a Gateway);
 
 impl Drop for WaitingPlace<'_> {
@@ -248,6 +314,34 @@
     }
 }
 
+/// Returns the refusal of a generation without room, spread over the time to come back.
+fn come_back_in(after_ms: u64) -> Refusal {
+    let spread_ms = rand::random::<u64>() % (after_ms * RETRY_SPREAD_PERCENT / 100).max(1);
+    Refusal::not_run("no_room", after_ms + spread_ms)
+}
+
+fn log_room(job: &Job, placed: &Placed) {
+    tracing::info!(
+        request = &*job.id,
+        instance = &*placed.identity,
+        by_hub = placed.by_hub,
+        age_ms = job.age_ms(),
+        "found room"
+    );
+}
+
+fn log_outlook(job: &Job, outlook: Outlook, left_ms: u64, message: &str) {
+    tracing::info!(
+        request = &*job.id,
+        ahead = outlook.ahead,
+        expected_ms = outlook.expected_ms,
+        late = outlook.late,
+        left_ms,
+        age_ms = job.age_ms(),
+        "{message}"
+    );
+}
+
 pub(super) fn lost() -> Refusal {
     Refusal::unknown(StatusCode::BAD_GATEWAY, "answer_lost")
 }
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
+use xxhash_rust::xxh3::Xxh3;
 
 use super::Gateway;
 use super::answer::{Body, Refusal};
@@ -66,6 +67,26 @@
         u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Returns a number that identifies the call over all attempts of its caller, which differ in
+    /// their id only. Calls of a workspace that say the same count as one.
+    pub(super) fn call(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        hash.update(self.uri.to_string().as_bytes());
+        hash.update(&self.body);
+        for name in [
+            headers::WORKSPACE,
+            headers::PROMPT_PARTS,
+            headers::TOKEN_USAGE,
+            headers::LENGTH_HINT,
+        ] {
+            let value = self.headers.get(name);
+            // The length keeps neighbouring values apart.
+            hash.update(&value.map_or(0, HeaderValue::len).to_le_bytes());
+            hash.update(value.map_or(&[], HeaderValue::as_bytes));
+        }
+        hash.digest()
+    }
+
     /// Returns the request for an instance.
     pub(super) fn request_for(&self, identity: &str) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::domain::fleet::{Demand, Listed, Load, PlacementRequest, Pulse, Report};
+use crate::domain::fleet::{Demand, Listed, Load, Outlook, PlacementRequest, Pulse, Report};
 use crate::model::ZoneName;
 
 /// A version of the document as the operator published it.
@@ -77,13 +77,34 @@
     pub health_path: Option<Arc<str>>,
 }
 
+/// A generation that an entry wants to place, and how long that is of use.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PlaceRequest {
+    pub placement: PlacementRequest,
+    /// Identifies the call over all attempts of its caller.
+    pub call: u64,
+    /// Time since this attempt came.
+    pub waited_ms: u64,
+    /// Time from the first attempt in which it can find room and still start in time.
+    pub in_time_ms: u64,
+    /// Time for which it may go on waiting.
+    pub left_ms: u64,
+    /// How long the answer may wait for room. An entry asks without waiting first, so that it learns
+    /// soon whether the instance answers at all.
+    pub hold_ms: u64,
+}
+
 /// The answer to a placement request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlaceReply {
     /// The position of the candidate.
     At(usize),
-    /// No candidate has room.
-    Full,
+    /// There is no room yet; the generation may wait.
+    Wait(Outlook),
+    /// There was no room while the answer was held; ask again, with other candidates.
+    Ask,
+    /// No room is expected in time.
+    Full(Outlook),
     /// The instance does not lead, so entries tell their loads to another one.
     NotLeader,
 }
@@ -120,7 +141,7 @@
     async fn ping();
     async fn sync(request: SyncRequest) -> SyncReply;
     /// Reserves room for a generation at one of its candidates.
-    async fn place(request: PlacementRequest) -> PlaceReply;
+    async fn place(request: PlaceRequest) -> PlaceReply;
     /// Returns the turn of a copy; none if it cannot end in time.
     async fn turn(request: TurnRequest) -> Option<TurnReply>;
     async fn report(request: ReportRequest) -> ReportReply;
--- a/tests/site_controls.rs
+++ b/tests/site_controls.rs
@@ -8,10 +8,9 @@
 use std::time::Duration;
 
 use lilacspindle::call_handler;
-use lilacspindle::domain::fleet::PlacementRequest;
 use lilacspindle::rpc::directory::{
-    Directory, PlaceReply, Published, ReportReply, ReportRequest, SyncReply, SyncRequest,
-    TurnReply, TurnRequest,
+    Directory, PlaceReply, PlaceRequest, Published, ReportReply, ReportRequest, SyncReply,
+    SyncRequest, TurnReply, TurnRequest,
 };
 use lilacspindle::rpc::{Service, Services, serve};
 use tarpc::context::Context;
@@ -53,7 +52,7 @@
         }
     }
 
-    async fn place(self, _: Context, _: PlacementRequest) -> PlaceReply {
+    async fn place(self, _: Context, _: PlaceRequest) -> PlaceReply {
         PlaceReply::NotLeader
     }
 
