Sample routine log lines, and count dropped lines by kind

Cause: the volume of the log grew with the load without a bound, and lines dropped by an unread standard output were counted in sum, so that lost refusals could not be told from lost good outcomes. Refusals, failures and changed beliefs are never sampled.

--- a/src/adapters/telemetry/lines.rs
+++ b/src/adapters/telemetry/lines.rs
@@ -3,10 +3,11 @@
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 
-use prometheus::IntCounter;
+use prometheus::{IntCounter, IntCounterVec, Opts};
+use tracing::{Level, Metadata};
 use tracing_subscriber::fmt::MakeWriter;
 
-use super::registry;
+use super::{ROUTINE, registry};
 
 /// Lines that wait for standard output. At 500 bytes a line they take at most 1 MB.
 const QUEUED_LINES: usize = 2_048;
@@ -14,7 +15,26 @@
 /// Makes writers that put whole lines into the queue.
 pub(super) struct Lines {
     queue: SyncSender<Vec<u8>>,
-    dropped: IntCounter,
+    dropped: Dropped,
+}
+
+/// Counters of dropped lines, by kind.
+struct Dropped {
+    routine: IntCounter,
+    info: IntCounter,
+    warning: IntCounter,
+    error: IntCounter,
+}
+
+impl Dropped {
+    fn of(&self, line: &Metadata<'_>) -> &IntCounter {
+        match *line.level() {
+            Level::ERROR => &self.error,
+            Level::WARN => &self.warning,
+            _ if line.target() == ROUTINE => &self.routine,
+            _ => &self.info,
+        }
+    }
 }
 
 impl Lines {
@@ -29,11 +49,19 @@
     }
 
     fn over(queue: SyncSender<Vec<u8>>) -> Self {
-        let help = "Log lines dropped because standard output did not take them.";
-        let dropped = IntCounter::new("lilac_log_lines_dropped_total", help)
-            .expect("constant options are valid");
+        let opts = Opts::new(
+            "lilac_log_lines_dropped_total",
+            "Log lines dropped because standard output did not take them, by kind.",
+        );
+        let counter = IntCounterVec::new(opts, &["kind"]).expect("constant options are valid");
         // Registration fails only if logging was started before in this process.
-        let _ = registry().register(Box::new(dropped.clone()));
+        let _ = registry().register(Box::new(counter.clone()));
+        let dropped = Dropped {
+            routine: counter.with_label_values(&["routine"]),
+            info: counter.with_label_values(&["info"]),
+            warning: counter.with_label_values(&["warning"]),
+            error: counter.with_label_values(&["error"]),
+        };
         Self { queue, dropped }
     }
 }
@@ -73,7 +101,14 @@
     fn make_writer(&'a self) -> Line {
         Line {
             queue: self.queue.clone(),
-            dropped: self.dropped.clone(),
+            dropped: self.dropped.info.clone(),
+        }
+    }
+
+    fn make_writer_for(&'a self, line: &Metadata<'_>) -> Line {
+        Line {
+            queue: self.queue.clone(),
+            dropped: self.dropped.of(line).clone(),
         }
     }
 }
--- a/src/adapters/telemetry/mod.rs
+++ b/src/adapters/telemetry/mod.rs
@@ -1,17 +1,31 @@
 //! Logs as JSON lines, metrics, and the counter of violated invariants.
 
 mod lines;
+mod routine;
 
-use std::sync::OnceLock;
+use std::sync::{LazyLock, OnceLock};
 
-use prometheus::{Encoder, IntCounterVec, Opts, Registry, TextEncoder};
+use prometheus::{Encoder, IntCounter, IntCounterVec, Opts, Registry, TextEncoder};
 use tracing_subscriber::EnvFilter;
 
+use super::clock::monotonic_ms;
+
+pub use routine::{ROUTINE, Sampler};
+
 /// Libraries log each request and each setting of theirs; only their errors are of use here. The
 /// filter from the settings comes after it and may override it.
 const LIBRARY_FILTER: &str = "rocket=error,tarpc=error,hyper=error";
 
 static INVARIANTS: OnceLock<IntCounterVec> = OnceLock::new();
+static ROUTINE_LINES: LazyLock<Sampler> = LazyLock::new(Sampler::default);
+static SAMPLED_OUT: LazyLock<IntCounter> = LazyLock::new(|| {
+    let help = "Routine log lines that were not written, as there were too many.";
+    let counter = IntCounter::new("lilac_log_lines_sampled_out_total", help)
+        .expect("constant options are valid");
+    // Registration fails only if the name is taken, which the LazyLock rules out.
+    let _ = registry().register(Box::new(counter.clone()));
+    counter
+});
 
 /// Starts logging as JSON lines to standard output. Logging never blocks: lines are dropped and
 /// counted while standard output does not take them. `filter` has the syntax of `tracing`'s filters.
@@ -29,6 +43,16 @@
         .try_init();
 }
 
+/// Returns true if a routine line of a request is to be written, and counts it if it is not. Such a
+/// line has the target `ROUTINE`.
+pub fn keeps_routine(request: &str) -> bool {
+    let kept = ROUTINE_LINES.keeps(request, monotonic_ms());
+    if !kept {
+        SAMPLED_OUT.inc();
+    }
+    kept
+}
+
 /// Returns the registry of all metrics of this process.
 pub fn registry() -> &'static Registry {
     prometheus::default_registry()
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -12,6 +12,7 @@
 use super::ticket::Ticket;
 use super::upstream::SendFailure;
 use crate::adapters::clock::monotonic_ms;
+use crate::adapters::telemetry::{ROUTINE, keeps_routine};
 use crate::domain::document::Repeat;
 use crate::domain::fleet::{Known, Outcome};
 use crate::platform::headers;
@@ -134,25 +135,35 @@
         Sent::Answer(head, _) => Some(head.status.as_u16()),
         _ => None,
     };
-    tracing::info!(
-        request = &*job.id,
-        route = &*job.route.name,
-        instance,
-        attempt,
-        status,
-        outcome = sent_label(sent),
-        running = known.running,
-        average_ms = known.average_ms,
-        failed_percent = known.failed_percent,
-        observed_age_ms = known.observed_age_ms,
-        age_ms = job.age_ms(),
-        "{}",
-        if status.is_some() {
-            "answered"
-        } else {
-            "not answered"
-        }
-    );
+    let is_routine = status.is_some_and(|status| status < 300) && attempt == 1;
+    if is_routine && !keeps_routine(&job.id) {
+        return;
+    }
+    // The target of a line is part of its call site.
+    macro_rules! log {
+        ($target:expr, $message:literal) => {
+            tracing::info!(
+                target: $target,
+                request = &*job.id,
+                route = &*job.route.name,
+                instance,
+                attempt,
+                status,
+                outcome = sent_label(sent),
+                running = known.running,
+                average_ms = known.average_ms,
+                failed_percent = known.failed_percent,
+                observed_age_ms = known.observed_age_ms,
+                age_ms = job.age_ms(),
+                $message
+            )
+        };
+    }
+    match status {
+        Some(_) if is_routine => log!(ROUTINE, "answered"),
+        Some(_) => log!(module_path!(), "answered"),
+        None => log!(module_path!(), "not answered"),
+    }
 }
 
 fn sent_label(sent: &Sent) -> &'static str {
