Let the first in line always wait for room

The rate at which room is found is measured only while somebody waits. After engines had made no room for some seconds it was so low that nobody was let in to wait any more, so it never rose again. Besides, a generation could wait beyond the deadline of its caller. Change: the first in line waits until its time is up, whatever the rate says, and no wait is longer than the caller's.

--- a/src/domain/fleet/queue.rs
+++ b/src/domain/fleet/queue.rs
@@ -24,7 +24,7 @@
 const AVERAGE_OVER_MS: f64 = 1_500.0;
 /// One that waits is refused once room is expected only after this many times the time that it has
 /// left. The estimate is rough, and each refusal is final for most callers.
-const HOPELESS_FACTOR: f64 = 2.0;
+const HOPELESS_FACTOR: u64 = 2;
 const SHORTEST_RETRY_MS: f64 = 250.0;
 const LONGEST_RETRY_MS: f64 = 5_000.0;
 
@@ -41,6 +41,14 @@
     pub late: bool,
 }
 
+impl Outlook {
+    /// Returns true if room may come within `left_ms`. The first in line may always wait: room may
+    /// come at any time, and the rate is measured only while somebody waits.
+    pub fn has_hope(&self, left_ms: u64) -> bool {
+        left_ms > 0 && (self.ahead == 0 || self.expected_ms <= left_ms)
+    }
+}
+
 /// What becomes of a generation that waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -124,7 +132,7 @@
         let rank = rank(wish, id);
         let at = self.waiters.partition_point(|waiter| waiter.rank < rank);
         let outlook = self.outlook_at(at, wish.late);
-        if now_ms + outlook.expected_ms > wish.until_ms {
+        if !outlook.has_hope(wish.until_ms.saturating_sub(now_ms)) {
             return Err(outlook);
         }
         self.next_id += 1;
@@ -165,8 +173,8 @@
         let mut ahead = 0;
         while let Some(waiter) = self.waiters.get(ahead) {
             let outlook = self.outlook_at(ahead, waiter.rank.1);
-            let left_ms = waiter.until_ms.saturating_sub(now_ms) as f64;
-            if outlook.expected_ms as f64 > left_ms * HOPELESS_FACTOR {
+            let left_ms = waiter.until_ms.saturating_sub(now_ms);
+            if !outlook.has_hope(left_ms * HOPELESS_FACTOR) {
                 let refused = self.waiters.remove(ahead);
                 verdicts.push((refused.id(), Verdict::Refused(outlook)));
             } else {
--- a/src/roles/directory/places.rs
+++ b/src/roles/directory/places.rs
@@ -94,7 +94,7 @@
         {
             return Err(PlaceReply::At(at));
         }
-        if now_ms + outlook.expected_ms > wish.until_ms {
+        if !outlook.has_hope(request.left_ms) {
             return Err(PlaceReply::Full(outlook));
         }
         if request.hold_ms == 0 {
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -128,7 +128,7 @@
         let limit_ms = Waiting::limit_ms(job.route.target_ms);
         let mut hold_ms = 0;
         loop {
-            let left_ms = limit_ms.saturating_sub(job.age_ms());
+            let left_ms = limit_ms.saturating_sub(job.age_ms()).min(job.left_ms());
             match self.ask_hub(job, engine, tried, left_ms, hold_ms).await {
                 HubAnswer::At(placed) => {
                     if hold_ms > 0 {
--- a/tests/fleet_queue.rs
+++ b/tests/fleet_queue.rs
@@ -180,6 +180,30 @@
     assert!(large > 3 * small, "{large} of {small}");
 }
 
+/// Guards against a queue that nobody can join any more: the rate is measured only while somebody
+/// waits, and fell to nothing while engines made no room.
+#[test]
+fn queue_opens_again_after_a_standstill() {
+    let mut queue = RoomQueue::default();
+    for now_ms in (0..20_000).step_by(usize::try_from(LOOK_MS).unwrap()) {
+        let _ = join(&mut queue, wish(LONG, now_ms), now_ms);
+        queue.serve(|_| None, now_ms);
+    }
+    // Rooms come again, one at each look.
+    let mut placed = 0;
+    for now_ms in (30_000..40_000).step_by(usize::try_from(LOOK_MS).unwrap()) {
+        while join(&mut queue, wish(LONG, now_ms), now_ms).is_ok() {}
+        let mut rooms = 1;
+        let place = |_: &PlacementRequest| {
+            rooms -= 1;
+            (rooms == 0).then_some(0)
+        };
+        let verdicts = queue.serve(place, now_ms).into_iter();
+        placed += verdicts.filter(|(_, v)| *v == Verdict::Placed(0)).count();
+    }
+    assert!(placed > 450, "{placed} of 500 rooms were used");
+}
+
 quickcheck! {
     /// Guards against a generation that is placed twice, forgotten, or served after it has left.
     fn each_generation_gets_one_verdict(steps: Vec<(u8, u8)>) -> bool {
