Name the parts of the order, and take a report without a start for the same

Cause: read-through of the diff. The order of waiting was a tuple whose parts had no names. A report that does not tell the start of its engine counted as another start, so that an engine whose reports sometimes lack it would be asked for its identity again and again. Change: a struct for the order; a start that is not told is the known one.

--- a/src/domain/admission/mod.rs
+++ b/src/domain/admission/mod.rs
@@ -1,4 +1,5 @@
-//! How many generations may wait for room at an entry, and when those turned away should come back.
+//! How many generations may wait for room at an entry while control does not answer, and when those
+//! turned away should come back. Otherwise they wait at the hub.
 
 /// Weight of the newest observation in the average time between two ends, one in this many.
 const AVERAGE_OVER: f64 = 8.0;
--- a/src/domain/fleet/queue.rs
+++ b/src/domain/fleet/queue.rs
@@ -3,7 +3,7 @@
 //! Answers the load of a fleet that is asked for somewhat more than its memory holds. While each entry
 //! let its own generations wait, room went to whoever asked first, and nine in ten of those that
 //! were refused had waited in vain until the end. The hub sees all that wait: it gives room in one
-//! order, and refuses those that cannot expect any in time at once.
+//! order, and refuses at once those that cannot expect any in time.
 
 // Counts and times stay far below what a float holds exactly.
 #![allow(clippy::cast_precision_loss)]
@@ -23,7 +23,7 @@
 /// Time over which that rate is averaged; engines leave and come every few seconds.
 const AVERAGE_OVER_MS: f64 = 1_500.0;
 /// One that waits is refused once room is expected only after this many times the time that it has
-/// left. The estimate is rough, and each refusal is final for most callers.
+/// left. The estimate is rough, and a caller that is refused comes back once.
 const HOPELESS_FACTOR: u64 = 2;
 const SHORTEST_RETRY_MS: f64 = 250.0;
 const LONGEST_RETRY_MS: f64 = 5_000.0;
@@ -72,7 +72,13 @@
 
 /// Position in the order: short generations first, then those that can start in time, then by
 /// arrival and size.
-type Rank = (bool, bool, u64, u64);
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    long: bool,
+    late: bool,
+    counts_from_ms: u64,
+    id: u64,
+}
 
 #[derive(Debug)]
 struct Waiter {
@@ -81,12 +87,6 @@
     until_ms: u64,
 }
 
-impl Waiter {
-    fn id(&self) -> u64 {
-        self.rank.3
-    }
-}
-
 /// The generations that wait for room, in their order.
 #[derive(Debug)]
 pub struct RoomQueue {
@@ -148,7 +148,7 @@
 
     /// Forgets a generation that waits no longer.
     pub fn leave(&mut self, id: u64) {
-        self.waiters.retain(|waiter| waiter.id() != id);
+        self.waiters.retain(|waiter| waiter.rank.id != id);
         if self.waiters.is_empty() {
             self.measured_ms = None;
         }
@@ -165,18 +165,18 @@
         self.waiters.retain(|waiter| {
             let placed = place(&waiter.request);
             if let Some(at) = placed {
-                verdicts.push((waiter.id(), Verdict::Placed(at)));
+                verdicts.push((waiter.rank.id, Verdict::Placed(at)));
             }
             placed.is_none()
         });
         self.measure(verdicts.len(), now_ms);
         let mut ahead = 0;
         while let Some(waiter) = self.waiters.get(ahead) {
-            let outlook = self.outlook_at(ahead, waiter.rank.1);
+            let outlook = self.outlook_at(ahead, waiter.rank.late);
             let left_ms = waiter.until_ms.saturating_sub(now_ms);
             if !outlook.has_hope(left_ms * HOPELESS_FACTOR) {
                 let refused = self.waiters.remove(ahead);
-                verdicts.push((refused.id(), Verdict::Refused(outlook)));
+                verdicts.push((refused.rank.id, Verdict::Refused(outlook)));
             } else {
                 ahead += 1;
             }
@@ -212,7 +212,12 @@
 fn rank(wish: Wish, id: u64) -> Rank {
     let handicap_ms = wish.demand.output_tokens as f64 * HANDICAP_MS_PER_TOKEN;
     let counts_from_ms = wish.since_ms + whole_ms(handicap_ms.min(LONGEST_HANDICAP_MS));
-    (wish.demand.is_long(), wish.late, counts_from_ms, id)
+    Rank {
+        long: wish.demand.is_long(),
+        late: wish.late,
+        counts_from_ms,
+        id,
+    }
 }
 
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/src/roles/directory/places.rs
+++ b/src/roles/directory/places.rs
@@ -12,8 +12,8 @@
 use crate::domain::fleet::{RoomQueue, TurnedAway, Verdict, Wish};
 use crate::rpc::directory::{PlaceReply, PlaceRequest};
 
-/// Time between two looks for room while generations wait. A look at the loads of all entries takes
-/// longer than one of their calls, of which there are hundreds a second.
+/// Time between two looks for room while generations wait. Looking at each of the hundreds of calls a
+/// second that change the loads would cost more, and 20 ms are a hundredth of the target times.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// The longest time that a call may wait for room.
 const MAX_HOLD: Duration = Duration::from_secs(1);
--- a/src/roles/reporter/mod.rs
+++ b/src/roles/reporter/mod.rs
@@ -48,6 +48,14 @@
         }
     }
 
+    /// Returns false if a report is of another start. One that does not say so is of the same.
+    fn goes_on(&self, report: Report) -> bool {
+        match (self.born_ms, report.born_ms) {
+            (Some(before_ms), Some(born_ms)) => before_ms == born_ms,
+            _ => true,
+        }
+    }
+
     /// Asks the engine for its identity if that is new to the list; returns true once it is known.
     async fn identify(&mut self, engine: SocketAddr, health_path: &str) -> bool {
         if self.identity.is_some()
@@ -84,14 +92,11 @@
                 if !std::mem::replace(&mut reachable, true) {
                     tracing::info!(%engine, "the engine answers again");
                 }
-                let same = |start: &EngineStart| start.born_ms == report.born_ms;
-                if !start.as_ref().is_some_and(same) {
+                let known = start.take().filter(|start| start.goes_on(report));
+                if known.is_none() {
                     told = None;
                 }
-                let start = match start.take().filter(same) {
-                    Some(known) => start.insert(known),
-                    None => start.insert(EngineStart::new(report)),
-                };
+                let start = start.insert(known.unwrap_or_else(|| EngineStart::new(report)));
                 if let Some(path) = &health_path
                     && start.identify(engine, path).await
                 {
