--- a/tests/site_engines.rs
+++ b/tests/site_engines.rs
@@ -73,3 +73,28 @@
     .await;
     assert_eq!(health_checks(&upstream), 2);
 }
+
+/// Guards against an engine that is asked again and again because some of its reports do not tell its
+/// start.
+#[tokio::test]
+async fn report_without_a_start_is_of_the_known_one() {
+    let mut site = Site::serving(&document(1)).await;
+    let reads = Arc::new(AtomicU64::new(0));
+    let complete = engine(&Arc::new(AtomicU64::new(1)));
+    let count = Arc::clone(&reads);
+    let script = move |request: &Request| match request.path.as_str() {
+        "/report" if count.fetch_add(1, Ordering::SeqCst) % 2 == 1 => {
+            vec![Reply::Bytes(answer("200 OK", &[], b"{}"))]
+        }
+        _ => complete(request),
+    };
+    let upstream = site.unlisted_upstream(script).await;
+    site.start_sidecar(&upstream);
+    wait_routable(&site, "/stream/x").await;
+    let before = reads.load(Ordering::SeqCst);
+    wait_for("more reports are read", || async {
+        reads.load(Ordering::SeqCst) > before + 10
+    })
+    .await;
+    assert_eq!(health_checks(&upstream), 1);
+}
