--- a/src/domain/fleet/queue.rs
+++ b/src/domain/fleet/queue.rs
@@ -174,11 +174,11 @@
         while let Some(waiter) = self.waiters.get(ahead) {
             let outlook = self.outlook_at(ahead, waiter.rank.late);
             let left_ms = waiter.until_ms.saturating_sub(now_ms);
-            if !outlook.has_hope(left_ms * HOPELESS_FACTOR) {
+            if outlook.has_hope(left_ms * HOPELESS_FACTOR) {
+                ahead += 1;
+            } else {
                 let refused = self.waiters.remove(ahead);
                 verdicts.push((refused.rank.id, Verdict::Refused(outlook)));
-            } else {
-                ahead += 1;
             }
         }
         if self.waiters.is_empty() {
