Keep the listener that reserves a test's network

A test bound an address to see whether its network is free, dropped the listener and bound it again. A process that another test is starting holds a copy of the listener until it has replaced its image. Shown by a script that binds, closes and binds again: 541 of 20,000 fail while six threads start processes, none of 20,000 without them. Change: the listener that reserves the network serves the list. No assertion is changed.

--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -8,7 +8,7 @@
 mod replica;
 
 use std::collections::BTreeMap;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,6 +16,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use tokio::net::TcpListener;
 
 // As above, for the re-exports.
 #[allow(unused_imports)]
@@ -60,13 +61,15 @@
     }
 }
 
-/// Returns a part of the loopback network that no other test uses.
-fn free_network() -> [u8; 2] {
+/// Returns a part of the loopback network that no other test uses, and the listener that keeps it. A
+/// listener that is dropped and bound again fails now and then: a process that another test is just
+/// starting holds the address until it has replaced its image.
+async fn free_network() -> ([u8; 2], TcpListener) {
     loop {
         let network = [64 + rand::random::<u8>() % 128, rand::random()];
         let address = SocketAddr::from(([127, network[0], network[1], 1], LIST_PORT));
-        if TcpListener::bind(address).is_ok() {
-            return network;
+        if let Ok(listener) = TcpListener::bind(address).await {
+            return (network, listener);
         }
     }
 }
@@ -74,7 +77,7 @@
 impl Site {
     /// Returns a site without processes; `seeds` control instances are named in its settings.
     pub async fn new(seeds: u8) -> Self {
-        let network = free_network();
+        let (network, listener) = free_network().await;
         let folder = std::env::temp_dir().join(format!(
             "lilac-site-{}-{}-{}",
             std::process::id(),
@@ -86,15 +89,13 @@
         let listed = Arc::clone(&list);
         let list_refuses = Arc::new(AtomicBool::new(false));
         let refuses = Arc::clone(&list_refuses);
-        let list_address = SocketAddr::from(([127, network[0], network[1], 1], LIST_PORT));
-        let server = Upstream::start(list_address, move |_| {
+        let server = Upstream::serving(listener, move |_| {
             if refuses.load(Ordering::Relaxed) {
                 return vec![Reply::Bytes(answer("429 Too Many Requests", &[], b""))];
             }
             let body = json!({"instances": *listed.lock().unwrap(), "next": null}).to_string();
             vec![Reply::Bytes(answer("200 OK", &[], body.as_bytes()))]
-        })
-        .await;
+        });
         let mut site = Self {
             folder,
             list,
--- a/tests/site_support/replica.rs
+++ b/tests/site_support/replica.rs
@@ -67,7 +67,15 @@
         address: SocketAddr,
         script: impl Fn(&Request) -> Vec<Reply> + Send + Sync + 'static,
     ) -> Self {
-        let listener = TcpListener::bind(address).await.unwrap();
+        Self::serving(TcpListener::bind(address).await.unwrap(), script)
+    }
+
+    /// Starts an instance on a listener.
+    pub fn serving(
+        listener: TcpListener,
+        script: impl Fn(&Request) -> Vec<Reply> + Send + Sync + 'static,
+    ) -> Self {
+        let address = listener.local_addr().unwrap();
         let seen = Arc::new(Mutex::new(Vec::new()));
         let abandoned = Arc::new(Mutex::new(0));
         let script: Script = Arc::new(script);
