Let calls that confirm a read wait for a leader, and elect soon after the lease

Each of 105 entries asked three named instances, and each call tried every 10 ms to confirm a read that nobody could confirm: some 10,000 tries a second at an instance with 0.32 cores that had to vote meanwhile. Besides, the first election came at a random time up to twice the lease after the start. That the tries delayed the votes was concluded from their number, not measured apart. Ruled out: links between instances (all reached each other within 20 ms). Change: such a call waits until a leader is known; a replica that starts again campaigns within a third of the timeout after the lease.

--- a/src/domain/log/core.rs
+++ b/src/domain/log/core.rs
@@ -107,7 +107,8 @@
             core.push_log(Arc::new(entry));
         }
         core.synced = core.log.last_index();
-        core.reset_election_timer(now_ms);
+        // After a loss of power all replicas wait for as long as a lease may last, and no longer.
+        core.election_due_ms = now_ms + core.limits.election_ms + core.split_vote_pause_ms();
         if core.other_voters().is_empty() {
             core.election_due_ms = now_ms;
         }
--- a/src/domain/log/election.rs
+++ b/src/domain/log/election.rs
@@ -143,8 +143,13 @@
     /// the votes, or some voters still guard the lease of a leader that is gone. The random time keeps
     /// candidates from meeting again.
     fn campaign_soon(&mut self, now_ms: u64) {
-        let wait_ms = 1 + self.next_random() % (self.limits.election_ms / SPLIT_VOTE_PART).max(1);
-        self.election_due_ms = self.election_due_ms.min(now_ms + wait_ms);
+        let due_ms = now_ms + self.split_vote_pause_ms();
+        self.election_due_ms = self.election_due_ms.min(due_ms);
+    }
+
+    /// Returns a short random time that keeps candidates apart.
+    pub(super) fn split_vote_pause_ms(&mut self) -> u64 {
+        1 + self.next_random() % (self.limits.election_ms / SPLIT_VOTE_PART).max(1)
     }
 
     pub(super) fn other_voters(&self) -> Vec<NodeId> {
--- a/src/roles/control/replica/mod.rs
+++ b/src/roles/control/replica/mod.rs
@@ -204,7 +204,17 @@
     /// call began. Followers ask the leader.
     pub async fn confirm(&self, limit: Duration) -> Result<u64, SubmitError> {
         let deadline = Instant::now() + limit;
+        let mut status = self.status.clone();
         loop {
+            // Without a leader no read is confirmed. After a loss of power hundreds of callers wait for
+            // one, and the election with them if each tries again and again.
+            let known =
+                status.wait_for(|status| status.leader.is_some() || status.stopped.is_some());
+            match timeout_at(deadline, known).await {
+                Ok(Ok(_)) => {}
+                Ok(Err(_)) => return Err(SubmitError::Stopped),
+                Err(_) => return Err(SubmitError::Undecided),
+            }
             let (reply, answer) = oneshot::channel();
             self.send(Input::Read { reply })?;
             match timeout_at(deadline, answer).await {
