Keep generations in their zone while it has room

Cause (large): of eight candidates at random over six zones one is in the entry's own, so that five in six long answers stream through another zone. Change: five of the eight candidates are in the own zone while that has so many with room, and another zone has to save 100 ms of waiting in place of 40.

--- a/src/domain/fleet/choice.rs
+++ b/src/domain/fleet/choice.rs
@@ -36,8 +36,9 @@
 const BACKUP_FLEET_PERCENT: u64 = 58;
 /// Weight of an engine's planned memory in its score: a full engine counts as this much waiting.
 const MEMORY_WEIGHT_MS: u64 = 400;
-/// Waiting that a choice in another zone has to save, for the bytes that cross zones.
-const ZONE_PENALTY_MS: u64 = 40;
+/// Waiting that a choice in another zone has to save, for the bytes that cross zones. A zone whose
+/// engines have a quarter more of their memory planned for than others overflows.
+const ZONE_PENALTY_MS: u64 = 100;
 /// The same for plain calls. It is below the 30 ms that one takes, so that a loaded zone overflows.
 const PLAIN_ZONE_PENALTY_MS: u64 = 20;
 /// The same for the engine that takes a copy of a generation's memory. A copy between zones takes
@@ -54,6 +55,9 @@
 /// Engines at random that the hub, which knows the newest loads, chooses among. Not compared with
 /// other numbers; eight identities take about 0.2 KB.
 const CANDIDATES: usize = 8;
+/// How many of them are in the entry's own zone, as far as that has so many with room. A long answer
+/// streams some 50 KB, which would otherwise cross zones nearly always.
+const NEAR_CANDIDATES: usize = 5;
 /// Expected time of a plain call before one was measured.
 const FIRST_PLAIN_MS: f64 = 30.0;
 
@@ -180,11 +184,10 @@
         waits: bool,
     ) -> (PlacementRequest, Vec<Placed>) {
         let wanted = self.wanted_for(ask.demand);
-        let engines = match waits {
-            true => self.open(ask).collect(),
-            false => self.fitting(ask, wanted),
+        let sample = match waits {
+            true => sample(self.open(ask).collect(), ask, CANDIDATES),
+            false => sample_near(self.fitting(ask, wanted), ask, wanted.near),
         };
-        let sample = sample(engines, ask, CANDIDATES);
         let request = placement_request(ask, wanted, entry, &sample, true);
         let engines = sample.into_iter().map(|i| placed(i, &self.zone)).collect();
         (request, engines)
@@ -295,6 +298,21 @@
     engines
 }
 
+/// Returns up to `CANDIDATES` engines at random, most of them in a zone.
+fn sample_near<'a>(
+    engines: Vec<&'a Instance>,
+    ask: &Ask<'_>,
+    zone: &ZoneName,
+) -> Vec<&'a Instance> {
+    let is_near = |instance: &&Instance| instance.listed.zone == *zone;
+    let (near, far): (Vec<_>, Vec<_>) = engines.into_iter().partition(is_near);
+    let most_far = CANDIDATES - near.len().min(NEAR_CANDIDATES);
+    let mut candidates = sample(far, ask, most_far);
+    let most_near = CANDIDATES - candidates.len();
+    candidates.extend(sample(near, ask, most_near));
+    candidates
+}
+
 /// Returns up to `most` engines, the best one first.
 fn ranked<'a>(
     mut engines: Vec<&'a Instance>,
--- a/tests/fleet_choice.rs
+++ b/tests/fleet_choice.rs
@@ -290,3 +290,25 @@
     assert!(!budget.take(8, 9_000));
     assert!(budget.take(8, 12_000));
 }
+
+/// Guards against the price of the large site: of eight candidates at random over six zones one was in
+/// the entry's own, and five in six long answers streamed through another zone.
+#[test]
+fn most_candidates_are_in_the_own_zone_while_it_has_room() {
+    let zone = |number: u8| if number <= 20 { "a" } else { "b" };
+    let mut view = View::new(ZoneName::from("a"));
+    view.list((1..=120).map(|n| listed(n, zone(n))).collect(), 0, 0);
+    let near = |view: &View| {
+        let (_, engines) = view.placement_request(&ask(&[]), &"entry-1".into(), false);
+        assert_eq!(engines.len(), 8);
+        engines.iter().filter(|placed| placed.same_zone).count()
+    };
+    assert_eq!(near(&view), 5);
+    // Without room there, those of other zones are named.
+    view.pulse((2..=20).map(|n| pulse(n, None, 34_000)).collect(), 1_000);
+    assert_eq!(near(&view), 1);
+    let none_far = (21..=120).map(|n| pulse(n, None, 34_000));
+    view.pulse(none_far.collect(), 1_000);
+    view.pulse((2..=20).map(|n| pulse(n, None, 0)).collect(), 1_000);
+    assert_eq!(near(&view), 8);
+}
