Tell when a process stood still, and show it for requests that never ended

Change: a line and two counters when a look at the clock each 100 ms is over 200 ms late; explain shows the lines of a process up to that one, or to its next start, for a request that did not end there.

--- a/src/adapters/clock/mod.rs
+++ b/src/adapters/clock/mod.rs
@@ -1,10 +1,14 @@
 //! The clocks of a process.
 
+mod stall;
+
 use std::sync::OnceLock;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use rustix::time::{ClockId, clock_gettime};
 
+pub use stall::{STOOD_STILL, stood_still_ms, watch_for_stalls};
+
 static START_MS: OnceLock<u64> = OnceLock::new();
 
 /// Returns monotonic milliseconds since the first call in this process. Time in which the machine
--- a/src/explain/mod.rs
+++ b/src/explain/mod.rs
@@ -6,6 +6,8 @@
 
 use serde_json::{Map, Value};
 
+use crate::adapters::clock::STOOD_STILL;
+
 /// Fields that are shown before the others, or not at all.
 const LEADING: [&str; 5] = ["timestamp", "level", "message", "request", "target"];
 
@@ -35,8 +37,14 @@
     }
 }
 
+/// What processes log once a request has ended there, one way or another.
+const ENDS: [&str; 4] = ["answered", "not answered", "refused", "stream ended"];
+/// What a process logs when it had no part in anything for a while: it was suspended or started anew.
+const PAUSES: [&str; 2] = [STOOD_STILL, "started"];
+
 /// Returns the lines that name a request, in order of time, and between them what the same
-/// processes logged besides of their own state. `files` are names and texts; lines that are not
+/// processes logged besides of their own state. Where a request did not end at a process, that goes on
+/// to the line that the process stood still or was started again. `files` are names and texts; lines that are not
 /// JSON are passed over, since processes also print what libraries say.
 pub fn explain(request: &str, files: &[(Arc<str>, String)]) -> Vec<Line> {
     let mut found = Vec::new();
@@ -45,17 +53,19 @@
             .lines()
             .filter_map(|line| parse(process, line, request))
             .collect();
-        let mut own = lines
-            .iter()
-            .filter(|line| line.own)
-            .map(|line| &line.timestamp);
-        let Some(first) = own.next().cloned() else {
+        let mut own = lines.iter().filter(|line| line.own);
+        let Some(first) = own.next() else {
             continue;
         };
-        let last = own
-            .next_back()
-            .cloned()
-            .unwrap_or_else(|| Arc::clone(&first));
+        let last_own = own.next_back().unwrap_or(first);
+        let pause = lines.iter().find(|line| {
+            line.timestamp > last_own.timestamp && PAUSES.contains(&&*line.message)
+        });
+        let last = match pause {
+            Some(pause) if !ENDS.contains(&&*last_own.message) => pause,
+            _ => last_own,
+        };
+        let (first, last) = (Arc::clone(&first.timestamp), Arc::clone(&last.timestamp));
         found.extend(
             lines
                 .into_iter()
--- a/src/roles/site/mod.rs
+++ b/src/roles/site/mod.rs
@@ -15,6 +15,7 @@
 use super::directory::{DirectoryRole, serve_operators};
 use super::gateway::Gateway;
 use super::reporter;
+use crate::adapters::clock::watch_for_stalls;
 use crate::adapters::web;
 use crate::rpc::{Services, serve};
 use crate::settings::Settings;
@@ -31,6 +32,7 @@
 pub async fn run(settings: Settings, file: PathBuf) -> Result<(), Box<dyn Error>> {
     let (seeds, watched) = watch::channel(settings.control_rpc_addresses());
     web::serve_metrics(settings.admin_address).await?;
+    tokio::spawn(watch_for_stalls());
     let directory = match &settings.directory {
         Some(directory) => {
             let role = DirectoryRole::start(directory, settings.rpc_address, &watched.borrow());
--- a/tests/explain_requests.rs
+++ b/tests/explain_requests.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use lilacspindle::adapters::clock::{STOOD_STILL, stood_still_ms};
 use lilacspindle::explain::explain;
 
 fn line(second: u32, rest: &str) -> String {
@@ -57,3 +58,36 @@
     );
     assert!(explain("r3", &files).is_empty());
 }
+
+/// Guards against a request that shows one line and no reason why it never ended: on further scale-2
+/// its entry was suspended for 6.5 s.
+#[test]
+fn request_that_never_ended_shows_that_its_process_stood_still() {
+    let sent = "\"message\":\"generation sent\",\"request\":\"r1\"";
+    let stood_still = format!("\"message\":\"{STOOD_STILL}\",\"for_ms\":6500");
+    let entry = [
+        line(2, sent),
+        line(3, "\"message\":\"document applied\",\"version\":6"),
+        line(9, &stood_still),
+        line(10, "\"message\":\"document applied\",\"version\":7"),
+    ];
+    let found = |text: String| -> Vec<String> {
+        let lines = explain("r1", &[("entry-1".into(), text)]);
+        lines.iter().map(|line| line.message.to_string()).collect()
+    };
+    let whole = ["generation sent", "document applied", STOOD_STILL];
+    assert_eq!(found(entry.concat()), whole);
+    // One that ended has its reason in its own lines.
+    let ended = line(4, "\"message\":\"stream ended\",\"request\":\"r1\"");
+    let entry = [&entry[..2], &[ended], &entry[2..]].concat();
+    let whole = ["generation sent", "document applied", "stream ended"];
+    assert_eq!(found(entry.concat()), whole);
+}
+
+/// Guards against a line for each small delay of a busy machine, and against a clock that goes back.
+#[test]
+fn only_long_stalls_are_told() {
+    assert_eq!(stood_still_ms(1_000, 1_150), None);
+    assert_eq!(stood_still_ms(1_000, 1_201), Some(201));
+    assert_eq!(stood_still_ms(1_000, 900), None);
+}
