Send documents compressed, so that a large one reaches each entry in time

Entries that lag refuse what is in force. Change: a version is compressed once and unpacked at each entry, with a bound on its size.

--- a/src/roles/directory/machine.rs
+++ b/src/roles/directory/machine.rs
@@ -9,7 +9,7 @@
 use crate::platform::decode_document;
 use crate::roles::control::replica::StateMachine;
 use crate::rpc::directory::Published;
-use crate::rpc::{decode, encode};
+use crate::rpc::{Packed, decode, encode};
 
 /// The command of the log: publish a document.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -31,6 +31,8 @@
 #[derive(Debug)]
 pub(crate) struct Machine {
     published: Mutex<Option<Published>>,
+    /// The same as entries are told it.
+    packed: Mutex<Option<Packed>>,
     /// The version that was last asked for; none if it cannot be read.
     decoded: Mutex<(u64, Option<Arc<Document>>)>,
     news: watch::Sender<u64>,
@@ -40,6 +42,7 @@
     pub(crate) fn new(news: watch::Sender<u64>) -> Self {
         Self {
             published: Mutex::new(None),
+            packed: Mutex::new(None),
             decoded: Mutex::default(),
             news,
         }
@@ -53,6 +56,12 @@
             .clone()
     }
 
+    /// Returns the newest document for an entry that has applied `version`, if that is older.
+    pub(crate) fn packed_after(&self, version: u64) -> Option<Packed> {
+        let packed = self.packed.lock().unwrap_or_else(PoisonError::into_inner);
+        packed.clone().filter(|packed| packed.version > version)
+    }
+
     /// Returns the newest document; none if there is none that this version can read.
     pub(crate) fn document(&self) -> Option<Arc<Document>> {
         let published = self.published()?;
@@ -118,6 +127,20 @@
     }
 
     fn set(&self, published: Published) {
+        match Packed::new(&published) {
+            Ok(packed) => {
+                tracing::debug!(
+                    version = published.version,
+                    bytes = published.body.len(),
+                    packed_bytes = packed.len(),
+                    "document packed"
+                );
+                *self.packed.lock().unwrap_or_else(PoisonError::into_inner) = Some(packed);
+            }
+            Err(error) => {
+                tracing::error!(version = published.version, %error, "document cannot be packed");
+            }
+        }
         *self
             .published
             .lock()
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -24,9 +24,8 @@
 impl Server {
     /// Returns true if there is something that the entry should not wait for.
     fn has_news(&self, request: &SyncRequest) -> bool {
-        let published = self.0.machine.published();
-        let version = published.map_or(0, |published| published.version);
-        version > request.version || self.0.has_urgent_news(request.position, monotonic_ms())
+        let has_document = self.0.machine.packed_after(request.version).is_some();
+        has_document || self.0.has_urgent_news(request.position, monotonic_ms())
     }
 }
 
@@ -48,10 +47,7 @@
             Some(replica) => replica.confirm(CONFIRM_LIMIT).await.is_ok(),
             None => false,
         };
-        let document = role
-            .machine
-            .published()
-            .filter(|published| published.version > request.version);
+        let document = role.machine.packed_after(request.version);
         let now_ms = monotonic_ms();
         role.with_hub(|hub| SyncReply {
             confirmed,
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -15,7 +15,7 @@
 use crate::platform::{self, decode_document};
 use crate::roles::site::Controls;
 use crate::rpc::directory::{DirectoryClient, Published, SyncReply, SyncRequest};
-use crate::rpc::{CallError, Link, directory_link};
+use crate::rpc::{CallError, Link, Packed, directory_link};
 
 /// How long a call waits for news. Loads of other entries are as old as this.
 const HOLD_MS: u64 = 200;
@@ -127,7 +127,11 @@
                     address = leader;
                     link = directory_link(address);
                 }
-                Ok(_) => {}
+                Ok(reply) => {
+                    let without_log = !reply.keeps_log && reply.leader.is_none();
+                    self.control_without_log
+                        .store(without_log, Ordering::Relaxed);
+                }
                 Err(error) => tracing::debug!(%address, %error, "no first answer from control"),
             }
             sleep(FAILED_PAUSE).await;
@@ -152,8 +156,10 @@
     fn learn(&self, reply: SyncReply, asked_ms: u64) {
         // A document that is not confirmed may be older than one that was acknowledged.
         if reply.confirmed {
-            if let Some(published) = reply.document {
-                self.apply(&published);
+            match reply.document.as_ref().map(Packed::unpack) {
+                Some(Ok(published)) => self.apply(&published),
+                Some(Err(error)) => tracing::error!(%error, "the document cannot be unpacked"),
+                None => {}
             }
             if self.index.borrow().is_some() {
                 self.confirmed_ms
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -8,6 +8,7 @@
 
 use crate::domain::fleet::{Demand, Load, News, Outlook, PlacementRequest, Position, Report};
 use crate::model::ZoneName;
+use crate::rpc::Packed;
 
 /// A version of the document as the operator published it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,7 +38,7 @@
     /// False if the instance has no data folder; it can only name the leader.
     pub keeps_log: bool,
     /// A newer document than the caller's.
-    pub document: Option<Published>,
+    pub document: Option<Packed>,
     /// What the caller does not know of the fleet; none if the list was never read.
     pub fleet: Option<News>,
     pub list_age_ms: Option<u64>,
--- a/src/rpc/mod.rs
+++ b/src/rpc/mod.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod directory;
 mod link;
+mod packed;
 pub mod peer;
 mod server;
 pub mod sidecar;
@@ -18,6 +19,7 @@
     ConnectError, FramedTransport, Service, accept_service, connect, deadline_after, wrap,
 };
 pub use link::{CallError, Link, control_link, directory_link, peer_link, sidecar_link};
+pub use packed::Packed;
 pub use server::{Handler, Services, serve};
 
 /// What every message between processes says of its sender.
--- a/tests/site_controls.rs
+++ b/tests/site_controls.rs
@@ -12,7 +12,7 @@
     Directory, PlaceReply, PlaceRequest, Published, ReportReply, ReportRequest, SyncReply,
     SyncRequest, TurnReply, TurnRequest,
 };
-use lilacspindle::rpc::{Service, Services, serve};
+use lilacspindle::rpc::{Packed, Service, Services, serve};
 use tarpc::context::Context;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
@@ -43,7 +43,8 @@
         SyncReply {
             confirmed: !self.cut_off,
             keeps_log: true,
-            document: (!self.cut_off && request.version == 0).then_some(published),
+            document: (!self.cut_off && request.version == 0)
+                .then(|| Packed::new(&published).unwrap()),
             fleet: None,
             list_age_ms: None,
             entries: 1,
