--- a/src/adapters/clock/stall.rs
+++ b/src/adapters/clock/stall.rs
@@ -24,7 +24,10 @@
     STALLS.get_or_init(|| {
         let names = [
             ("lilac_stalls_total", "Times that the process stood still."),
-            ("lilac_stalled_ms_total", "Time that the process stood still."),
+            (
+                "lilac_stalled_ms_total",
+                "Time that the process stood still.",
+            ),
         ];
         names.map(|(name, help)| {
             let counter =
--- a/src/explain/mod.rs
+++ b/src/explain/mod.rs
@@ -58,9 +58,9 @@
             continue;
         };
         let last_own = own.next_back().unwrap_or(first);
-        let pause = lines.iter().find(|line| {
-            line.timestamp > last_own.timestamp && PAUSES.contains(&&*line.message)
-        });
+        let pause = lines
+            .iter()
+            .find(|line| line.timestamp > last_own.timestamp && PAUSES.contains(&&*line.message));
         let last = match pause {
             Some(pause) if !ENDS.contains(&&*last_own.message) => pause,
             _ => last_own,
--- a/src/roles/directory/observer.rs
+++ b/src/roles/directory/observer.rs
@@ -9,7 +9,7 @@
 use futures::future::join_all;
 use tarpc::context::Context;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::model::InstanceName;
 use crate::roles::control::replica::{Caller, Endpoint, Peers, hello};
@@ -18,6 +18,8 @@
 
 /// Time between rounds of questions. A leader that changes is known this much later.
 const ASK_EVERY: Duration = Duration::from_millis(300);
+/// Members call each second, so an instance that nobody with a log has called for this long has none.
+const ALONE_AFTER: Duration = Duration::from_secs(5);
 /// Callers remembered; a cluster has fewer members.
 const MAX_CALLERS: usize = 64;
 
@@ -61,6 +63,8 @@
 
     /// Asks the known instances for the leader until `stopping` is set.
     pub(super) async fn run(self: Arc<Self>, mut stopping: watch::Receiver<bool>) {
+        let mut alone_since = Instant::now();
+        let mut is_told = false;
         while !*stopping.borrow_and_update() {
             let caller = Caller {
                 own: &self.own,
@@ -70,6 +74,16 @@
             let replies = join_all(asked.iter().map(|peer| hello(peer, caller))).await;
             self.forget_silent(&asked, &replies);
             self.learn(replies.iter().flatten());
+            let mut found = replies.iter().flatten();
+            if found.any(|reply| reply.identity.is_some()) {
+                (alone_since, is_told) = (Instant::now(), false);
+            } else if alone_since.elapsed() > ALONE_AFTER && !std::mem::replace(&mut is_told, true)
+            {
+                tracing::error!(
+                    asked = asked.len(),
+                    "no control instance keeps the log; give at least one a data_folder in [directory]"
+                );
+            }
             tokio::select! {
                 () = sleep(ASK_EVERY) => {}
                 _ = stopping.changed() => {}
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -16,7 +16,7 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -77,6 +77,8 @@
     /// The control instance that answered last.
     control: Mutex<Option<Arc<Link<DirectoryClient>>>>,
     waiting: Mutex<Waiting>,
+    /// True while the control instances that answer keep no log and know none that does.
+    control_without_log: AtomicBool,
     /// Told when an engine may have room again.
     room_news: Notify,
     metrics: Metrics,
@@ -107,6 +109,7 @@
             pool: Pool::default(),
             control: Mutex::default(),
             waiting: Mutex::default(),
+            control_without_log: AtomicBool::new(false),
             room_news: Notify::new(),
             metrics: Metrics::new(),
             stopping: watch::Sender::new(false),
@@ -157,6 +160,11 @@
     fn ready(&self) -> Result<(), &'static str> {
         match () {
             () if *self.stopping.borrow() => Err("leaving\n"),
+            () if self.index.borrow().is_none()
+                && self.control_without_log.load(Ordering::Relaxed) =>
+            {
+                Err("control keeps no log; give an instance a data_folder in [directory]\n")
+            }
             () if self.index.borrow().is_none() => Err("no document is known yet\n"),
             () if !self.is_confirmed() => Err("the document cannot be confirmed\n"),
             () => Ok(()),
--- a/tests/site_observers.rs
+++ b/tests/site_observers.rs
@@ -98,3 +98,24 @@
         .await;
     }
 }
+
+/// Guards against a deployment that is never served and does not say why: no machine that serves
+/// control has a disk.
+#[tokio::test]
+async fn deployment_without_any_disk_says_so() {
+    let mut site = Site::new(3).await;
+    for machine in 1..=2 {
+        site.start_observer(machine, true);
+    }
+    site.start_entry(1);
+    wait_for("the entry says why it is not ready", || async {
+        let page = site.readiness_page(1).await;
+        page.is_some_and(|page| page.contains("data_folder"))
+    })
+    .await;
+    wait_for("the instance says what is missing", || async {
+        let lines = site.log_lines("control-1", "no control instance keeps the log");
+        !lines.is_empty()
+    })
+    .await;
+}
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -320,6 +320,12 @@
         Some(client().get(url).send().await.ok()?.status().as_u16())
     }
 
+    /// Returns what an entry's readiness page says.
+    pub async fn readiness_page(&self, machine: u8) -> Option<String> {
+        let url = format!("http://{}/readiness", self.address(machine, READY_PORT));
+        client().get(url).send().await.ok()?.text().await.ok()
+    }
+
     /// Waits until an entry serves.
     pub async fn wait_ready(&self, machine: u8) {
         let what = format!("entry-{machine} is ready");
