Revert the search in the platform's list

What is supported now, by the code and the platform's page: the list has 60 pages at 2,998 instances, the platform answers a few tens of calls a second for all processes together, and a read that is answered 429 begins again with the first page.

--- a/src/domain/fleet/hub.rs
+++ b/src/domain/fleet/hub.rs
@@ -88,7 +88,7 @@
         let mut listed = self.announcements.merge(&self.platform, now_ms);
         listed.sort_by(|a, b| a.identity.cmp(&b.identity));
         let before = std::mem::replace(&mut self.listed, listed);
-        let was = |new: &Listed| Some(&before[position(&before, &new.identity)?]);
+        let was = |new: &Listed| before.iter().find(|old| old.identity == new.identity);
         let mut changes: Vec<ListChange> = self
             .listed
             .iter()
@@ -219,7 +219,10 @@
     }
 
     fn find(&self, identity: &str) -> Option<&Listed> {
-        position(&self.listed, identity).map(|at| &self.listed[at])
+        let at = self
+            .listed
+            .binary_search_by(|listed| (*listed.identity).cmp(identity));
+        self.listed.get(at.ok()?)
     }
 
     /// Returns the number of entries that synced lately.
@@ -312,9 +315,3 @@
         })
     }
 }
-
-/// Returns where an instance stands in a list that is sorted by identity.
-fn position(listed: &[Listed], identity: &str) -> Option<usize> {
-    let found = listed.binary_search_by(|listed| (*listed.identity).cmp(identity));
-    found.ok()
-}
