Tell entries of a large fleet a subset of it, and read the list for less

Change: a service of more than 256 instances is told to each entry as a subset on a ring, half of it near; what an entry runs on is always among them. Lists are compared by their order. Entries of the platform's list are decoded without a tree of values. Instances without a log ask the leader over one kept connection in place of a new one to each known instance every 0.3 s. Sites of up to 256 instances a service are told all, as before.

--- a/src/domain/fleet/hub.rs
+++ b/src/domain/fleet/hub.rs
@@ -1,14 +1,17 @@
 //! The point where lists, reports and loads meet; kept by the leader of the control instances.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::announced::Announcements;
-use super::news::{ListHistory, LoadHistory, News, OwnHistory, Position};
+use super::entries::{Entries, ToldSubset};
+use super::news::{ListHistory, LoadHistory, News, Position};
 use super::placement::{PlacementRequest, Reservations};
+use super::subset::Rings;
 use super::usage::{Loads, Usage};
 use super::{Listed, Load, Pulse, Report};
+use crate::model::ZoneName;
 
 /// Loads of an entry that has not synced for this long no longer count. Entries sync at least
 /// every 250 ms; six lost calls in a row mean that the entry is gone or cut off.
@@ -43,8 +46,10 @@
     /// What the platform lists.
     platform: Vec<Listed>,
     announcements: Announcements,
-    /// What entries are told: the platform's list, and the engines that it does not show yet.
+    /// What entries are told: the platform's list, and the engines that it does not show yet. Sorted
+    /// by identity.
     listed: Vec<Listed>,
+    rings: Rings,
     by_address: BTreeMap<SocketAddr, Arc<str>>,
     /// Changes with what entries are told.
     revision: u64,
@@ -54,7 +59,7 @@
     loads: Loads,
     reservations: Reservations,
     load_history: LoadHistory,
-    own_history: OwnHistory,
+    entries: Entries,
     look_for_silent_at_ms: u64,
 }
 
@@ -88,18 +93,23 @@
     fn merge(&mut self, now_ms: u64) -> Vec<ListChange> {
         let mut listed = self.announcements.merge(&self.platform, now_ms);
         listed.sort_by(|a, b| a.identity.cmp(&b.identity));
+        listed.dedup_by(|a, b| a.identity == b.identity);
         let before = std::mem::replace(&mut self.listed, listed);
-        let was = |new: &Listed| before.iter().find(|old| old.identity == new.identity);
-        let mut changes: Vec<ListChange> = self
-            .listed
-            .iter()
-            .filter(|new| was(new) != Some(*new))
-            .map(|new| ListChange::Listed(new.clone()))
-            .collect();
+        let was = |new: &Listed| find(&before, &new.identity);
+        let news = self.listed.iter().filter(|new| was(new) != Some(*new));
+        let mut changes: Vec<ListChange> = news.cloned().map(ListChange::Listed).collect();
         let gone = before
-            .into_iter()
-            .filter(|old| self.find(&old.identity).is_none());
-        changes.extend(gone.map(|old| ListChange::Gone(old.identity)));
+            .iter()
+            .filter(|old| find(&self.listed, &old.identity).is_none());
+        changes.extend(gone.map(|old| ListChange::Gone(Arc::clone(&old.identity))));
+        for change in &changes {
+            if let Some(old) = find(&before, change.identity()) {
+                self.rings.remove(old);
+            }
+            if let ListChange::Listed(new) = change {
+                self.rings.insert(new);
+            }
+        }
         if !changes.is_empty() {
             self.revision += 1;
             let identities = changes.iter().map(|change| Arc::clone(change.identity()));
@@ -161,12 +171,13 @@
 
     /// Takes note of engines where an entry's own usage has changed.
     fn own_changed(&mut self, entry: &Arc<str>, engines: &[Arc<str>], now_ms: u64) {
-        let revision = match engines.is_empty() && self.own_history.knows(entry) {
+        let revision = match engines.is_empty() && self.entries.knows(entry) {
             true => self.load_history.revision(),
             false => self.load_history.next_revision(),
         };
         let expires_ms = now_ms + LOAD_KEPT_MS;
-        self.own_history.add(entry, engines, revision, expires_ms);
+        self.entries
+            .own_changed(entry, engines, revision, expires_ms);
     }
 
     /// Forgets what was told too long ago.
@@ -178,7 +189,7 @@
         }
         if now_ms >= self.look_for_silent_at_ms {
             self.look_for_silent_at_ms = now_ms + LOOK_FOR_SILENT_EVERY_MS;
-            self.own_history.expire(now_ms);
+            self.entries.expire(now_ms);
             touched.extend(self.loads.expire(now_ms));
             let silent = self
                 .reports
@@ -238,10 +249,7 @@
     }
 
     fn find(&self, identity: &str) -> Option<&Listed> {
-        let at = self
-            .listed
-            .binary_search_by(|listed| (*listed.identity).cmp(identity));
-        self.listed.get(at.ok()?)
+        find(&self.listed, identity)
     }
 
     /// Returns the number of entries that synced lately.
@@ -265,40 +273,127 @@
         &self.listed
     }
 
-    /// Returns what an entry that has the news up to `since` does not know yet; none if the list was
-    /// never read.
-    pub fn news(&mut self, entry: &str, since: Option<Position>, now_ms: u64) -> Option<News> {
+    /// Returns what an entry in a zone that has the news up to `since` does not know yet; none if the
+    /// list was never read.
+    pub fn news(
+        &mut self,
+        entry: &str,
+        zone: &ZoneName,
+        since: Option<Position>,
+        now_ms: u64,
+    ) -> Option<News> {
         self.expire(now_ms);
+        let subset = self.subset(entry, zone);
+        if subset.is_none() && self.entries.is_told_subset(entry) {
+            // It is told of all from now on, and that answer may be lost.
+            self.entries.forget(entry);
+        }
         self.own_changed(&entry.into(), &[], now_ms);
         let position = self.position()?;
-        let known = since.filter(|since| since.hub == self.id);
-        let changed = known.and_then(|since| {
-            let changed = self.list_history.since(since.list_revision)?;
-            let mut loads = self.own_history.since(entry, since.load_revision)?;
-            loads.extend(self.load_history.since(since.load_revision).cloned());
-            Some((changed, loads))
+        let told = subset.clone().map(|instances| ToldSubset {
+            position,
+            instances,
         });
-        Some(match changed {
-            Some((changed, loads)) => {
-                let listed = changed.iter().filter_map(|identity| self.find(identity));
-                let gone = changed.iter().filter(|id| self.find(id).is_none());
-                let pulses = loads.iter();
+        let before = self.entries.tell(entry, told);
+        let known = since.filter(|since| since.hub == self.id);
+        let changes = known.and_then(|since| self.changes(entry, since, subset.as_ref(), before));
+        let mut news = News {
+            position,
+            whole: changes.is_none(),
+            is_subset: subset.is_some(),
+            listed: Vec::new(),
+            gone: Vec::new(),
+            dropped: Vec::new(),
+            pulses: Vec::new(),
+        };
+        match changes {
+            Some(changes) => {
+                let listed = changes.listed.iter().filter_map(|id| self.find(id));
+                news.listed = listed.cloned().collect();
+                let pulses = changes.loads.iter();
                 let pulses = pulses.filter_map(|identity| self.pulse(entry, identity, now_ms));
-                News {
-                    position,
-                    whole: false,
-                    listed: listed.cloned().collect(),
-                    gone: gone.cloned().collect(),
-                    pulses: pulses.collect(),
+                news.pulses = pulses.collect();
+                (news.gone, news.dropped) = (changes.gone, changes.dropped);
+            }
+            None => {
+                let is_told =
+                    |id: &Arc<str>| subset.as_ref().is_none_or(|subset| subset.contains(id));
+                let listed = self
+                    .listed
+                    .iter()
+                    .filter(|listed| is_told(&listed.identity));
+                news.listed = listed.cloned().collect();
+                news.pulses = self.pulses_of(entry, &news.listed, now_ms);
+                if news.is_subset {
+                    news.gone = self.own_gone(entry);
                 }
             }
-            None => News {
-                position,
-                whole: true,
-                listed: self.listed.clone(),
-                gone: Vec::new(),
-                pulses: self.pulses(entry, now_ms),
-            },
+        }
+        Some(news)
+    }
+
+    /// Returns the instances that an entry is told of; none if these are all. It needs to know those
+    /// where it has something running, wherever they are.
+    fn subset(&self, entry: &str, zone: &ZoneName) -> Option<BTreeSet<Arc<str>>> {
+        if self.rings.are_small() {
+            return None;
+        }
+        let mut subset = self.rings.subset(entry, zone);
+        let own = self.own_engines(entry);
+        subset.extend(own.filter(|id| self.find(id).is_some()).cloned());
+        Some(subset)
+    }
+
+    fn own_engines(&self, entry: &str) -> impl Iterator<Item = &Arc<str>> {
+        let loads = self.loads.engines_of(entry);
+        loads.chain(self.reservations.engines_of(entry))
+    }
+
+    /// Returns the instances where an entry has something running though they are not listed.
+    fn own_gone(&self, entry: &str) -> Vec<Arc<str>> {
+        let own = self.own_engines(entry);
+        own.filter(|id| self.find(id).is_none()).cloned().collect()
+    }
+
+    /// Returns what has changed for an entry since a position; none if that is not known.
+    fn changes(
+        &mut self,
+        entry: &str,
+        since: Position,
+        subset: Option<&BTreeSet<Arc<str>>>,
+        before: Option<ToldSubset>,
+    ) -> Option<Changes> {
+        let changed = self.list_history.since(since.list_revision)?;
+        let mut loads = self.entries.own_changes(entry, since.load_revision)?;
+        loads.extend(self.load_history.since(since.load_revision).cloned());
+        let (subset, told) = match (subset, before) {
+            (None, None) => {
+                let (listed, gone) = changed.into_iter().partition(|id| self.find(id).is_some());
+                let gone: BTreeSet<Arc<str>> = gone;
+                return Some(Changes {
+                    listed,
+                    gone: gone.into_iter().collect(),
+                    dropped: Vec::new(),
+                    loads,
+                });
+            }
+            // Of a lost answer it is not known what the entry has.
+            (Some(subset), Some(told)) if told.position == since => (subset, told.instances),
+            _ => return None,
+        };
+        let added: BTreeSet<Arc<str>> = subset.difference(&told).cloned().collect();
+        let removed = told.difference(subset).cloned();
+        let (dropped, mut gone): (Vec<_>, Vec<_>) = removed.partition(|id| self.find(id).is_some());
+        gone.extend(self.own_gone(entry));
+        let mut listed: BTreeSet<Arc<str>> = subset.intersection(&changed).cloned().collect();
+        listed.extend(added.iter().cloned());
+        loads.retain(|id| subset.contains(id));
+        loads.extend(added);
+        Some(Changes {
+            listed,
+            gone,
+            dropped,
+            loads,
         })
     }
 
@@ -313,7 +408,11 @@
 
     /// Returns what an entry needs to know of each instance.
     pub fn pulses(&self, entry: &str, now_ms: u64) -> Vec<Pulse> {
-        let listed = self.listed.iter();
+        self.pulses_of(entry, &self.listed, now_ms)
+    }
+
+    fn pulses_of(&self, entry: &str, listed: &[Listed], now_ms: u64) -> Vec<Pulse> {
+        let listed = listed.iter();
         listed
             .filter_map(|listed| self.pulse(entry, &listed.identity, now_ms))
             .filter(|pulse| pulse.report.is_some() || pulse.running > 0)
@@ -337,3 +436,17 @@
         })
     }
 }
+
+/// What an entry does not know yet.
+struct Changes {
+    listed: BTreeSet<Arc<str>>,
+    gone: Vec<Arc<str>>,
+    dropped: Vec<Arc<str>>,
+    loads: BTreeSet<Arc<str>>,
+}
+
+/// Returns the instance in a list that is sorted by identity.
+fn find<'a>(listed: &'a [Listed], identity: &str) -> Option<&'a Listed> {
+    let at = listed.binary_search_by(|listed| (*listed.identity).cmp(identity));
+    listed.get(at.ok()?)
+}
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -3,12 +3,14 @@
 
 mod announced;
 mod choice;
+mod entries;
 mod hub;
 mod instance;
 mod news;
 mod placement;
 mod queue;
 mod returning;
+mod subset;
 mod turns;
 mod usage;
 mod view;
--- a/src/domain/fleet/news.rs
+++ b/src/domain/fleet/news.rs
@@ -35,12 +35,16 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct News {
     pub position: Position,
-    /// True if this is all that the hub knows, in place of what was told before.
+    /// True if this takes the place of all that was told before.
     pub whole: bool,
+    /// True if the entry is told of a subset of the instances.
+    pub is_subset: bool,
     /// Instances that are new to the list, or that it says something else of.
     pub listed: Vec<Listed>,
     /// Instances that are no longer listed.
     pub gone: Vec<Arc<str>>,
+    /// Instances that are listed, but that the entry is no longer told of.
+    pub dropped: Vec<Arc<str>>,
     pub pulses: Vec<Pulse>,
 }
 
@@ -159,55 +163,3 @@
         newer.map(|(_, identity)| identity)
     }
 }
-
-/// The engines where the usage of one entry has changed.
-#[derive(Debug)]
-struct OwnChanges {
-    /// Changes up to this revision are not known.
-    known_after: u64,
-    expires_ms: u64,
-    by_engine: BTreeMap<Arc<str>, u64>,
-}
-
-/// The engines where entries' own usage has changed, by entry.
-#[derive(Debug, Default)]
-pub(super) struct OwnHistory(BTreeMap<Arc<str>, OwnChanges>);
-
-impl OwnHistory {
-    pub(super) fn knows(&self, entry: &str) -> bool {
-        self.0.contains_key(entry)
-    }
-
-    /// Takes note of engines where the usage of an entry has changed with a revision.
-    pub(super) fn add(
-        &mut self,
-        entry: &Arc<str>,
-        engines: &[Arc<str>],
-        revision: u64,
-        expires_ms: u64,
-    ) {
-        let changes = self.0.entry(Arc::clone(entry)).or_insert(OwnChanges {
-            known_after: revision,
-            expires_ms,
-            by_engine: BTreeMap::new(),
-        });
-        changes.expires_ms = expires_ms;
-        for engine in engines {
-            changes.by_engine.insert(Arc::clone(engine), revision);
-        }
-    }
-
-    /// Returns the engines where the usage of an entry has changed since a revision that it has; none
-    /// if that is not known.
-    pub(super) fn since(&mut self, entry: &str, revision: u64) -> Option<BTreeSet<Arc<str>>> {
-        let changes = self.0.get_mut(entry)?;
-        // What the entry has is not asked for again.
-        changes.by_engine.retain(|_, changed| *changed > revision);
-        (revision >= changes.known_after).then(|| changes.by_engine.keys().cloned().collect())
-    }
-
-    /// Forgets entries that have been silent.
-    pub(super) fn expire(&mut self, now_ms: u64) {
-        self.0.retain(|_, changes| now_ms < changes.expires_ms);
-    }
-}
--- a/src/domain/fleet/placement.rs
+++ b/src/domain/fleet/placement.rs
@@ -128,6 +128,13 @@
         total
     }
 
+    /// Returns the engines where room is reserved for one entry.
+    pub(super) fn engines_of(&self, entry: &str) -> impl Iterator<Item = &Arc<str>> {
+        let numbers = self.by_entry.get(entry).into_iter().flatten();
+        let reservations = numbers.filter_map(|number| self.made.get(number));
+        reservations.map(|reservation| &reservation.engine)
+    }
+
     /// Drops the reservations of an entry that has just reported its loads. Returns their engines.
     pub(super) fn reported(&mut self, entry: &str, now_ms: u64) -> Vec<Arc<str>> {
         let numbers = self.by_entry.get(entry).into_iter().flatten();
--- a/src/domain/fleet/usage.rs
+++ b/src/domain/fleet/usage.rs
@@ -143,6 +143,12 @@
         usage.copied().unwrap_or_default()
     }
 
+    /// Returns the engines that one entry has told of.
+    pub(super) fn engines_of(&self, entry: &str) -> impl Iterator<Item = &Arc<str>> {
+        let loads = self.by_entry.get(entry).into_iter();
+        loads.flat_map(|loads| loads.by_engine.keys())
+    }
+
     /// Returns the number of entries that count.
     pub(super) fn entries(&self) -> usize {
         self.by_entry.len()
--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -19,6 +19,8 @@
     by_service: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
     /// The list as the hub has told it.
     told: BTreeMap<Arc<str>, Listed>,
+    /// Instances that the hub no longer tells of, though they may be listed. They end what runs.
+    dropped: BTreeSet<Arc<str>>,
     /// How much of the hub's news is known; none if the list is from somewhere else.
     position: Option<Position>,
     /// When the list was read from the platform.
@@ -33,11 +35,17 @@
             instances: BTreeMap::new(),
             by_service: BTreeMap::new(),
             told: BTreeMap::new(),
+            dropped: BTreeSet::new(),
             position: None,
             listed_ms: None,
         }
     }
 
+    /// Returns the zone of the entry.
+    pub fn zone(&self) -> &ZoneName {
+        &self.zone
+    }
+
     /// Returns how much of a hub's news is known.
     pub fn position(&self) -> Option<Position> {
         self.position
@@ -56,17 +64,27 @@
         }
         if news.whole {
             self.told.clear();
+            self.dropped.clear();
             for instance in self.instances.values_mut() {
                 instance.others = None;
             }
+            if news.is_subset {
+                self.dropped.extend(self.instances.keys().cloned());
+            }
         }
-        let list_changed = news.whole || !news.listed.is_empty() || !news.gone.is_empty();
-        for identity in &news.gone {
+        let is_told_of_fewer = !news.gone.is_empty() || !news.dropped.is_empty();
+        let list_changed = news.whole || !news.listed.is_empty() || is_told_of_fewer;
+        for identity in news.gone.iter().chain(&news.dropped) {
             self.told.remove(identity);
         }
-        let listed = news.listed.into_iter();
-        self.told
-            .extend(listed.map(|listed| (Arc::clone(&listed.identity), listed)));
+        self.dropped.extend(news.dropped);
+        for identity in &news.gone {
+            self.dropped.remove(identity);
+        }
+        for listed in news.listed {
+            self.dropped.remove(&listed.identity);
+            self.told.insert(Arc::clone(&listed.identity), listed);
+        }
         if list_changed {
             let listed = self.told.values().cloned().collect();
             self.apply_list(listed, read_ms, now_ms);
@@ -80,6 +98,7 @@
     pub fn list(&mut self, listed: Vec<Listed>, read_ms: u64, now_ms: u64) {
         if !self.is_outdated(read_ms) {
             self.position = None;
+            self.dropped.clear();
             self.apply_list(listed, read_ms, now_ms);
         }
     }
@@ -107,14 +126,17 @@
             instance.list(listed, read_ms);
         }
         for (identity, instance) in &mut self.instances {
-            if !names.contains(identity) {
+            if !names.contains(identity) && !self.dropped.contains(identity) {
                 instance.delist(Some(now_ms), read_ms);
             }
         }
         self.instances
             .retain(|identity, i| names.contains(identity) || i.running > 0);
+        self.dropped
+            .retain(|identity| self.instances.contains_key(identity));
         self.by_service.clear();
-        for (identity, instance) in &self.instances {
+        let listed = self.instances.iter();
+        for (identity, instance) in listed.filter(|(identity, _)| names.contains(*identity)) {
             let members = self.by_service.entry(Arc::clone(&instance.listed.service));
             members.or_default().insert(Arc::clone(identity));
         }
--- a/src/platform/instances.rs
+++ b/src/platform/instances.rs
@@ -4,18 +4,26 @@
 use std::sync::Arc;
 
 use serde::Deserialize;
+use serde::de::{DeserializeOwned, IgnoredAny};
 use serde_json::Value;
 
 use crate::domain::fleet::{Listed, ListedState};
 use crate::model::ZoneName;
 
 #[derive(Deserialize)]
-struct Page {
-    instances: Vec<Value>,
+struct Page<T> {
+    instances: Vec<T>,
     #[serde(default)]
     next: Option<String>,
 }
 
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum MaybeEntry {
+    Entry(Entry),
+    Unreadable(IgnoredAny),
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Entry {
@@ -38,27 +46,46 @@
 pub fn decode_instances(body: &[u8]) -> Result<(Vec<Listed>, Option<String>), String> {
     // Bytes that are no text spoil the entry that they are in, not the page.
     let text = String::from_utf8_lossy(body);
-    let page: Page = serde_json::from_str(&text).map_err(|error| error.to_string())?;
-    let total = page.instances.len();
-    let listed: Vec<Listed> = page
-        .instances
-        .into_iter()
-        .filter_map(decode_entry)
-        .collect();
+    let (entries, next): (Vec<Option<Entry>>, _) = match text.contains(char::REPLACEMENT_CHARACTER)
+    {
+        true => {
+            let page: Page<Value> = read_page(&text)?;
+            let entries = page.instances.into_iter().map(decode_damaged);
+            (entries.collect(), page.next)
+        }
+        false => {
+            let page: Page<MaybeEntry> = read_page(&text)?;
+            let entries = page.instances.into_iter().map(|entry| match entry {
+                MaybeEntry::Entry(entry) => Some(entry),
+                MaybeEntry::Unreadable(_) => None,
+            });
+            (entries.collect(), page.next)
+        }
+    };
+    let total = entries.len();
+    let listed: Vec<Listed> = entries.into_iter().flatten().filter_map(listed).collect();
     if listed.len() < total {
         tracing::warn!(
             skipped = total - listed.len(),
             "list of instances has unreadable entries"
         );
     }
-    Ok((listed, page.next))
+    Ok((listed, next))
 }
 
-fn decode_entry(value: Value) -> Option<Listed> {
-    if value.to_string().contains(char::REPLACEMENT_CHARACTER) {
-        return None;
-    }
-    let entry: Entry = serde_json::from_value(value).ok()?;
+fn read_page<T: DeserializeOwned>(text: &str) -> Result<Page<T>, String> {
+    serde_json::from_str(text).map_err(|error| error.to_string())
+}
+
+/// Decodes an entry of a page that has bytes that are no text.
+fn decode_damaged(value: Value) -> Option<Entry> {
+    let is_damaged = value.to_string().contains(char::REPLACEMENT_CHARACTER);
+    (!is_damaged)
+        .then(|| serde_json::from_value(value).ok())
+        .flatten()
+}
+
+fn listed(entry: Entry) -> Option<Listed> {
     let state = match entry.state.as_str() {
         "ready" => ListedState::Ready,
         "draining" => ListedState::Draining,
--- a/src/roles/directory/observer.rs
+++ b/src/roles/directory/observer.rs
@@ -13,11 +13,14 @@
 
 use crate::model::InstanceName;
 use crate::roles::control::replica::{Caller, Endpoint, Peers, hello};
-use crate::rpc::peer::{Envelope, HelloReply, HelloRequest, Peer};
+use crate::rpc::peer::{Envelope, HelloReply, HelloRequest, Peer, PeerClient};
+use crate::rpc::{Link, peer_link};
 use crate::settings::PeerAddress;
 
 /// Time between rounds of questions. A leader that changes is known this much later.
 const ASK_EVERY: Duration = Duration::from_millis(300);
+/// Upper bound on the leader's answer; without one all known instances are asked.
+const LEADER_LIMIT: Duration = Duration::from_millis(400);
 /// Members call each second, so an instance that nobody with a log has called for this long has none.
 const ALONE_AFTER: Duration = Duration::from_secs(5);
 /// Callers remembered; a cluster has fewer members.
@@ -65,7 +68,22 @@
     pub(super) async fn run(self: Arc<Self>, mut stopping: watch::Receiver<bool>) {
         let mut alone_since = Instant::now();
         let mut is_told = false;
+        // Kept, since as many instances ask the leader as a large fleet has.
+        let mut link: Option<Arc<Link<PeerClient>>> = None;
         while !*stopping.borrow_and_update() {
+            if let Some(leader) = self.leader() {
+                let held = link.take().filter(|link| link.address() == leader);
+                let held = held.unwrap_or_else(|| peer_link(leader));
+                if self.still_leads(&held).await {
+                    link = Some(held);
+                    alone_since = Instant::now();
+                    tokio::select! {
+                        () = sleep(ASK_EVERY) => {}
+                        _ = stopping.changed() => {}
+                    }
+                    continue;
+                }
+            }
             let caller = Caller {
                 own: &self.own,
                 identity: None,
@@ -91,6 +109,27 @@
         }
     }
 
+    /// Asks an instance whether it leads the cluster.
+    async fn still_leads(&self, link: &Link<PeerClient>) -> bool {
+        let request = HelloRequest {
+            name: self.own.name.clone(),
+            address: self.own.rpc_address,
+            identity: None,
+        };
+        let call =
+            |client: PeerClient, context| async move { client.hello(context, request).await };
+        let Ok(reply) = link.call(LEADER_LIMIT, call).await else {
+            return false;
+        };
+        let leads = reply
+            .leader
+            .is_some_and(|(_, address)| address == link.address());
+        if leads {
+            self.learn(std::iter::once(&reply));
+        }
+        leads
+    }
+
     /// Returns the instances that the settings name and those that have called.
     fn asked(&self) -> Vec<PeerAddress> {
         let mut asked: BTreeMap<InstanceName, SocketAddr> = self.lock().callers.clone();
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -146,6 +146,7 @@
             .map_or(0, |index| index.version());
         self.with_view(|view| SyncRequest {
             entry: Arc::clone(&self.name),
+            zone: view.zone().clone(),
             version,
             position: view.position(),
             loads: view.loads(),
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -21,6 +21,8 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct SyncRequest {
     pub entry: Arc<str>,
+    /// The entry's availability zone.
+    pub zone: ZoneName,
     /// The version of the document that the entry has applied; 0 for none.
     pub version: u64,
     /// How much of the news of the fleet the entry has.
--- a/tests/fleet_news.rs
+++ b/tests/fleet_news.rs
@@ -12,6 +12,10 @@
 use lilacspindle::model::ZoneName;
 use quickcheck::quickcheck;
 
+fn zone() -> ZoneName {
+    ZoneName::from("a")
+}
+
 /// What an entry has been told.
 #[derive(Default)]
 struct Told {
@@ -25,7 +29,7 @@
         if news.whole {
             *self = Self::default();
         }
-        for identity in &news.gone {
+        for identity in news.gone.iter().chain(&news.dropped) {
             self.listed.remove(identity);
             self.pulses.remove(identity);
         }
@@ -132,9 +136,11 @@
         }
         let at = usize::from(value % 2);
         let entry = format!("entry-{at}");
-        let news = hub.news(&entry, told[at].position, now_ms).unwrap();
+        let news = hub
+            .news(&entry, &zone(), told[at].position, now_ms)
+            .unwrap();
         told[at].learn(news);
-        told[at].matches(hub.news(&entry, None, now_ms).unwrap())
+        told[at].matches(hub.news(&entry, &zone(), None, now_ms).unwrap())
     })
 }
 
@@ -174,16 +180,20 @@
     hub.list(vec![listed(1, "a")], 0);
     hub.report(address(1), report(0, None), 0);
     hub.load(&"entry-1".into(), &[load(1, 6)], 10);
-    let first = hub.news("entry-1", None, 10).unwrap();
+    let first = hub.news("entry-1", &zone(), None, 10).unwrap();
     assert_eq!(told_load(&first, "i-1").unwrap_or(0), 0);
     for moved in 1..=6 {
         hub.load(&"entry-2".into(), &[load(1, moved)], 20);
         hub.load(&"entry-1".into(), &[load(1, 6 - moved)], 20);
     }
-    let next = hub.news("entry-1", Some(first.position), 30).unwrap();
+    let next = hub
+        .news("entry-1", &zone(), Some(first.position), 30)
+        .unwrap();
     assert_eq!(told_load(&next, "i-1"), Some(6));
     // Nothing has changed since.
-    let last = hub.news("entry-1", Some(next.position), 40).unwrap();
+    let last = hub
+        .news("entry-1", &zone(), Some(next.position), 40)
+        .unwrap();
     assert!(!last.whole && last.pulses.is_empty());
 }
 
@@ -194,11 +204,13 @@
     hub.list(vec![listed(1, "a")], 0);
     hub.report(address(1), report(0, None), 0);
     hub.load(&"entry-1".into(), &[load(1, 2)], 0);
-    let first = hub.news("entry-1", None, 0).unwrap();
+    let first = hub.news("entry-1", &zone(), None, 0).unwrap();
     hub.load(&"entry-2".into(), &[], 1_600);
     hub.report(address(1), report(0, None), 1_600);
     hub.load(&"entry-2".into(), &[load(1, 2)], 1_700);
-    let next = hub.news("entry-1", Some(first.position), 1_800).unwrap();
+    let next = hub
+        .news("entry-1", &zone(), Some(first.position), 1_800)
+        .unwrap();
     assert!(next.whole);
     assert_eq!(told_load(&next, "i-1"), Some(2));
 }
@@ -212,7 +224,7 @@
     for number in 0..134 {
         hub.report(address(number), report(10_000, None), 0);
     }
-    let first = hub.news("entry-1", None, 10).unwrap();
+    let first = hub.news("entry-1", &zone(), None, 10).unwrap();
     assert!(first.whole);
     assert_eq!((first.listed.len(), first.pulses.len()), (134, 134));
     // One more generation of another entry, and reports that are much the same.
@@ -220,12 +232,16 @@
     for number in 0..134 {
         hub.report(address(number), report(10_500, None), 200);
     }
-    let next = hub.news("entry-1", Some(first.position), 210).unwrap();
+    let next = hub
+        .news("entry-1", &zone(), Some(first.position), 210)
+        .unwrap();
     assert!(!next.whole && next.listed.is_empty() && next.gone.is_empty());
     assert!(next.pulses.len() <= 1);
     // One that begins to leave is told.
     hub.report(address(7), report(10_500, Some(1_500)), 300);
-    let next = hub.news("entry-1", Some(next.position), 310).unwrap();
+    let next = hub
+        .news("entry-1", &zone(), Some(next.position), 310)
+        .unwrap();
     let told: Vec<&str> = next.pulses.iter().map(|pulse| &*pulse.identity).collect();
     assert_eq!(told, ["i-7"]);
 }
@@ -236,13 +252,21 @@
     let (mut one, mut two) = (Hub::new(1), Hub::new(2));
     one.list(vec![listed(1, "a")], 0);
     assert!(
-        two.news("entry-1", None, 0).is_none(),
+        two.news("entry-1", &zone(), None, 0).is_none(),
         "its list was never read"
     );
     two.list(vec![listed(2, "a")], 0);
-    let position = one.news("entry-1", None, 0).unwrap().position;
-    assert!(!one.news("entry-1", Some(position), 0).unwrap().whole);
-    assert!(two.news("entry-1", Some(position), 0).unwrap().whole);
+    let position = one.news("entry-1", &zone(), None, 0).unwrap().position;
+    assert!(
+        !one.news("entry-1", &zone(), Some(position), 0)
+            .unwrap()
+            .whole
+    );
+    assert!(
+        two.news("entry-1", &zone(), Some(position), 0)
+            .unwrap()
+            .whole
+    );
 }
 
 /// Guards against the load after a loss of power on the large site: entries first heard from an
@@ -260,10 +284,18 @@
         },
         350,
     );
-    let mut view = View::new(ZoneName::from("a"));
-    view.learn(follower.news("entry-1", None, 400).unwrap(), 300, 400);
+    let mut view = View::new(zone());
+    view.learn(
+        follower.news("entry-1", &zone(), None, 400).unwrap(),
+        300,
+        400,
+    );
     assert_eq!(engine(&view, &[]).as_deref(), Some("i-1"));
-    assert!(view.learn(leader.news("entry-1", None, 410).unwrap(), 100, 410));
+    assert!(view.learn(
+        leader.news("entry-1", &zone(), None, 410).unwrap(),
+        100,
+        410
+    ));
     assert_eq!(engine(&view, &[]).as_deref(), Some("j-1"));
 }
 
