Lead starting entries from a follower to the leader at once

Cause (read-through): followers no longer read the platform's list while a leader is known, so a starting entry that had its first answer from a follower would wait out the 200 ms hold of its next call there before it is told who leads. Change: a call of an entry that has no position is answered at once by an instance that knows another leader. Comments; one function for an instance's place on the ring.

--- a/src/domain/fleet/entries.rs
+++ b/src/domain/fleet/entries.rs
@@ -5,7 +5,8 @@
 
 use super::Position;
 
-/// The subset of the instances that an entry was last told of, and what it has if that answer arrived.
+/// The subset of the instances that an entry was last told of. The entry names the position when it
+/// asks again, if the answer has arrived.
 #[derive(Debug)]
 pub(super) struct ToldSubset {
     pub(super) position: Position,
--- a/src/domain/fleet/list_reads.rs
+++ b/src/domain/fleet/list_reads.rs
@@ -6,7 +6,8 @@
 
 /// Shortest time between two reads.
 const EVERY_MS: u64 = 700;
-/// Part of the platform's time that each entry takes: all entries together read the list this often.
+/// Pause for each entry of the fleet, so that all of them together read the list a hundred times a
+/// second at most. The large site's platform answers 1,000 calls a second.
 const EVERY_MS_PER_ENTRY: u64 = 10;
 /// After failures the time doubles, up to this many times.
 const MOST_DOUBLINGS: u32 = 3;
@@ -27,8 +28,8 @@
         self.failures = 0;
     }
 
-    /// Returns true if the list is to be read now, since control has not told it for too long.
-    /// `entries` read it beside this one.
+    /// Returns true if the list is to be read now that control has not told it for too long. `entries`
+    /// is the size of the fleet.
     pub fn begin(&mut self, entries: u32, random: u64, now_ms: u64) -> bool {
         let pause_ms = (EVERY_MS_PER_ENTRY * u64::from(entries)).max(EVERY_MS);
         // A small fleet need not spread its first reads.
--- a/src/domain/fleet/subset.rs
+++ b/src/domain/fleet/subset.rs
@@ -1,10 +1,9 @@
 //! The instances that an entry is told of: all of them in a small fleet, a subset in a large one.
 //!
-//! Answers the return of a large fleet after all processes were killed: 135 entries that are each told
-//! of 2,998 instances keep the leader's link busy for seconds, and callers are turned away meanwhile.
-//! An entry needs a choice of instances, most of them near. Instances are ordered by a hash on a ring,
-//! and each entry takes those that follow its own hash, so that all instances are told to about as many
-//! entries, and one that comes or goes changes few subsets.
+//! Answers the size of the fleet: telling each entry of each instance, and of each change of one, costs
+//! entries times instances. An entry needs a choice of instances, most of them near. Instances are
+//! ordered by a hash on a ring, and each entry takes those that follow its own hash, so that all
+//! instances are told to about as many entries, and one that comes or goes changes few subsets.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -20,13 +19,21 @@
 /// How many of them are in the entry's own zone, as far as that has so many.
 const MOST_NEAR: usize = MOST_INSTANCES / 2;
 
+/// An instance and its hash, which is its place on the ring.
+type Place = (u64, Arc<str>);
+
+fn place_of(listed: &Listed) -> Place {
+    let hash = xxh3_64(listed.identity.as_bytes());
+    (hash, Arc::clone(&listed.identity))
+}
+
 #[derive(Debug, Default)]
-struct Ring(BTreeSet<(u64, Arc<str>)>);
+struct Ring(BTreeSet<Place>);
 
 impl Ring {
-    /// Returns the instances in the order of the ring, from a place on it.
-    fn from(&self, place: u64) -> impl Iterator<Item = &Arc<str>> {
-        let start = (place, Arc::from(""));
+    /// Returns the instances in the order of the ring, from a hash on.
+    fn from(&self, hash: u64) -> impl Iterator<Item = &Arc<str>> {
+        let start = (hash, Arc::from(""));
         let before = self.0.range(..start.clone());
         let ring = self.0.range(start..).chain(before);
         ring.map(|(_, identity)| identity)
@@ -45,10 +52,7 @@
 
 impl Rings {
     pub(super) fn insert(&mut self, listed: &Listed) {
-        let place = (
-            xxh3_64(listed.identity.as_bytes()),
-            Arc::clone(&listed.identity),
-        );
+        let place = place_of(listed);
         let rings = self.0.entry(Arc::clone(&listed.service)).or_default();
         let zone = rings.by_zone.entry(listed.zone.clone()).or_default();
         zone.0.insert(place.clone());
@@ -56,10 +60,7 @@
     }
 
     pub(super) fn remove(&mut self, listed: &Listed) {
-        let place = (
-            xxh3_64(listed.identity.as_bytes()),
-            Arc::clone(&listed.identity),
-        );
+        let place = place_of(listed);
         let Some(rings) = self.0.get_mut(&listed.service) else {
             return;
         };
@@ -81,12 +82,12 @@
 
     /// Returns the instances that an entry in a zone is told of.
     pub(super) fn subset(&self, entry: &str, zone: &ZoneName) -> BTreeSet<Arc<str>> {
-        let place = xxh3_64(entry.as_bytes());
+        let hash = xxh3_64(entry.as_bytes());
         let of_service = |rings: &ServiceRings| {
             let near = rings.by_zone.get(zone).into_iter();
-            let near = near.flat_map(|ring| ring.from(place)).take(MOST_NEAR);
+            let near = near.flat_map(|ring| ring.from(hash)).take(MOST_NEAR);
             let mut subset: BTreeSet<Arc<str>> = near.cloned().collect();
-            for identity in rings.all.from(place) {
+            for identity in rings.all.from(hash) {
                 if subset.len() >= MOST_INSTANCES {
                     break;
                 }
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -25,7 +25,9 @@
     /// Returns true if there is something that the entry should not wait for.
     fn has_news(&self, request: &SyncRequest) -> bool {
         let has_document = self.0.machine.packed_after(request.version).is_some();
-        has_document || self.0.has_urgent_news(request.position, monotonic_ms())
+        // An entry that has just started needs the list, which only the leader has.
+        let names_leader = request.position.is_none() && self.0.other_leader().is_some();
+        has_document || names_leader || self.0.has_urgent_news(request.position, monotonic_ms())
     }
 }
 
--- a/tests/fleet_subset.rs
+++ b/tests/fleet_subset.rs
@@ -50,8 +50,7 @@
     listed.map(|listed| Arc::clone(&listed.identity)).collect()
 }
 
-/// Guards against the return of the large fleet in the sweep: each of 135 entries was told of each of
-/// 2,998 instances, over one link of the leader.
+/// Guards against a cost of entries times instances: the sweep has 135 entries before 2,998 instances.
 #[test]
 fn entry_of_a_large_fleet_is_told_of_a_subset() {
     let mut hub = Hub::new(9);
