Do not panic when a server stops with a response still open

A process of the product that stops would die there. What was still open in that test was not found. Ruled out: the assertions of the test, which were not reached. Change: the error is read and logged. Reading it only in a log line is not enough: without a subscriber it is not formatted, and the first try failed.

--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -26,8 +26,15 @@
     /// Stops the server; responses that are still open are cut after a second.
     pub async fn stop(self) {
         self.shutdown.notify();
-        // The server has nothing left to report once it stops.
-        let _ = self.task.await;
+        match self.task.await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => {
+                // Rocket panics when such an error is dropped unread, also where no log reads it.
+                let cause = error.to_string();
+                tracing::warn!(address = %self.address, cause, "responses were still open at the stop of the server");
+            }
+            Err(error) => tracing::error!(address = %self.address, %error, "the server has failed"),
+        }
     }
 }
 
