Plan for learned answer lengths, and for prompts that are read in time

Of 2,148 generations 105 met an engine with over 8,000 unread prompt tokens, 64 of them one younger than a second, and had their first event after 1.75 s on average; without unread prompts it was 0.39 s. Short ones were planned for beyond all of an engine's memory, so that the newest long one was preempted.

Change: domain/length/hinted.rs learns lengths by route at each entry; an engine takes no more prompts than it reads within half of the target; short generations are planned for up to all of the memory.

--- a/src/domain/admission/mod.rs
+++ b/src/domain/admission/mod.rs
@@ -48,6 +48,12 @@
         target_ms * WAIT_PERCENT / 100
     }
 
+    /// Returns the time in which the prompt of a generation with this target is to be read, once it has
+    /// found room.
+    pub fn read_within_ms(target_ms: u64) -> u64 {
+        target_ms - Self::limit_ms(target_ms)
+    }
+
     /// Takes a generation in that may wait for `limit_ms`. Fails with the time after which it
     /// should come back, if room is not expected within the limit.
     pub fn join(&mut self, limit_ms: u64) -> Result<(), u64> {
--- a/src/domain/fleet/choice.rs
+++ b/src/domain/fleet/choice.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::instance::Instance;
-use super::placement::{Candidate, PlacementRequest};
+use super::placement::{Candidate, PlacementRequest, is_read_in_time};
 use super::view::View;
 use crate::domain::document::EngineSpec;
 use crate::model::ZoneName;
@@ -20,9 +20,9 @@
 /// Part of an engine's memory that is planned for, in hundredths. The rest absorbs answers that are
 /// longer than their estimate.
 const PLANNED_MEMORY_PERCENT: u64 = 92;
-/// Part that is planned for with short generations: they are over before the long ones beside them
-/// have grown.
-const SHORT_MEMORY_PERCENT: u64 = 110;
+/// Part that is planned for with short generations, which are over before the long ones beside them
+/// have grown. Beyond all of the memory the newest long one would be preempted for them.
+const SHORT_MEMORY_PERCENT: u64 = 100;
 /// Generations that are expected to produce less end within a second.
 const LONG_OUTPUT_TOKENS: u64 = 100;
 /// Part that is planned for with generations that are moved, of which much would be lost. Few
@@ -91,10 +91,20 @@
     pub demand: Demand,
     pub engine: EngineSpec,
     pub excluded: &'a [Arc<str>],
+    /// Time in which the prompt is to be read; none for a generation that comes with its memory.
+    pub read_within_ms: Option<u64>,
     pub now_ms: u64,
     pub random: u64,
 }
 
+impl Ask<'_> {
+    /// Returns how many prompt tokens an engine may have to read with this prompt.
+    fn unread_limit_tokens(&self) -> Option<u64> {
+        self.read_within_ms
+            .map(|within_ms| within_ms * PREFILL_TOKENS_PER_MS)
+    }
+}
+
 /// What is required of an engine for a generation, or for a copy of one.
 #[derive(Debug, Clone, Copy)]
 struct Wanted<'a> {
@@ -190,7 +200,7 @@
             true => sample(self.open(ask).collect(), ask, CANDIDATES),
             false => sample_near(self.fitting(ask, wanted), ask, wanted.near),
         };
-        let request = placement_request(ask, wanted, entry, &sample, true);
+        let request = placement_request(ask, wanted, entry, &sample);
         let engines = sample.into_iter().map(|i| placed(i, &self.zone)).collect();
         (request, engines)
     }
@@ -221,7 +231,7 @@
             zone_penalty_ms: COPY_ZONE_PENALTY_MS,
         };
         let best = ranked(self.fitting(ask, wanted), ask, wanted, most);
-        let request = placement_request(ask, wanted, entry, &best, false);
+        let request = placement_request(ask, wanted, entry, &best);
         let engines = best.into_iter().map(|i| placed(i, wanted.near)).collect();
         (request, engines)
     }
@@ -259,6 +269,7 @@
             let committed = instance.total_committed();
             instance.holds_now(demand.prompt_tokens)
                 && instance.total_running() < engine.slots
+                && is_read_in_time(instance.total_prefill(), demand, ask.unread_limit_tokens())
                 && (committed + demand.total_tokens() <= planned || committed == 0)
         };
         self.open(ask).filter(fits).collect()
@@ -338,7 +349,6 @@
     wanted: Wanted<'_>,
     entry: &Arc<str>,
     engines: &[&Instance],
-    reads_prompt: bool,
 ) -> PlacementRequest {
     let candidate = |instance: &&Instance| Candidate {
         identity: Arc::clone(&instance.listed.identity),
@@ -349,7 +359,7 @@
         demand: ask.demand,
         planned_tokens: wanted.planned_tokens(ask.engine),
         slots: ask.engine.slots,
-        reads_prompt,
+        unread_limit_tokens: ask.unread_limit_tokens(),
         candidates: engines.iter().map(candidate).collect(),
     }
 }
--- a/src/domain/fleet/placement.rs
+++ b/src/domain/fleet/placement.rs
@@ -35,11 +35,30 @@
     pub planned_tokens: u64,
     /// Generations that an engine runs at once.
     pub slots: u32,
-    /// False for a generation that comes with its memory.
-    pub reads_prompt: bool,
+    /// Prompt tokens that an engine may have to read, the generation's own included. None for one that
+    /// comes with its memory.
+    pub unread_limit_tokens: Option<u64>,
     pub candidates: Vec<Candidate>,
 }
 
+impl PlacementRequest {
+    /// Returns true if an engine with so many unread tokens reads the prompt in time for the target.
+    fn is_read_in_time(&self, unread_tokens: u64) -> bool {
+        is_read_in_time(unread_tokens, self.demand, self.unread_limit_tokens)
+    }
+}
+
+/// Returns true if a prompt may be read behind so many unread tokens. An engine without any takes every
+/// prompt.
+pub(super) fn is_read_in_time(
+    unread_tokens: u64,
+    demand: Demand,
+    limit_tokens: Option<u64>,
+) -> bool {
+    let total_tokens = unread_tokens + demand.prompt_tokens;
+    unread_tokens == 0 || limit_tokens.is_none_or(|limit_tokens| total_tokens <= limit_tokens)
+}
+
 #[derive(Debug, Clone)]
 struct Reservation {
     entry: Arc<str>,
@@ -73,6 +92,7 @@
                 let total = usage(&candidate.identity)?;
                 let needed = total.committed_tokens + request.demand.total_tokens();
                 let fits = total.running < request.slots
+                    && request.is_read_in_time(total.prefill_tokens)
                     && (needed <= request.planned_tokens || total.committed_tokens == 0);
                 let load_ms = waiting_ms(
                     total.prefill_tokens,
@@ -94,9 +114,9 @@
         let usage = Usage {
             running: 1,
             committed_tokens: request.demand.total_tokens(),
-            prefill_tokens: match request.reads_prompt {
-                true => request.demand.prompt_tokens,
-                false => 0,
+            prefill_tokens: match request.unread_limit_tokens {
+                Some(_) => request.demand.prompt_tokens,
+                None => 0,
             },
         };
         let reservation = Reservation {
--- a/src/domain/length/mod.rs
+++ b/src/domain/length/mod.rs
@@ -4,7 +4,9 @@
 //! the same workspace and kind were, and how far this one has come.
 
 mod estimator;
+mod hinted;
 mod histogram;
 
 pub use estimator::{Estimator, MAX_KEYS};
+pub use hinted::HintedLengths;
 pub use histogram::{Curve, Histogram, LONGEST_TOKENS};
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -248,7 +248,10 @@
             return None;
         }
         let excluded = [Arc::clone(&source.identity)];
-        let ask = ask(job, engine, &excluded);
+        let ask = Ask {
+            read_within_ms: None,
+            ..ask(job, engine, &excluded)
+        };
         let placed = self.with_view(|view| view.choose_backup(&ask, &source.identity))?;
         let mut ticket = Ticket::begin(self, placed, Some(job.demand));
         ticket.prompt_read();
@@ -309,6 +312,7 @@
         demand: job.demand,
         engine,
         excluded,
+        read_within_ms: Some(Waiting::read_within_ms(job.route.target_ms)),
         now_ms: monotonic_ms(),
         random: rand::random(),
     }
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -164,6 +164,7 @@
                 demand: plan.left(),
                 engine: plan.engine,
                 excluded: &excluded,
+                read_within_ms: None,
                 now_ms: monotonic_ms(),
                 random: rand::random(),
             };
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -36,6 +36,7 @@
 use crate::domain::admission::Waiting;
 use crate::domain::document::Index;
 use crate::domain::fleet::{ListReads, View};
+use crate::domain::length::HintedLengths;
 use crate::domain::retry::WindowBudget;
 use crate::model::{InstanceName, ZoneName};
 use crate::platform::paths;
@@ -75,6 +76,7 @@
     /// Changes when an instance begins to leave.
     leaving_news: watch::Sender<u64>,
     budgets: Mutex<BTreeMap<Arc<str>, WindowBudget>>,
+    lengths: Mutex<HintedLengths>,
     /// Gateways that share the retry budget.
     gateways: AtomicU32,
     pool: Pool,
@@ -110,6 +112,7 @@
             list_reads: Mutex::default(),
             leaving_news: watch::Sender::new(0),
             budgets: Mutex::default(),
+            lengths: Mutex::default(),
             gateways: AtomicU32::new(1),
             pool: Pool::default(),
             control: Mutex::default(),
@@ -204,6 +207,10 @@
         use_it(&mut self.waiting.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    fn with_lengths<T>(&self, use_it: impl FnOnce(&mut HintedLengths) -> T) -> T {
+        use_it(&mut self.lengths.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Uses the retry budget of a service.
     fn with_budget<T>(&self, service: &Arc<str>, use_it: impl FnOnce(&mut WindowBudget) -> T) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/roles/gateway/relay.rs
+++ b/src/roles/gateway/relay.rs
@@ -221,6 +221,10 @@
             let took_ms = self.job.age_ms();
             ticket.observe(Outcome::Answered { took_ms });
             self.gateway.pool.finish(exchange);
+            let length = self.produced_tokens();
+            self.gateway.with_lengths(|lengths| {
+                lengths.observe(&self.job.route.name, self.job.hint_tokens, length);
+            });
         }
         self.done = true;
         self.log_end("complete");
@@ -287,8 +291,12 @@
 
     /// Returns the tokens that the generation holds in memory now.
     fn held_tokens(&self) -> u64 {
+        self.job.demand.prompt_tokens + self.produced_tokens()
+    }
+
+    fn produced_tokens(&self) -> u64 {
         let events = self.last_event.unwrap_or_default();
-        self.job.demand.prompt_tokens + events * u64::from(self.engine.tokens_per_event)
+        events * u64::from(self.engine.tokens_per_event)
     }
 
     /// Returns when the stream has to be looked at even if nothing comes.
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -48,6 +48,8 @@
     pub(super) service: Arc<str>,
     pub(super) engine: Option<EngineSpec>,
     pub(super) demand: Demand,
+    /// What the caller says of the length of the answer.
+    pub(super) hint_tokens: u64,
     pub(super) priority: u32,
     pub(super) arrived: Instant,
     /// When the caller or the operator no longer wants an answer.
@@ -139,7 +141,11 @@
             Err(refusal) => return self.refuse(&id, None, &refusal, arrived),
         };
         let route = Arc::clone(&admitted.route);
-        let job = match read(request, admitted, Arc::clone(&id), arrived).await {
+        let expected_tokens = |route: &str, hint, most| {
+            self.with_lengths(|lengths| lengths.expected(route, hint, most))
+        };
+        let reading = read(request, admitted, Arc::clone(&id), arrived, expected_tokens);
+        let job = match reading.await {
             Ok(job) => job,
             Err(refusal) => return self.refuse(&id, Some(&route), &refusal, arrived),
         };
@@ -249,12 +255,14 @@
     }
 }
 
-/// Reads the body of a request. The deadline runs from its arrival.
+/// Reads the body of a request. The deadline runs from its arrival. `expected_tokens` returns the expected
+/// length of an answer by its route, the caller's hint and the upper bound.
 async fn read(
     request: Request<Incoming>,
     admitted: Admitted,
     id: Arc<str>,
     arrived: Instant,
+    expected_tokens: impl Fn(&str, u64, u64) -> u64,
 ) -> Result<Job, Refusal> {
     let (head, body) = request.into_parts();
     let route = admitted.route;
@@ -275,7 +283,8 @@
     let (prompt_tokens, most_output) =
         headers::token_usage(&head.headers).unwrap_or((0, UNKNOWN_OUTPUT_TOKENS));
     let hint = headers::number(&head.headers, &headers::LENGTH_HINT);
-    let output_tokens = hint.unwrap_or(most_output).min(most_output);
+    let hint_tokens = hint.unwrap_or(most_output).min(most_output);
+    let output_tokens = expected_tokens(&route.name, hint_tokens, most_output);
     Ok(Job {
         id,
         method: head.method,
@@ -289,6 +298,7 @@
             prompt_tokens,
             output_tokens,
         },
+        hint_tokens,
         priority: admitted.priority,
         arrived,
         deadline,
--- a/tests/fleet_news.rs
+++ b/tests/fleet_news.rs
@@ -127,7 +127,7 @@
                     demand: LONG,
                     planned_tokens: 34_000,
                     slots: 24,
-                    reads_prompt: true,
+                    unread_limit_tokens: Some(u64::MAX),
                     candidates: vec![candidate],
                 };
                 hub.place(&request, now_ms);
--- a/tests/fleet_placement.rs
+++ b/tests/fleet_placement.rs
@@ -23,7 +23,7 @@
         demand: LONG,
         planned_tokens: PLANNED_TOKENS,
         slots: 24,
-        reads_prompt: true,
+        unread_limit_tokens: Some(u64::MAX),
         candidates: engines
             .map(|number| Candidate {
                 identity: format!("i-{number}").into(),
@@ -110,7 +110,7 @@
     let mut hub = hub(2);
     let moved = PlacementRequest {
         planned_tokens: LONG.total_tokens(),
-        reads_prompt: false,
+        unread_limit_tokens: None,
         ..request(ENTRY, 0..2)
     };
     assert_eq!(hub.with_room(&moved, 0), [(0, address(0)), (1, address(1))]);
@@ -160,3 +160,42 @@
         })
     }
 }
+
+/// Guards against the load after a reclaim on the grown deployments: all that wait were placed at once
+/// on the engine that came next, where the last of them had its prompt read after two seconds.
+#[test]
+fn engine_gets_no_more_prompts_than_it_reads_in_time() {
+    let mut hub = hub(1);
+    let request = PlacementRequest {
+        unread_limit_tokens: Some(2 * LONG.prompt_tokens + 500),
+        ..request(ENTRY, 0..1)
+    };
+    let placed = (0..6).filter(|_| hub.place(&request, 10).is_some());
+    assert_eq!(placed.count(), 2);
+    // One that comes with its memory has nothing to read.
+    let moved = PlacementRequest {
+        unread_limit_tokens: None,
+        ..request.clone()
+    };
+    assert!(hub.place(&moved, 10).is_some());
+    let read = Load {
+        identity: "i-0".into(),
+        running: 3,
+        committed_tokens: 3 * LONG.total_tokens(),
+        prefill_tokens: 0,
+    };
+    hub.load(&request.entry, &[read], 100);
+    assert!(hub.place(&request, 100).is_some());
+}
+
+/// Guards against a prompt that is too long for every engine's time, and is never read.
+#[test]
+fn idle_engine_reads_every_prompt() {
+    let mut hub = hub(1);
+    let request = PlacementRequest {
+        unread_limit_tokens: Some(10),
+        ..request(ENTRY, 0..1)
+    };
+    assert!(hub.place(&request, 10).is_some());
+    assert!(hub.place(&request, 10).is_none());
+}
--- a/tests/fleet_queue.rs
+++ b/tests/fleet_queue.rs
@@ -23,7 +23,7 @@
         demand,
         planned_tokens: 20_000,
         slots: 24,
-        reads_prompt: true,
+        unread_limit_tokens: Some(u64::MAX),
         candidates: vec![Candidate {
             identity: "i-1".into(),
             penalty_ms: 0,
--- a/tests/fleet_starts.rs
+++ b/tests/fleet_starts.rs
@@ -23,7 +23,7 @@
         demand: LONG,
         planned_tokens: ENGINE.memory_tokens,
         slots: ENGINE.slots,
-        reads_prompt: true,
+        unread_limit_tokens: Some(u64::MAX),
         candidates: vec![Candidate {
             identity: identity.into(),
             penalty_ms: 0,
--- a/tests/fleet_subset.rs
+++ b/tests/fleet_subset.rs
@@ -156,6 +156,7 @@
         demand: LONG,
         engine: ENGINE,
         excluded: &[],
+        read_within_ms: None,
         now_ms: 100,
         random: 1,
     };
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -75,6 +75,7 @@
         demand: LONG,
         engine: ENGINE,
         excluded,
+        read_within_ms: None,
         now_ms: 1_000,
         random: 7,
     }
