--- a/src/domain/fleet/starts.rs
+++ b/src/domain/fleet/starts.rs
@@ -36,14 +36,14 @@
 #[derive(Debug, Default)]
 pub(super) struct Starts {
     sidecars: BTreeMap<SocketAddr, Sidecar>,
-    /// Until when engines without a report are left out.
-    complete_at_ms: u64,
+    /// When the hub has begun, and no sidecar had reported yet.
+    begun_ms: Option<u64>,
 }
 
 impl Starts {
     /// Expects first reports from now on.
     pub(super) fn begin(&mut self, now_ms: u64) {
-        self.complete_at_ms = now_ms + FIRST_REPORTS_MS;
+        self.begun_ms = Some(now_ms);
     }
 
     /// Takes note of a sidecar that can identify its engine, and whether it has.
@@ -67,13 +67,20 @@
     pub(super) fn is_doubtful(&self, listed: &Listed, now_ms: u64) -> bool {
         match self.sidecars.get(&listed.address) {
             Some(sidecar) => sidecar.is_doubtful(now_ms),
-            None => now_ms < self.complete_at_ms,
+            None => self.is_within(FIRST_REPORTS_MS, now_ms),
         }
     }
 
-    /// Returns true while engines are about to be known.
+    /// Returns true while the hub has just begun, and engines are about to be known.
     pub(super) fn are_incomplete(&self, now_ms: u64) -> bool {
         let mut sidecars = self.sidecars.values();
-        now_ms < self.complete_at_ms || sidecars.any(|sidecar| sidecar.is_doubtful(now_ms))
+        self.is_within(FIRST_REPORTS_MS, now_ms)
+            || self.is_within(IDENTIFIED_WITHIN_MS, now_ms)
+                && sidecars.any(|sidecar| sidecar.is_doubtful(now_ms))
+    }
+
+    fn is_within(&self, time_ms: u64, now_ms: u64) -> bool {
+        self.begun_ms
+            .is_some_and(|begun_ms| now_ms < begun_ms + time_ms)
     }
 }
--- a/src/roles/gateway/heed.rs
+++ b/src/roles/gateway/heed.rs
@@ -3,9 +3,9 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{Request, response};
 use http_body_util::Full;
-use hyper::body::Bytes;
 use tokio::time::sleep;
 
 use super::Gateway;
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -126,8 +126,15 @@
                 let took_ms = monotonic_ms().saturating_sub(begun_ms);
                 (Sent::Answer(head, body), Outcome::Answered { took_ms })
             }
-            Ok(Err(SendFailure::NotSent(_))) => (Sent::NotRun, Outcome::Unreachable),
-            Ok(Err(SendFailure::Lost(_))) => (Sent::Unknown, Outcome::Unreachable),
+            Ok(Err(failure)) => {
+                tracing::info!(request = &*job.id, instance = &*ticket.identity, %failure,
+                    age_ms = job.age_ms(), "instance gave no answer");
+                let sent = match failure {
+                    SendFailure::NotSent(_) => Sent::NotRun,
+                    SendFailure::Lost(_) => Sent::Unknown,
+                };
+                (sent, Outcome::Unreachable)
+            }
             Err(_) => (Sent::OutOfTime, Outcome::Failed),
         };
         ticket.observe(outcome);
--- a/src/roles/gateway/relay.rs
+++ b/src/roles/gateway/relay.rs
@@ -138,7 +138,11 @@
 
     async fn advance(&mut self) -> Result<Option<Bytes>, String> {
         loop {
-            if let Some(bytes) = self.whole_events()? {
+            let whole = self.whole_events();
+            if let (Err(_), Some(source)) = (&whole, &self.source) {
+                source.ticket.observe(Outcome::Failed);
+            }
+            if let Some(bytes) = whole? {
                 return Ok(Some(bytes));
             }
             self.consider_move();
--- a/tests/fleet_starts.rs
+++ b/tests/fleet_starts.rs
@@ -75,4 +75,8 @@
     // The engine starts again, and another one is not known yet.
     hub.hear_sidecar(address(1), None, BEGUN_MS + 9_000);
     assert!(!place(&mut hub, "i-1", BEGUN_MS + 9_001));
+    assert!(
+        !hub.expects_engines(BEGUN_MS + 9_001),
+        "the others are known"
+    );
 }
--- a/tests/site_path.rs
+++ b/tests/site_path.rs
@@ -304,6 +304,28 @@
     assert_eq!(call(&site, "/once/x", "id-2").await.status(), 200);
 }
 
+/// Guards against a second copy of an answer that names no request, and comes late: once the connection
+/// is in use again.
+#[tokio::test]
+async fn late_answer_without_an_id_reaches_nobody() {
+    let mut site = Site::serving(&document(1)).await;
+    let upstream = site
+        .upstream("plain", |request: &Request| match request.path.as_str() {
+            "/once/second" => vec![Reply::Bytes(answer("200 OK", &[], b"late copy"))],
+            "/once/refused" => vec![Reply::Bytes(answer("503 Full", &[NOT_RUN], b""))],
+            _ => proper(request),
+        })
+        .await;
+    wait_routable(&site, "/once/x").await;
+    for path in ["/once/second", "/once/refused"] {
+        assert_eq!(call(&site, "/once/x", "id-1").await.status(), 200);
+        let got = call(&site, path, "id-2").await;
+        assert_eq!(got.status(), 502, "{path}");
+        assert_eq!(upstream.requests(path).len(), 1, "{path}");
+    }
+    assert_eq!(call(&site, "/once/x", "id-3").await.status(), 200);
+}
+
 /// Guards against an answer without length that is lost or cut.
 #[tokio::test]
 async fn answer_without_length_ends_with_its_connection() {
