Doubt an engine only while its sidecar is about to identify it

Cause: four tests of site_streams failed (generation_moves_before_its_engine_leaves and three more): their engine's health check names no instance, and the hub left it out for a second while the sidecar had long given up. A real engine whose slots are full rejects its health check in the same way.

Change: sidecars tell whether they are still about to identify their engine. The stand-ins of site_path, site_engines and site_heed repeat the id, as the published protocol says replicas do; what they check is unchanged, and one of them (an unproved 503) would have passed for the missing id alone.

Result: site_streams, site_engines, site_heed, site_places, site_path and fleet_starts pass.

--- a/src/domain/fleet/hub.rs
+++ b/src/domain/fleet/hub.rs
@@ -92,9 +92,9 @@
         self.starts.begin(now_ms);
     }
 
-    /// Takes note of a sidecar that can identify its engine, and whether it has.
-    pub fn hear_sidecar(&mut self, engine: SocketAddr, identity: Option<&Arc<str>>, now_ms: u64) {
-        self.starts.tell(engine, identity, now_ms);
+    /// Takes note of the sidecar of an engine, and whether it is about to identify that.
+    pub fn hear_sidecar(&mut self, engine: SocketAddr, is_identifying: bool, now_ms: u64) {
+        self.starts.tell(engine, is_identifying, now_ms);
     }
 
     /// Returns true while engines that run are about to be known.
--- a/src/domain/fleet/starts.rs
+++ b/src/domain/fleet/starts.rs
@@ -6,15 +6,14 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use super::Listed;
 
 /// After a hub has begun, engines whose sidecars have not reported yet are left out for this long.
 /// Sidecars look for the leader every 40 ms.
 const FIRST_REPORTS_MS: u64 = 150;
-/// Engines whose sidecars report are left out for this long at most until they are identified, which
-/// takes a health check. Sidecars give up at about this time.
+/// Engines are left out for this long at most while their sidecars identify them, which takes a health
+/// check.
 const IDENTIFIED_WITHIN_MS: u64 = 1_000;
 /// A sidecar that was silent for this long counts as new; sidecars report every 300 ms.
 const SILENT_MS: u64 = 2_000;
@@ -23,12 +22,13 @@
 struct Sidecar {
     first_ms: u64,
     told_ms: u64,
-    is_identified: bool,
+    /// True until it has identified its engine, or given up.
+    is_identifying: bool,
 }
 
 impl Sidecar {
     fn is_doubtful(&self, now_ms: u64) -> bool {
-        !self.is_identified && now_ms < self.first_ms + IDENTIFIED_WITHIN_MS
+        self.is_identifying && now_ms < self.first_ms + IDENTIFIED_WITHIN_MS
     }
 }
 
@@ -46,21 +46,21 @@
         self.begun_ms = Some(now_ms);
     }
 
-    /// Takes note of a sidecar that can identify its engine, and whether it has.
-    pub(super) fn tell(&mut self, engine: SocketAddr, identity: Option<&Arc<str>>, now_ms: u64) {
+    /// Takes note of the sidecar of an engine, and whether it is about to identify that.
+    pub(super) fn tell(&mut self, engine: SocketAddr, is_identifying: bool, now_ms: u64) {
         self.sidecars
             .retain(|_, sidecar| now_ms < sidecar.told_ms + SILENT_MS);
         let sidecar = self.sidecars.entry(engine).or_insert(Sidecar {
             first_ms: now_ms,
             told_ms: now_ms,
-            is_identified: false,
+            is_identifying,
         });
-        if sidecar.is_identified && identity.is_none() {
+        if is_identifying && !sidecar.is_identifying {
             // Its engine has started again.
             sidecar.first_ms = now_ms;
         }
         sidecar.told_ms = now_ms;
-        sidecar.is_identified = identity.is_some();
+        sidecar.is_identifying = is_identifying;
     }
 
     /// Returns true if an earlier engine may be listed at the address of the one that runs.
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -237,8 +237,8 @@
         let document = self.machine.document()?;
         let name = request.service?;
         let service = document.services.iter().find(|known| known.name == name)?;
-        let (address, identity) = (request.address, request.identity.as_ref());
-        self.with_hub(|hub| hub.hear_sidecar(address, identity, monotonic_ms()));
+        let (address, is_identifying) = (request.address, request.is_identifying);
+        self.with_hub(|hub| hub.hear_sidecar(address, is_identifying, monotonic_ms()));
         if let (Some(identity), Some(engine)) = (request.identity, service.engine) {
             let engine = Listed {
                 identity,
--- a/src/roles/reporter/mod.rs
+++ b/src/roles/reporter/mod.rs
@@ -56,12 +56,17 @@
         }
     }
 
-    /// Asks the engine for its identity if that is new to the list; returns true once it is known.
+    /// Returns true while the engine is to be asked for its identity.
+    fn is_identifying(&self) -> bool {
+        self.identity.is_none()
+            && self.asked < MAX_IDENTIFY
+            && self.seen_at.elapsed() <= IDENTIFY_WITHIN
+    }
+
+    /// Asks the engine for its identity if that is new to the list. Returns true once it is known, or
+    /// will not be.
     async fn identify(&mut self, engine: SocketAddr, health_path: &str) -> bool {
-        if self.identity.is_some()
-            || self.asked >= MAX_IDENTIFY
-            || self.seen_at.elapsed() > IDENTIFY_WITHIN
-        {
+        if !self.is_identifying() {
             return false;
         }
         self.asked += 1;
@@ -74,7 +79,7 @@
                 }
             }
         }
-        self.identity.is_some()
+        !self.is_identifying()
     }
 }
 
@@ -106,7 +111,7 @@
                     && start.identify(engine, path).await
                 {
                     tracing::info!(%engine, identity = start.identity.as_deref(),
-                        after_ms = start.seen_at.elapsed().as_millis(), "engine identified");
+                        after_ms = start.seen_at.elapsed().as_millis(), "engine identified, or not to be asked again");
                     told = None;
                 }
                 let due = told.is_none_or(|(at, before)| {
@@ -118,6 +123,7 @@
                     zone: zone.clone(),
                     service: settings.engine_service.clone(),
                     identity: start.identity.clone(),
+                    is_identifying: start.is_identifying(),
                 };
                 let knew_path = health_path.is_some();
                 if due && tell(&mut controls, request, &mut health_path).await {
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -64,6 +64,8 @@
     pub service: Option<Arc<str>>,
     /// The engine's identity, if the sidecar has asked for it since the engine's start.
     pub identity: Option<Arc<str>>,
+    /// True while the sidecar is about to ask for it.
+    pub is_identifying: bool,
 }
 
 /// Whether the report reached the instance whose hub the entries ask.
--- a/tests/fleet_starts.rs
+++ b/tests/fleet_starts.rs
@@ -39,14 +39,14 @@
     let mut hub = begun();
     assert!(!place(&mut hub, "i-1", BEGUN_MS + 1), "no report yet");
     hub.report(address(1), report(0, None), BEGUN_MS + 40);
-    hub.hear_sidecar(address(1), None, BEGUN_MS + 40);
+    hub.hear_sidecar(address(1), true, BEGUN_MS + 40);
     assert!(!place(&mut hub, "i-1", BEGUN_MS + 80), "not identified yet");
     let identity: Arc<str> = "j-1".into();
     let started = Listed {
         identity: Arc::clone(&identity),
         ..listed(1, "a")
     };
-    hub.hear_sidecar(address(1), Some(&identity), BEGUN_MS + 90);
+    hub.hear_sidecar(address(1), false, BEGUN_MS + 90);
     hub.announce(started, BEGUN_MS + 90);
     assert!(!place(&mut hub, "i-1", BEGUN_MS + 91), "it is gone");
     assert!(place(&mut hub, "j-1", BEGUN_MS + 91));
@@ -57,8 +57,15 @@
 #[test]
 fn doubts_end_by_themselves() {
     let mut hub = begun();
-    hub.hear_sidecar(address(1), None, BEGUN_MS + 40);
+    hub.hear_sidecar(address(1), true, BEGUN_MS + 40);
     assert!(place(&mut hub, "i-2", BEGUN_MS + 150));
+    hub.hear_sidecar(address(2), true, BEGUN_MS + 160);
+    assert!(!place(&mut hub, "i-2", BEGUN_MS + 161));
+    hub.hear_sidecar(address(2), false, BEGUN_MS + 240);
+    assert!(
+        place(&mut hub, "i-2", BEGUN_MS + 241),
+        "its sidecar has given up"
+    );
     assert!(!place(&mut hub, "i-1", BEGUN_MS + 1_039));
     assert!(place(&mut hub, "i-1", BEGUN_MS + 1_040));
 }
@@ -67,13 +74,12 @@
 #[test]
 fn identified_engines_are_used_at_once() {
     let mut hub = begun();
-    let identity: Arc<str> = "i-1".into();
-    hub.hear_sidecar(address(1), Some(&identity), BEGUN_MS + 20);
+    hub.hear_sidecar(address(1), false, BEGUN_MS + 20);
     assert!(place(&mut hub, "i-1", BEGUN_MS + 21));
     assert!(hub.expects_engines(BEGUN_MS + 149));
     assert!(!hub.expects_engines(BEGUN_MS + 150));
     // The engine starts again, and another one is not known yet.
-    hub.hear_sidecar(address(1), None, BEGUN_MS + 9_000);
+    hub.hear_sidecar(address(1), true, BEGUN_MS + 9_000);
     assert!(!place(&mut hub, "i-1", BEGUN_MS + 9_001));
     assert!(
         !hub.expects_engines(BEGUN_MS + 9_001),
--- a/tests/site_engines.rs
+++ b/tests/site_engines.rs
@@ -31,7 +31,10 @@
             _ if request.header("x-lilacspindle-expected-instance") == Some(&identity) => {
                 sse(request.id(), 1..=2, true, true)
             }
-            _ => answer("421 Misdirected Request", &[], b""),
+            _ => {
+                let id = ("X-Lilacspindle-Request-Id", request.id());
+                answer("421 Misdirected Request", &[id], b"")
+            }
         };
         vec![Reply::Bytes(reply)]
     }
--- a/tests/site_heed.rs
+++ b/tests/site_heed.rs
@@ -153,8 +153,9 @@
 async fn refused_request_goes_elsewhere() {
     let mut site = Site::serving(&document(1)).await;
     let _busy = site
-        .upstream("plain", |_: &Request| {
-            let headers = [NOT_RUN, ("Retry-After", "60")];
+        .upstream("plain", |request: &Request| {
+            let id = ("X-Lilacspindle-Request-Id", request.id());
+            let headers = [NOT_RUN, id, ("Retry-After", "60")];
             vec![Reply::Bytes(answer("503 Busy", &headers, b""))]
         })
         .await;
--- a/tests/site_path.rs
+++ b/tests/site_path.rs
@@ -14,6 +14,11 @@
 
 const NOT_RUN: (&str, &str) = ("X-Lilacspindle-Not-Executed", "1");
 
+/// Returns the header in which instances repeat the id of a request.
+fn echoed(request: &Request) -> (&str, &str) {
+    ("X-Lilacspindle-Request-Id", request.id())
+}
+
 /// Guards against a request that reaches an instance changed: another body, a caller's own system
 /// headers, the key, no deadline, no expected instance.
 #[tokio::test]
@@ -158,7 +163,7 @@
         "/safe/lost" => vec![Reply::Close],
         "/safe/fails" => vec![Reply::Bytes(answer(
             "500 Failed",
-            &[("X-Seal", "s")],
+            &[("X-Seal", "s"), echoed(request)],
             b"bad",
         ))],
         _ => proper(request),
@@ -193,8 +198,9 @@
 async fn refusals_of_instances_lead_elsewhere_or_to_a_true_refusal() {
     let mut site = Site::serving(&document(1)).await;
     let full = site
-        .upstream("plain", |_: &Request| {
-            vec![Reply::Bytes(answer("503 Full", &[NOT_RUN], b""))]
+        .upstream("plain", |request: &Request| {
+            let headers = [NOT_RUN, echoed(request)];
+            vec![Reply::Bytes(answer("503 Full", &headers, b""))]
         })
         .await;
     wait_for("the full instance was asked", || async {
@@ -225,7 +231,7 @@
     let mut site = Site::serving(&document(1)).await;
     let _upstream = site
         .upstream("plain", |request: &Request| match request.path.as_str() {
-            "/once/x" => vec![Reply::Bytes(answer("503 Odd", &[], b""))],
+            "/once/x" => vec![Reply::Bytes(answer("503 Odd", &[echoed(request)], b""))],
             _ => proper(request),
         })
         .await;
@@ -238,8 +244,8 @@
 async fn misdirected_request_leads_to_another_instance() {
     let mut site = Site::serving(&document(1)).await;
     let other = site
-        .upstream("plain", |_: &Request| {
-            let headers = [("X-Lilacspindle-Instance-Id", "i-other")];
+        .upstream("plain", |request: &Request| {
+            let headers = [("X-Lilacspindle-Instance-Id", "i-other"), echoed(request)];
             vec![Reply::Bytes(answer(
                 "421 Misdirected Request",
                 &headers,
