--- a/src/domain/fleet/instance.rs
+++ b/src/domain/fleet/instance.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::cast_precision_loss)]
 
 use super::pause::Pause;
+use super::request_limit::KnownLimit;
 use super::{Listed, ListedState, Report};
 
 /// How long an instance that could not be reached is avoided after the first failure. The time
@@ -98,6 +99,8 @@
     pub(super) avoid_until_ms: u64,
     /// The pause that the instance has requested from this machine.
     pub(super) pause: Pause,
+    /// The request rate that the instance names for all machines together.
+    pub(super) limit: KnownLimit,
     pub(super) failures_in_row: u32,
     /// Average time of answered calls; meaningless before the first one.
     pub(super) average_ms: f64,
@@ -119,6 +122,7 @@
             delisted_ms: None,
             avoid_until_ms: 0,
             pause: Pause::default(),
+            limit: KnownLimit::default(),
             failures_in_row: 0,
             average_ms: 0.0,
             answered: false,
@@ -141,7 +145,7 @@
             self.reset();
         }
         if started_later {
-            self.pause = Pause::default();
+            self.forget_requests_of_instance();
         }
         let born_ms = listed.born_ms.or(self.listed.born_ms);
         self.listed = Listed { born_ms, ..listed };
@@ -173,7 +177,7 @@
             (Some(born_ms), Some(known_ms)) if born_ms < known_ms => return false,
             (Some(born_ms), Some(known_ms)) if born_ms > known_ms => {
                 self.reset();
-                self.pause = Pause::default();
+                self.forget_requests_of_instance();
                 self.listed.state = ListedState::Ready;
             }
             _ => {}
@@ -183,18 +187,25 @@
     }
 
     /// Discards what was learned about an instance that has restarted. This entry's load is kept,
-    /// since it is still decremented as requests end. A requested pause continues, since the
-    /// instance may only have been missing from a list.
+    /// since it is still decremented as requests end. A requested pause and a named limit continue,
+    /// since the instance may only have been missing from a list.
     fn reset(&mut self) {
         *self = Self {
             running: self.running,
             committed_tokens: self.committed_tokens,
             prefill_tokens: self.prefill_tokens,
             pause: self.pause,
+            limit: self.limit,
             ..Self::new(self.listed.clone())
         };
     }
 
+    /// Discards what an earlier start of the instance has asked of this machine.
+    fn forget_requests_of_instance(&mut self) {
+        self.pause = Pause::default();
+        self.limit = KnownLimit::default();
+    }
+
     /// Returns a summary of what is known, for the log.
     // An average time is never negative, and the rate is between 0 and 1.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view.rs
@@ -6,6 +6,7 @@
 use super::departures::{Departure, Departures};
 use super::instance::{HubUpdate, Instance, InstanceSummary, Leaving, Outcome, Reachability};
 use super::pause::AskedPause;
+use super::request_limit::{LimitChange, NamedLimit};
 use super::updates::{FleetUpdate, Position};
 use super::{Demand, InstanceUpdate, Listed, ListedState, Load, Report};
 use crate::model::ZoneName;
@@ -214,6 +215,21 @@
         }
     }
 
+    /// Applies the limit that an instance names in its response to a request sent at `sent_ms`;
+    /// `named` is `None` if it names none.
+    pub fn hear_limit(
+        &mut self,
+        identity: &str,
+        named: Option<NamedLimit>,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> LimitChange {
+        match self.instances.get_mut(identity) {
+            Some(instance) => instance.limit.hear_response(named, sent_ms, now_ms),
+            None => LimitChange::Unchanged,
+        }
+    }
+
     /// Returns the rest of an instance's pause; 0 if it is not paused.
     pub fn pause_left_ms(&self, identity: &str, now_ms: u64) -> u64 {
         let instance = self.instances.get(identity);
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -3,7 +3,7 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{HeaderName, StatusCode};
 
-use crate::domain::fleet::AskedPause;
+use crate::domain::fleet::{AskedPause, NamedLimit};
 
 /// Id of one attempt of a caller; the replica repeats it in its response.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-lilacspindle-request-id");
@@ -36,6 +36,9 @@
 
 /// Announces that the replica is about to leave; it may be set on any response.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Requests per second that the replica takes from all machines together; it may be set on any
+/// response.
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const HOLD: HeaderName = HeaderName::from_static("x-lilacspindle-hold");
 const PIN: HeaderName = HeaderName::from_static("x-lilacspindle-pin-milliseconds");
 const FETCH: HeaderName = HeaderName::from_static("kv-fetch");
@@ -154,6 +157,26 @@
     }
 }
 
+/// Returns the limit on its request rate that a replica names; `None` if it names none. The lowest
+/// of several values counts.
+pub fn named_limit(response: &HeaderMap) -> Option<NamedLimit> {
+    let values = response.get_all(LIMIT).iter();
+    let limits: Vec<Option<u64>> = values.map(per_second_as_milli).collect();
+    match limits.iter().flatten().min() {
+        Some(milli_per_s) => Some(NamedLimit::MilliPerS(*milli_per_s)),
+        None if limits.is_empty() => None,
+        None => Some(NamedLimit::Unreadable),
+    }
+}
+
+/// Converts a decimal number of requests per second to thousandths of a request per second, rounded
+/// down.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn per_second_as_milli(value: &HeaderValue) -> Option<u64> {
+    let per_s: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    (per_s.is_finite() && per_s >= 0.0).then_some((per_s * 1_000.0) as u64)
+}
+
 /// Converts a number of seconds, which may have a fraction, to milliseconds, rounded up.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn seconds_as_ms(value: &HeaderValue) -> Option<u64> {
--- a/src/roles/gateway/instance_signals.rs
+++ b/src/roles/gateway/instance_signals.rs
@@ -1,10 +1,10 @@
-//! Handles the signals that instances send in response headers: that they are shutting down, or
-//! that they want no requests for some time.
+//! Handles the signals that instances send in response headers: that they are shutting down, that
+//! they want no requests for some time, or how many requests per second they take.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, response};
+use http::{Request, StatusCode, response};
 use http_body_util::Full;
 use tokio::time::sleep;
 
@@ -13,7 +13,7 @@
 use super::ticket::Ticket;
 use super::upstream::{Exchange, SendFailure};
 use crate::adapters::clock::monotonic_ms;
-use crate::domain::fleet::AskedPause;
+use crate::domain::fleet::{AskedPause, LimitChange, NamedLimit};
 use crate::platform::headers;
 
 /// Jitter added to `Retry-After`, in percent, so that callers refused at the same time do not all
@@ -29,14 +29,15 @@
         request: Request<Full<Bytes>>,
         request_id: &str,
     ) -> Result<Exchange, SendFailure> {
+        let sent_ms = monotonic_ms();
         let sent = self.pool.send(ticket.address, request, request_id).await;
         if let Ok(exchange) = &sent {
-            self.apply_instance_headers(&ticket.identity, &exchange.head);
+            self.apply_instance_headers(&ticket.identity, &exchange.head, sent_ms);
         }
         sent
     }
 
-    fn apply_instance_headers(&self, instance: &str, response: &response::Parts) {
+    fn apply_instance_headers(&self, instance: &str, response: &response::Parts, sent_ms: u64) {
         if let Some(asked) = headers::asked_pause(response.status, &response.headers) {
             self.pause_instance(instance, asked);
         }
@@ -47,6 +48,34 @@
             tracing::info!(instance, "instance announced its shutdown");
             self.departure_changes.send_modify(|count| *count += 1);
         }
+        // Another instance has taken over the address of one that responds with 421.
+        if response.status != StatusCode::MISDIRECTED_REQUEST {
+            self.apply_limit(instance, headers::named_limit(&response.headers), sent_ms);
+        }
+    }
+
+    /// Records the request limit that an instance names in its response, `None` if it names none.
+    fn apply_limit(&self, instance: &str, named: Option<NamedLimit>, sent_ms: u64) {
+        if named == Some(NamedLimit::Unreadable) {
+            self.metrics.count_instance_signal("unreadable_limit");
+        }
+        let now_ms = monotonic_ms();
+        match self.with_view(|view| view.hear_limit(instance, named, sent_ms, now_ms)) {
+            LimitChange::Unchanged => {}
+            LimitChange::Named { limit_milli_per_s } => {
+                self.metrics.count_instance_signal("named_limit");
+                tracing::info!(
+                    instance,
+                    ?named,
+                    limit_milli_per_s,
+                    "instance named a request limit"
+                );
+            }
+            LimitChange::Ended => {
+                self.metrics.count_instance_signal("limit_ended");
+                tracing::info!(instance, "instance names no request limit any more");
+            }
+        }
     }
 
     /// Pauses all requests to an instance for the time that it asked for, within bounds.
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -5,7 +5,7 @@
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use lilacspindle::domain::document::{Access, Index, Repeat};
-use lilacspindle::domain::fleet::{AskedPause, ListedState};
+use lilacspindle::domain::fleet::{AskedPause, ListedState, NamedLimit};
 use lilacspindle::platform::{decode_document, decode_instances, decode_report, headers};
 use quickcheck::quickcheck;
 use serde_json::json;
@@ -245,3 +245,32 @@
     assert_eq!(asked(StatusCode::TOO_MANY_REQUESTS, &["2"]), None);
     assert_eq!(asked(StatusCode::OK, &["2"]), None);
 }
+
+/// Guards against a request limit that is misread, or treated as no limit because it cannot be
+/// parsed.
+#[test]
+fn lowest_valid_request_limit_counts() {
+    let named = |values: &[&str]| {
+        let mut response = HeaderMap::new();
+        for value in values {
+            response.append("server-limit", HeaderValue::from_str(value).unwrap());
+        }
+        headers::named_limit(&response)
+    };
+    assert_eq!(named(&[]), None);
+    for (value, milli_per_s) in [("3.9", 3_900), (" 2 ", 2_000), ("0", 0), ("0.0004", 0)] {
+        assert_eq!(named(&[value]), Some(NamedLimit::MilliPerS(milli_per_s)));
+    }
+    assert_eq!(
+        named(&["5", "x", "2.5"]),
+        Some(NamedLimit::MilliPerS(2_500))
+    );
+    assert_eq!(named(&["1e300"]), Some(NamedLimit::MilliPerS(u64::MAX)));
+    for unreadable in ["", "-1", "inf", "NaN", "few", "3 per second", "2,5"] {
+        assert_eq!(
+            named(&[unreadable]),
+            Some(NamedLimit::Unreadable),
+            "{unreadable}"
+        );
+    }
+}
