Add a failing test for requests beyond a named limit

Change: the stand-in instances of the site tests can name a limit; a test with three entries and two limited instances of three sends 40 calls a second and asserts the users' rule.

The entries log the limit (instance named a request limit), so the header arrives, is read, and changes nothing.

--- a/tests/site_instance_signals.rs
+++ b/tests/site_instance_signals.rs
@@ -7,20 +7,12 @@
 
 use tokio::time::sleep;
 
-use site_support::{Reply, Request, Site, Upstream, answer, call, document, proper, sse, wait_for};
+use site_support::{
+    Reply, Request, Site, Upstream, answer, call, document, proper, sse, wait_for, with_header,
+};
 
 const NOT_RUN: (&str, &str) = ("X-Lilacspindle-Not-Executed", "1");
 
-/// Adds a header to a normal response.
-fn with_header(mut replies: Vec<Reply>, header: &str) -> Vec<Reply> {
-    let Some(Reply::Bytes(bytes)) = replies.first_mut() else {
-        panic!("the first reply has the head");
-    };
-    let line_end = bytes.iter().position(|byte| *byte == b'\n').unwrap() + 1;
-    bytes.splice(line_end..line_end, format!("{header}\r\n").into_bytes());
-    replies
-}
-
 /// Responds normally; responses to `/once/last` announce that the instance is shutting down.
 fn leaves_when_asked(request: &Request) -> Vec<Reply> {
     match request.path.as_str() {
--- a/tests/site_support/callers.rs
+++ b/tests/site_support/callers.rs
@@ -40,6 +40,17 @@
         .body("the body")
 }
 
+/// Sends a request to the entry of a machine, and returns the response.
+pub async fn call_entry(site: &Site, machine: u8, path: &str, id: &str) -> reqwest::Response {
+    let call = client()
+        .post(format!("http://{}{path}", site.caller_address(machine)))
+        .header("Host", "calls.example")
+        .header("Authorization", "Bearer k1")
+        .header("X-Lilacspindle-Request-Id", id)
+        .header("X-Lilacspindle-Deadline-Milliseconds", 3_000);
+    call.body("the body").send().await.unwrap()
+}
+
 /// Waits until the entry knows an instance for `path`, which is when a call no longer gets a 503.
 pub async fn wait_routable(site: &Site, path: &str) {
     wait_for("an instance is known", || async {
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code)]
 
 mod callers;
+mod limits;
 mod replica;
 
 use std::collections::BTreeMap;
@@ -21,9 +22,11 @@
 
 // For the same reason.
 #[allow(unused_imports)]
-pub use callers::{call, caller, patient_caller, proper, wait_routable};
+pub use callers::{call, call_entry, caller, patient_caller, proper, wait_routable};
 #[allow(unused_imports)]
-pub use replica::{Reply, Request, Upstream, answer, sse};
+pub use limits::{Limit, Load, assert_within_limit, limited, send_load};
+#[allow(unused_imports)]
+pub use replica::{Reply, Request, Upstream, answer, sse, with_header};
 
 /// Time limit for a condition to hold, such as that a started site is ready. Debug builds on a busy
 /// machine are slow.
--- a/tests/site_support/replica.rs
+++ b/tests/site_support/replica.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -16,6 +16,8 @@
     pub path: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// When it had been received as a whole.
+    pub received_at: Instant,
 }
 
 impl Request {
@@ -171,6 +173,7 @@
         path,
         headers,
         body,
+        received_at: Instant::now(),
     })
 }
 
@@ -192,6 +195,16 @@
     bytes
 }
 
+/// Adds a header to the head of a response.
+pub fn with_header(mut replies: Vec<Reply>, header: &str) -> Vec<Reply> {
+    let Some(Reply::Bytes(bytes)) = replies.first_mut() else {
+        panic!("the first reply has the head");
+    };
+    let line_end = bytes.iter().position(|byte| *byte == b'\n').unwrap() + 1;
+    bytes.splice(line_end..line_end, format!("{header}\r\n").into_bytes());
+    replies
+}
+
 /// Returns the events of a stream as HTTP chunks, after the response head if `head` is set, and
 /// followed by the last chunk if `end` is set.
 pub fn sse(id: &str, events: std::ops::RangeInclusive<u64>, head: bool, end: bool) -> Vec<u8> {
