--- a/src/domain/fleet/choice.rs
+++ b/src/domain/fleet/choice.rs
@@ -70,6 +70,8 @@
 /// Penalty for an instance whose load is limited after a pause that it asked for. Unlike an
 /// unreachable one, it does answer.
 const RAMP_UP_PENALTY_MS: f64 = 1e5;
+/// Number of instances with request limits that the hub is asked about for one call.
+const MAX_LIMITED_CANDIDATES: usize = 8;
 /// Expected duration of a plain call before any has completed.
 const INITIAL_PLAIN_CALL_MS: f64 = 30.0;
 
@@ -152,9 +154,46 @@
     pub by_hub: bool,
 }
 
+/// The instances that a plain call may be sent to.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PlainCandidates {
+    /// Instances with request limits that are preferred to `unlimited`, best first. They need the
+    /// hub's permit.
+    pub limited: Vec<ChosenInstance>,
+    /// The best instance without a limit.
+    pub unlimited: Option<ChosenInstance>,
+}
+
 impl View {
-    /// Chooses the instance with the lowest expected time for a plain call. `excluded` are those
-    /// already tried. Instances that could not be reached are used only if no other is left.
+    /// Returns the candidates for a plain call, by expected time. `excluded` are those already
+    /// tried. Instances that could not be reached are used only if no other is left. Instances that
+    /// have reached their limits are included only if there is none without a limit.
+    pub fn plain_candidates(
+        &self,
+        service: &str,
+        excluded: &[Arc<str>],
+        now_ms: u64,
+        random: u64,
+    ) -> PlainCandidates {
+        let scored = self.scored_plain(service, excluded, now_ms, random);
+        let (mut limited, unlimited): (Vec<_>, Vec<_>) =
+            scored.partition(|(_, instance)| instance.is_limited());
+        let by_score = |(a, _): &(f64, _), (b, _): &(f64, _)| a.total_cmp(b);
+        let unlimited = unlimited.into_iter().min_by(by_score);
+        if let Some((best, _)) = unlimited {
+            limited
+                .retain(|(score, instance)| *score < best && instance.at_limit_until_ms <= now_ms);
+        }
+        limited.sort_by(by_score);
+        limited.truncate(MAX_LIMITED_CANDIDATES);
+        let chosen = |(_, instance): (f64, &Instance)| chosen(instance, &self.zone);
+        PlainCandidates {
+            limited: limited.into_iter().map(chosen).collect(),
+            unlimited: unlimited.map(chosen),
+        }
+    }
+
+    /// Chooses the instance without a request limit with the lowest expected time for a plain call.
     pub fn choose_plain(
         &self,
         service: &str,
@@ -162,11 +201,23 @@
         now_ms: u64,
         random: u64,
     ) -> Option<ChosenInstance> {
-        let open = |instance: &&Instance| {
+        self.plain_candidates(service, excluded, now_ms, random)
+            .unlimited
+    }
+
+    /// Returns the instances that accept plain calls, with the expected time and penalties of each.
+    fn scored_plain<'a>(
+        &'a self,
+        service: &'a str,
+        excluded: &'a [Arc<str>],
+        now_ms: u64,
+        random: u64,
+    ) -> impl Iterator<Item = (f64, &'a Instance)> {
+        let open = move |instance: &&Instance| {
             !excluded.contains(&instance.listed.identity) && instance.is_open(now_ms)
         };
         let typical_ms = self.typical_ms(service);
-        let score = |instance: &Instance| {
+        let score = move |instance: &Instance| {
             let waiting =
                 f64::from(instance.total_running()) / f64::from(instance.listed.slots.max(1));
             let time_ms = instance.expected_ms(typical_ms, now_ms) * (1.0 + waiting);
@@ -179,12 +230,8 @@
             let zone_ms = if away { PLAIN_ZONE_PENALTY_MS } else { 0 };
             time_ms + penalty_ms + (zone_ms + fixed_penalty_ms(instance, random)) as f64
         };
-        let best = self
-            .members(service)
-            .filter(open)
-            .map(|instance| (score(instance), instance))
-            .min_by(|(a, _), (b, _)| a.total_cmp(b));
-        best.map(|(_, instance)| chosen(instance, &self.zone))
+        let open = self.members(service).filter(open);
+        open.map(move |instance| (score(instance), instance))
     }
 
     /// Chooses an engine for a generation without the hub: among a few random engines with enough
@@ -197,7 +244,8 @@
     pub fn choose_engine(&self, query: &EngineQuery<'_>) -> Option<ChosenInstance> {
         let required = self.requirements_for(query.demand);
         let own_prefill = |instance: &Instance| instance.prefill_tokens;
-        let fitting = self.with_room(query, required, own_prefill);
+        let mut fitting = self.with_room(query, required, own_prefill);
+        fitting.retain(|instance| instance.allows_without_hub(self.share, query.now_ms));
         let sample = sample(fitting, query, SAMPLED_ENGINES);
         let best = ranked(sample, query, required, own_prefill, 1).pop();
         best.map(|instance| chosen(instance, required.near))
@@ -250,7 +298,8 @@
             near: self.zone_of(source),
             zone_penalty_ms: COPY_ZONE_PENALTY_MS,
         };
-        let fitting = self.with_room(query, required, Instance::total_prefill);
+        let mut fitting = self.with_room(query, required, Instance::total_prefill);
+        fitting.retain(|instance| !instance.is_limited());
         let best = ranked(fitting, query, required, Instance::total_prefill, most);
         let request = placement_request(query, required, entry, &best);
         let engines = best.into_iter().map(|i| chosen(i, required.near)).collect();
@@ -268,7 +317,8 @@
             near: self.zone_of(source),
             zone_penalty_ms: COPY_ZONE_PENALTY_MS,
         };
-        let fitting = self.with_room(query, required, Instance::total_prefill);
+        let mut fitting = self.with_room(query, required, Instance::total_prefill);
+        fitting.retain(|instance| !instance.is_limited());
         let best = ranked(fitting, query, required, Instance::total_prefill, 1).pop();
         best.map(|instance| chosen(instance, required.near))
     }
--- a/src/domain/fleet/hub.rs
+++ b/src/domain/fleet/hub/mod.rs
@@ -1,6 +1,9 @@
 //! Aggregates the platform's list, the reports of sidecars and the loads of entries. The leader of
 //! the control instances holds the hub.
 
+mod limits;
+mod placement;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,10 +11,11 @@
 use super::announced::Announcements;
 use super::departures::{Departure, Departures};
 use super::entries::{Entries, SentSubset};
-use super::placement::{PlacementRequest, Reservations};
+use super::limiters::Limiters;
+use super::placement::Reservations;
 use super::starts::SidecarStarts;
 use super::subset::Rings;
-use super::updates::{FleetUpdate, ListHistory, LoadHistory, Position};
+use super::updates::{FleetUpdate, InstanceState, ListHistory, LoadHistory, Position};
 use super::usage::{Loads, Usage};
 use super::{InstanceUpdate, Listed, ListedState, Load, Report};
 use crate::model::ZoneName;
@@ -51,6 +55,8 @@
     announcements: Announcements,
     /// Instances that have announced their shutdown, whatever the platform lists.
     departures: Departures,
+    /// Limits on the requests of all entries to instances that name one.
+    limiters: Limiters,
     starts: SidecarStarts,
     /// The list that entries are sent: the platform's list and the engines that it does not show
     /// yet. Sorted by identity.
@@ -157,9 +163,13 @@
                 self.rings.remove(old);
             }
             if let ListChange::Listed(new) = change {
+                self.limiters
+                    .forget_earlier_starts(&new.identity, new.born_ms);
                 self.rings.insert(new);
             }
         }
+        self.limiters
+            .expire(|identity| find(&self.listed, identity).is_some(), now_ms);
         if !changes.is_empty() {
             self.revision += 1;
             let identities = changes.iter().map(|change| Arc::clone(change.identity()));
@@ -184,8 +194,12 @@
             return;
         };
         let report = self.reports.get(&listed.address).map(|(report, _)| *report);
-        let usage = self.usage(identity);
-        self.load_history.update(identity, report, usage);
+        let state = InstanceState {
+            report,
+            usage: self.usage(identity),
+            limit_milli_per_s: self.limiters.milli_per_s(identity),
+        };
+        self.load_history.update(identity, state);
     }
 
     fn record_loads(&mut self, identities: &[Arc<str>]) {
@@ -253,55 +267,6 @@
         self.record_loads(&affected);
     }
 
-    /// Reserves room for a generation at the candidate with the shortest wait. Returns the index of
-    /// the candidate, or `None` if none has room.
-    pub fn place(&mut self, request: &PlacementRequest, now_ms: u64) -> Option<usize> {
-        self.expire(now_ms);
-        let fitting = self.candidates_with_room(request, now_ms);
-        let (at, _) = fitting.into_iter().min_by_key(|(_, wait_ms)| *wait_ms)?;
-        self.reserve(request, at, now_ms);
-        Some(at)
-    }
-
-    /// Reserves room for a generation at the candidate with index `at`.
-    pub fn reserve(&mut self, request: &PlacementRequest, at: usize, now_ms: u64) {
-        if let Some(candidate) = request.candidates.get(at) {
-            self.reservations.reserve(request, candidate, now_ms);
-            self.record_load(&candidate.identity);
-            let engine = std::slice::from_ref(&candidate.identity);
-            self.record_own_changes(&request.entry, engine, now_ms);
-        }
-    }
-
-    /// Returns the indices and addresses of the candidates with room.
-    pub fn with_room(
-        &mut self,
-        request: &PlacementRequest,
-        now_ms: u64,
-    ) -> Vec<(usize, SocketAddr)> {
-        self.expire(now_ms);
-        let fitting = self.candidates_with_room(request, now_ms).into_iter();
-        let with_address = fitting.filter_map(|(at, _)| {
-            let listed = self.find(&request.candidates[at].identity)?;
-            Some((at, listed.address))
-        });
-        with_address.collect()
-    }
-
-    /// Returns the indices of the candidates with room, and the wait at each.
-    fn candidates_with_room(&self, request: &PlacementRequest, now_ms: u64) -> Vec<(usize, u64)> {
-        let usage = |identity: &str| {
-            let listed = self.find(identity)?;
-            let report = self.reports.get(&listed.address);
-            let takes_work = report.is_none_or(|(report, _)| {
-                !report.leaves() && report.holds(request.demand.prompt_tokens)
-            });
-            let takes_work = takes_work && !self.starts.is_unverified(listed, now_ms);
-            takes_work.then(|| self.usage(identity))
-        };
-        Reservations::with_room(request, usage)
-    }
-
     fn find(&self, identity: &str) -> Option<&Listed> {
         find(&self.listed, identity)
     }
@@ -462,7 +427,8 @@
         })
     }
 
-    /// Returns the report and the load of other entries for each instance that has either.
+    /// Returns the report, the load of other entries and the request limit for each instance that has
+    /// any of them.
     pub fn instance_updates(&self, entry: &str, now_ms: u64) -> Vec<InstanceUpdate> {
         self.instance_updates_of(entry, &self.listed, now_ms)
     }
@@ -476,7 +442,9 @@
         let listed = listed.iter();
         listed
             .filter_map(|listed| self.instance_update(entry, &listed.identity, now_ms))
-            .filter(|update| update.report.is_some() || update.running > 0)
+            .filter(|update| {
+                update.report.is_some() || update.running > 0 || update.limit.is_some()
+            })
             .collect()
     }
 
@@ -494,6 +462,7 @@
             running: usage.running,
             committed_tokens: usage.committed_tokens,
             prefill_tokens: usage.prefill_tokens,
+            limit: self.limiters.statement(identity, now_ms),
         })
     }
 }
--- a/src/domain/fleet/instance.rs
+++ b/src/domain/fleet/instance.rs
@@ -4,8 +4,9 @@
 // exactly.
 #![allow(clippy::cast_precision_loss)]
 
+use super::local_share::{EntryShare, LocalUse};
 use super::pause::Pause;
-use super::request_limit::KnownLimit;
+use super::request_limit::{KnownLimit, LimitChange};
 use super::{Listed, ListedState, Report};
 
 /// How long an instance that could not be reached is avoided after the first failure. The time
@@ -82,6 +83,8 @@
     pub(super) running: u32,
     pub(super) committed_tokens: u64,
     pub(super) prefill_tokens: u64,
+    /// The request limit that the hub knows.
+    pub(super) limit_milli_per_s: Option<u64>,
 }
 
 #[derive(Debug, Clone)]
@@ -101,6 +104,10 @@
     pub(super) pause: Pause,
     /// The request rate that the instance names for all machines together.
     pub(super) limit: KnownLimit,
+    /// The hub grants no request to the instance before this time, because of its limit.
+    pub(super) at_limit_until_ms: u64,
+    /// Requests that were sent within the limit without the hub.
+    pub(super) local_use: LocalUse,
     pub(super) failures_in_row: u32,
     /// Average time of answered calls; meaningless before the first one.
     pub(super) average_ms: f64,
@@ -123,6 +130,8 @@
             avoid_until_ms: 0,
             pause: Pause::default(),
             limit: KnownLimit::default(),
+            at_limit_until_ms: 0,
+            local_use: LocalUse::default(),
             failures_in_row: 0,
             average_ms: 0.0,
             answered: false,
@@ -196,6 +205,8 @@
             prefill_tokens: self.prefill_tokens,
             pause: self.pause,
             limit: self.limit,
+            at_limit_until_ms: self.at_limit_until_ms,
+            local_use: self.local_use,
             ..Self::new(self.listed.clone())
         };
     }
@@ -204,6 +215,30 @@
     fn forget_requests_of_instance(&mut self) {
         self.pause = Pause::default();
         self.limit = KnownLimit::default();
+        self.at_limit_until_ms = 0;
+    }
+
+    /// Updates the instance after a change of its request limit.
+    pub(super) fn apply_limit_change(&mut self, change: LimitChange, now_ms: u64) {
+        match change {
+            LimitChange::Unchanged => {}
+            LimitChange::Named { .. } => self.at_limit_until_ms = 0,
+            LimitChange::Ended => self.pause.begin_ramp(now_ms),
+        }
+    }
+
+    /// Returns true if the instance has a limit, and the entry should ask the hub before it sends a
+    /// request.
+    pub(super) fn is_limited(&self) -> bool {
+        self.limit.milli_per_s().is_some()
+    }
+
+    /// Returns true if this entry may send a request without the hub.
+    pub(super) fn allows_without_hub(&self, share: EntryShare, now_ms: u64) -> bool {
+        self.limit.milli_per_s().is_none_or(|limit| {
+            let identity = &self.listed.identity;
+            self.local_use.allows(identity, limit, share, now_ms)
+        })
     }
 
     /// Returns a summary of what is known, for the log.
--- /dev/null
+++ b/src/domain/fleet/limiters.rs
@@ -0,0 +1,271 @@
+//! Limits the requests of all entries to instances that name a limit, at the hub.
+//!
+//! Limits are often below one request per second and entry, so a fixed share of each entry would
+//! leave most of a limit unused. Entries ask the hub before each request to such an instance
+//! instead. The load is low: a limit bounds the requests that are granted, and an entry that was
+//! refused considers other instances until the next one is possible.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::request_limit::{KnownLimit, LimitChange, LimitNotice, LimitStatement};
+
+/// One request, in the unit of a bucket: a limit in thousandths of a request per second adds this
+/// much in as many milliseconds.
+const REQUEST_MICRO: i64 = 1_000_000;
+/// A bucket holds the requests of this time at most, or one request. Together with the requests
+/// that a previous hub has granted, that stays below half of the users' margin.
+const BURST_MS: u64 = 500;
+/// Upper bound on the time for which a bucket fills; the lowest limit fills one in a tenth of it.
+const MAX_FILL_MS: u64 = 100_000;
+/// How much a resumed generation may take in advance. It has nowhere else to go, and further
+/// requests wait until the bucket has recovered.
+const RESUMPTION_CREDIT_MICRO: i64 = 2 * REQUEST_MICRO;
+/// Callers are told to return after at most this long, unless the instance takes its next request
+/// later. Not all of those who were told to return do.
+const MAX_RETURN_MS: u64 = 4_000;
+/// Statements of instances that are not listed are kept for this long after they were heard. A list
+/// may omit an instance temporarily.
+const UNLISTED_TTL_MS: u64 = 60_000;
+
+/// Token bucket, which starts empty: the instance may just have received the requests of a full one
+/// from a previous hub.
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    level_micro: i64,
+    filled_ms: u64,
+}
+
+impl Bucket {
+    fn empty(now_ms: u64) -> Self {
+        Self {
+            level_micro: 0,
+            filled_ms: now_ms,
+        }
+    }
+
+    fn level_micro(&self, limit_milli_per_s: u64, now_ms: u64) -> i64 {
+        let elapsed_ms = now_ms.saturating_sub(self.filled_ms).min(MAX_FILL_MS);
+        let added_micro = (limit_milli_per_s * elapsed_ms).cast_signed();
+        let capacity_micro = (limit_milli_per_s * BURST_MS).cast_signed();
+        (self.level_micro + added_micro).min(capacity_micro.max(REQUEST_MICRO))
+    }
+
+    fn take(&mut self, limit_milli_per_s: u64, now_ms: u64) {
+        self.fill(limit_milli_per_s, now_ms);
+        self.level_micro -= REQUEST_MICRO;
+    }
+
+    fn fill(&mut self, limit_milli_per_s: u64, now_ms: u64) {
+        self.level_micro = self.level_micro(limit_milli_per_s, now_ms);
+        self.filled_ms = now_ms;
+    }
+
+    /// Returns the time until a request is possible.
+    fn ready_in_ms(&self, limit_milli_per_s: u64, now_ms: u64) -> u64 {
+        let missing_micro = REQUEST_MICRO - self.level_micro(limit_milli_per_s, now_ms);
+        missing_micro
+            .max(0)
+            .unsigned_abs()
+            .div_ceil(limit_milli_per_s)
+    }
+}
+
+#[derive(Debug)]
+struct Limiter {
+    /// When the instance started, in Unix time; `None` if it does not report that.
+    born_ms: Option<u64>,
+    known: KnownLimit,
+    bucket: Bucket,
+    /// The latest time at which a refused caller was told to return.
+    promised_ms: u64,
+    expires_ms: u64,
+}
+
+impl Limiter {
+    fn new(born_ms: Option<u64>, now_ms: u64) -> Self {
+        Self {
+            born_ms,
+            known: KnownLimit::default(),
+            bucket: Bucket::empty(now_ms),
+            promised_ms: 0,
+            expires_ms: now_ms + UNLISTED_TTL_MS,
+        }
+    }
+
+    fn hear(&mut self, statement: LimitStatement, now_ms: u64) -> LimitChange {
+        self.expires_ms = now_ms + UNLISTED_TTL_MS;
+        let before = self.known.milli_per_s();
+        let change = self.known.hear_statement(statement, now_ms);
+        if let LimitChange::Named { .. } = change {
+            match before {
+                Some(before_milli_per_s) => self.bucket.fill(before_milli_per_s, now_ms),
+                None => self.bucket = Bucket::empty(now_ms),
+            }
+        }
+        change
+    }
+
+    /// Returns the time until a request is possible; 0 without a limit.
+    fn ready_in_ms(&self, now_ms: u64) -> u64 {
+        let limit = self.known.milli_per_s();
+        limit.map_or(0, |limit| self.bucket.ready_in_ms(limit, now_ms))
+    }
+
+    /// Returns when the next refused caller should return: one after the other, at the rate of the
+    /// limit.
+    fn next_return_ms(&self, now_ms: u64) -> u64 {
+        let ready_ms = now_ms + self.ready_in_ms(now_ms);
+        let step_ms = match self.known.milli_per_s() {
+            Some(limit) => REQUEST_MICRO.unsigned_abs().div_ceil(limit),
+            None => 0,
+        };
+        let turn_ms = (self.promised_ms + step_ms).min(now_ms + MAX_RETURN_MS);
+        ready_ms.max(turn_ms)
+    }
+}
+
+/// Whether a request may be sent to one of several instances.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Permit {
+    /// It may be sent to the candidate with this index.
+    Granted(usize),
+    /// All candidates have reached their limits.
+    Refused(LimitsReached),
+}
+
+/// When instances that have reached their limits take further requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitsReached {
+    /// Time until each of the candidates takes its next request, in their order.
+    pub ready_in_ms: Vec<u64>,
+    /// Time after which the caller should return, so that those who were refused come one after
+    /// the other.
+    pub return_in_ms: u64,
+}
+
+/// The limits of all instances that have named one.
+#[derive(Debug, Default)]
+pub(super) struct Limiters(BTreeMap<Arc<str>, Limiter>);
+
+impl Limiters {
+    /// Applies a statement on an instance. One on an earlier start is ignored, and one on a later
+    /// start replaces all earlier ones.
+    pub(super) fn hear(&mut self, notice: &LimitNotice, now_ms: u64) -> LimitChange {
+        let Some(statement) = notice.statement else {
+            return LimitChange::Unchanged;
+        };
+        let limiter = self
+            .0
+            .entry(Arc::clone(&notice.identity))
+            .or_insert_with(|| Limiter::new(notice.born_ms, now_ms));
+        if notice.born_ms.is_some() && notice.born_ms < limiter.born_ms {
+            return LimitChange::Unchanged;
+        }
+        if limiter.born_ms.is_some() && limiter.born_ms < notice.born_ms {
+            *limiter = Limiter::new(notice.born_ms, now_ms);
+        }
+        limiter.born_ms = notice.born_ms.or(limiter.born_ms);
+        limiter.hear(statement, now_ms)
+    }
+
+    /// Discards the statements of starts before `born_ms`.
+    pub(super) fn forget_earlier_starts(&mut self, identity: &str, born_ms: Option<u64>) {
+        let known = self.0.get(identity);
+        if known.is_some_and(|limiter| limiter.born_ms.is_some() && limiter.born_ms < born_ms) {
+            self.0.remove(identity);
+        }
+    }
+
+    /// Discards expired statements of instances that are not listed.
+    pub(super) fn expire(&mut self, is_listed: impl Fn(&str) -> bool, now_ms: u64) {
+        self.0
+            .retain(|identity, limiter| now_ms < limiter.expires_ms || is_listed(identity));
+    }
+
+    pub(super) fn statement(&self, identity: &str, now_ms: u64) -> Option<LimitStatement> {
+        self.0.get(identity)?.known.statement(now_ms)
+    }
+
+    /// Returns the limit in force for an instance.
+    pub(super) fn milli_per_s(&self, identity: &str) -> Option<u64> {
+        self.0.get(identity)?.known.milli_per_s()
+    }
+
+    /// Returns true if an instance takes another request now.
+    pub(super) fn allows(&self, identity: &str, now_ms: u64) -> bool {
+        let limiter = self.0.get(identity);
+        limiter.is_none_or(|limiter| limiter.ready_in_ms(now_ms) == 0)
+    }
+
+    /// Counts a request to an instance.
+    pub(super) fn take(&mut self, identity: &str, now_ms: u64) {
+        if let Some(limiter) = self.0.get_mut(identity)
+            && let Some(limit) = limiter.known.milli_per_s()
+        {
+            limiter.bucket.take(limit, now_ms);
+        }
+    }
+
+    /// Grants a request to the first candidate that takes one now.
+    pub(super) fn permit<'a>(
+        &mut self,
+        candidates: impl Iterator<Item = &'a Arc<str>> + Clone,
+        now_ms: u64,
+    ) -> Permit {
+        let mut numbered = candidates.clone().enumerate();
+        match numbered.find(|(_, identity)| self.allows(identity, now_ms)) {
+            Some((at, identity)) => {
+                self.take(identity, now_ms);
+                Permit::Granted(at)
+            }
+            None => Permit::Refused(self.refuse(candidates, now_ms)),
+        }
+    }
+
+    /// Grants the resumption of a generation at an instance, if necessary in advance.
+    pub(super) fn permit_resumption(&mut self, identity: &Arc<str>, now_ms: u64) -> Permit {
+        let is_granted = self.0.get(identity).is_none_or(|limiter| {
+            limiter.known.milli_per_s().is_none_or(|limit| {
+                limiter.bucket.level_micro(limit, now_ms) + RESUMPTION_CREDIT_MICRO >= REQUEST_MICRO
+            })
+        });
+        match is_granted {
+            true => {
+                self.take(identity, now_ms);
+                Permit::Granted(0)
+            }
+            false => Permit::Refused(self.refuse(std::iter::once(identity), now_ms)),
+        }
+    }
+
+    /// Returns when the candidates take further requests, and gives the caller its turn to return.
+    pub(super) fn refuse<'a>(
+        &mut self,
+        candidates: impl Iterator<Item = &'a Arc<str>> + Clone,
+        now_ms: u64,
+    ) -> LimitsReached {
+        let ready_in_ms = |identity| {
+            let limiter = self.0.get(identity);
+            limiter.map_or(0, |limiter| limiter.ready_in_ms(now_ms))
+        };
+        let ready_in_ms = candidates.clone().map(ready_in_ms).collect();
+        let return_ms = |identity: &Arc<str>| {
+            let limiter = self.0.get(identity);
+            limiter.map_or(now_ms, |limiter| limiter.next_return_ms(now_ms))
+        };
+        let soonest = candidates.map(|id| (return_ms(id), id)).min();
+        let (return_ms, identity) = soonest.unzip();
+        if let (Some(return_ms), Some(identity)) = (return_ms, identity)
+            && let Some(limiter) = self.0.get_mut(identity)
+        {
+            limiter.promised_ms = return_ms;
+        }
+        LimitsReached {
+            ready_in_ms,
+            return_in_ms: return_ms.map_or(0, |return_ms| return_ms.saturating_sub(now_ms)),
+        }
+    }
+}
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -8,7 +8,9 @@
 mod entries;
 mod hub;
 mod instance;
+mod limiters;
 mod list_reads;
+mod local_share;
 mod pause;
 mod placement;
 mod queue;
@@ -28,17 +30,18 @@
 
 use crate::model::ZoneName;
 
-pub use choice::{ChosenInstance, Demand, EngineQuery};
+pub use choice::{ChosenInstance, Demand, EngineQuery, PlainCandidates};
 pub use copy_schedule::{CopyPlan, CopySchedule, Target, Turn, sort_by_worth};
 pub use departures::Departure;
 pub use hub::{Hub, ListChange};
 pub use instance::{InstanceSummary, Leaving, Outcome, Reachability};
+pub use limiters::{LimitsReached, Permit};
 pub use list_reads::ListReads;
 pub use pause::AskedPause;
 pub use placement::{Candidate, PlacementRequest};
 pub use queue::{Outlook, PendingGeneration, PlacementDecision, PlacementQueue};
 pub use refused_calls::RefusedCalls;
-pub use request_limit::{LimitChange, NamedLimit};
+pub use request_limit::{KnownLimit, LimitChange, LimitNotice, LimitStatement, NamedLimit};
 pub use updates::{FleetUpdate, Position};
 pub use view::View;
 pub use wake_limiter::WakeLimiter;
@@ -117,4 +120,6 @@
     pub running: u32,
     pub committed_tokens: u64,
     pub prefill_tokens: u64,
+    /// What the instance has last stated about its request limit; `None` if it never named one.
+    pub limit: Option<LimitStatement>,
 }
--- a/src/domain/fleet/pause.rs
+++ b/src/domain/fleet/pause.rs
@@ -32,7 +32,7 @@
     }
 }
 
-/// The pause of an instance, and the gradual increase of load after it.
+/// The pause of an instance, and the gradual increase of load after it or after a request limit.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Pause {
     until_ms: Option<u64>,
@@ -44,6 +44,11 @@
         self.until_ms = self.until_ms.max(Some(now_ms + asked.bounded_ms()));
     }
 
+    /// Begins the gradual increase of load, unless a pause is running.
+    pub(super) fn begin_ramp(&mut self, now_ms: u64) {
+        self.until_ms = self.until_ms.max(Some(now_ms));
+    }
+
     /// Returns the rest of the pause; 0 if there is none.
     pub(super) fn remaining_ms(&self, now_ms: u64) -> u64 {
         self.until_ms
--- a/src/domain/fleet/request_limit.rs
+++ b/src/domain/fleet/request_limit.rs
@@ -1,5 +1,13 @@
 //! The request rate that an instance names in its responses, which applies to all machines
 //! together.
+//!
+//! Entries, sidecars and the hub tell each other what they have heard. Each statement carries the
+//! time at which it was heard and the newest one counts, so that an outdated one does not restore a
+//! limit that has ended.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
 
 /// Lower bound on a limit. Only its responses show that an instance has ended its limit, so one
 /// that takes nothing is asked again every 10 s.
@@ -29,7 +37,26 @@
     }
 }
 
-/// How a response has changed the known limit of its instance.
+/// What an instance has stated about its limit, as sent between processes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitStatement {
+    /// `None` if the instance no longer names a limit.
+    pub limit_milli_per_s: Option<u64>,
+    /// Time since this was heard.
+    pub age_ms: u64,
+}
+
+/// The statement of one start of an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitNotice {
+    pub identity: Arc<str>,
+    /// When the instance started, in Unix time; `None` if it does not report that.
+    pub born_ms: Option<u64>,
+    /// `None` if the sender has not heard the instance name a limit.
+    pub statement: Option<LimitStatement>,
+}
+
+/// How a response or a statement has changed the known limit of an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LimitChange {
     Unchanged,
@@ -40,19 +67,32 @@
     Ended,
 }
 
-/// The newest statement of an instance on its limit.
+/// The newest known statement of an instance on its limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(super) struct KnownLimit {
+pub struct KnownLimit {
     limit_milli_per_s: Option<u64>,
     /// When this was heard; `None` if the instance has never named a limit.
     heard_ms: Option<u64>,
 }
 
 impl KnownLimit {
+    /// Returns the limit in force; `None` if there is none.
+    pub fn milli_per_s(&self) -> Option<u64> {
+        self.limit_milli_per_s
+    }
+
+    /// Returns the statement for other processes; `None` if the instance has never named a limit.
+    pub fn statement(&self, now_ms: u64) -> Option<LimitStatement> {
+        self.heard_ms.map(|heard_ms| LimitStatement {
+            limit_milli_per_s: self.limit_milli_per_s,
+            age_ms: now_ms.saturating_sub(heard_ms),
+        })
+    }
+
     /// Applies a response that was received at `received_ms` to a request sent at `sent_ms`. A
     /// response without a limit ends the limit only if it was requested after the limit had been
     /// heard; an earlier one may have been overtaken.
-    pub(super) fn hear_response(
+    pub fn hear_response(
         &mut self,
         named: Option<NamedLimit>,
         sent_ms: u64,
@@ -68,6 +108,12 @@
         }
     }
 
+    /// Applies a statement that another process has heard.
+    pub fn hear_statement(&mut self, statement: LimitStatement, now_ms: u64) -> LimitChange {
+        let heard_ms = now_ms.saturating_sub(statement.age_ms);
+        self.replace(statement.limit_milli_per_s, heard_ms)
+    }
+
     /// Replaces the statement by one that was heard at `heard_ms`, unless it is older.
     fn replace(&mut self, limit_milli_per_s: Option<u64>, heard_ms: u64) -> LimitChange {
         if self.heard_ms.is_some_and(|known_ms| heard_ms < known_ms) {
--- a/src/domain/fleet/updates.rs
+++ b/src/domain/fleet/updates.rs
@@ -86,17 +86,29 @@
     }
 }
 
+/// The state of an instance that entries are sent.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct InstanceState {
+    pub(super) report: Option<Report>,
+    pub(super) usage: Usage,
+    /// The request limit in force; `None` if there is none.
+    pub(super) limit_milli_per_s: Option<u64>,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct SentState {
     revision: u64,
-    report: Option<Report>,
-    usage: Usage,
+    state: InstanceState,
 }
 
-impl SentState {
+impl InstanceState {
     /// Returns true if the difference is large enough to be sent.
-    fn differs(&self, report: Option<Report>, usage: Usage) -> bool {
-        let (before, now) = match (self.report, report) {
+    fn differs(&self, new: &Self) -> bool {
+        if self.limit_milli_per_s != new.limit_milli_per_s {
+            return true;
+        }
+        let usage = new.usage;
+        let (before, now) = match (self.report, new.report) {
             (Some(before), Some(now)) => (before, now),
             (None, None) => return self.usage != usage,
             _ => return true,
@@ -129,9 +141,9 @@
     }
 
     /// Records the state of an instance if it differs noticeably from the one last sent.
-    pub(super) fn update(&mut self, identity: &Arc<str>, report: Option<Report>, usage: Usage) {
+    pub(super) fn update(&mut self, identity: &Arc<str>, state: InstanceState) {
         let before = self.sent.get(identity);
-        if before.is_some_and(|sent| !sent.differs(report, usage)) {
+        if before.is_some_and(|sent| !sent.state.differs(&state)) {
             return;
         }
         if let Some(before) = before {
@@ -140,8 +152,7 @@
         self.revision += 1;
         let sent = SentState {
             revision: self.revision,
-            report,
-            usage,
+            state,
         };
         self.sent.insert(Arc::clone(identity), sent);
         self.by_revision.insert(self.revision, Arc::clone(identity));
--- a/src/domain/fleet/view.rs
+++ b/src/domain/fleet/view/mod.rs
@@ -1,12 +1,14 @@
 //! An entry's view of the fleet.
 
+mod limits;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::departures::{Departure, Departures};
 use super::instance::{HubUpdate, Instance, InstanceSummary, Leaving, Outcome, Reachability};
+use super::local_share::EntryShare;
 use super::pause::AskedPause;
-use super::request_limit::{LimitChange, NamedLimit};
 use super::updates::{FleetUpdate, Position};
 use super::{Demand, InstanceUpdate, Listed, ListedState, Load, Report};
 use crate::model::ZoneName;
@@ -31,6 +33,8 @@
     position: Option<Position>,
     /// When the newest list was read from the platform.
     listed_ms: Option<u64>,
+    /// The part of request limits that this entry uses without the hub.
+    pub(super) share: EntryShare,
 }
 
 impl View {
@@ -45,6 +49,10 @@
             departures: Departures::default(),
             position: None,
             listed_ms: None,
+            share: EntryShare {
+                entries: 1,
+                seed: 0,
+            },
         }
     }
 
@@ -185,7 +193,12 @@
                 running: update.running,
                 committed_tokens: update.committed_tokens,
                 prefill_tokens: update.prefill_tokens,
+                limit_milli_per_s: update.limit.and_then(|limit| limit.limit_milli_per_s),
             });
+            if let Some(statement) = update.limit {
+                let change = instance.limit.hear_statement(statement, now_ms);
+                instance.apply_limit_change(change, now_ms);
+            }
         }
         has_departures
     }
@@ -215,21 +228,6 @@
         }
     }
 
-    /// Applies the limit that an instance names in its response to a request sent at `sent_ms`;
-    /// `named` is `None` if it names none.
-    pub fn hear_limit(
-        &mut self,
-        identity: &str,
-        named: Option<NamedLimit>,
-        sent_ms: u64,
-        now_ms: u64,
-    ) -> LimitChange {
-        match self.instances.get_mut(identity) {
-            Some(instance) => instance.limit.hear_response(named, sent_ms, now_ms),
-            None => LimitChange::Unchanged,
-        }
-    }
-
     /// Returns the rest of an instance's pause; 0 if it is not paused.
     pub fn pause_left_ms(&self, identity: &str, now_ms: u64) -> u64 {
         let instance = self.instances.get(identity);
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::{HEAD_LIMIT_BYTES, decode_instances, decode_report, headers};
-use crate::domain::fleet::{AskedPause, Listed, Report};
+use crate::domain::fleet::{AskedPause, Listed, NamedLimit, Report};
 
 /// Upper bound on a page of the list, which has about 15 KB on the sites planned for.
 const MAX_PAGE_BYTES: usize = 4 * 1024 * 1024;
@@ -135,12 +135,12 @@
 }
 
 impl ReportReader {
-    /// Returns the replica's report of itself.
+    /// Returns the replica's report of itself, and the request limit that it names.
     pub async fn read(
         &mut self,
         address: SocketAddr,
         limit: Duration,
-    ) -> Result<Report, CallFailure> {
+    ) -> Result<(Report, Option<NamedLimit>), CallFailure> {
         let response = get(
             &mut self.connection,
             address,
@@ -149,10 +149,11 @@
         );
         let response = check_response(address, "/report", limit, timeout(limit, response).await)?;
         let report = decode_report(response.body()).map_err(CallFailure::Failed)?;
-        Ok(Report {
+        let report = Report {
             draining: report.draining || headers::announces_shutdown(response.headers()),
             ..report
-        })
+        };
+        Ok((report, headers::named_limit(response.headers())))
     }
 }
 
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -1,6 +1,7 @@
 //! The directory role: stores the shared document in a replicated log and, on the leader, collects
 //! the state of all instances and distributes it to entries.
 
+mod limits;
 mod machine;
 mod observer;
 mod operators;
--- a/src/roles/directory/placement.rs
+++ b/src/roles/directory/placement.rs
@@ -73,7 +73,9 @@
         };
         let mut waiting = self.waiting();
         match reply {
-            PlaceReply::Full(_) => waiting.refused_calls.remember(call, first_ms, now_ms),
+            PlaceReply::Full(_) | PlaceReply::AtLimit { .. } => {
+                waiting.refused_calls.remember(call, first_ms, now_ms);
+            }
             PlaceReply::At(_) => waiting.refused_calls.forget(call),
             PlaceReply::Wait(_) | PlaceReply::Ask | PlaceReply::NotLeader => {}
         }
@@ -103,6 +105,12 @@
         {
             return Err(PlaceReply::At(at));
         }
+        let at_limit = self.with_hub(|hub| hub.limits_reached(&placement, now_ms));
+        if let Some(reached) = at_limit {
+            return Err(PlaceReply::AtLimit {
+                return_in_ms: reached.return_in_ms,
+            });
+        }
         if request.hold_ms == 0 {
             return Err(match outlook.can_be_placed_within(request.left_ms) {
                 true => PlaceReply::Wait(outlook),
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -9,8 +9,8 @@
 use super::DirectoryRole;
 use crate::adapters::clock::monotonic_ms;
 use crate::rpc::directory::{
-    Directory, PlaceReply, PlaceRequest, ReportReply, ReportRequest, SyncReply, SyncRequest,
-    TurnReply, TurnRequest,
+    Directory, PermitReply, PermitRequest, PlaceReply, PlaceRequest, ReportReply, ReportRequest,
+    SyncReply, SyncRequest, TurnReply, TurnRequest,
 };
 
 /// Upper bound on the time for which a `sync` call is held until there are updates.
@@ -44,6 +44,7 @@
         role.with_hub(|hub| hub.load(&request.entry, &loads, monotonic_ms()));
         let departures = std::mem::take(&mut request.departures);
         role.record_departures(departures);
+        role.record_limits(&std::mem::take(&mut request.limits));
         let mut updates = role.updates.subscribe();
         if !self.has_update(&request) {
             let hold = Duration::from_millis(request.hold_ms).min(MAX_HOLD);
@@ -71,6 +72,10 @@
         self.0.place(request).await
     }
 
+    async fn permit(self, _: Context, request: PermitRequest) -> PermitReply {
+        self.0.permit(&request)
+    }
+
     async fn turn(self, _: Context, request: TurnRequest) -> Option<TurnReply> {
         self.0.turn(request).await
     }
@@ -86,6 +91,9 @@
             let departure = role.with_hub(|hub| hub.departure_at(address, report));
             role.record_departures(departure.into_iter().collect());
         }
+        if let Some(statement) = request.limit {
+            role.record_engine_limit(&request, statement);
+        }
         let health_path = role.register_engine(request);
         ReportReply {
             leads: role.leads(),
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -147,6 +147,9 @@
                     log_outlook(job, outlook, left_ms, "no engine capacity expected in time");
                     return Err(retry_after("no_room", outlook.retry_after_ms));
                 }
+                PlacementResult::AtLimit { return_in_ms } => {
+                    return Err(Refusal::not_run("all_at_limit", return_in_ms));
+                }
                 PlacementResult::Unavailable => {
                     return self.place_locally(job, engine, tried).await;
                 }
@@ -201,6 +204,7 @@
             Ok(PlaceReply::Wait(outlook)) => PlacementResult::Wait(outlook),
             Ok(PlaceReply::Ask) => PlacementResult::AskAgain,
             Ok(PlaceReply::Full(outlook)) => PlacementResult::NoCapacity(outlook),
+            Ok(PlaceReply::AtLimit { return_in_ms }) => PlacementResult::AtLimit { return_in_ms },
             Ok(PlaceReply::At(_) | PlaceReply::NotLeader) | Err(_) => PlacementResult::Unavailable,
         }
     }
@@ -214,8 +218,7 @@
         tried: &[Arc<str>],
     ) -> Result<ChosenInstance, Refusal> {
         self.metrics.local_placements.inc();
-        let choose =
-            || self.with_view(|view| view.choose_engine(&engine_query(job, engine, tried)));
+        let choose = || self.with_view(|view| view.take_engine(&engine_query(job, engine, tried)));
         if let Some(chosen) = choose() {
             return Ok(chosen);
         }
@@ -224,6 +227,9 @@
         if self.with_view(|view| view.usable(&job.service, monotonic_ms())) == 0 {
             return Err(self.no_capacity(job));
         }
+        if self.with_view(|view| view.all_limited(&job.service, monotonic_ms())) {
+            return Err(Self::at_limit_without_hub());
+        }
         self.with_admission_queue(|queue| queue.join(left_ms))
             .map_err(|after_ms| retry_after("no_room", after_ms))?;
         let _guard = AdmissionGuard(self);
@@ -307,6 +313,10 @@
     AskAgain,
     /// No capacity is expected in time.
     NoCapacity(Outlook),
+    /// All engines of the service have request limits, and the candidates have reached theirs.
+    AtLimit {
+        return_in_ms: u64,
+    },
     /// The control leader does not answer, or no engine is known.
     Unavailable,
 }
--- a/src/roles/gateway/metrics.rs
+++ b/src/roles/gateway/metrics.rs
@@ -17,6 +17,7 @@
     moves: IntCounterVec,
     streams: IntCounterVec,
     instance_signals: IntCounterVec,
+    permits: IntCounterVec,
     first_event_ms: Histogram,
     pub(super) document_version: prometheus::IntGauge,
     pub(super) sync_failures: IntCounter,
@@ -55,6 +56,14 @@
                 "What instances said of themselves in answers, by reason.",
                 "reason",
             ),
+            permits: IntCounterVec::new(
+                Opts::new(
+                    "lilac_gateway_permits_total",
+                    "Permits for requests to instances with request limits, by outcome and by who decided.",
+                ),
+                &["outcome", "by"],
+            )
+            .expect("constant options are valid"),
             first_event_ms: Histogram::with_opts(first.buckets(LATENCY_MS.to_vec()))
                 .expect("constant options are valid"),
             document_version: prometheus::IntGauge::new(
@@ -73,12 +82,13 @@
             )
             .expect("constant options are valid"),
         };
-        let all: [Box<dyn prometheus::core::Collector>; 9] = [
+        let all: [Box<dyn prometheus::core::Collector>; 10] = [
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
             Box::new(metrics.moves.clone()),
             Box::new(metrics.streams.clone()),
             Box::new(metrics.instance_signals.clone()),
+            Box::new(metrics.permits.clone()),
             Box::new(metrics.first_event_ms.clone()),
             Box::new(metrics.document_version.clone()),
             Box::new(metrics.sync_failures.clone()),
@@ -114,6 +124,11 @@
         self.instance_signals.with_label_values(&[reason]).inc();
     }
 
+    pub(super) fn count_permit(&self, outcome: &str, by_hub: bool) {
+        let by = if by_hub { "hub" } else { "entry" };
+        self.permits.with_label_values(&[outcome, by]).inc();
+    }
+
     pub(super) fn count_stream(&self, outcome: &str) {
         self.streams.with_label_values(&[outcome]).inc();
     }
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod instance_signals;
 mod metrics;
 mod migrate;
+mod permits;
 mod plain;
 mod relay;
 mod request;
@@ -30,6 +31,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::adapters::clock::monotonic_ms;
 use crate::adapters::web::{self, ConnectionState, GuardedStream};
@@ -86,6 +88,8 @@
     pool: ConnectionPool,
     /// Link to the control instance that answered last.
     control: Mutex<Option<Arc<Link<DirectoryClient>>>>,
+    /// Control is not asked for permits before this monotonic time.
+    hub_retry_at_ms: AtomicU64,
     /// Generations that wait at this entry for an engine while control is unreachable.
     admission_queue: Mutex<AdmissionQueue>,
     /// True while the control instances that answer keep no replicated log and know no leader.
@@ -122,6 +126,7 @@
             entry_count: AtomicU32::new(1),
             pool: ConnectionPool::default(),
             control: Mutex::default(),
+            hub_retry_at_ms: AtomicU64::new(0),
             admission_queue: Mutex::default(),
             control_without_log: AtomicBool::new(false),
             capacity_changes: Notify::new(),
@@ -130,6 +135,8 @@
             closed: watch::Sender::new(false),
             open_connections: watch::Sender::new(()),
         });
+        let seed = xxh3_64(gateway.name.as_bytes());
+        gateway.with_view(|view| view.set_seed(seed));
         let listener = TcpListener::bind(settings.http_address).await?;
         let probed = Arc::clone(&gateway);
         web::serve(settings.ready_address, move |request| {
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout_at;
 
 use super::Gateway;
+use super::permits::NoInstance;
 use super::request::Job;
 use super::response::{Body, Refusal, full};
 use super::ticket::Ticket;
@@ -61,11 +62,12 @@
         // Attempts in which the request may have been executed.
         let mut possible_runs = 0;
         loop {
-            let chosen = self.with_view(|view| {
-                view.choose_plain(&job.service, &tried, monotonic_ms(), rand::random())
-            });
-            let Some(chosen) = chosen else {
-                return Err(self.no_instance_left(job, possible_runs));
+            let chosen = match self.choose_plain(&job.id, &job.service, &tried).await {
+                Ok(chosen) => chosen,
+                Err(NoInstance::AtLimit { return_in_ms }) if possible_runs == 0 => {
+                    return Err(Refusal::not_run("all_at_limit", return_in_ms));
+                }
+                Err(_) => return Err(self.no_instance_left(job, possible_runs)),
             };
             if job.left_ms() == 0 {
                 return Err(out_of_time(possible_runs));
--- a/src/roles/gateway/relay.rs
+++ b/src/roles/gateway/relay.rs
@@ -376,6 +376,13 @@
         {
             return Err(format!("requests to {} are paused", ticket.identity));
         }
+        if !self
+            .gateway
+            .wait_for_resumption_permit(&self.job.id, &ticket, RESUME_TIMEOUT)
+            .await
+        {
+            return Err(format!("{} has reached its request limit", ticket.identity));
+        }
         let sending = self.gateway.send(&ticket, request, &self.job.id);
         let exchange = match timeout(RESUME_TIMEOUT, sending).await {
             Ok(Ok(exchange)) if exchange.head.status.is_success() => exchange,
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -169,6 +169,7 @@
             position: view.position(),
             loads: view.loads(),
             departures: view.departures(),
+            limits: view.limit_notices(monotonic_ms()),
             hold_ms: SYNC_HOLD_MS,
         })
     }
@@ -190,6 +191,7 @@
         }
         self.entry_count
             .store(reply.entries.max(1), Ordering::Relaxed);
+        self.with_view(|view| view.set_entries(reply.entries));
         let now_ms = monotonic_ms();
         let read_ms = now_ms.saturating_sub(reply.list_age_ms.unwrap_or(now_ms));
         let fleet_changed = reply.fleet.is_some_and(|update| {
--- a/src/roles/reporter/mod.rs
+++ b/src/roles/reporter/mod.rs
@@ -10,7 +10,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::site::ControlSelector;
-use crate::domain::fleet::Report;
+use crate::adapters::clock::monotonic_ms;
+use crate::domain::fleet::{KnownLimit, LimitChange, Report};
 use crate::model::ZoneName;
 use crate::platform::{CallFailure, ReportReader, read_identity};
 use crate::rpc::directory::ReportRequest;
@@ -19,6 +20,9 @@
 /// Time between reads of the engine's report. An engine may leave with a notice of only 1.5 s, most
 /// of which is needed to move its running generations.
 const READ_INTERVAL: Duration = Duration::from_millis(40);
+/// The same while the engine names a request limit. Reports are no requests of callers, but the
+/// engine is in need.
+const LIMITED_READ_INTERVAL: Duration = Duration::from_millis(300);
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time between two reports to the directory; a notice is sent at once.
 const SEND_INTERVAL: Duration = Duration::from_millis(300);
@@ -38,6 +42,8 @@
     born_ms: Option<u64>,
     identity: Option<Arc<str>>,
     identify_attempts: u32,
+    /// The request limit that the engine names in its reports.
+    limit: KnownLimit,
 }
 
 impl EngineRun {
@@ -47,6 +53,7 @@
             born_ms: report.born_ms,
             identity: None,
             identify_attempts: 0,
+            limit: KnownLimit::default(),
         }
     }
 
@@ -100,8 +107,9 @@
     let mut is_reachable = true;
     let mut reader = ReportReader::default();
     loop {
+        let asked_ms = monotonic_ms();
         match reader.read(engine, READ_TIMEOUT).await {
-            Ok(report) => {
+            Ok((report, named)) => {
                 if !std::mem::replace(&mut is_reachable, true) {
                     tracing::info!(%engine, "the engine is reachable again");
                 }
@@ -118,6 +126,12 @@
                         "engine identified, or no further attempts to identify it");
                     last_sent = None;
                 }
+                let limit_change = run.limit.hear_response(named, asked_ms, monotonic_ms());
+                if limit_change != LimitChange::Unchanged {
+                    tracing::info!(%engine, ?named, change = ?limit_change,
+                        "request limit of the engine changed");
+                    last_sent = None;
+                }
                 let is_due = last_sent.is_none_or(|(at, previous)| {
                     at.elapsed() >= SEND_INTERVAL || previous.leaves() != report.leaves()
                 });
@@ -128,6 +142,7 @@
                     service: settings.engine_service.clone(),
                     identity: run.identity.clone(),
                     is_identifying: run.is_identifying(),
+                    limit: run.limit.statement(monotonic_ms()),
                 };
                 let knew_path = health_path.is_some();
                 if is_due && send_report(&mut selector, request, &mut health_path).await {
@@ -153,7 +168,8 @@
                 }
             }
         }
-        sleep(READ_INTERVAL).await;
+        let limit = run.as_ref().and_then(|run| run.limit.milli_per_s());
+        sleep(limit.map_or(READ_INTERVAL, |_| LIMITED_READ_INTERVAL)).await;
     }
 }
 
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::domain::fleet::{
-    Demand, Departure, FleetUpdate, Load, Outlook, PlacementRequest, Position, Report,
+    Demand, Departure, FleetUpdate, LimitNotice, LimitStatement, LimitsReached, Load, Outlook,
+    PlacementRequest, Position, Report,
 };
 use crate::model::ZoneName;
 use crate::rpc::Packed;
@@ -33,6 +34,8 @@
     /// Instances that have announced their shutdown to the entry, except those that the hub already
     /// lists as leaving.
     pub departures: Vec<Departure>,
+    /// What the entry has heard of request limits, except what the hub already knows.
+    pub limits: Vec<LimitNotice>,
     /// How long the answer may wait for an update.
     pub hold_ms: u64,
 }
@@ -69,6 +72,9 @@
     pub identity: Option<Arc<str>>,
     /// True while the sidecar is still reading the identity.
     pub is_identifying: bool,
+    /// What the engine has stated about its request limit in reports; `None` if it never named one
+    /// there.
+    pub limit: Option<LimitStatement>,
 }
 
 /// The answer to a report.
@@ -113,10 +119,31 @@
     Ask,
     /// No candidate is expected to have room in time.
     Full(Outlook),
+    /// All engines of the service name request limits, and the candidates have reached theirs.
+    AtLimit { return_in_ms: u64 },
     /// The instance does not lead, so entries report their loads to another one.
     NotLeader,
 }
 
+/// Asks whether a request may be sent to one of several instances that name request limits.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// The instances, best one first, and what the entry has heard of their limits.
+    pub candidates: Vec<LimitNotice>,
+    /// True for a generation that is resumed at its only candidate.
+    pub is_resumption: bool,
+}
+
+/// The answer to a permit request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitReply {
+    /// The request is counted at the candidate with this index.
+    At(usize),
+    LimitsReached(LimitsReached),
+    /// The instance does not lead, so entries ask another one.
+    NotLeader,
+}
+
 /// Asks when an entry may copy a generation's memory to another engine.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TurnRequest {
@@ -150,6 +177,8 @@
     async fn sync(request: SyncRequest) -> SyncReply;
     /// Reserves room for a generation at one of its candidates.
     async fn place(request: PlaceRequest) -> PlaceReply;
+    /// Counts a request within the limits of all entries to an instance.
+    async fn permit(request: PermitRequest) -> PermitReply;
     /// Schedules a copy; returns `None` if it cannot end in time.
     async fn turn(request: TurnRequest) -> Option<TurnReply>;
     async fn report(request: ReportRequest) -> ReportReply;
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -3,6 +3,8 @@
 // Each test binary uses only a part of this module.
 #![allow(dead_code)]
 
+pub mod limits;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -66,6 +68,7 @@
         running: 1,
         committed_tokens,
         prefill_tokens: 0,
+        limit: None,
     }
 }
 
--- a/tests/fleet_updates.rs
+++ b/tests/fleet_updates.rs
@@ -61,6 +61,7 @@
             running: 0,
             committed_tokens: 0,
             prefill_tokens: 0,
+            limit: None,
         };
         self.listed == other.listed
             && self.listed.keys().all(|identity| {
--- a/tests/site_controls.rs
+++ b/tests/site_controls.rs
@@ -9,8 +9,8 @@
 
 use lilacspindle::call_handler;
 use lilacspindle::rpc::directory::{
-    Directory, PlaceReply, PlaceRequest, Published, ReportReply, ReportRequest, SyncReply,
-    SyncRequest, TurnReply, TurnRequest,
+    Directory, PermitReply, PermitRequest, PlaceReply, PlaceRequest, Published, ReportReply,
+    ReportRequest, SyncReply, SyncRequest, TurnReply, TurnRequest,
 };
 use lilacspindle::rpc::{Packed, Service, Services, serve};
 use tarpc::context::Context;
@@ -56,6 +56,10 @@
         PlaceReply::NotLeader
     }
 
+    async fn permit(self, _: Context, _: PermitRequest) -> PermitReply {
+        PermitReply::NotLeader
+    }
+
     async fn turn(self, _: Context, _: TurnRequest) -> Option<TurnReply> {
         None
     }
