Show that repeated refusals and cut heads reach no caller as answers

Change: tests only. Neither can happen here: a response on a reused connection has to name the request it belongs to, bytes on an idle connection close it, and a head counts only once it is whole. The heads are cut at 20 places each for plain calls and streams, on reused connections as well.

--- /dev/null
+++ b/tests/site_faulty_responses.rs
@@ -0,0 +1,168 @@
+//! Faulty responses of instances: repeated on a kept connection, or cut off in their head. Tested
+//! through real processes.
+
+mod site_support;
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use site_support::{
+    Reply, Request, Site, answer, call, document, proper, sse, wait_for, with_header,
+};
+
+fn refusal(id: Option<&str>) -> Vec<u8> {
+    let mut headers = vec![("X-Lilacspindle-Not-Executed", "1")];
+    headers.extend(id.map(|id| ("X-Lilacspindle-Request-Id", id)));
+    answer("503 Service Unavailable", &headers, b"")
+}
+
+/// Returns a script that refuses the first request of a pair, and writes that refusal once more in
+/// place of the response to the second one, which it runs.
+fn repeats_refusal(
+    names_request: bool,
+    respond: fn(&Request) -> Vec<Reply>,
+) -> impl Fn(&Request) -> Vec<Reply> + Send + Sync + 'static {
+    let refused = Mutex::new(String::new());
+    move |request: &Request| {
+        let mut refused = refused.lock().unwrap();
+        let refusal_of = |id: &str| Reply::Bytes(refusal(names_request.then_some(id)));
+        match request.path.as_str() {
+            path if path.ends_with("/refused") => {
+                request.id().clone_into(&mut refused);
+                vec![refusal_of(&refused)]
+            }
+            path if path.ends_with("/run") => {
+                let mut replies = vec![
+                    refusal_of(&refused),
+                    Reply::Pause(Duration::from_millis(100)),
+                ];
+                replies.extend(respond(request));
+                replies
+            }
+            // The request to be refused then uses a new connection, on which a response may lack an id.
+            path if path.ends_with("/warm-up") => {
+                with_header(respond(request), "Connection: close")
+            }
+            _ => respond(request),
+        }
+    }
+}
+
+fn stream(request: &Request) -> Vec<Reply> {
+    vec![Reply::Bytes(sse(request.id(), 1..=2, true, true))]
+}
+
+/// Guards against the refusal of an earlier request that is taken for the response to the next one
+/// on its connection: the caller would repeat a request that runs.
+#[tokio::test]
+async fn repeated_refusal_is_not_the_answer_to_the_next_request() {
+    for names_request in [true, false] {
+        let mut site = Site::serving(&document(1)).await;
+        let plain = site
+            .upstream("plain", repeats_refusal(names_request, proper))
+            .await;
+        let model = site
+            .upstream("model", repeats_refusal(names_request, stream))
+            .await;
+        for (upstream, prefix) in [(&plain, "/once"), (&model, "/stream")] {
+            let path = |end: &str| format!("{prefix}/{end}");
+            wait_for("the instance is used", || async {
+                call(&site, &path("warm-up"), "id-0").await.status() == 200
+            })
+            .await;
+            let refused = call(&site, &path("refused"), "id-1").await;
+            assert_eq!(refused.status(), 503, "{prefix}");
+            // Leaves a kept connection also where the refusal has closed its own.
+            let whole = call(&site, &path("whole"), "id-w").await;
+            assert_eq!(whole.status(), 200);
+            whole.bytes().await.unwrap();
+            // A second instance, to which a request that was not run may be sent.
+            let other = match prefix {
+                "/once" => site.upstream("plain", proper).await,
+                _ => site.upstream("model", stream).await,
+            };
+            let answered = call(&site, &path("run"), "id-2").await.status();
+            assert_eq!(upstream.requests(&path("run")).len(), 1);
+            assert_eq!(answered, 502, "{prefix}, with id: {names_request}");
+            assert!(other.requests(&path("run")).is_empty());
+        }
+    }
+}
+
+/// Guards against the repeated refusal that arrives while its connection is idle.
+#[tokio::test]
+async fn refusal_that_is_repeated_while_idle_is_dropped() {
+    let mut site = Site::serving(&document(1)).await;
+    let upstream = site
+        .upstream("plain", |request: &Request| match request.path.as_str() {
+            "/once/refused" => {
+                let refused = Reply::Bytes(refusal(Some(request.id())));
+                let pause = Reply::Pause(Duration::from_millis(100));
+                vec![refused.clone(), pause, refused]
+            }
+            _ => proper(request),
+        })
+        .await;
+    wait_for("the instance is used", || async {
+        call(&site, "/once/warm-up", "id-0").await.status() == 200
+    })
+    .await;
+    assert_eq!(call(&site, "/once/refused", "id-1").await.status(), 503);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(call(&site, "/once/run", "id-2").await.status(), 200);
+    assert_eq!(upstream.requests("/once/run").len(), 1);
+}
+
+/// Guards against a response that is cut off in its head and passed on as one with an empty body.
+#[tokio::test]
+async fn response_cut_off_in_its_head_is_not_passed_on() {
+    let mut site = Site::serving(&document(1)).await;
+    let whole = |request: &Request| match request.path.starts_with("/once") {
+        true => proper(request),
+        false => stream(request),
+    };
+    let cut_at = Arc::new(AtomicUsize::new(0));
+    let script = |cut_at: Arc<AtomicUsize>| {
+        move |request: &Request| {
+            let Some(Reply::Bytes(bytes)) = whole(request).into_iter().next() else {
+                panic!("the first reply has the head");
+            };
+            let head = bytes.windows(4).position(|end| end == b"\r\n\r\n").unwrap() + 3;
+            match request.path.ends_with("/cut") {
+                // Each request is cut off 9 bytes later, up to the last byte of the head.
+                true => {
+                    let at = cut_at.fetch_add(9, Ordering::SeqCst).min(head);
+                    vec![Reply::Bytes(bytes[..at].to_vec()), Reply::Close]
+                }
+                false => whole(request),
+            }
+        }
+    };
+    let plain = site.upstream("plain", script(Arc::clone(&cut_at))).await;
+    let mut engines = Vec::new();
+    for _ in 0..20 {
+        engines.push(site.upstream("model", script(Arc::clone(&cut_at))).await);
+    }
+    for path in ["/once", "/stream"] {
+        wait_for("the instances are used", || async {
+            call(&site, &format!("{path}/warm-up"), "id-0")
+                .await
+                .status()
+                == 200
+        })
+        .await;
+        cut_at.store(0, Ordering::SeqCst);
+        for number in 0..20 {
+            // The request before leaves a connection that is used again.
+            call(&site, &format!("{path}/whole"), &format!("id-w{number}")).await;
+            let answered = call(&site, &format!("{path}/cut"), &format!("id-{number}")).await;
+            assert_eq!(answered.status(), 502, "{path}, number {number}");
+        }
+    }
+    assert_eq!(plain.requests("/once/cut").len(), 20);
+    let cut = engines
+        .iter()
+        .map(|engine| engine.requests("/stream/cut").len());
+    assert_eq!(cut.sum::<usize>(), 20);
+}
