Answer every request before a planned stop ends

Cause: whether the entry still takes requests was checked when the head arrived, not when the body had been read. At the end of the grace period open connections were just closed.

Change: a request whose body ends after the listener has closed is refused as not run. At the end of the grace period a request that was not forwarded is refused, and one that was is answered 504; 250 ms of the 600 ms that are reserved for closing are for these responses.

--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -30,7 +30,7 @@
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::adapters::clock::monotonic_ms;
@@ -65,6 +65,10 @@
 /// needs two failed readiness probes, one second apart, to route callers elsewhere.
 const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(2_500);
 
+/// Time after the grace period of a planned stop for the responses to requests that are still open
+/// then. It takes a few milliseconds for a response to reach its caller.
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(250);
+
 /// State of the gateway role of one process.
 pub struct Gateway {
     settings: GatewaySettings,
@@ -99,6 +103,8 @@
     metrics: Metrics,
     /// True once a planned stop has begun.
     stopping: watch::Sender<bool>,
+    /// When the grace period of a planned stop ends; `None` before the stop.
+    grace_ends_at: watch::Sender<Option<Instant>>,
     /// True once the listener is closed and new requests on open connections are refused.
     closed: watch::Sender<bool>,
     /// Has one receiver per open caller connection; closes when the last one has ended.
@@ -132,6 +138,7 @@
             capacity_changes: Notify::new(),
             metrics: Metrics::new(),
             stopping: watch::Sender::new(false),
+            grace_ends_at: watch::Sender::new(None),
             closed: watch::Sender::new(false),
             open_connections: watch::Sender::new(()),
         });
@@ -161,15 +168,18 @@
     }
 
     /// Stops accepting connections after `ACCEPT_AFTER_SIGTERM` and returns once all open requests
-    /// have finished or `grace` has passed.
+    /// have finished. Those that are still open after `grace` are answered as unknown or, if they
+    /// were not forwarded, as not run.
     pub async fn drain(&self, grace: Duration) {
+        self.grace_ends_at
+            .send_replace(Some(Instant::now() + grace));
         self.stopping.send_replace(true);
         let done = async {
             sleep(ACCEPT_AFTER_SIGTERM.min(grace)).await;
             self.closed.send_replace(true);
             self.open_connections.closed().await;
         };
-        if timeout(grace, done).await.is_err() {
+        if timeout(grace + LAST_RESPONSES_TIME, done).await.is_err() {
             tracing::warn!(
                 open = self.open_connections.receiver_count(),
                 "grace period expired with connections still open"
@@ -177,6 +187,21 @@
         }
     }
 
+    /// Returns at the end of the grace period of a planned stop, while there is still time to answer
+    /// callers.
+    async fn grace_expires(&self) {
+        let mut grace_ends_at = self.grace_ends_at.subscribe();
+        // Cannot fail: the gateway keeps the sender.
+        let ends_at = match grace_ends_at.wait_for(Option::is_some).await {
+            Ok(ends_at) => *ends_at,
+            Err(_) => None,
+        };
+        match ends_at {
+            Some(ends_at) => sleep_until(ends_at).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Fails with the reason, as text for the readiness probe, if the gateway is not ready.
     fn ready(&self) -> Result<(), &'static str> {
         match () {
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -147,19 +147,37 @@
         let expected_tokens = |route: &str, hint, most| {
             self.with_lengths(|lengths| lengths.expected(route, hint, most))
         };
-        let reading = read(request, admitted, Arc::clone(&id), arrived, expected_tokens);
-        let job = match reading.await {
+        let grace_expires = self.grace_expires();
+        tokio::pin!(grace_expires);
+        let leaving = || Refusal::not_run("leaving", LEAVING_RETRY_MS);
+        let reading = tokio::select! {
+            job = read(request, admitted, Arc::clone(&id), arrived, expected_tokens) => job,
+            () = &mut grace_expires => Err(leaving()),
+        };
+        // A request whose body has ended this late in a planned stop may outlast it.
+        let reading = reading.and_then(|job| match *self.closed.borrow() {
+            true => Err(leaving()),
+            false => Ok(job),
+        });
+        let job = match reading {
             Ok(job) => job,
             Err(refusal) => return self.refuse(&id, Some(&route), &refusal, arrived),
         };
         self.with_budget(&job.service, |budget| budget.request(monotonic_ms()));
         if job.is_long() && *self.stopping.borrow() {
-            let refusal = Refusal::not_run("leaving", LEAVING_RETRY_MS);
-            return self.refuse(&id, Some(&route), &refusal, arrived);
+            return self.refuse(&id, Some(&route), &leaving(), arrived);
         }
-        let result = match (job.route.repeat, job.engine) {
-            (Repeat::Stream, Some(engine)) => Arc::clone(&self).generate(job, engine).await,
-            _ => self.forward_call(&job).await,
+        let forwarding = async {
+            match (job.route.repeat, job.engine) {
+                (Repeat::Stream, Some(engine)) => Arc::clone(&self).generate(job, engine).await,
+                _ => self.forward_call(&job).await,
+            }
+        };
+        let result = tokio::select! {
+            result = forwarding => result,
+            () = &mut grace_expires => {
+                Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "grace_expired"))
+            }
         };
         match result {
             Ok(response) => response,
--- a/src/roles/site/mod.rs
+++ b/src/roles/site/mod.rs
@@ -25,7 +25,8 @@
 
 /// Time between reloads of the settings file, which may change without a signal.
 const SETTINGS_RELOAD_INTERVAL: Duration = Duration::from_secs(1);
-/// Part of the grace period that is reserved for closing connections and the log.
+/// Part of the grace period that is reserved for the last responses, closing connections and the
+/// log.
 const CLOSE_MARGIN: Duration = Duration::from_millis(600);
 
 /// Runs the roles that the settings configure until SIGTERM or SIGINT, then drains. `file` is the
--- /dev/null
+++ b/tests/site_planned_stop.rs
@@ -0,0 +1,75 @@
+//! Requests that arrive late in a planned stop of an entry. Tested through real processes.
+
+mod site_support;
+
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use site_support::{Reply, Request, Site, document, proper, wait_routable};
+
+/// Grace period of the entries of the site, after which they end.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// Sends the head of a request at once and its body after `body_delay`. Returns the response; it is
+/// empty if the connection is closed without one.
+async fn send_slowly(site: &Site, path: &str, body_delay: Duration) -> String {
+    let mut connection = TcpStream::connect(site.caller_address(1)).await.unwrap();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: calls.example\r\nAuthorization: Bearer k1\r\n\
+         X-Lilacspindle-Request-Id: id-slow\r\nContent-Length: 4\r\n\r\n"
+    );
+    connection.write_all(head.as_bytes()).await.unwrap();
+    sleep(body_delay).await;
+    // Fails if the entry has closed the connection.
+    let _ = connection.write_all(b"body").await;
+    let mut response = Vec::new();
+    let _ = connection.read_to_end(&mut response).await;
+    String::from_utf8_lossy(&response).into_owned()
+}
+
+async fn site_with_slow_instance() -> (Site, site_support::Upstream) {
+    let mut site = Site::serving(&document(1)).await;
+    let upstream = site
+        .upstream("plain", |request: &Request| {
+            let mut replies = proper(request);
+            if request.path.starts_with("/once/slow") {
+                replies.insert(0, Reply::Pause(Duration::from_secs(3)));
+            }
+            replies
+        })
+        .await;
+    wait_routable(&site, "/once/warm-up").await;
+    (site, upstream)
+}
+
+/// Guards against a request that is passed on late in a planned stop, since its body ends late, and
+/// cut off without a response at the end of the grace period.
+#[tokio::test]
+async fn request_whose_body_ends_late_in_a_stop_is_refused() {
+    let (site, upstream) = site_with_slow_instance().await;
+    site.signal("entry-1", "TERM");
+    sleep(Duration::from_millis(1_500)).await;
+    let response = send_slowly(&site, "/once/slow", Duration::from_millis(2_000)).await;
+    assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
+    assert!(response.contains("retry-after"), "{response:?}");
+    assert!(upstream.requests("/once/slow").is_empty());
+}
+
+/// Guards against connections that are closed without a response at the end of the grace period.
+#[tokio::test]
+async fn request_that_outlasts_a_stop_is_answered() {
+    let (mut site, upstream) = site_with_slow_instance().await;
+    site.signal("entry-1", "TERM");
+    sleep(Duration::from_millis(2_200)).await;
+    let unfinished = send_slowly(&site, "/once/never", GRACE);
+    let running = send_slowly(&site, "/once/slow", Duration::ZERO);
+    let (unfinished, running) = tokio::join!(unfinished, running);
+    assert!(unfinished.starts_with("HTTP/1.1 503"), "{unfinished:?}");
+    assert!(running.starts_with("HTTP/1.1 504"), "{running:?}");
+    assert_eq!(upstream.requests("/once/slow").len(), 1);
+    assert!(upstream.requests("/once/never").is_empty());
+    assert!(site.ended("entry-1", Duration::from_secs(2)).await);
+}
