--- a/src/domain/fleet/instance.rs
+++ b/src/domain/fleet/instance.rs
@@ -154,7 +154,7 @@
             self.reset();
         }
         if started_later {
-            self.forget_requests_of_instance();
+            self.discard_signals();
         }
         let born_ms = listed.born_ms.or(self.listed.born_ms);
         self.listed = Listed { born_ms, ..listed };
@@ -186,7 +186,7 @@
             (Some(born_ms), Some(known_ms)) if born_ms < known_ms => return false,
             (Some(born_ms), Some(known_ms)) if born_ms > known_ms => {
                 self.reset();
-                self.forget_requests_of_instance();
+                self.discard_signals();
                 self.listed.state = ListedState::Ready;
             }
             _ => {}
@@ -211,8 +211,8 @@
         };
     }
 
-    /// Discards what an earlier start of the instance has asked of this machine.
-    fn forget_requests_of_instance(&mut self) {
+    /// Discards the pause and the limit that an earlier start of the instance has asked for.
+    fn discard_signals(&mut self) {
         self.pause = Pause::default();
         self.limit = KnownLimit::default();
         self.at_limit_until_ms = 0;
--- a/src/domain/fleet/view/limits.rs
+++ b/src/domain/fleet/view/limits.rs
@@ -51,11 +51,11 @@
     }
 
     /// Returns what this entry has heard of the limits of some instances.
-    pub fn limit_notices_of(&self, instances: &[ChosenInstance], now_ms: u64) -> Vec<LimitNotice> {
-        let known = |chosen: &ChosenInstance| match self.instances.get(&chosen.identity) {
+    pub fn limit_notices_of(&self, instances: &[Arc<str>], now_ms: u64) -> Vec<LimitNotice> {
+        let known = |identity: &Arc<str>| match self.instances.get(identity) {
             Some(instance) => limit_notice(instance, now_ms),
             None => LimitNotice {
-                identity: Arc::clone(&chosen.identity),
+                identity: Arc::clone(identity),
                 born_ms: None,
                 statement: None,
             },
@@ -78,14 +78,10 @@
 
     /// Grants a request to the first of some instances whose limit allows one without the hub.
     /// Returns its index.
-    pub fn take_local_permit(
-        &mut self,
-        instances: &[ChosenInstance],
-        now_ms: u64,
-    ) -> Option<usize> {
+    pub fn take_local_permit(&mut self, instances: &[Arc<str>], now_ms: u64) -> Option<usize> {
         let share = self.share;
-        instances.iter().position(|chosen| {
-            let instance = self.instances.get_mut(&chosen.identity);
+        instances.iter().position(|identity| {
+            let instance = self.instances.get_mut(identity);
             instance.is_some_and(|instance| {
                 let is_granted = instance.allows_without_hub(share, now_ms);
                 if is_granted && instance.is_limited() {
@@ -100,7 +96,7 @@
     /// engine has a limit.
     pub fn take_engine(&mut self, query: &EngineQuery<'_>) -> Option<ChosenInstance> {
         let chosen = self.choose_engine(query)?;
-        self.take_local_permit(std::slice::from_ref(&chosen), query.now_ms)?;
+        self.take_local_permit(std::slice::from_ref(&chosen.identity), query.now_ms)?;
         Some(chosen)
     }
 
--- a/src/roles/gateway/permits.rs
+++ b/src/roles/gateway/permits.rs
@@ -1,6 +1,7 @@
 //! Permits for requests to instances that name a limit on their request rate. The hub grants them;
 //! while it does not answer, the entry uses its own part of the limit.
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -37,7 +38,7 @@
         &self,
         request_id: &str,
         service: &str,
-        tried: &[std::sync::Arc<str>],
+        tried: &[Arc<str>],
     ) -> Result<ChosenInstance, NoInstance> {
         let candidates = self.with_view(|view| {
             view.plain_candidates(service, tried, monotonic_ms(), rand::random())
@@ -46,7 +47,11 @@
         if limited.is_empty() {
             return candidates.unlimited.ok_or(NoInstance::NoneOpen);
         }
-        let result = self.request_permit(request_id, &limited, false).await;
+        let identities: Vec<Arc<str>> = limited
+            .iter()
+            .map(|instance| Arc::clone(&instance.identity))
+            .collect();
+        let result = self.request_permit(request_id, &identities, false).await;
         match (result, candidates.unlimited) {
             (PermitResult::Granted(at), _) => Ok(limited.swap_remove(at)),
             (PermitResult::Refused { .. }, Some(unlimited)) => Ok(unlimited),
@@ -66,8 +71,8 @@
     ) -> bool {
         let deadline = Instant::now() + limit;
         while self.with_view(|view| view.is_limited(&engine.identity)) {
-            let chosen = [engine.instance()];
-            match self.request_permit(request_id, &chosen, true).await {
+            let engine = std::slice::from_ref(&engine.identity);
+            match self.request_permit(request_id, engine, true).await {
                 PermitResult::Granted(_) => return true,
                 PermitResult::Refused { return_in_ms } => {
                     let wait = Duration::from_millis(return_in_ms.max(1));
@@ -85,7 +90,7 @@
     async fn request_permit(
         &self,
         request_id: &str,
-        instances: &[ChosenInstance],
+        instances: &[Arc<str>],
         is_resumption: bool,
     ) -> PermitResult {
         let asked_ms = monotonic_ms();
@@ -113,7 +118,7 @@
             Some(Ok(PermitReply::LimitsReached(reached))) => {
                 self.with_view(|view| {
                     for (instance, ready_in_ms) in instances.iter().zip(reached.ready_in_ms) {
-                        view.set_at_limit(&instance.identity, ready_in_ms, now_ms);
+                        view.set_at_limit(instance, ready_in_ms, now_ms);
                     }
                 });
                 let return_in_ms = reached.return_in_ms;
@@ -131,7 +136,7 @@
         result
     }
 
-    fn take_local_permit(&self, instances: &[ChosenInstance], now_ms: u64) -> PermitResult {
+    fn take_local_permit(&self, instances: &[Arc<str>], now_ms: u64) -> PermitResult {
         match self.with_view(|view| view.take_local_permit(instances, now_ms)) {
             Some(at) => PermitResult::Granted(at),
             None => PermitResult::Refused {
@@ -143,7 +148,7 @@
     fn log_permit(
         &self,
         request_id: &str,
-        instances: &[ChosenInstance],
+        instances: &[Arc<str>],
         result: &PermitResult,
         by_hub: bool,
     ) {
@@ -155,7 +160,7 @@
         tracing::info!(
             request = request_id,
             outcome = label,
-            instance = granted.map(|instance| &*instance.identity),
+            instance = granted.map(|instance| &**instance),
             candidates = instances.len(),
             by_hub,
             return_in_ms,
--- a/src/roles/gateway/ticket.rs
+++ b/src/roles/gateway/ticket.rs
@@ -34,16 +34,6 @@
         }
     }
 
-    /// Returns the instance of the request.
-    pub(super) fn instance(&self) -> ChosenInstance {
-        ChosenInstance {
-            identity: Arc::clone(&self.identity),
-            address: self.address,
-            same_zone: false,
-            by_hub: false,
-        }
-    }
-
     /// Records that the engine has read the prompt of the generation, which its first event shows.
     /// Further calls have no effect.
     pub(super) fn mark_prompt_read(&mut self) {
--- a/tests/fleet_limit_days.rs
+++ b/tests/fleet_limit_days.rs
@@ -3,9 +3,11 @@
 
 mod fleet_support;
 
+use std::sync::Arc;
+
 use fleet_support::limits::{assert_within, sync};
 use fleet_support::{listed, view};
-use lilacspindle::domain::fleet::{ChosenInstance, Hub, Listed, NamedLimit, Permit, View};
+use lilacspindle::domain::fleet::{Hub, Listed, NamedLimit, Permit, View};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -128,7 +130,7 @@
     }
 
     /// Asks for a permit, as an entry does.
-    fn permit(&mut self, entry: usize, limited: &[ChosenInstance], now_ms: u64) -> Option<usize> {
+    fn permit(&mut self, entry: usize, limited: &[Arc<str>], now_ms: u64) -> Option<usize> {
         let has_hub = self.has_hub(entry, now_ms);
         let view = &mut self.views[entry];
         match limited.is_empty() {
@@ -139,8 +141,8 @@
                 match self.hub.permit(&notices, now_ms) {
                     Permit::Granted(at) => Some(at),
                     Permit::Refused(reached) => {
-                        for (chosen, ready_in_ms) in limited.iter().zip(reached.ready_in_ms) {
-                            view.set_at_limit(&chosen.identity, ready_in_ms, now_ms);
+                        for (identity, ready_in_ms) in limited.iter().zip(reached.ready_in_ms) {
+                            view.set_at_limit(identity, ready_in_ms, now_ms);
                         }
                         None
                     }
@@ -155,7 +157,9 @@
         let entry = self.random.random_range(0..self.views.len());
         let random = self.random.random();
         let candidates = self.views[entry].plain_candidates("model", &[], now_ms, random);
-        let permit = self.permit(entry, &candidates.limited, now_ms);
+        let limited = candidates.limited.iter();
+        let limited: Vec<Arc<str>> = limited.map(|i| Arc::clone(&i.identity)).collect();
+        let permit = self.permit(entry, &limited, now_ms);
         let chosen = match permit {
             Some(at) => candidates.limited.get(at),
             None => candidates.unlimited.as_ref(),
--- a/tests/fleet_limits.rs
+++ b/tests/fleet_limits.rs
@@ -313,8 +313,7 @@
         let mut sent = Vec::new();
         for now_ms in (100_000..160_000).step_by(100) {
             for view in &mut views {
-                let candidates = view.plain_candidates("model", &[], now_ms, 1).limited;
-                if view.take_local_permit(&candidates, now_ms).is_some() {
+                if view.take_local_permit(&[identity(1)], now_ms).is_some() {
                     sent.push(now_ms);
                 }
             }
--- a/tests/site_planned_stop.rs
+++ b/tests/site_planned_stop.rs
@@ -52,7 +52,7 @@
     let (site, upstream) = site_with_slow_instance().await;
     site.signal("entry-1", "TERM");
     sleep(Duration::from_millis(1_500)).await;
-    let response = send_slowly(&site, "/once/slow", Duration::from_millis(2_000)).await;
+    let response = send_slowly(&site, "/once/slow", Duration::from_secs(2)).await;
     assert!(response.starts_with("HTTP/1.1 503"), "{response:?}");
     assert!(response.contains("retry-after"), "{response:?}");
     assert!(upstream.requests("/once/slow").is_empty());
