--- a/src/domain/fleet/limiters.rs
+++ b/src/domain/fleet/limiters.rs
@@ -63,10 +63,10 @@
         self.filled_ms = now_ms;
     }
 
-    /// Returns the time until a request is possible.
-    fn ready_in_ms(&self, limit_milli_per_s: u64, now_ms: u64) -> u64 {
-        let missing_micro = REQUEST_MICRO - self.level_micro(limit_milli_per_s, now_ms);
-        missing_micro
+    /// Returns the time until a request is possible that may take `credit_micro` in advance.
+    fn ready_in_ms(&self, credit_micro: i64, limit_milli_per_s: u64, now_ms: u64) -> u64 {
+        let level_micro = self.level_micro(limit_milli_per_s, now_ms);
+        (REQUEST_MICRO - credit_micro - level_micro)
             .max(0)
             .unsigned_abs()
             .div_ceil(limit_milli_per_s)
@@ -108,16 +108,19 @@
         change
     }
 
-    /// Returns the time until a request is possible; 0 without a limit.
-    fn ready_in_ms(&self, now_ms: u64) -> u64 {
+    /// Returns the time until a request is possible that may take `credit_micro` in advance; 0
+    /// without a limit.
+    fn ready_in_ms(&self, credit_micro: i64, now_ms: u64) -> u64 {
         let limit = self.known.milli_per_s();
-        limit.map_or(0, |limit| self.bucket.ready_in_ms(limit, now_ms))
+        limit.map_or(0, |limit| {
+            self.bucket.ready_in_ms(credit_micro, limit, now_ms)
+        })
     }
 
     /// Returns when the next refused caller should return: one after the other, at the rate of the
     /// limit.
     fn next_return_ms(&self, now_ms: u64) -> u64 {
-        let ready_ms = now_ms + self.ready_in_ms(now_ms);
+        let ready_ms = now_ms + self.ready_in_ms(0, now_ms);
         let step_ms = match self.known.milli_per_s() {
             Some(limit) => REQUEST_MICRO.unsigned_abs().div_ceil(limit),
             None => 0,
@@ -197,7 +200,7 @@
     /// Returns true if an instance takes another request now.
     pub(super) fn allows(&self, identity: &str, now_ms: u64) -> bool {
         let limiter = self.0.get(identity);
-        limiter.is_none_or(|limiter| limiter.ready_in_ms(now_ms) == 0)
+        limiter.is_none_or(|limiter| limiter.ready_in_ms(0, now_ms) == 0)
     }
 
     /// Counts a request to an instance.
@@ -225,19 +228,21 @@
         }
     }
 
-    /// Grants the resumption of a generation at an instance, if necessary in advance.
+    /// Grants the resumption of a generation at an instance, if necessary in advance. A refused one
+    /// does not queue behind the callers that were told to return.
     pub(super) fn permit_resumption(&mut self, identity: &Arc<str>, now_ms: u64) -> Permit {
-        let is_granted = self.0.get(identity).is_none_or(|limiter| {
-            limiter.known.milli_per_s().is_none_or(|limit| {
-                limiter.bucket.level_micro(limit, now_ms) + RESUMPTION_CREDIT_MICRO >= REQUEST_MICRO
-            })
-        });
-        match is_granted {
-            true => {
+        let limiter = self.0.get(identity);
+        let ready_in_ms =
+            |credit_micro| limiter.map_or(0, |limiter| limiter.ready_in_ms(credit_micro, now_ms));
+        match ready_in_ms(RESUMPTION_CREDIT_MICRO) {
+            0 => {
                 self.take(identity, now_ms);
                 Permit::Granted(0)
             }
-            false => Permit::Refused(self.refuse(std::iter::once(identity), now_ms)),
+            return_in_ms => Permit::Refused(LimitsReached {
+                ready_in_ms: vec![ready_in_ms(0)],
+                return_in_ms,
+            }),
         }
     }
 
@@ -249,7 +254,7 @@
     ) -> LimitsReached {
         let ready_in_ms = |identity| {
             let limiter = self.0.get(identity);
-            limiter.map_or(0, |limiter| limiter.ready_in_ms(now_ms))
+            limiter.map_or(0, |limiter| limiter.ready_in_ms(0, now_ms))
         };
         let ready_in_ms = candidates.clone().map(ready_in_ms).collect();
         let return_ms = |identity: &Arc<str>| {
--- a/tests/fleet_limits.rs
+++ b/tests/fleet_limits.rs
@@ -259,6 +259,12 @@
     });
     assert_eq!(resumed.count(), 2);
     assert!(return_in_ms(&ask(&mut hub, &[2], 1_000)) >= 3_000);
+    let third = hub.permit_resumption(&identity(2), 1_000);
+    assert_eq!(
+        return_in_ms(&third),
+        1_000,
+        "it does not queue behind callers"
+    );
 }
 
 fn placement(numbers: &[u8]) -> PlacementRequest {
