--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod roles;
 pub mod rpc;
 pub mod settings;
+pub mod soak;
--- /dev/null
+++ b/src/soak/mod.rs
@@ -0,0 +1,9 @@
+//! Fault soak: runs the daemons as separate processes on loopback addresses, drives callers and an
+//! operator, injects faults from outside, and checks what callers, operators and instances see.
+
+mod history;
+
+pub use history::{
+    Bounds, Call, CallEnd, DocumentRead, Execution, ExecutionEnd, Fault, FaultKind, History,
+    Publication, SentDocument, SentRoute, UnexpectedExit,
+};
