--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -53,6 +53,7 @@
             let summary = self.with_view(|view| view.summary(&chosen.identity, monotonic_ms()));
             let by_hub = chosen.by_hub;
             let ticket = Ticket::begin(&self, chosen, Some(demand));
+            job.open.set_instance(&ticket.identity);
             let backup = self.choose_backup(&job, engine, &ticket);
             let request = with_backup(job.upstream_request(&ticket.identity), backup.as_ref());
             tracing::info!(
--- a/src/roles/gateway/metrics.rs
+++ b/src/roles/gateway/metrics.rs
@@ -16,6 +16,8 @@
     sends: IntCounterVec,
     moves: IntCounterVec,
     streams: IntCounterVec,
+    detached: IntCounterVec,
+    resumptions: IntCounterVec,
     instance_signals: IntCounterVec,
     permits: IntCounterVec,
     first_event_ms: Histogram,
@@ -51,6 +53,16 @@
                 "Ended streams by outcome.",
                 "outcome",
             ),
+            detached: counters(
+                "lilac_gateway_streams_detached_total",
+                "Streams whose engine was given up, by reason.",
+                "reason",
+            ),
+            resumptions: counters(
+                "lilac_gateway_resumptions_total",
+                "Attempts to resume a generation at another engine, by outcome.",
+                "outcome",
+            ),
             instance_signals: counters(
                 "lilac_gateway_heeded_total",
                 "What instances said of themselves in answers, by reason.",
@@ -82,11 +94,13 @@
             )
             .expect("constant options are valid"),
         };
-        let all: [Box<dyn prometheus::core::Collector>; 10] = [
+        let all: [Box<dyn prometheus::core::Collector>; 12] = [
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
             Box::new(metrics.moves.clone()),
             Box::new(metrics.streams.clone()),
+            Box::new(metrics.detached.clone()),
+            Box::new(metrics.resumptions.clone()),
             Box::new(metrics.instance_signals.clone()),
             Box::new(metrics.permits.clone()),
             Box::new(metrics.first_event_ms.clone()),
@@ -129,6 +143,14 @@
         self.permits.with_label_values(&[outcome, by]).inc();
     }
 
+    pub(super) fn count_detached(&self, reason: &str) {
+        self.detached.with_label_values(&[reason]).inc();
+    }
+
+    pub(super) fn count_resumption(&self, outcome: &str) {
+        self.resumptions.with_label_values(&[outcome]).inc();
+    }
+
     pub(super) fn count_stream(&self, outcome: &str) {
         self.streams.with_label_values(&[outcome]).inc();
     }
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod instance_signals;
 mod metrics;
 mod migrate;
+mod open_requests;
 mod permits;
 mod plain;
 mod relay;
@@ -47,6 +48,7 @@
 use crate::settings::GatewaySettings;
 
 use metrics::Metrics;
+use open_requests::OpenRequests;
 use upstream::ConnectionPool;
 
 /// Connections to callers that leave sent bytes unacknowledged for this long are closed.
@@ -109,6 +111,7 @@
     closed: watch::Sender<bool>,
     /// Has one receiver per open caller connection; closes when the last one has ended.
     open_connections: watch::Sender<()>,
+    open_requests: Arc<OpenRequests>,
 }
 
 impl Gateway {
@@ -141,6 +144,7 @@
             grace_ends_at: watch::Sender::new(None),
             closed: watch::Sender::new(false),
             open_connections: watch::Sender::new(()),
+            open_requests: Arc::default(),
         });
         let seed = xxh3_64(gateway.name.as_bytes());
         gateway.with_view(|view| view.set_seed(seed));
@@ -177,14 +181,24 @@
         let done = async {
             sleep(ACCEPT_AFTER_SIGTERM.min(grace)).await;
             self.closed.send_replace(true);
-            self.open_connections.closed().await;
-        };
-        if timeout(grace + LAST_RESPONSES_TIME, done).await.is_err() {
-            tracing::warn!(
+            tracing::info!(
                 open = self.open_connections.receiver_count(),
-                "grace period expired with connections still open"
+                "listener closed"
             );
+            self.open_connections.closed().await;
+        };
+        tokio::pin!(done);
+        if timeout(grace, &mut done).await.is_ok() {
+            return;
         }
+        let requests = self.open_requests.log_all();
+        tracing::warn!(
+            open = self.open_connections.receiver_count(),
+            requests,
+            "grace period expired with connections still open"
+        );
+        // Those that are still open then were named above.
+        let _ = timeout(LAST_RESPONSES_TIME, done).await;
     }
 
     /// Returns at the end of the grace period of a planned stop, while there is still time to answer
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -78,6 +78,7 @@
             tried.push(Arc::clone(&chosen.identity));
             let summary = self.with_view(|view| view.summary(&chosen.identity, monotonic_ms()));
             let ticket = Ticket::begin(self, chosen, None);
+            job.open.set_instance(&ticket.identity);
             let result = self.send_plain(job, &ticket).await;
             log_attempt(job, &ticket.identity, tried.len(), &summary, &result);
             let attempts_left = tried.len() < MAX_ATTEMPTS;
--- a/src/roles/gateway/relay.rs
+++ b/src/roles/gateway/relay.rs
@@ -16,7 +16,7 @@
 use super::events::EventBuffer;
 use super::generation::response_lost;
 use super::migrate::{CompletedMove, Migration, MigrationPlan};
-use super::plain::end_to_end_headers;
+use super::plain::{end_to_end_headers, is_marked_not_run};
 use super::request::Job;
 use super::response::{Body, IncompleteBody, Refusal};
 use super::ticket::Ticket;
@@ -176,20 +176,20 @@
                     {
                         return Ok(self.end());
                     }
-                    None => self.detach_source("generation stopped for its migration"),
+                    None => self.detach_source("stopped", "generation stopped for its migration"),
                     Some(Err(error)) => {
                         let cause =
                             format!("stream from {} failed: {error}", source.ticket.identity);
                         if self.migration.is_none() {
                             source.ticket.record_outcome(Outcome::Unreachable);
                         }
-                        self.detach_source(&cause);
+                        self.detach_source("failed", &cause);
                     }
                 },
                 _ = self.departure_changes.changed() => {}
                 () = sleep_until(next_check_at), if next_check_at < self.job.deadline => {
                     if self.has_stalled() {
-                        self.detach_source("no event within the timeout");
+                        self.detach_source("silent", "no event within the timeout");
                     }
                 }
                 () = sleep_until(self.job.deadline) => return Err("out of time".to_owned()),
@@ -223,6 +223,9 @@
             source.ticket.mark_prompt_read();
         }
         self.last_event_at = Instant::now();
+        self.job
+            .open
+            .set_last_event(self.last_event.unwrap_or_default());
         self.first_event_ms.get_or_insert_with(monotonic_ms);
         let age_ms = self.job.age_ms();
         self.time_to_first_event_ms.get_or_insert(age_ms);
@@ -276,7 +279,7 @@
             let switch_at_ms = (first_event_ms + BACKUP_COPY_MS).min(latest_ms);
             self.switch_at_ms = Some(switch_at_ms);
             if now_ms >= switch_at_ms {
-                self.detach_source("the engine is shutting down");
+                self.detach_source("leaving", "the engine is shutting down");
             }
             return;
         }
@@ -336,10 +339,15 @@
     }
 
     /// Drops the stream of an engine whose generation is to be resumed elsewhere.
-    fn detach_source(&mut self, cause: &str) {
+    fn detach_source(&mut self, reason: &str, cause: &str) {
+        let instance = self.source.as_ref().map(|source| &*source.ticket.identity);
+        self.gateway.metrics.count_detached(reason);
         tracing::info!(
             request = &*self.job.id,
+            instance,
+            reason,
             cause,
+            silent_ms = elapsed_ms(self.last_event_at),
             last_event = self.last_event,
             "engine stream closed; resuming the generation elsewhere"
         );
@@ -358,15 +366,37 @@
                     from,
                     handle,
                 })) => (ticket, format!("{from}/{handle}")),
-                Ok(None) => return Err("the migration failed".to_owned()),
-                Err(_) => return Err("the migration timed out".to_owned()),
+                Ok(None) => {
+                    return Err(self
+                        .resumption_failed("migration_failed", "the migration failed".to_owned()));
+                }
+                Err(_) => {
+                    return Err(self.resumption_failed(
+                        "migration_timed_out",
+                        "the migration timed out".to_owned(),
+                    ));
+                }
             },
             (None, Some(ticket)) => {
                 let copy = format!("{}/{}", ticket.address, self.job.id);
                 (ticket, copy)
             }
-            (None, None) => return Err("no engine holds a copy of the KV cache".to_owned()),
+            (None, None) => {
+                return Err(self.resumption_failed(
+                    "no_copy",
+                    "no engine holds a copy of the KV cache".to_owned(),
+                ));
+            }
         };
+        tracing::info!(
+            request = &*self.job.id,
+            instance = &*ticket.identity,
+            copy,
+            last_event = self.last_event,
+            left_ms = self.job.left_ms(),
+            "resuming the generation"
+        );
+        self.job.open.set_instance(&ticket.identity);
         let backup = self.gateway.choose_backup(&self.job, self.engine, &ticket);
         let request = with_backup(self.resume_request(&ticket, &copy), backup.as_ref());
         if !self
@@ -374,32 +404,43 @@
             .wait_until_unpaused(&ticket.identity, RESUME_TIMEOUT)
             .await
         {
-            return Err(format!("requests to {} are paused", ticket.identity));
+            return Err(self.resumption_failed(
+                "paused",
+                format!("requests to {} are paused", ticket.identity),
+            ));
         }
         if !self
             .gateway
             .wait_for_resumption_permit(&self.job.id, &ticket, RESUME_TIMEOUT)
             .await
         {
-            return Err(format!("{} has reached its request limit", ticket.identity));
+            return Err(self.resumption_failed(
+                "limited",
+                format!("{} has reached its request limit", ticket.identity),
+            ));
         }
         let sending = self.gateway.send(&ticket, request, &self.job.id);
         let exchange = match timeout(RESUME_TIMEOUT, sending).await {
             Ok(Ok(exchange)) if exchange.head.status.is_success() => exchange,
             Ok(Ok(exchange)) => {
-                return Err(format!(
-                    "{} answered {}",
-                    ticket.identity, exchange.head.status
-                ));
+                let reason = if is_marked_not_run(&exchange.head) {
+                    "refused"
+                } else {
+                    "status"
+                };
+                let cause = format!("{} answered {}", ticket.identity, exchange.head.status);
+                return Err(self.resumption_failed(reason, cause));
+            }
+            Ok(Err(failure)) => {
+                let cause = format!("{}: {failure}", ticket.identity);
+                return Err(self.resumption_failed("unreachable", cause));
             }
-            Ok(Err(failure)) => return Err(format!("{}: {failure}", ticket.identity)),
             Err(_) => {
-                return Err(format!(
-                    "{} did not resume the generation in time",
-                    ticket.identity
-                ));
+                let cause = format!("{} did not resume the generation in time", ticket.identity);
+                return Err(self.resumption_failed("timed_out", cause));
             }
         };
+        self.gateway.metrics.count_resumption("resumed");
         self.gateway.metrics.count_move("continued");
         tracing::info!(
             request = &*self.job.id,
@@ -415,6 +456,19 @@
         Ok(())
     }
 
+    /// Logs and counts a failed attempt to resume the generation. Returns its cause.
+    fn resumption_failed(&self, reason: &str, cause: String) -> String {
+        self.gateway.metrics.count_resumption(reason);
+        tracing::info!(
+            request = &*self.job.id,
+            reason,
+            cause,
+            last_event = self.last_event,
+            "generation not resumed"
+        );
+        cause
+    }
+
     /// Returns the request that resumes the generation from a copy of its KV cache, which is given
     /// as `address/handle`.
     fn resume_request(&self, ticket: &Ticket, copy: &str) -> Request<Full<Bytes>> {
@@ -467,6 +521,10 @@
     request
 }
 
+fn elapsed_ms(since: Instant) -> u64 {
+    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns true if the source engine may have stopped the generation for its migration.
 fn stop_was_requested(migration: Option<&Migration>) -> bool {
     migration.is_some_and(Migration::stop_was_requested)
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::Gateway;
+use super::open_requests::OpenRequest;
 use super::response::{Body, Refusal};
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::{Access, EngineSpec, Index, Repeat, Route};
@@ -57,6 +58,7 @@
     pub(super) arrived: Instant,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(super) deadline: Instant,
+    pub(super) open: OpenRequest,
 }
 
 impl Job {
@@ -147,11 +149,12 @@
         let expected_tokens = |route: &str, hint, most| {
             self.with_lengths(|lengths| lengths.expected(route, hint, most))
         };
+        let open = self.open_requests.begin(&id, &route.name, arrived);
         let grace_expires = self.grace_expires();
         tokio::pin!(grace_expires);
         let leaving = || Refusal::not_run("leaving", LEAVING_RETRY_MS);
         let reading = tokio::select! {
-            job = read(request, admitted, Arc::clone(&id), arrived, expected_tokens) => job,
+            job = read(request, admitted, Arc::clone(&id), open, expected_tokens) => job,
             () = &mut grace_expires => Err(leaving()),
         };
         // A request whose body has ended this late in a planned stop may outlast it.
@@ -283,11 +286,12 @@
     request: Request<Incoming>,
     admitted: Admitted,
     id: Arc<str>,
-    arrived: Instant,
+    open: OpenRequest,
     expected_tokens: impl Fn(&str, u64, u64) -> u64,
 ) -> Result<Job, Refusal> {
     let (head, body) = request.into_parts();
     let route = admitted.route;
+    let arrived = open.arrived();
     let wanted_ms = headers::number(&head.headers, &headers::DEADLINE).unwrap_or(u64::MAX);
     let deadline = arrived + Duration::from_millis(wanted_ms.min(route.timeout_ms));
     let body = Limited::new(body, admitted.body_limit_bytes).collect();
@@ -324,6 +328,7 @@
         priority: admitted.priority,
         arrived,
         deadline,
+        open,
     })
 }
 
