Keep an engine until another one has taken its generation over

- An engine that sent nothing for 500 ms was closed before the engine with the backup copy was asked.
If that one refused, for lack of a copy, the stream ended although its engine was sound.
- If the last copy of a migration failed after the engine had stopped the generation, or the target refused it, the stream ended although the engine that stopped it keeps the memory; the handle that a 503 of /kv-move names was not read, and a lost response was not asked for again.
- A resumption did not end at the deadline of its request.

All three come from resuming as one step of the relay that owns the only path of the stream. A resumption is now an attempt of its own (resume.rs) that runs beside the engine's stream: the engine is left when the other one has accepted. If it refuses, the engine keeps the stream and the backup is asked again after twice the silence; an engine that speaks first keeps the stream and the attempt is closed. The same holds for an engine that leaves and whose backup refuses: it keeps the stream, and a migration is begun. After a stop, the target is asked first and then the source, with the same handle, if the target certainly did not execute the request. All of this ends at the deadline.

--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -55,6 +55,32 @@
     }
 }
 
+/// Why a generation could not be copied to another replica.
+#[derive(Debug)]
+pub struct MoveFailure {
+    pub cause: CallFailure,
+    /// Handle of the generation's memory at the source, if that has stopped the generation.
+    pub handle: Option<Arc<str>>,
+}
+
+impl fmt::Display for MoveFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.handle {
+            Some(handle) => write!(f, "{}; the source keeps {handle}", self.cause),
+            None => self.cause.fmt(f),
+        }
+    }
+}
+
+impl From<CallFailure> for MoveFailure {
+    fn from(cause: CallFailure) -> Self {
+        Self {
+            cause,
+            handle: None,
+        }
+    }
+}
+
 #[derive(Deserialize)]
 struct MoveResponse {
     handle: serde_json::Value,
@@ -179,26 +205,51 @@
 
 /// Copies the key-value cache of a running generation from its replica to `target`. With `stop`,
 /// the generation stops first and its stream ends there. Returns the handle of the copy, which
-/// identifies it at `source`.
+/// identifies it at `source`. The failure names one too if the generation has stopped but could not
+/// be copied.
 pub async fn move_generation(
     source: SocketAddr,
     request_id: &str,
     target: SocketAddr,
     stop: bool,
     limit: Duration,
-) -> Result<Arc<str>, CallFailure> {
+) -> Result<Arc<str>, MoveFailure> {
     let body = serde_json::json!({
         "identifier": request_id,
         "to": target.to_string(),
         "last": stop,
     });
-    let response = call(source, Method::POST, "/kv-move", body.to_string(), limit).await?;
-    let response: MoveResponse = serde_json::from_slice(response.body())
-        .map_err(|error| CallFailure::Failed(error.to_string()))?;
+    let (path, sending) = (
+        "/kv-move",
+        send(source, Method::POST, "/kv-move", body.to_string()),
+    );
+    let response = timeout(limit, sending).await;
+    let handle = match &response {
+        Ok(Ok(response)) if stop || response.status().is_success() => decode_handle(response),
+        _ => Ok(None),
+    };
+    if let Err(cause) = check_response(source, path, limit, response) {
+        return Err(MoveFailure {
+            cause,
+            // The body of a failure may be anything.
+            handle: handle.unwrap_or_default(),
+        });
+    }
+    match handle {
+        Ok(Some(handle)) => Ok(handle),
+        Ok(None) => Err(CallFailure::Failed("the response names no handle".to_owned()).into()),
+        Err(error) => Err(CallFailure::Failed(error.to_string()).into()),
+    }
+}
+
+/// Returns the handle that a response to `/kv-move` names; `None` if it is null.
+fn decode_handle(response: &Response<Bytes>) -> Result<Option<Arc<str>>, serde_json::Error> {
+    let response: MoveResponse = serde_json::from_slice(response.body())?;
     // The protocol does not specify whether handles are strings or numbers.
     Ok(match response.handle {
-        serde_json::Value::String(handle) => handle.into(),
-        other => other.to_string().into(),
+        serde_json::Value::Null => None,
+        serde_json::Value::String(handle) => Some(handle.into()),
+        other => Some(other.to_string().into()),
     })
 }
 
@@ -209,16 +260,19 @@
     body: String,
     limit: Duration,
 ) -> Result<Response<Bytes>, CallFailure> {
-    let response = async {
-        let mut connection = Connection::open(address).await?;
-        let request = request(address, method, path, body)?;
-        connection
-            .exchange(request, MAX_REPLICA_RESPONSE_BYTES)
-            .await
-    };
+    let response = send(address, method, path, body);
     check_response(address, path, limit, timeout(limit, response).await)
 }
 
+/// Sends a request to a replica over a connection of its own.
+async fn send(address: SocketAddr, method: Method, path: &str, body: String) -> CallResult {
+    let mut connection = Connection::open(address).await?;
+    let request = request(address, method, path, body)?;
+    connection
+        .exchange(request, MAX_REPLICA_RESPONSE_BYTES)
+        .await
+}
+
 type CallError = Box<dyn std::error::Error + Send + Sync>;
 type CallResult = Result<Response<Bytes>, CallError>;
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,7 +7,9 @@
 mod instances;
 mod reports;
 
-pub use calls::{CallFailure, ReportReader, move_generation, read_identity, read_list};
+pub use calls::{
+    CallFailure, MoveFailure, ReportReader, move_generation, read_identity, read_list,
+};
 pub use configuration::decode_document;
 pub use instances::decode_instances;
 pub use reports::decode_report;
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -3,13 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Response, StatusCode};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
 use tokio::time::{sleep, timeout_at};
 
 use super::Gateway;
 use super::instance_signals::retry_after;
 use super::plain::{implies_not_run, is_marked_not_run, to_response};
-use super::relay::{EngineStream, Relay, with_backup};
+use super::relay::{EngineStream, Relay};
 use super::request::Job;
 use super::response::{Body, Refusal};
 use super::ticket::Ticket;
@@ -18,6 +20,7 @@
 use crate::domain::admission::AdmissionQueue;
 use crate::domain::document::EngineSpec;
 use crate::domain::fleet::{ChosenInstance, EngineQuery, Outcome, Outlook};
+use crate::platform::headers;
 use crate::rpc::directory::{PlaceReply, PlaceRequest};
 
 /// Number of engines tried as long as each one certainly did not execute the request.
@@ -366,6 +369,17 @@
     );
 }
 
+/// Adds the address of the engine that is to keep a backup copy to a request.
+pub(super) fn with_backup(
+    mut request: Request<Full<Bytes>>,
+    backup: Option<&Ticket>,
+) -> Request<Full<Bytes>> {
+    if let Some(value) = backup.and_then(|b| headers::value(&b.address.to_string())) {
+        request.headers_mut().insert(headers::BACKUP, value);
+    }
+    request
+}
+
 pub(super) fn response_lost() -> Refusal {
     Refusal::unknown(StatusCode::BAD_GATEWAY, "answer_lost")
 }
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -18,7 +18,7 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::EngineSpec;
 use crate::domain::fleet::{ChosenInstance, Demand, EngineQuery, PlacementRequest};
-use crate::platform::{CallFailure, move_generation};
+use crate::platform::{CallFailure, MoveFailure, move_generation};
 use crate::rpc::directory::TurnRequest;
 
 /// If control schedules no turn for the copy, the generation is stopped this long before its engine
@@ -39,6 +39,8 @@
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Number of such retries.
 const MAX_BUSY_RETRIES: usize = 10;
+/// Number of times that the call that stops the generation is repeated if it gets no response.
+const MAX_STOP_REPEATS: usize = 1;
 /// Delay before the next search for a target after no engine had capacity.
 const NO_TARGET_RETRY_DELAY: Duration = Duration::from_millis(80);
 /// Delay before a denied turn is requested again: another entry may have given its turn back.
@@ -72,19 +74,17 @@
     }
 }
 
-/// A completed migration: the generation has been stopped at the source, and its KV cache is at the
-/// engine of `ticket`.
-pub(super) struct CompletedMove {
-    pub(super) ticket: Ticket,
-    /// Address of the source engine.
-    pub(super) from: SocketAddr,
-    /// Name of the copy at the source engine.
+/// A generation that the source engine has stopped. It keeps the KV cache.
+pub(super) struct StoppedGeneration {
+    /// Engine that holds a whole copy; `None` if the last part could not be copied.
+    pub(super) target: Option<Ticket>,
+    /// Name of the KV cache and of its copy at the source engine.
     pub(super) handle: Arc<str>,
 }
 
 /// A migration in progress. Dropping it cancels the migration.
 pub(super) struct Migration {
-    task: Option<JoinHandle<Option<CompletedMove>>>,
+    task: Option<JoinHandle<Option<StoppedGeneration>>>,
     stop_requested: Arc<AtomicBool>,
 }
 
@@ -103,9 +103,9 @@
         let asked = Arc::clone(&stop_requested);
         let task = tokio::spawn(async move {
             let moved = migrate(&gateway, &plan, &asked).await;
-            gateway
-                .metrics
-                .count_move(if moved.is_some() { "copied" } else { "failed" });
+            let is_copied = moved.as_ref().is_some_and(|moved| moved.target.is_some());
+            let outcome = if is_copied { "copied" } else { "failed" };
+            gateway.metrics.count_move(outcome);
             moved
         });
         Self {
@@ -119,8 +119,9 @@
         self.stop_requested.load(Ordering::Relaxed)
     }
 
-    /// Waits for the migration to complete. Returns `None` if it failed.
-    pub(super) async fn finish(mut self) -> Option<CompletedMove> {
+    /// Waits for the migration to complete. Returns `None` if it failed and it is not known that
+    /// the source engine has stopped the generation.
+    pub(super) async fn finish(mut self) -> Option<StoppedGeneration> {
         let task = self.task.take()?;
         task.await.ok().flatten()
     }
@@ -130,7 +131,7 @@
     gateway: &Arc<Gateway>,
     plan: &MigrationPlan,
     stop_requested: &AtomicBool,
-) -> Option<CompletedMove> {
+) -> Option<StoppedGeneration> {
     let begun_ms = monotonic_ms();
     let (ticket, stop_at_ms) = pre_copy(gateway, plan).await?;
     let copied_ms = monotonic_ms();
@@ -142,7 +143,7 @@
         return None;
     }
     stop_requested.store(true, Ordering::Relaxed);
-    let stopped = request_copy(plan, ticket.address, true).await;
+    let stopped = stop_and_copy(plan, ticket.address).await;
     tracing::info!(
         request = &*plan.request_id,
         from = &*plan.from_identity,
@@ -153,12 +154,38 @@
         error = stopped.as_ref().err().map(ToString::to_string),
         "generation moved"
     );
-    let handle = stopped.ok()?;
-    Some(CompletedMove {
-        ticket,
-        from: plan.from,
-        handle,
-    })
+    match stopped {
+        Ok(handle) => Some(StoppedGeneration {
+            target: Some(ticket),
+            handle,
+        }),
+        Err(MoveFailure { cause, handle }) => {
+            if let CallFailure::AskedForTime(asked) = cause {
+                gateway.pause_instance(&plan.from_identity, asked);
+            }
+            let target = None;
+            handle.map(|handle| StoppedGeneration { target, handle })
+        }
+    }
+}
+
+/// Stops the generation and copies the rest of its KV cache. A call without a response is repeated,
+/// since the engine may have stopped the generation and then names the handle again.
+async fn stop_and_copy(plan: &MigrationPlan, target: SocketAddr) -> Result<Arc<str>, MoveFailure> {
+    let mut repeats = 0;
+    loop {
+        match request_copy(plan, target, true).await {
+            Err(failure)
+                if matches!(failure.cause, CallFailure::Failed(_))
+                    && repeats < MAX_STOP_REPEATS =>
+            {
+                tracing::info!(request = &*plan.request_id, from = &*plan.from_identity,
+                    %failure, "no response to the call that stops the generation");
+                repeats += 1;
+            }
+            result => return result,
+        }
+    }
 }
 
 /// Copies the KV cache while the generation continues. Returns the engine that holds the copy and
@@ -226,7 +253,7 @@
             Err(error) => {
                 tracing::info!(request = &*plan.request_id, from = &*plan.from_identity,
                     to = &*ticket.identity, %error, "KV cache copy failed");
-                match error {
+                match error.cause {
                     CallFailure::Status(StatusCode::SERVICE_UNAVAILABLE) => {}
                     CallFailure::AskedForTime(asked) => {
                         gateway.pause_instance(&plan.from_identity, asked);
@@ -342,12 +369,15 @@
     plan: &MigrationPlan,
     target: SocketAddr,
     stop: bool,
-) -> Result<Arc<str>, CallFailure> {
+) -> Result<Arc<str>, MoveFailure> {
     let mut busy = 0;
     loop {
         let reply = move_generation(plan.from, &plan.request_id, target, stop, COPY_TIMEOUT).await;
         match reply {
-            Err(CallFailure::Status(StatusCode::CONFLICT)) if busy < MAX_BUSY_RETRIES => busy += 1,
+            Err(MoveFailure {
+                cause: CallFailure::Status(StatusCode::CONFLICT),
+                ..
+            }) if busy < MAX_BUSY_RETRIES => busy += 1,
             reply => return reply,
         }
         sleep(BUSY_RETRY_DELAY).await;
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod relay;
 mod request;
 mod response;
+mod resume;
 mod sync;
 mod ticket;
 mod upstream;
--- a/src/roles/gateway/relay.rs
+++ b/src/roles/gateway/relay.rs
@@ -6,30 +6,25 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http::{Request, Response};
-use http_body_util::{BodyExt, Full, StreamBody};
+use http::Response;
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 
 use super::Gateway;
 use super::events::EventBuffer;
 use super::generation::response_lost;
-use super::migrate::{CompletedMove, Migration, MigrationPlan};
-use super::plain::{end_to_end_headers, is_marked_not_run};
+use super::migrate::{Migration, MigrationPlan};
+use super::plain::end_to_end_headers;
 use super::request::Job;
 use super::response::{Body, IncompleteBody, Refusal};
+use super::resume::{Reason, ResumeFailure, Resumed, Resumer, Resumption};
 use super::ticket::Ticket;
 use super::upstream::Exchange;
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::EngineSpec;
 use crate::domain::fleet::Outcome;
-use crate::platform::headers;
-
-/// Time limit for a migration to complete after the stream from the source engine has ended.
-const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time limit for the engine that holds a copy to resume the generation.
-const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time from the first event after which the backup can be expected to hold the KV cache of the
 /// prompt: half a gigabyte over a link of 3 GB/s, queued behind other copies. The copy may still be
@@ -37,8 +32,9 @@
 const BACKUP_COPY_MS: u64 = 1_200;
 /// A generation is resumed from its backup at the latest this long before its engine is gone.
 const BACKUP_SWITCH_MARGIN_MS: u64 = 200;
-/// An engine that sends no event for this long is considered failed if there is a backup. Engines
-/// produce an event every 30 to 100 ms, and pauses of more than 180 ms count as stalls.
+/// If an engine sends no event for this long, its generation is resumed from the backup, if there
+/// is one. Engines produce an event every 30 to 100 ms, and pauses of more than 180 ms count as
+/// stalls.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The response stream of the engine that runs a generation.
@@ -50,9 +46,9 @@
 /// State of a generation whose events are relayed to its caller.
 pub(super) struct Relay {
     gateway: Arc<Gateway>,
-    job: Job,
+    job: Arc<Job>,
     engine: EngineSpec,
-    /// `None` while the generation is to be resumed at another engine.
+    /// `None` while the generation runs nowhere and is being resumed.
     source: Option<EngineStream>,
     events: EventBuffer,
     /// Id of the last event that was relayed.
@@ -60,6 +56,10 @@
     /// True from a resumption until its first new event, whose id has to be `last_event` + 1.
     is_resuming: bool,
     migration: Option<Migration>,
+    /// Attempt to resume the generation at another engine.
+    resumption: Option<Resumption>,
+    /// Number of attempts that were refused since the last event.
+    silent_attempts: u32,
     /// Engine that keeps a backup copy of the KV cache.
     backup: Option<Ticket>,
     /// Monotonic time of the first event or, after a resumption, of the resumption.
@@ -87,13 +87,15 @@
         Self {
             departure_changes: gateway.departure_changes.subscribe(),
             gateway,
-            job,
+            job: Arc::new(job),
             engine,
             source: Some(source),
             events: EventBuffer::default(),
             last_event: None,
             is_resuming: false,
             migration: None,
+            resumption: None,
+            silent_attempts: 0,
             backup,
             first_event_ms: None,
             time_to_first_event_ms: None,
@@ -155,41 +157,22 @@
             if Instant::now() >= self.job.deadline {
                 return Err("out of time".to_owned());
             }
+            if self.source.is_none() && self.resumption.is_none() {
+                return Err("no engine holds a copy of the KV cache".to_owned());
+            }
             let next_check_at = self.next_check_at();
-            let Some(source) = self.source.as_mut() else {
-                self.resume_elsewhere().await?;
-                continue;
-            };
             tokio::select! {
                 biased;
-                frame = source.exchange.body.frame() => match frame {
-                    Some(Ok(frame)) => {
-                        if let Some(data) = frame.data_ref() {
-                            self.events.push(data);
-                        }
-                    }
-                    // An engine closes the stream of a generation that it has stopped early. A
-                    // stream that reaches its explicit end is complete, whatever the state of a
-                    // migration.
-                    None if source.exchange.has_explicit_end()
-                        || !stop_was_requested(self.migration.as_ref()) =>
-                    {
+                result = Resumption::finish(&mut self.resumption) => self.finish_resumption(result)?,
+                frame = next_frame(&mut self.source) => {
+                    if self.receive(frame) {
                         return Ok(self.end());
                     }
-                    None => self.detach_source("stopped", "generation stopped for its migration"),
-                    Some(Err(error)) => {
-                        let cause =
-                            format!("stream from {} failed: {error}", source.ticket.identity);
-                        if self.migration.is_none() {
-                            source.ticket.record_outcome(Outcome::Unreachable);
-                        }
-                        self.detach_source("failed", &cause);
-                    }
-                },
+                }
                 _ = self.departure_changes.changed() => {}
                 () = sleep_until(next_check_at), if next_check_at < self.job.deadline => {
                     if self.has_stalled() {
-                        self.detach_source("silent", "no event within the timeout");
+                        self.begin_resumption(Reason::Silent);
                     }
                 }
                 () = sleep_until(self.job.deadline) => return Err("out of time".to_owned()),
@@ -197,6 +180,43 @@
         }
     }
 
+    /// Handles a frame of the engine's response, `None` after its end. Returns true if the stream
+    /// is complete.
+    fn receive(&mut self, frame: Option<hyper::Result<Frame<Bytes>>>) -> bool {
+        let Some(source) = &self.source else {
+            return false;
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    self.events.push(data);
+                }
+            }
+            // An engine closes the stream of a generation that it has stopped early. A stream that
+            // reaches its explicit end is complete, whatever the state of a migration.
+            None if source.exchange.has_explicit_end()
+                || !stop_was_requested(self.migration.as_ref()) =>
+            {
+                return true;
+            }
+            None => self.lose_source(Reason::Stopped, "generation stopped for its migration"),
+            Some(Err(error)) => {
+                let cause = format!("stream from {} failed: {error}", source.ticket.identity);
+                let is_stopped = stop_was_requested(self.migration.as_ref());
+                if self.migration.is_none() {
+                    source.ticket.record_outcome(Outcome::Unreachable);
+                }
+                let reason = if is_stopped {
+                    Reason::Stopped
+                } else {
+                    Reason::Failed
+                };
+                self.lose_source(reason, &cause);
+            }
+        }
+        false
+    }
+
     /// Returns the whole events received so far, without those that were relayed before a
     /// resumption; `None` if there are none.
     fn next_events(&mut self) -> Result<Option<Bytes>, String> {
@@ -222,6 +242,8 @@
         if let Some(source) = &mut self.source {
             source.ticket.mark_prompt_read();
         }
+        self.resumption.take_if(|r| r.reason == Reason::Silent);
+        self.silent_attempts = 0;
         self.last_event_at = Instant::now();
         self.job
             .open
@@ -251,7 +273,7 @@
     /// If the engine is leaving, prepares to resume the generation elsewhere: from the backup if
     /// there is one, else by a migration.
     fn check_departure(&mut self) {
-        let (None, Some(source)) = (&self.migration, &self.source) else {
+        let (None, None, Some(source)) = (&self.migration, &self.resumption, &self.source) else {
             return;
         };
         // A generation can be migrated only after its first token.
@@ -279,7 +301,7 @@
             let switch_at_ms = (first_event_ms + BACKUP_COPY_MS).min(latest_ms);
             self.switch_at_ms = Some(switch_at_ms);
             if now_ms >= switch_at_ms {
-                self.detach_source("leaving", "the engine is shutting down");
+                self.begin_resumption(Reason::Leaving);
             }
             return;
         }
@@ -320,7 +342,8 @@
     /// Returns when the state has to be checked even if nothing is received.
     fn next_check_at(&self) -> Instant {
         let stalled_at = match self.backup {
-            Some(_) if self.first_event_ms.is_some() => self.last_event_at + EVENT_TIMEOUT,
+            _ if self.resumption.is_some() => return self.job.deadline,
+            Some(_) if self.first_event_ms.is_some() => self.last_event_at + self.silence_limit(),
             _ => self.job.deadline,
         };
         match self.switch_at_ms {
@@ -334,156 +357,101 @@
 
     fn has_stalled(&self) -> bool {
         self.backup.is_some()
+            && self.resumption.is_none()
             && self.first_event_ms.is_some()
-            && self.last_event_at.elapsed() >= EVENT_TIMEOUT
+            && self.last_event_at.elapsed() >= self.silence_limit()
+    }
+
+    /// Returns the time without an event after which the backup is asked. It doubles with each
+    /// refusal.
+    fn silence_limit(&self) -> Duration {
+        EVENT_TIMEOUT.saturating_mul(2_u32.saturating_pow(self.silent_attempts))
     }
 
-    /// Drops the stream of an engine whose generation is to be resumed elsewhere.
-    fn detach_source(&mut self, reason: &str, cause: &str) {
-        let instance = self.source.as_ref().map(|source| &*source.ticket.identity);
-        self.gateway.metrics.count_detached(reason);
+    /// Starts to resume the generation from its backup while its engine may still go on.
+    fn begin_resumption(&mut self, reason: Reason) {
+        let Some(backup) = &self.backup else {
+            return;
+        };
+        let resumption = Resumption::from_backup(reason, self.resumer(), backup);
+        self.resumption = Some(resumption);
+    }
+
+    fn resumer(&self) -> Resumer {
+        Resumer {
+            gateway: Arc::clone(&self.gateway),
+            job: Arc::clone(&self.job),
+            engine: self.engine,
+            last_event: self.last_event,
+        }
+    }
+
+    /// Drops the stream of an engine that has failed or has stopped the generation, and starts to
+    /// resume it at the engine that holds its KV cache: the target of the migration if there is
+    /// one, else the backup.
+    fn lose_source(&mut self, reason: Reason, cause: &str) {
+        let Some(ticket) = self.detach_source(reason, cause) else {
+            return;
+        };
+        if self.resumption.is_some() {
+            return;
+        }
+        match self.migration.take() {
+            Some(migration) => {
+                let resumer = self.resumer();
+                let resumption = Resumption::from_migration(reason, resumer, migration, ticket);
+                self.resumption = Some(resumption);
+            }
+            None => self.begin_resumption(reason),
+        }
+    }
+
+    /// Closes the stream of the engine. Returns its ticket, which still counts the generation there.
+    fn detach_source(&mut self, reason: Reason, cause: &str) -> Option<Ticket> {
+        let EngineStream { exchange, ticket } = self.source.take()?;
+        drop(exchange);
+        self.gateway.metrics.count_detached(reason.label());
         tracing::info!(
             request = &*self.job.id,
-            instance,
-            reason,
+            instance = &*ticket.identity,
+            reason = reason.label(),
             cause,
             silent_ms = elapsed_ms(self.last_event_at),
             last_event = self.last_event,
             "engine stream closed; resuming the generation elsewhere"
         );
-        self.source = None;
         self.switch_at_ms = None;
         self.events.clear();
+        Some(ticket)
     }
 
-    /// Resumes the generation at the engine that holds its KV cache: the target of the migration if
-    /// there is one, else the backup.
-    async fn resume_elsewhere(&mut self) -> Result<(), String> {
-        let (ticket, copy) = match (self.migration.take(), self.backup.take()) {
-            (Some(migration), _) => match timeout(MOVE_TIMEOUT, migration.finish()).await {
-                Ok(Some(CompletedMove {
-                    ticket,
-                    from,
-                    handle,
-                })) => (ticket, format!("{from}/{handle}")),
-                Ok(None) => {
-                    return Err(self
-                        .resumption_failed("migration_failed", "the migration failed".to_owned()));
-                }
-                Err(_) => {
-                    return Err(self.resumption_failed(
-                        "migration_timed_out",
-                        "the migration timed out".to_owned(),
-                    ));
-                }
-            },
-            (None, Some(ticket)) => {
-                let copy = format!("{}/{}", ticket.address, self.job.id);
-                (ticket, copy)
-            }
-            (None, None) => {
-                return Err(self.resumption_failed(
-                    "no_copy",
-                    "no engine holds a copy of the KV cache".to_owned(),
-                ));
-            }
+    /// Applies the result of an attempt to resume the generation. Fails if no engine is left that
+    /// runs it.
+    fn finish_resumption(&mut self, result: Result<Resumed, ResumeFailure>) -> Result<(), String> {
+        let Some(Resumption { reason, .. }) = self.resumption.take() else {
+            return Ok(());
         };
-        tracing::info!(
-            request = &*self.job.id,
-            instance = &*ticket.identity,
-            copy,
-            last_event = self.last_event,
-            left_ms = self.job.left_ms(),
-            "resuming the generation"
-        );
-        self.job.open.set_instance(&ticket.identity);
-        let backup = self.gateway.choose_backup(&self.job, self.engine, &ticket);
-        let request = with_backup(self.resume_request(&ticket, &copy), backup.as_ref());
-        if !self
-            .gateway
-            .wait_until_unpaused(&ticket.identity, RESUME_TIMEOUT)
-            .await
-        {
-            return Err(self.resumption_failed(
-                "paused",
-                format!("requests to {} are paused", ticket.identity),
-            ));
-        }
-        if !self
-            .gateway
-            .wait_for_resumption_permit(&self.job.id, &ticket, RESUME_TIMEOUT)
-            .await
-        {
-            return Err(self.resumption_failed(
-                "limited",
-                format!("{} has reached its request limit", ticket.identity),
-            ));
-        }
-        let sending = self.gateway.send(&ticket, request, &self.job.id);
-        let exchange = match timeout(RESUME_TIMEOUT, sending).await {
-            Ok(Ok(exchange)) if exchange.head.status.is_success() => exchange,
-            Ok(Ok(exchange)) => {
-                let reason = if is_marked_not_run(&exchange.head) {
-                    "refused"
-                } else {
-                    "status"
-                };
-                let cause = format!("{} answered {}", ticket.identity, exchange.head.status);
-                return Err(self.resumption_failed(reason, cause));
+        match result {
+            Ok(Resumed { source, backup }) => {
+                self.detach_source(reason, "another engine has taken the generation over");
+                self.is_resuming = true;
+                self.last_event_at = Instant::now();
+                self.first_event_ms = Some(monotonic_ms());
+                self.silent_attempts = 0;
+                self.backup = backup;
+                self.source = Some(source);
             }
-            Ok(Err(failure)) => {
-                let cause = format!("{}: {failure}", ticket.identity);
-                return Err(self.resumption_failed("unreachable", cause));
+            Err(failure) if self.source.is_none() => return Err(failure.cause),
+            // The copy may not be complete yet.
+            Err(failure) if failure.not_run && reason == Reason::Silent => {
+                self.silent_attempts += 1;
             }
             Err(_) => {
-                let cause = format!("{} did not resume the generation in time", ticket.identity);
-                return Err(self.resumption_failed("timed_out", cause));
+                self.backup = None;
+                self.switch_at_ms = None;
             }
-        };
-        self.gateway.metrics.count_resumption("resumed");
-        self.gateway.metrics.count_move("continued");
-        tracing::info!(
-            request = &*self.job.id,
-            instance = &*ticket.identity,
-            last_event = self.last_event,
-            "generation resumed"
-        );
-        self.is_resuming = true;
-        self.last_event_at = Instant::now();
-        self.first_event_ms = Some(monotonic_ms());
-        self.backup = backup;
-        self.source = Some(EngineStream { exchange, ticket });
-        Ok(())
-    }
-
-    /// Logs and counts a failed attempt to resume the generation. Returns its cause.
-    fn resumption_failed(&self, reason: &str, cause: String) -> String {
-        self.gateway.metrics.count_resumption(reason);
-        tracing::info!(
-            request = &*self.job.id,
-            reason,
-            cause,
-            last_event = self.last_event,
-            "generation not resumed"
-        );
-        cause
-    }
-
-    /// Returns the request that resumes the generation from a copy of its KV cache, which is given
-    /// as `address/handle`.
-    fn resume_request(&self, ticket: &Ticket, copy: &str) -> Request<Full<Bytes>> {
-        let mut request = self.job.upstream_request(&ticket.identity);
-        let sent = request.headers_mut();
-        if let Some(value) = headers::value(copy) {
-            sent.insert(headers::CONTINUE_FROM, value);
-        }
-        if let Some(value) = self
-            .last_event
-            .and_then(|id| headers::value(&id.to_string()))
-        {
-            sent.insert(headers::LAST_EVENT, value);
         }
-        request
+        Ok(())
     }
 
     fn log_end(&self, outcome: &str) {
@@ -510,21 +478,18 @@
     }
 }
 
-/// Adds the address of the engine that is to keep a backup copy to a request.
-pub(super) fn with_backup(
-    mut request: Request<Full<Bytes>>,
-    backup: Option<&Ticket>,
-) -> Request<Full<Bytes>> {
-    if let Some(value) = backup.and_then(|b| headers::value(&b.address.to_string())) {
-        request.headers_mut().insert(headers::BACKUP, value);
-    }
-    request
-}
-
 fn elapsed_ms(since: Instant) -> u64 {
     u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Returns the next frame of a stream, `None` after its end; never if there is no stream.
+async fn next_frame(source: &mut Option<EngineStream>) -> Option<hyper::Result<Frame<Bytes>>> {
+    match source {
+        Some(source) => source.exchange.body.frame().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Returns true if the source engine may have stopped the generation for its migration.
 fn stop_was_requested(migration: Option<&Migration>) -> bool {
     migration.is_some_and(Migration::stop_was_requested)
--- /dev/null
+++ b/src/roles/gateway/resume.rs
@@ -0,0 +1,256 @@
+//! Attempts to resume a generation at an engine that holds a copy of its KV cache.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use tokio::time::timeout;
+
+use super::Gateway;
+use super::generation::with_backup;
+use super::migrate::{Migration, StoppedGeneration};
+use super::plain::is_marked_not_run;
+use super::relay::EngineStream;
+use super::request::Job;
+use super::ticket::Ticket;
+use super::upstream::SendFailure;
+use crate::adapters::clock::monotonic_ms;
+use crate::domain::document::EngineSpec;
+use crate::platform::headers;
+
+/// Time limit for a migration to complete after the stream from the source engine has ended.
+const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time limit for the engine that holds a copy to resume the generation.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why a generation is to be resumed at another engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reason {
+    /// Its engine has sent no event for some time. It may go on.
+    Silent,
+    /// The stream of its engine broke off.
+    Failed,
+    /// Its engine has stopped it for a migration.
+    Stopped,
+    /// Its engine is shutting down.
+    Leaving,
+}
+
+impl Reason {
+    /// Returns the label for logs and metrics.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
+/// A generation that another engine has taken over.
+pub(super) struct Resumed {
+    pub(super) source: EngineStream,
+    /// Engine that keeps a backup copy of its KV cache.
+    pub(super) backup: Option<Ticket>,
+}
+
+/// Why an attempt failed.
+pub(super) struct ResumeFailure {
+    label: &'static str,
+    pub(super) cause: String,
+    /// True if the engine certainly did not execute the request, so that the copy is unused.
+    pub(super) not_run: bool,
+}
+
+impl ResumeFailure {
+    fn not_run(label: &'static str, cause: String) -> Self {
+        Self {
+            label,
+            cause,
+            not_run: true,
+        }
+    }
+
+    fn unknown(label: &'static str, cause: String) -> Self {
+        Self {
+            label,
+            cause,
+            not_run: false,
+        }
+    }
+}
+
+type ResumeResult = Result<Resumed, ResumeFailure>;
+
+/// An attempt in progress. Dropping it cancels the attempt and closes its connection.
+pub(super) struct Resumption {
+    pub(super) reason: Reason,
+    attempt: Pin<Box<dyn Future<Output = ResumeResult> + Send>>,
+}
+
+impl Resumption {
+    /// Starts an attempt at the engine that keeps the backup copy.
+    pub(super) fn from_backup(reason: Reason, resumer: Resumer, backup: &Ticket) -> Self {
+        let ticket = backup.another();
+        let copy = format!("{}/{}", ticket.address, resumer.job.id);
+        Self {
+            reason,
+            attempt: Box::pin(async move { resumer.resume_at(ticket, &copy).await }),
+        }
+    }
+
+    /// Starts an attempt at the target of a migration, once that has completed, and then at the
+    /// source engine, which keeps the memory of a generation that it has stopped.
+    pub(super) fn from_migration(
+        reason: Reason,
+        resumer: Resumer,
+        migration: Migration,
+        source: Ticket,
+    ) -> Self {
+        Self {
+            reason,
+            attempt: Box::pin(resumer.resume_migrated(migration, source)),
+        }
+    }
+
+    /// Returns the result of an attempt, which must not be used again after that. Never returns if
+    /// there is no attempt.
+    pub(super) async fn finish(attempt: &mut Option<Self>) -> ResumeResult {
+        match attempt {
+            Some(resumption) => resumption.attempt.as_mut().await,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+/// What a request that resumes a generation is made from.
+pub(super) struct Resumer {
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) job: Arc<Job>,
+    pub(super) engine: EngineSpec,
+    /// Id of the last event that was relayed.
+    pub(super) last_event: Option<u64>,
+}
+
+impl Resumer {
+    async fn resume_migrated(self, migration: Migration, source: Ticket) -> ResumeResult {
+        let stopped = match timeout(MOVE_TIMEOUT, migration.finish()).await {
+            Ok(Some(stopped)) => Ok(stopped),
+            Ok(None) => Err(("migration_failed", "the migration failed")),
+            Err(_) => Err(("migration_timed_out", "the migration timed out")),
+        };
+        let StoppedGeneration { target, handle } = stopped
+            .map_err(|(label, cause)| self.failed(ResumeFailure::unknown(label, cause.into())))?;
+        let copy = format!("{}/{handle}", source.address);
+        if let Some(target) = target {
+            match self.resume_at(target, &copy).await {
+                Err(failure) if failure.not_run => {}
+                result => return result,
+            }
+        }
+        self.resume_at(source, &copy).await
+    }
+
+    /// Resumes the generation at an engine from a copy, which is given as `address/handle`.
+    async fn resume_at(&self, ticket: Ticket, copy: &str) -> ResumeResult {
+        tracing::info!(
+            request = &*self.job.id,
+            instance = &*ticket.identity,
+            copy,
+            last_event = self.last_event,
+            left_ms = self.job.left_ms(),
+            "resuming the generation"
+        );
+        let identity = Arc::clone(&ticket.identity);
+        let resumed = self.try_resume(ticket, copy).await;
+        let resumed = resumed.map_err(|failure| self.failed(failure))?;
+        self.gateway.metrics.count_resumption("resumed");
+        self.gateway.metrics.count_move("continued");
+        self.job.open.set_instance(&identity);
+        tracing::info!(
+            request = &*self.job.id,
+            instance = &*identity,
+            last_event = self.last_event,
+            "generation resumed"
+        );
+        Ok(resumed)
+    }
+
+    async fn try_resume(&self, ticket: Ticket, copy: &str) -> ResumeResult {
+        let (gateway, identity) = (&self.gateway, &ticket.identity);
+        let backup = gateway.choose_backup(&self.job, self.engine, &ticket);
+        if !gateway.wait_until_unpaused(identity, RESUME_TIMEOUT).await {
+            let cause = format!("requests to {identity} are paused");
+            return Err(ResumeFailure::not_run("paused", cause));
+        }
+        let permit = gateway.wait_for_resumption_permit(&self.job.id, &ticket, RESUME_TIMEOUT);
+        if !permit.await {
+            let cause = format!("{identity} has reached its request limit");
+            return Err(ResumeFailure::not_run("limited", cause));
+        }
+        let request = with_backup(self.request(&ticket, copy), backup.as_ref());
+        let sending = gateway.send(&ticket, request, &self.job.id);
+        let sent = timeout(RESUME_TIMEOUT, sending).await;
+        match sent {
+            Ok(Ok(exchange)) if exchange.head.status.is_success() => Ok(Resumed {
+                source: EngineStream { exchange, ticket },
+                backup,
+            }),
+            Ok(Ok(exchange)) => {
+                let status = exchange.head.status;
+                if status == StatusCode::MISDIRECTED_REQUEST {
+                    gateway.with_view(|view| view.misdirected(identity, monotonic_ms()));
+                }
+                let cause = format!("{identity} answered {status}");
+                Err(match is_marked_not_run(&exchange.head) {
+                    true => ResumeFailure::not_run("refused", cause),
+                    false => ResumeFailure::unknown("status", cause),
+                })
+            }
+            Ok(Err(failure)) => {
+                let cause = format!("{identity}: {failure}");
+                Err(match failure {
+                    SendFailure::NotSent(_) => ResumeFailure::not_run("unreachable", cause),
+                    SendFailure::Lost(_) => ResumeFailure::unknown("lost", cause),
+                })
+            }
+            Err(_) => Err(ResumeFailure::unknown(
+                "timed_out",
+                format!("{identity} did not resume the generation in time"),
+            )),
+        }
+    }
+
+    fn request(&self, ticket: &Ticket, copy: &str) -> Request<Full<Bytes>> {
+        let mut request = self.job.upstream_request(&ticket.identity);
+        let sent = request.headers_mut();
+        if let Some(value) = headers::value(copy) {
+            sent.insert(headers::CONTINUE_FROM, value);
+        }
+        if let Some(value) = self
+            .last_event
+            .and_then(|id| headers::value(&id.to_string()))
+        {
+            sent.insert(headers::LAST_EVENT, value);
+        }
+        request
+    }
+
+    /// Logs and counts a failed attempt.
+    fn failed(&self, failure: ResumeFailure) -> ResumeFailure {
+        self.gateway.metrics.count_resumption(failure.label);
+        tracing::info!(
+            request = &*self.job.id,
+            reason = failure.label,
+            cause = &*failure.cause,
+            last_event = self.last_event,
+            "generation not resumed"
+        );
+        failure
+    }
+}
--- a/src/roles/gateway/ticket.rs
+++ b/src/roles/gateway/ticket.rs
@@ -34,6 +34,23 @@
         }
     }
 
+    /// Counts a further request for the same generation at the same instance.
+    pub(super) fn another(&self) -> Self {
+        self.gateway
+            .with_view(|view| view.begin(&self.identity, self.demand));
+        let mut ticket = Self {
+            gateway: Arc::clone(&self.gateway),
+            identity: Arc::clone(&self.identity),
+            address: self.address,
+            demand: self.demand,
+            prompt_read: false,
+        };
+        if self.prompt_read {
+            ticket.mark_prompt_read();
+        }
+        ticket
+    }
+
     /// Records that the engine has read the prompt of the generation, which its first event shows.
     /// Further calls have no effect.
     pub(super) fn mark_prompt_read(&mut self) {
--- /dev/null
+++ b/tests/site_resumptions.rs
@@ -0,0 +1,316 @@
+//! Generations whose engine falls silent or whose migration fails, through a real entry process: an
+//! engine that is sound keeps its stream until another one has taken the generation over.
+
+mod site_support;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use site_support::{
+    Reply, Request, Site, Upstream, answer, call, document, patient_caller, sse, wait_for,
+    wait_routable,
+};
+
+/// Time between an engine's notice and its shutdown; the shortest on the supported sites.
+const NOTICE_MS: u64 = 1_500;
+/// How long an engine may still be at work on a generation that has been resumed elsewhere.
+const OVERLAP_LIMIT: Duration = Duration::from_millis(400);
+/// How long after its deadline a caller may wait for the end of its stream.
+const LATE_END_LIMIT: Duration = Duration::from_millis(500);
+
+/// Returns the events of a stream as its caller receives them.
+fn events(ids: std::ops::RangeInclusive<u64>) -> String {
+    ids.map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
+        .collect()
+}
+
+/// Returns the response with which an engine refuses a generation that it does not execute.
+fn not_executed() -> Vec<Reply> {
+    let headers = [("X-Lilacspindle-Not-Executed", "1")];
+    vec![Reply::Bytes(answer(
+        "503 Service Unavailable",
+        &headers,
+        b"",
+    ))]
+}
+
+fn json_answer(status: &str, body: &Value) -> Vec<Reply> {
+    vec![Reply::Bytes(answer(
+        status,
+        &[],
+        body.to_string().as_bytes(),
+    ))]
+}
+
+/// Starts two engines that each back up the generations of the other one. Returns them once the
+/// entry uses both. `script` responds to the requests for `/stream/x`.
+async fn engines_with_backups(
+    script: impl Fn(&Request) -> Vec<Reply> + Clone + Send + Sync + 'static,
+) -> (Site, Upstream, Upstream) {
+    let mut site = Site::serving(&document(1)).await;
+    let engine = move |request: &Request| match request.path.as_str() {
+        "/stream/x" => script(request),
+        _ => vec![Reply::Bytes(sse(request.id(), 1..=1, true, true))],
+    };
+    let first = site.upstream("model", engine.clone()).await;
+    let second = site.upstream("model", engine).await;
+    wait_for("both engines are known", || async {
+        let _ = call(&site, "/stream/warm", "warm").await.bytes().await;
+        let mut all = first.requests("/stream/warm");
+        all.extend(second.requests("/stream/warm"));
+        all.iter()
+            .any(|request| request.header("x-lilacspindle-cache-backup").is_some())
+    })
+    .await;
+    (site, first, second)
+}
+
+fn is_resumption(request: &Request) -> bool {
+    request.header("kv-from").is_some()
+}
+
+/// Returns how often the engines were asked to resume the generation.
+fn resumptions(engines: &[&Upstream]) -> usize {
+    let requests = engines
+        .iter()
+        .flat_map(|engine| engine.requests("/stream/x"));
+    requests.filter(is_resumption).count()
+}
+
+fn abandoned(engines: &[&Upstream]) -> u32 {
+    let counts = engines
+        .iter()
+        .map(|engine| *engine.abandoned.lock().unwrap());
+    counts.sum()
+}
+
+/// Guards against cutting off a sound engine that pauses, before the engine with the backup copy
+/// has accepted the generation.
+#[tokio::test]
+async fn stream_of_a_silent_engine_goes_on_if_its_backup_refuses() {
+    let (site, first, second) = engines_with_backups(|request| {
+        if is_resumption(request) {
+            return not_executed();
+        }
+        vec![
+            Reply::Bytes(sse(request.id(), 1..=3, true, false)),
+            Reply::Pause(Duration::from_millis(700)),
+            Reply::Bytes(sse(request.id(), 4..=6, false, true)),
+        ]
+    })
+    .await;
+    let response = call(&site, "/stream/x", "id-1").await;
+    assert_eq!(response.text().await.unwrap(), events(1..=6));
+    assert_eq!(resumptions(&[&first, &second]), 1);
+}
+
+/// Guards against two engines at work on one generation, and against events that are repeated or
+/// missing, when the backup takes over from a silent engine.
+#[tokio::test]
+async fn silent_engine_is_left_once_its_backup_has_accepted() {
+    let (site, first, second) = engines_with_backups(|request| {
+        let id = request.id();
+        if is_resumption(request) {
+            return vec![
+                Reply::Bytes(sse(id, 3..=4, true, false)),
+                Reply::Pause(OVERLAP_LIMIT),
+                Reply::Bytes(sse(id, 5..=6, false, true)),
+            ];
+        }
+        vec![Reply::Bytes(sse(id, 1..=3, true, false)), Reply::AwaitClose]
+    })
+    .await;
+    let mut stream = call(&site, "/stream/x", "id-1").await;
+    let mut text = String::new();
+    while let Some(chunk) = stream.chunk().await.unwrap() {
+        text.push_str(std::str::from_utf8(&chunk).unwrap());
+        if text.contains("id: 5") {
+            // The resumed generation has been running for this long.
+            assert_eq!(abandoned(&[&first, &second]), 1);
+        }
+    }
+    assert_eq!(text, events(1..=6));
+    assert_eq!(resumptions(&[&first, &second]), 1);
+}
+
+/// Guards against a stream that is moved although its engine has gone on in the meantime, and
+/// against a request for its resumption that stays open.
+#[tokio::test]
+async fn engine_that_speaks_again_keeps_its_stream() {
+    let (site, first, second) = engines_with_backups(|request| {
+        if is_resumption(request) {
+            return vec![Reply::AwaitClose];
+        }
+        vec![
+            Reply::Bytes(sse(request.id(), 1..=3, true, false)),
+            Reply::Pause(Duration::from_millis(700)),
+            Reply::Bytes(sse(request.id(), 4..=6, false, false)),
+            Reply::Pause(OVERLAP_LIMIT),
+            Reply::Bytes(sse(request.id(), 7..=7, false, true)),
+        ]
+    })
+    .await;
+    let mut stream = call(&site, "/stream/x", "id-1").await;
+    let mut text = String::new();
+    while let Some(chunk) = stream.chunk().await.unwrap() {
+        text.push_str(std::str::from_utf8(&chunk).unwrap());
+        if text.contains("id: 7") {
+            assert_eq!(abandoned(&[&first, &second]), 1);
+        }
+    }
+    assert_eq!(text, events(1..=7));
+    assert_eq!(resumptions(&[&first, &second]), 1);
+}
+
+/// Guards against a caller that waits past its deadline for an engine to resume its generation.
+#[tokio::test]
+async fn resumption_ends_at_the_deadline_of_the_request() {
+    let (site, _first, _second) = engines_with_backups(|request| {
+        if is_resumption(request) {
+            return vec![Reply::AwaitClose];
+        }
+        let id = request.id();
+        vec![
+            Reply::Bytes(sse(id, 1..=1, true, false)),
+            Reply::Pause(Duration::from_millis(450)),
+            Reply::Bytes(sse(id, 2..=2, false, false)),
+            Reply::Pause(Duration::from_millis(450)),
+            Reply::Close,
+        ]
+    })
+    .await;
+    let deadline_ms = 1_000;
+    let sent_at = Instant::now();
+    let request = patient_caller(&site, "/stream/x", "id-1", deadline_ms);
+    let response = request.send().await.unwrap();
+    assert!(response.bytes().await.is_err());
+    let took = sent_at.elapsed();
+    assert!(
+        took <= Duration::from_millis(deadline_ms) + LATE_END_LIMIT,
+        "the stream ended after {took:?}"
+    );
+}
+
+/// Starts a stream at an engine without backups, which announces its shutdown and is stopped for
+/// the migration of the generation. `on_stop` and `on_resumption` respond to the calls that stop it
+/// and that resume it at the source, `at_target` to its resumption at the target. Returns the whole
+/// stream, the source and the target.
+async fn stream_of_stopped_engine(
+    on_stop: impl Fn(u32) -> Vec<Reply> + Send + Sync + 'static,
+    on_resumption: impl Fn(&Request) -> Vec<Reply> + Send + Sync + 'static,
+    at_target: impl Fn(&Request) -> Vec<Reply> + Send + Sync + 'static,
+) -> (Result<String, String>, Upstream, Upstream) {
+    let mut without_copies = document(1);
+    without_copies["services"][1]["engine"]["backups"] = json!(false);
+    let mut site = Site::serving(&without_copies).await;
+    let leaving = Arc::new(AtomicBool::new(false));
+    let notice = Arc::clone(&leaving);
+    let stops = AtomicU32::new(0);
+    let report = json!({"kvCacheUsed": 4_000, "kvCacheTotal": 34_000});
+    let calm = report.clone();
+    let source = move |request: &Request| match request.path.as_str() {
+        "/report" => {
+            let mut report = report.clone();
+            if notice.load(Ordering::SeqCst) {
+                report["leaves_ms"] = json!(NOTICE_MS);
+            }
+            json_answer("200 OK", &report)
+        }
+        "/kv-move" if serde_json::from_slice::<Value>(&request.body).unwrap()["last"] == true => {
+            on_stop(stops.fetch_add(1, Ordering::SeqCst))
+        }
+        "/kv-move" => json_answer("200 OK", &json!({"handle": "h7", "made": 3})),
+        "/stream/x" if is_resumption(request) => on_resumption(request),
+        "/stream/x" => vec![
+            Reply::Bytes(sse(request.id(), 1..=3, true, false)),
+            Reply::Pause(Duration::from_millis(NOTICE_MS)),
+            Reply::Close,
+        ],
+        _ => vec![Reply::Bytes(sse(request.id(), 1..=1, true, true))],
+    };
+    let source = site.upstream("model", source).await;
+    wait_routable(&site, "/stream/warm").await;
+    site.start_sidecar(&source);
+    let mut stream = call(&site, "/stream/x", "id-1").await;
+    let mut received = stream.chunk().await.unwrap().unwrap().to_vec();
+    let target = site
+        .upstream("model", move |request: &Request| {
+            match request.path.as_str() {
+                "/report" => json_answer("200 OK", &calm),
+                "/stream/x" => at_target(request),
+                _ => vec![Reply::Bytes(sse(request.id(), 1..=1, true, true))],
+            }
+        })
+        .await;
+    leaving.store(true, Ordering::SeqCst);
+    let result = loop {
+        match stream.chunk().await {
+            Ok(Some(chunk)) => received.extend_from_slice(&chunk),
+            Ok(None) => break Ok(String::from_utf8(received).unwrap()),
+            Err(error) => break Err(format!("{error:?}")),
+        }
+    };
+    (result, source, target)
+}
+
+fn rest_of_stream(request: &Request) -> Vec<Reply> {
+    vec![Reply::Bytes(sse(request.id(), 4..=5, true, true))]
+}
+
+/// Asserts that the engine that was stopped got the generation back, from the memory it had kept.
+fn assert_resumed_at(source: &Upstream) {
+    let requests = source.requests("/stream/x");
+    let resumed: Vec<&Request> = requests.iter().filter(|r| is_resumption(r)).collect();
+    assert_eq!(resumed.len(), 1);
+    let copy = format!("{}/h7", source.address);
+    assert_eq!(resumed[0].header("kv-from"), Some(copy.as_str()));
+    assert_eq!(resumed[0].header("last-event-id"), Some("3"));
+}
+
+/// Guards against losing a generation whose last copy finds no room at the target after the engine
+/// has stopped it.
+#[tokio::test]
+async fn generation_whose_last_copy_fails_goes_on_at_its_engine() {
+    let (stream, source, target) = stream_of_stopped_engine(
+        |_| json_answer("503 Service Unavailable", &json!({"handle": "h7"})),
+        rest_of_stream,
+        |_| not_executed(),
+    )
+    .await;
+    assert_eq!(stream.unwrap(), events(1..=5));
+    assert_resumed_at(&source);
+    assert!(target.requests("/stream/x").is_empty());
+}
+
+/// Guards against losing a generation whose copy the target refuses after the migration.
+#[tokio::test]
+async fn generation_that_its_target_refuses_goes_on_at_its_engine() {
+    let (stream, source, target) = stream_of_stopped_engine(
+        |_| json_answer("200 OK", &json!({"handle": "h7", "made": 3})),
+        rest_of_stream,
+        |_| not_executed(),
+    )
+    .await;
+    assert_eq!(stream.unwrap(), events(1..=5));
+    assert_resumed_at(&source);
+    assert_eq!(target.requests("/stream/x").len(), 1);
+}
+
+/// Guards against losing a generation with the response to the call that stopped it.
+#[tokio::test]
+async fn lost_response_to_the_last_copy_is_asked_for_again() {
+    let (stream, _source, target) = stream_of_stopped_engine(
+        |stops| match stops {
+            0 => vec![Reply::Close],
+            _ => json_answer("200 OK", &json!({"handle": "h7", "made": 3})),
+        },
+        |_| not_executed(),
+        rest_of_stream,
+    )
+    .await;
+    assert_eq!(stream.unwrap(), events(1..=5));
+    assert_eq!(target.requests("/stream/x").len(), 1);
+}
