Do not take a caller that pauses for a dead one

A caller that did not read for more than 5 s lost its stream, although it read on later. On Linux TCP_USER_TIMEOUT, 5 s on connections of callers, also ends a connection whose peer acknowledges every probe with a window of zero.

The limit is now the document's idle timeout (15 s on the sites), which is how long operators let callers be idle. A connection of a caller that is gone without a word is kept that much longer.

On the code before, caller_that_pauses_gets_its_whole_stream (7 s without reading) fails with an incomplete response; now it passes. slow_caller_gets_its_whole_stream_in_a_stop passes on both.

Also adds a test that an engine that leaves keeps its stream if its backup refuses, and follows a lint in site_resumptions.

--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -52,8 +52,6 @@
 use open_requests::OpenRequests;
 use upstream::ConnectionPool;
 
-/// Connections to callers that leave sent bytes unacknowledged for this long are closed.
-const CALLER_TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed accept; the usual cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which expired idle upstream connections are closed.
@@ -315,7 +313,6 @@
     async fn serve(self: Arc<Self>, stream: TcpStream) {
         // Ignored: a broken socket fails again on first use.
         let _ = stream.set_nodelay(true);
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(CALLER_TCP_USER_TIMEOUT));
         let _open = self.open_connections.subscribe();
         // Connections accepted during a planned stop serve a single request.
         let keep_alive = !*self.stopping.borrow();
@@ -332,6 +329,10 @@
         let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
         let idle_ms = limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
         let head_ms = limits.map_or(DEFAULT_HEAD_TIMEOUT_MS, |limits| limits.header_timeout_ms);
+        // Linux counts the time in which a caller does not read too, so this is no shorter than the
+        // time for which a caller may be idle.
+        let user_timeout = Duration::from_millis(idle_ms.max(1));
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(user_timeout));
         let state = Arc::new(ConnectionState::default());
         let stream = GuardedStream::new(
             stream,
--- a/tests/site_planned_stop.rs
+++ b/tests/site_planned_stop.rs
@@ -4,11 +4,12 @@
 
 use std::time::Duration;
 
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::sleep;
 
-use site_support::{Reply, Request, Site, document, proper, wait_routable};
+use site_support::{Reply, Request, Site, document, proper, sse, wait_routable};
 
 /// Grace period of the entries of the site, after which they end.
 const GRACE: Duration = Duration::from_secs(5);
@@ -73,3 +74,71 @@
     assert!(upstream.requests("/once/never").is_empty());
     assert!(site.ended("entry-1", Duration::from_secs(2)).await);
 }
+
+/// Number of events of a stream that does not fit into the socket buffers of a caller with a small
+/// window and its entry.
+const MANY_EVENTS: u64 = 100_000;
+
+/// Opens a stream over a connection with a small receive buffer, waits for `pause` before the rest
+/// of the response is read, and returns whether it is complete.
+async fn read_after_pause(site: &Site, pause: Duration) -> bool {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(8_192).unwrap();
+    let mut caller = socket.connect(site.caller_address(1)).await.unwrap();
+    let request = "POST /stream/x HTTP/1.1\r\nHost: calls.example\r\nAuthorization: Bearer k1\r\n\
+         X-Lilacspindle-Request-Id: id-1\r\nX-Lilacspindle-Deadline-Milliseconds: 30000\r\n\
+         X-Lilacspindle-Token-Usage: 300,80\r\nContent-Length: 4\r\n\r\nbody";
+    caller.write_all(request.as_bytes()).await.unwrap();
+    caller.readable().await.unwrap();
+    sleep(pause).await;
+    let mut response = Vec::new();
+    while !response.ends_with(b"\r\n0\r\n\r\n") {
+        match caller.read_buf(&mut response).await {
+            Ok(0) | Err(_) => return false,
+            Ok(_) => {}
+        }
+    }
+    true
+}
+
+async fn site_with_large_stream() -> (Site, site_support::Upstream) {
+    let mut patient = document(1);
+    patient["routes"][2]["timeoutMs"] = json!(30_000);
+    let mut site = Site::serving(&patient).await;
+    let engine = site
+        .upstream("model", |request: &Request| {
+            let last = if request.path == "/stream/x" {
+                MANY_EVENTS
+            } else {
+                1
+            };
+            vec![
+                Reply::Bytes(sse(request.id(), 1..=last, true, true)),
+                Reply::Close,
+            ]
+        })
+        .await;
+    wait_routable(&site, "/stream/warm").await;
+    (site, engine)
+}
+
+/// Guards against taking a caller that does not read for some seconds for a dead one.
+#[tokio::test]
+async fn caller_that_pauses_gets_its_whole_stream() {
+    let (site, _engine) = site_with_large_stream().await;
+    assert!(read_after_pause(&site, Duration::from_secs(7)).await);
+}
+
+/// Guards against losing the rest of a stream that has ended at its engine, for a caller that reads
+/// it late in a planned stop.
+#[tokio::test]
+async fn slow_caller_gets_its_whole_stream_in_a_stop() {
+    let (site, _engine) = site_with_large_stream().await;
+    let stop = async {
+        sleep(Duration::from_millis(500)).await;
+        site.signal("entry-1", "TERM");
+    };
+    let reading = read_after_pause(&site, Duration::from_millis(3_500));
+    let (is_whole, ()) = tokio::join!(reading, stop);
+    assert!(is_whole);
+}
--- a/tests/site_resumptions.rs
+++ b/tests/site_resumptions.rs
@@ -23,8 +23,10 @@
 
 /// Returns the events of a stream as its caller receives them.
 fn events(ids: std::ops::RangeInclusive<u64>) -> String {
-    ids.map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
-        .collect()
+    let events: Vec<String> = ids
+        .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
+        .collect();
+    events.concat()
 }
 
 /// Returns the response with which an engine refuses a generation that it does not execute.
@@ -165,6 +167,37 @@
     assert_eq!(resumptions(&[&first, &second]), 1);
 }
 
+/// Guards against cutting off an engine that leaves, and could still end its stream, before the
+/// engine with the backup copy has accepted the generation.
+#[tokio::test]
+async fn stream_of_a_leaving_engine_goes_on_if_its_backup_refuses() {
+    let (site, first, second) = engines_with_backups(|request| {
+        if is_resumption(request) {
+            return not_executed();
+        }
+        let event = |id| {
+            [
+                Reply::Bytes(sse(request.id(), id..=id, false, false)),
+                Reply::Pause(Duration::from_millis(100)),
+            ]
+        };
+        let mut replies = vec![Reply::Bytes(sse(request.id(), 1..=1, true, false))];
+        replies.extend((2..=20).flat_map(event));
+        replies.push(Reply::Bytes(sse(request.id(), 21..=21, false, true)));
+        replies
+    })
+    .await;
+    let mut stream = call(&site, "/stream/x", "id-1").await;
+    let mut received = stream.chunk().await.unwrap().unwrap().to_vec();
+    let source = usize::from(first.requests("/stream/x").is_empty());
+    site.list.lock().unwrap()[source]["state"] = json!("draining");
+    while let Some(chunk) = stream.chunk().await.unwrap() {
+        received.extend_from_slice(&chunk);
+    }
+    assert_eq!(String::from_utf8(received).unwrap(), events(1..=21));
+    assert_eq!(resumptions(&[&first, &second]), 1);
+}
+
 /// Guards against a caller that waits past its deadline for an engine to resume its generation.
 #[tokio::test]
 async fn resumption_ends_at_the_deadline_of_the_request() {
