Serve kept connections once more in a planned stop

A request that was on its way on a kept connection when its entry got SIGTERM was reset without an answer: idle connections were closed at once, while new ones were served for 2.5 s more.

A connection is now closed after its next response, which says so (Connection: close), or with the listener.

On the code before, kept_connection_is_served_once_more_in_a_stop fails with an empty response to a request sent 1 s after the signal; now it passes. requests_sent_over_a_stop_are_answered_if_they_are_passed_on (16 callers back to back over a SIGTERM) passes on both: what was reset had not been passed on to an instance.

--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -25,7 +25,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode, header};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -314,13 +314,7 @@
         // Ignored: a broken socket fails again on first use.
         let _ = stream.set_nodelay(true);
         let _open = self.open_connections.subscribe();
-        // Connections accepted during a planned stop serve a single request.
-        let keep_alive = !*self.stopping.borrow();
-        let mut close = if keep_alive {
-            self.stopping.subscribe()
-        } else {
-            self.closed.subscribe()
-        };
+        let mut close = self.closed.subscribe();
         let limits = self
             .index
             .borrow()
@@ -344,13 +338,17 @@
             let gateway = Arc::clone(&gateway);
             let open = requests.open();
             async move {
-                let response = gateway.handle(request).await;
+                let mut response = Arc::clone(&gateway).handle(request).await;
+                // During a planned stop, each connection is closed after its next response.
+                if *gateway.stopping.borrow() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
                 Ok::<_, Infallible>(response.map(|body| open.until_end_of(body)))
             }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .keep_alive(keep_alive)
             .header_read_timeout(Duration::from_millis(idle_ms.max(1)))
             .max_buf_size(header_bytes.max(MIN_HEADER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
--- a/tests/site_planned_stop.rs
+++ b/tests/site_planned_stop.rs
@@ -75,6 +75,107 @@
     assert!(site.ended("entry-1", Duration::from_secs(2)).await);
 }
 
+/// A caller's connection that is kept for several requests.
+struct KeptConnection {
+    stream: TcpStream,
+    received: Vec<u8>,
+}
+
+impl KeptConnection {
+    async fn open(site: &Site) -> std::io::Result<Self> {
+        Ok(Self {
+            stream: TcpStream::connect(site.caller_address(1)).await?,
+            received: Vec::new(),
+        })
+    }
+
+    /// Sends a plain call and returns the head of its response; empty if there is none.
+    async fn call(&mut self, path: &str, id: &str) -> String {
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nHost: calls.example\r\nAuthorization: Bearer k1\r\n\
+             X-Lilacspindle-Request-Id: {id}\r\nContent-Length: 4\r\n\r\nbody"
+        );
+        // Fails if the entry has closed the connection.
+        let _ = self.stream.write_all(request.as_bytes()).await;
+        loop {
+            let text = String::from_utf8_lossy(&self.received).to_lowercase();
+            if let Some((head, body)) = text.split_once("\r\n\r\n") {
+                let length = head
+                    .lines()
+                    .find_map(|line| line.strip_prefix("content-length: "));
+                if body.len() >= length.map_or(0, |length| length.parse().unwrap()) {
+                    self.received.clear();
+                    return head.to_owned();
+                }
+            }
+            match self.stream.read_buf(&mut self.received).await {
+                Ok(0) | Err(_) => return String::new(),
+                Ok(_) => {}
+            }
+        }
+    }
+}
+
+/// Guards against requests on kept connections that a planned stop resets, since idle connections
+/// are closed at once.
+#[tokio::test]
+async fn kept_connection_is_served_once_more_in_a_stop() {
+    let (site, upstream) = site_with_slow_instance().await;
+    let mut kept = KeptConnection::open(&site).await.unwrap();
+    let head = kept.call("/once/x", "id-1").await;
+    assert!(head.starts_with("http/1.1 200"), "{head:?}");
+    assert!(!head.contains("connection: close"), "{head:?}");
+    site.signal("entry-1", "TERM");
+    sleep(Duration::from_secs(1)).await;
+    let head = kept.call("/once/x", "id-2").await;
+    assert!(head.starts_with("http/1.1 200"), "{head:?}");
+    assert!(head.contains("connection: close"), "{head:?}");
+    assert_eq!(upstream.requests("/once/x").len(), 2);
+}
+
+/// Guards against requests that are passed on in a planned stop and get no answer, while callers
+/// send back to back on kept connections.
+#[tokio::test]
+async fn requests_sent_over_a_stop_are_answered_if_they_are_passed_on() {
+    let (site, upstream) = site_with_slow_instance().await;
+    let callers = (0..16).map(|caller| {
+        let site = &site;
+        async move {
+            let mut answered = Vec::new();
+            'connections: while let Ok(mut kept) = KeptConnection::open(site).await {
+                loop {
+                    let id = format!("id-{caller}-{}", answered.len());
+                    let head = kept.call("/once/x", &id).await;
+                    if head.is_empty() {
+                        break 'connections;
+                    }
+                    let closes = head.contains("connection: close");
+                    answered.push((id, head));
+                    if closes {
+                        break;
+                    }
+                }
+            }
+            answered
+        }
+    });
+    let stop = async {
+        sleep(Duration::from_millis(300)).await;
+        site.signal("entry-1", "TERM");
+    };
+    let (answered, ()) = tokio::join!(futures::future::join_all(callers), stop);
+    let answered: std::collections::BTreeMap<String, String> =
+        answered.into_iter().flatten().collect();
+    for request in upstream.requests("/once/x") {
+        let head = answered.get(request.id()).map(String::as_str);
+        assert!(
+            head.is_some_and(|head| head.starts_with("http/1.1 200")),
+            "{} was passed on and got {head:?}",
+            request.id()
+        );
+    }
+}
+
 /// Number of events of a stream that does not fit into the socket buffers of a caller with a small
 /// window and its entry.
 const MANY_EVENTS: u64 = 100_000;
