--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -7,11 +7,13 @@
 mod instance_signals;
 mod metrics;
 mod migrate;
+mod open_requests;
 mod permits;
 mod plain;
 mod relay;
 mod request;
 mod response;
+mod resume;
 mod sync;
 mod ticket;
 mod upstream;
@@ -23,14 +25,14 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode, header};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::adapters::clock::monotonic_ms;
@@ -47,10 +49,9 @@
 use crate::settings::GatewaySettings;
 
 use metrics::Metrics;
+use open_requests::OpenRequests;
 use upstream::ConnectionPool;
 
-/// Connections to callers that leave sent bytes unacknowledged for this long are closed.
-const CALLER_TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed accept; the usual cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which expired idle upstream connections are closed.
@@ -105,10 +106,13 @@
     stopping: watch::Sender<bool>,
     /// When the grace period of a planned stop ends; `None` before the stop.
     grace_ends_at: watch::Sender<Option<Instant>>,
-    /// True once the listener is closed and new requests on open connections are refused.
+    /// When new requests are refused and the listener is to be closed; `None` before a planned stop.
+    closes_at: watch::Sender<Option<Instant>>,
+    /// True once the listener is closed.
     closed: watch::Sender<bool>,
     /// Has one receiver per open caller connection; closes when the last one has ended.
     open_connections: watch::Sender<()>,
+    open_requests: Arc<OpenRequests>,
 }
 
 impl Gateway {
@@ -139,8 +143,10 @@
             metrics: Metrics::new(),
             stopping: watch::Sender::new(false),
             grace_ends_at: watch::Sender::new(None),
+            closes_at: watch::Sender::new(None),
             closed: watch::Sender::new(false),
             open_connections: watch::Sender::new(()),
+            open_requests: Arc::default(),
         });
         let seed = xxh3_64(gateway.name.as_bytes());
         gateway.with_view(|view| view.set_seed(seed));
@@ -167,24 +173,44 @@
         Ok(gateway)
     }
 
-    /// Stops accepting connections after `ACCEPT_AFTER_SIGTERM` and returns once all open requests
-    /// have finished. Those that are still open after `grace` are answered as unknown or, if they
-    /// were not forwarded, as not run.
-    pub async fn drain(&self, grace: Duration) {
-        self.grace_ends_at
-            .send_replace(Some(Instant::now() + grace));
+    /// Stops accepting connections `ACCEPT_AFTER_SIGTERM` after `signalled_at` and returns once all
+    /// open requests have finished. Those that are still open `grace` after `signalled_at` are
+    /// answered as unknown or, if they were not forwarded, as not run.
+    pub async fn drain(&self, signalled_at: Instant, grace: Duration) {
+        let grace_ends_at = signalled_at + grace;
+        let closes_at = signalled_at + ACCEPT_AFTER_SIGTERM.min(grace);
+        self.grace_ends_at.send_replace(Some(grace_ends_at));
+        self.closes_at.send_replace(Some(closes_at));
         self.stopping.send_replace(true);
         let done = async {
-            sleep(ACCEPT_AFTER_SIGTERM.min(grace)).await;
+            sleep_until(closes_at).await;
             self.closed.send_replace(true);
-            self.open_connections.closed().await;
-        };
-        if timeout(grace + LAST_RESPONSES_TIME, done).await.is_err() {
-            tracing::warn!(
+            tracing::info!(
                 open = self.open_connections.receiver_count(),
-                "grace period expired with connections still open"
+                "listener closed"
             );
+            self.open_connections.closed().await;
+        };
+        tokio::pin!(done);
+        if timeout_at(grace_ends_at, &mut done).await.is_ok() {
+            return;
         }
+        let requests = self.open_requests.log_all();
+        tracing::warn!(
+            open = self.open_connections.receiver_count(),
+            requests,
+            "grace period expired with connections still open"
+        );
+        // Those that are still open then were named above.
+        let _ = timeout(LAST_RESPONSES_TIME, done).await;
+    }
+
+    /// Returns true from the time at which the listener is to be closed. A process that is short of
+    /// CPU time may close it later.
+    fn is_closed(&self) -> bool {
+        self.closes_at
+            .borrow()
+            .is_some_and(|closes_at| Instant::now() >= closes_at)
     }
 
     /// Returns at the end of the grace period of a planned stop, while there is still time to answer
@@ -300,15 +326,8 @@
     async fn serve(self: Arc<Self>, stream: TcpStream) {
         // Ignored: a broken socket fails again on first use.
         let _ = stream.set_nodelay(true);
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(CALLER_TCP_USER_TIMEOUT));
         let _open = self.open_connections.subscribe();
-        // Connections accepted during a planned stop serve a single request.
-        let keep_alive = !*self.stopping.borrow();
-        let mut close = if keep_alive {
-            self.stopping.subscribe()
-        } else {
-            self.closed.subscribe()
-        };
+        let mut close = self.closed.subscribe();
         let limits = self
             .index
             .borrow()
@@ -317,6 +336,10 @@
         let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
         let idle_ms = limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms);
         let head_ms = limits.map_or(DEFAULT_HEAD_TIMEOUT_MS, |limits| limits.header_timeout_ms);
+        // Linux counts the time in which a caller does not read too, so this is no shorter than the
+        // time for which a caller may be idle.
+        let user_timeout = Duration::from_millis(idle_ms.max(1));
+        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(user_timeout));
         let state = Arc::new(ConnectionState::default());
         let stream = GuardedStream::new(
             stream,
@@ -328,13 +351,17 @@
             let gateway = Arc::clone(&gateway);
             let open = requests.open();
             async move {
-                let response = gateway.handle(request).await;
+                let mut response = Arc::clone(&gateway).handle(request).await;
+                // During a planned stop, each connection is closed after its next response.
+                if *gateway.stopping.borrow() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
                 Ok::<_, Infallible>(response.map(|body| open.until_end_of(body)))
             }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .keep_alive(keep_alive)
             .header_read_timeout(Duration::from_millis(idle_ms.max(1)))
             .max_buf_size(header_bytes.max(MIN_HEADER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
