Log when the replicated log closes and opens, and count messages that it drops

Adds the counter lilac_log_dropped_messages_total with a line each time it has doubled, the gauge lilac_log_disk_bytes, and lines when the log of a directory instance is closed (cause) and open (after how long, how many attempts, last entry). No logic is changed.

--- a/src/adapters/disk/folder.rs
+++ b/src/adapters/disk/folder.rs
@@ -20,6 +20,7 @@
     pub path: PathBuf,
     /// The highest index of its entries; 0 if it has none.
     pub last_index: u64,
+    pub length: u64,
 }
 
 /// An open data folder. It must not be used after one of its operations has failed.
@@ -33,6 +34,7 @@
     /// The highest index of an entry in the current segment.
     pub(super) last_index: u64,
     pub(super) snapshot_path: Option<PathBuf>,
+    pub(super) snapshot_length: u64,
     pub(super) segment_bytes: u64,
 }
 
@@ -59,6 +61,12 @@
         self.segment_bytes = segment_bytes;
     }
 
+    /// Returns the bytes of all segments and of the snapshot.
+    pub fn used_bytes(&self) -> u64 {
+        let closed: u64 = self.closed.iter().map(|segment| segment.length).sum();
+        closed + self.segment_length + self.snapshot_length
+    }
+
     /// Writes and syncs everything in `persist`; when it returns, all of it is durable.
     pub fn write(&mut self, persist: &Persist) -> Result<(), DiskError> {
         let replaced = persist.snapshot.as_ref().filter(|s| s.replaces_log);
@@ -113,6 +121,7 @@
             self.closed.push(ClosedSegment {
                 path,
                 last_index: self.last_index,
+                length: self.segment_length,
             });
         }
         self.segment_number += 1;
@@ -163,6 +172,7 @@
         let bytes = encode_snapshot(snapshot)
             .map_err(|error| DiskError::io("write", &path, std::io::Error::other(error)))?;
         self.write_file(&path, &bytes)?;
+        self.snapshot_length = bytes.len() as u64;
         let old = self.snapshot_path.replace(path.clone());
         if let Some(old) = old.filter(|old| *old != path) {
             (self.ops.remove)(&old).map_err(|e| DiskError::io("remove", &old, e))?;
--- a/src/adapters/disk/recovery.rs
+++ b/src/adapters/disk/recovery.rs
@@ -32,6 +32,7 @@
         segment_length: 0,
         last_index: 0,
         snapshot_path: None,
+        snapshot_length: 0,
         segment_bytes: SEGMENT_BYTES,
     };
     (disk.ops.create_folder)(folder).map_err(|e| DiskError::io("create", folder, e))?;
@@ -120,6 +121,7 @@
         (disk.ops.remove)(&old).map_err(|e| DiskError::io("remove", &old, e))?;
     }
     disk.snapshot_path = Some(path);
+    disk.snapshot_length = bytes.len() as u64;
     Ok(Some(snapshot))
 }
 
@@ -140,8 +142,11 @@
     for number in numbers {
         if disk.segment_number > 0 {
             let path = disk.segment_path(disk.segment_number);
-            let last_index = disk.last_index;
-            disk.closed.push(ClosedSegment { path, last_index });
+            disk.closed.push(ClosedSegment {
+                path,
+                last_index: disk.last_index,
+                length: disk.segment_length,
+            });
             if number != disk.segment_number + 1 {
                 // A segment is missing because removals of old segments reached the disk out of
                 // order; the entries before the gap were being removed as well.
--- a/src/roles/control/replica/driver.rs
+++ b/src/roles/control/replica/driver.rs
@@ -5,6 +5,7 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
 
+use prometheus::IntCounter;
 use tokio::runtime::Handle;
 use tokio::sync::{oneshot, watch};
 
@@ -130,6 +131,11 @@
         self.status.subscribe()
     }
 
+    /// Returns the counter of messages that could not be handed to the driver.
+    pub fn dropped_messages(&self) -> IntCounter {
+        self.metrics.dropped_messages.clone()
+    }
+
     /// Runs until the replica is stopped or the data folder fails.
     pub fn run(mut self, inputs: &Receiver<Input>) {
         let reason = match self.serve(inputs) {
@@ -273,6 +279,7 @@
             let begun = Instant::now();
             self.disk.write(&output.persist)?;
             self.metrics.observe_sync(begun.elapsed());
+            self.metrics.set_disk_bytes(self.disk.used_bytes());
             self.core.synced();
         }
         self.send(output.after_persist);
--- a/src/roles/control/replica/metrics.rs
+++ b/src/roles/control/replica/metrics.rs
@@ -17,6 +17,8 @@
     sync_seconds: HistogramVec,
     elections: IntCounterVec,
     sent_bytes: IntCounterVec,
+    dropped_messages: IntCounterVec,
+    disk_bytes: IntGaugeVec,
 }
 
 static FAMILIES: OnceLock<Families> = OnceLock::new();
@@ -62,6 +64,14 @@
             "lilac_log_sent_bytes_total",
             "Bytes of messages sent to replicas.",
         ),
+        dropped_messages: counter(
+            "lilac_log_dropped_messages_total",
+            "Messages of other replicas that were dropped because the log had stopped or its queue was full.",
+        ),
+        disk_bytes: gauge(
+            "lilac_log_disk_bytes",
+            "Bytes of the segments and the snapshot in the data folder.",
+        ),
     })
 }
 
@@ -74,6 +84,8 @@
     sync_seconds: Histogram,
     elections: IntCounter,
     pub sent_bytes: IntCounter,
+    pub dropped_messages: IntCounter,
+    disk_bytes: IntGauge,
 }
 
 impl Metrics {
@@ -87,6 +99,8 @@
             sync_seconds: families.sync_seconds.with_label_values(&labels),
             elections: families.elections.with_label_values(&labels),
             sent_bytes: families.sent_bytes.with_label_values(&labels),
+            dropped_messages: families.dropped_messages.with_label_values(&labels),
+            disk_bytes: families.disk_bytes.with_label_values(&labels),
         }
     }
 
@@ -98,6 +112,11 @@
         self.elections.inc_by(count);
     }
 
+    pub fn set_disk_bytes(&self, bytes: u64) {
+        self.disk_bytes
+            .set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     pub fn set_status(&self, status: &Status) {
         let number = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         self.role.set(match status.role {
--- a/src/roles/control/replica/mod.rs
+++ b/src/roles/control/replica/mod.rs
@@ -145,7 +145,12 @@
         let (inputs, received) = sync_channel(INPUT_QUEUE_CAPACITY);
         let driver = Driver::open(settings, &endpoint, machine, ops, options)?;
         let status = driver.watch();
-        let server = PeerServer::new(inputs.clone(), status.clone(), endpoint.name.clone());
+        let server = PeerServer::new(
+            inputs.clone(),
+            status.clone(),
+            endpoint.name.clone(),
+            driver.dropped_messages(),
+        );
         let replica = Self {
             inputs,
             status,
--- a/src/roles/control/replica/server.rs
+++ b/src/roles/control/replica/server.rs
@@ -1,7 +1,8 @@
 //! The RPC service that other replicas call.
 
-use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::{SyncSender, TrySendError};
 
+use prometheus::IntCounter;
 use tarpc::context::Context;
 use tokio::sync::watch;
 
@@ -17,6 +18,7 @@
     inputs: SyncSender<Input>,
     status: watch::Receiver<ReplicaStatus>,
     name: InstanceName,
+    dropped_messages: IntCounter,
 }
 
 impl PeerServer {
@@ -24,11 +26,26 @@
         inputs: SyncSender<Input>,
         status: watch::Receiver<ReplicaStatus>,
         name: InstanceName,
+        dropped_messages: IntCounter,
     ) -> Self {
         Self {
             inputs,
             status,
             name,
+            dropped_messages,
+        }
+    }
+
+    /// Counts messages that cannot be handed to the log; the sender's core sends them again. Logs
+    /// the first one, and then whenever their number has doubled.
+    fn record_dropped(&self, from: NodeId, count: usize, error: &TrySendError<Input>) {
+        let before = self.dropped_messages.get();
+        self.dropped_messages.inc_by(count as u64);
+        let total = self.dropped_messages.get();
+        if before == 0 || before.ilog2() < total.ilog2() {
+            let has_stopped = matches!(error, TrySendError::Disconnected(_));
+            tracing::warn!(instance = %self.name, %from, total, has_stopped,
+                "dropped messages of another replica");
         }
     }
 }
@@ -42,8 +59,10 @@
         }
         let from = NodeId(envelope.from);
         let messages = envelope.messages;
-        // The messages are dropped if the queue is full; the sender's core sends them again.
-        let _ = self.inputs.try_send(Input::Deliver { from, messages });
+        let count = messages.len();
+        if let Err(error) = self.inputs.try_send(Input::Deliver { from, messages }) {
+            self.record_dropped(from, count, &error);
+        }
     }
 
     async fn hello(self, _: Context, _: HelloRequest) -> HelloReply {
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::control::replica::{Endpoint, Peers, Replica};
 use crate::adapters::clock::monotonic_ms;
@@ -313,19 +313,35 @@
             return;
         };
         let mut stopping = self.stopping.subscribe();
+        let mut closed_at = Instant::now();
+        let mut attempts: u64 = 0;
         while !*stopping.borrow_and_update() {
+            attempts += 1;
             match self.open(control) {
                 Ok(replica) => {
                     let mut status = replica.watch();
+                    let closed_ms = closed_at.elapsed().as_millis();
+                    let last = replica.status().last;
+                    tracing::info!(closed_ms, attempts, last, "the replicated log is open");
                     *self.replica.lock().unwrap_or_else(PoisonError::into_inner) = Some(replica);
                     while status.borrow_and_update().stopped.is_none() {
                         if status.changed().await.is_err() {
                             break;
                         }
                     }
-                    *self.replica.lock().unwrap_or_else(PoisonError::into_inner) = None;
+                    let closed = self
+                        .replica
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner)
+                        .take();
+                    let cause = closed.and_then(|replica| replica.status().stopped);
+                    tracing::warn!(cause, "the replicated log is closed");
+                    (closed_at, attempts) = (Instant::now(), 0);
                 }
-                Err(error) => tracing::error!(%error, "cannot open the replicated log"),
+                Err(error) if attempts.is_power_of_two() => {
+                    tracing::error!(%error, attempts, "cannot open the replicated log");
+                }
+                Err(_) => {}
             }
             tokio::select! {
                 () = sleep(REOPEN_DELAY) => {}
