Close the connections of other control instances when a log stops

Cause: each accepted connection was bound to the replica that was open at that moment. After a disk error the log is reopened as a new replica, but the other instances kept their connections to the old one, which answered every call with success and dropped the messages. The reopened log heard nothing, and after the second of three disks no quorum was left.

A connection now ends with the replica that serves it, whatever made that stop, so the sender sees a failure and reaches the reopened log by a new connection. The daemon's control role is served the same way.

--- a/src/roles/control/replica/mod.rs
+++ b/src/roles/control/replica/mod.rs
@@ -13,12 +13,17 @@
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 use std::time::Duration;
 
+use futures::StreamExt;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::TcpStream;
 use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::adapters::disk::{DiskError, FileOps};
 use crate::domain::log::Options;
 use crate::model::InstanceName;
+use crate::rpc::peer::Peer;
+use crate::rpc::{Service, wrap};
 use crate::settings::{ControlSettings, PeerAddress};
 use driver::{Driver, Input};
 
@@ -164,6 +169,27 @@
         Ok(replica)
     }
 
+    /// Serves the calls of another replica on an accepted connection. Closes the connection when
+    /// this replica stops, so that the other one reaches a replica that is opened in its place.
+    pub(crate) fn serve_peer(&self, stream: TcpStream) {
+        let transport = wrap(stream, Service::Peer);
+        let calls = BaseChannel::with_defaults(transport).execute(self.server().serve());
+        let mut status = self.status.clone();
+        tokio::spawn(async move {
+            let served = calls.for_each(|call| async {
+                tokio::spawn(call);
+            });
+            let stopped = async move {
+                // An error means that the thread has ended without publishing a status.
+                let _ = status.wait_for(|status| status.stopped.is_some()).await;
+            };
+            tokio::select! {
+                () = served => {}
+                () = stopped => {}
+            }
+        });
+    }
+
     /// Returns the service that other replicas call.
     pub fn server(&self) -> PeerServer {
         self.server.clone()
--- a/src/roles/daemon/mod.rs
+++ b/src/roles/daemon/mod.rs
@@ -26,9 +26,7 @@
 use super::subscriber::{Subscriber, SubscriberSettings, ViewStore, Watchers};
 use crate::adapters::admin::{Readiness, admin_routes};
 use crate::adapters::http::{self, Server};
-use crate::call_handler;
 use crate::model::{Incarnation, InstanceRef};
-use crate::rpc::peer::Peer;
 use crate::rpc::{Service, Services, serve};
 use crate::settings::Settings;
 pub use standalone::standalone_settings;
@@ -85,9 +83,10 @@
                 };
                 let (replica, log) =
                     replicated_log(control, endpoint, &machine).map_err(as_daemon_error)?;
+                let peers = replica.clone();
                 services.offer(
                     Service::Peer,
-                    call_handler!(Service::Peer, replica.server()),
+                    Arc::new(move |stream| peers.serve_peer(stream)),
                 );
                 let role = ControlRole::new(log, machine, Arc::clone(&subscriber));
                 operators = Some(operator_port(&role, &replica, settings.admin_token.clone()));
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -153,15 +153,15 @@
     /// Registers the RPC services for other control instances, entries and sidecars.
     pub fn offer(self: &Arc<Self>, services: &mut Services) {
         let role = Arc::clone(self);
-        // The replica is replaced when the log is reopened, so each connection looks it up.
+        // The replica is replaced when the log is reopened, so each connection looks it up. It is
+        // closed with the replica.
         let peers: Handler = Arc::new(move |stream| {
             if let Some(observer) = &role.observer {
                 let server = ObserverServer(Arc::clone(observer));
                 let handler = call_handler!(Service::Peer, server);
                 handler(stream);
             } else if let Some(replica) = role.replica() {
-                let handler = call_handler!(Service::Peer, replica.server());
-                handler(stream);
+                replica.serve_peer(stream);
             }
         });
         services.offer(Service::Peer, peers);
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code)]
 
 mod callers;
+mod disks;
 mod limits;
 mod replica;
 
