Sync what a reopened log finds on its disk before it counts as durable

A log whose write or sync had failed was opened again by the same process (or by a process that was killed and restarted) and took what it read for synced, though nothing had synced it. A power loss after that could lose entries and votes that the instance had acknowledged since. Worse, a new segment could follow a tail that was never synced, so after a power loss the folder was refused as corrupt and the instance was out for good. A log was also opened on a disk that was still full: it took part in elections until its first write stopped it again.

The files in memory and the random writes of log_disk move to tests/log_support/files.rs unchanged, since both tests use them.

--- a/src/adapters/disk/folder.rs
+++ b/src/adapters/disk/folder.rs
@@ -141,6 +141,14 @@
         Ok(())
     }
 
+    /// Syncs what was found in the last segment, of which the last sync may have failed or been cut
+    /// off, and checks that the disk accepts writes.
+    pub(super) fn sync_recovered(&mut self) -> Result<(), DiskError> {
+        let path = self.segment_path(self.segment_number);
+        (self.ops.sync)(&path).map_err(|e| DiskError::io("sync", &path, e))?;
+        self.write_records(&[Record::State(self.hard_state)])
+    }
+
     /// Discards all entries.
     pub(super) fn reset_log(&mut self) -> Result<(), DiskError> {
         self.start_segment(&[Record::Reset])?;
--- a/src/adapters/disk/recovery.rs
+++ b/src/adapters/disk/recovery.rs
@@ -38,6 +38,7 @@
     (disk.ops.create_folder)(folder).map_err(|e| DiskError::io("create", folder, e))?;
     disk.acquire_lock()?;
     let names = (disk.ops.list)(folder).map_err(|e| DiskError::io("list", folder, e))?;
+    disk.sync_folder()?;
     remove_incomplete_files(&mut disk, &names)?;
     let identity = read_identity(&mut disk, &names, new_identity)?;
     let snapshot = read_snapshot(&mut disk, &names)?;
@@ -48,6 +49,8 @@
         disk.reset_log()?;
     } else if disk.segment_number == 0 {
         disk.start_segment(&[])?;
+    } else {
+        disk.sync_recovered()?;
     }
     let recovered = RecoveredState {
         hard_state: replay.hard_state,
--- a/tests/log_support/mod.rs
+++ b/tests/log_support/mod.rs
@@ -3,6 +3,7 @@
 // Each test file uses only a part of this module; sizes in tests fit in any integer.
 #![allow(dead_code, clippy::cast_possible_truncation)]
 
+pub mod files;
 pub mod history;
 mod operations;
 mod parts;
