--- a/src/adapters/disk/recovery.rs
+++ b/src/adapters/disk/recovery.rs
@@ -32,11 +32,13 @@
         segment_length: 0,
         last_index: 0,
         snapshot_path: None,
+        snapshot_length: 0,
         segment_bytes: SEGMENT_BYTES,
     };
     (disk.ops.create_folder)(folder).map_err(|e| DiskError::io("create", folder, e))?;
     disk.acquire_lock()?;
     let names = (disk.ops.list)(folder).map_err(|e| DiskError::io("list", folder, e))?;
+    disk.sync_folder()?;
     remove_incomplete_files(&mut disk, &names)?;
     let identity = read_identity(&mut disk, &names, new_identity)?;
     let snapshot = read_snapshot(&mut disk, &names)?;
@@ -47,6 +49,8 @@
         disk.reset_log()?;
     } else if disk.segment_number == 0 {
         disk.start_segment(&[])?;
+    } else {
+        disk.sync_recovered()?;
     }
     let recovered = RecoveredState {
         hard_state: replay.hard_state,
@@ -120,6 +124,7 @@
         (disk.ops.remove)(&old).map_err(|e| DiskError::io("remove", &old, e))?;
     }
     disk.snapshot_path = Some(path);
+    disk.snapshot_length = bytes.len() as u64;
     Ok(Some(snapshot))
 }
 
@@ -140,8 +145,11 @@
     for number in numbers {
         if disk.segment_number > 0 {
             let path = disk.segment_path(disk.segment_number);
-            let last_index = disk.last_index;
-            disk.closed.push(ClosedSegment { path, last_index });
+            disk.closed.push(ClosedSegment {
+                path,
+                last_index: disk.last_index,
+                length: disk.segment_length,
+            });
             if number != disk.segment_number + 1 {
                 // A segment is missing because removals of old segments reached the disk out of
                 // order; the entries before the gap were being removed as well.
