--- a/tests/site_full_disks.rs
+++ b/tests/site_full_disks.rs
@@ -129,3 +129,15 @@
 async fn changes_are_acknowledged_after_each_of_four_disks_was_full() {
     fill_one_disk_after_the_other(4, Duration::from_secs(10)).await;
 }
+
+/// The same with six voters.
+#[tokio::test]
+async fn changes_are_acknowledged_after_each_of_six_disks_was_full() {
+    fill_one_disk_after_the_other(6, Duration::from_secs(3)).await;
+}
+
+/// The same with eight voters.
+#[tokio::test]
+async fn changes_are_acknowledged_after_each_of_eight_disks_was_full() {
+    fill_one_disk_after_the_other(8, Duration::from_secs(3)).await;
+}
