--- /dev/null
+++ b/src/soak/checker/executions.rs
@@ -0,0 +1,264 @@
+//! What instances see: repeats, requests that nobody sent or that their route does not allow, work
+//! for callers that have left, and budgets.
+
+use std::collections::BTreeSet;
+
+use super::Violation;
+use super::documents::{Handling, Known};
+use super::facts::{Facts, runs_once};
+use super::touch::overlaps;
+use crate::soak::history::{Call, CallEnd, Execution, ExecutionEnd, FaultKind};
+
+/// Time for which the instance before a resumption may work on.
+const HANDOVER_MS: u64 = 400;
+
+/// Number of requests that may reach an instance after their caller's close.
+const MAX_LATE_ARRIVALS: usize = 3;
+
+/// Number of requests that may run at more instances than their route allows.
+const MAX_OVER_ATTEMPTS: usize = 3;
+
+/// Tolerance for the time that instances are told is left.
+const DEADLINE_SLACK_MS: u64 = 500;
+
+/// Number of arrivals with too much time from which the rule is broken.
+const MAX_OVER_DEADLINE: usize = 20;
+
+/// TWICE: a request that may run once runs again, unless a stream is resumed; or it is resumed
+/// while the instance before works on.
+pub(super) fn repeated(facts: &Facts) -> Vec<Violation> {
+    let calls = facts.history.calls.iter().filter(|call| runs_once(call));
+    calls
+        .flat_map(|call| {
+            let runs: Vec<&Execution> = facts.runs(&call.id).collect();
+            let pairs = runs.windows(2);
+            let faults: Vec<Violation> = pairs
+                .filter_map(|pair| repeat_fault(facts, call, pair[0], pair[1]))
+                .collect();
+            faults
+        })
+        .collect()
+}
+
+fn repeat_fault(
+    facts: &Facts,
+    call: &Call,
+    first: &Execution,
+    second: &Execution,
+) -> Option<Violation> {
+    let until_ms = second.arrived_ms + HANDOVER_MS;
+    let is_reached = facts.is_in_touch(&call.process, until_ms)
+        && !facts.history.faults.iter().any(|fault| {
+            fault.kind == FaultKind::InstanceSilent
+                && fault.target == first.instance
+                && overlaps(fault, second.arrived_ms, until_ms)
+        });
+    let reason = match second.resumed_after {
+        None => "ran again",
+        Some(_) if first.instance != second.instance && first.ended_ms > until_ms && is_reached => {
+            "went on while the instance before worked on"
+        }
+        Some(_) => return None,
+    };
+    let detail = format!(
+        "request {} {reason}: at {} from {} to {} ms, at {} from {} ms",
+        call.id,
+        first.instance,
+        first.arrived_ms,
+        first.ended_ms,
+        second.instance,
+        second.arrived_ms
+    );
+    Some(Violation::new("TWICE", second.arrived_ms, detail))
+}
+
+/// UNASKED: an instance runs a request that no caller sent, or with another path or workspace.
+pub(super) fn unasked(facts: &Facts) -> Vec<Violation> {
+    let executions = facts.history.executions.iter();
+    let runs = executions.filter(|execution| execution.end != ExecutionEnd::Refused);
+    runs.filter_map(|run| {
+        let reason = match facts.calls.get(&*run.id) {
+            None => "that no caller sent",
+            Some(call) if call.path != run.path => "with another path",
+            Some(call) if !has_workspace(facts, call, run) => "for another workspace",
+            Some(_) => return None,
+        };
+        let detail = format!("{} ran request {} {reason}", run.instance, run.id);
+        Some(Violation::new("UNASKED", run.arrived_ms, detail))
+    })
+    .collect()
+}
+
+/// Returns true if a document names the workspace of an execution for the key of the call, or lets
+/// the call run without one.
+fn has_workspace(facts: &Facts, call: &Call, run: &Execution) -> bool {
+    facts.documents.iter().any(|known| {
+        let keys = &known.document.keys;
+        let owner = call.key.as_ref().and_then(|key| keys.get(key));
+        match (owner, &run.workspace) {
+            (Some(owner), Some(workspace)) => owner == workspace,
+            (None, None) => known
+                .route(call)
+                .is_some_and(|route| known.admits(route, call)),
+            _ => false,
+        }
+    })
+}
+
+/// ROUTE: a request runs at a service, or with a key, that no document ever allowed.
+pub(super) fn outside_route(facts: &Facts) -> Vec<Violation> {
+    let calls = facts.history.calls.iter();
+    let runs = calls.flat_map(|call| facts.runs(&call.id).map(move |run| (call, run)));
+    let is_allowed = |call: &Call, run: &Execution| {
+        let handling = Handling::Run(&run.service);
+        let allows = |known: &Known| known.allows(call, handling);
+        facts.documents.iter().any(allows)
+    };
+    runs.filter(|(call, run)| !is_allowed(call, run))
+        .map(|(call, run)| {
+            let detail = format!(
+                "request {} for {}{} ran at {} of {}, which no document allows",
+                call.id, call.host, call.path, run.instance, run.service
+            );
+            Violation::new("ROUTE", run.arrived_ms, detail)
+        })
+        .collect()
+}
+
+fn abandoned_calls<'a>(facts: &Facts<'a>) -> Vec<&'a Call> {
+    let calls = facts.history.calls.iter();
+    let abandoned = calls.filter(|call| call.end == CallEnd::Abandoned);
+    abandoned
+        .filter(|call| {
+            let limit_ms = call.ended_ms + facts.bounds.abandoned_ms;
+            facts.is_in_touch_until(call, limit_ms)
+        })
+        .collect()
+}
+
+/// GONE: more than a few requests reach an instance later than their callers have left.
+pub(super) fn arrived_after_close(facts: &Facts) -> Vec<Violation> {
+    let late: Vec<&Execution> = abandoned_calls(facts)
+        .into_iter()
+        .filter_map(|call| {
+            let limit_ms = call.ended_ms + facts.bounds.abandoned_ms;
+            let mut runs = facts.runs(&call.id);
+            runs.find(|run| run.arrived_ms > limit_ms)
+        })
+        .collect();
+    match late.first() {
+        Some(first) if late.len() > MAX_LATE_ARRIVALS => {
+            let detail = format!(
+                "{} requests arrived after their callers had left, the first {}",
+                late.len(),
+                first.id
+            );
+            vec![Violation::new("GONE", first.arrived_ms, detail)]
+        }
+        _ => Vec::new(),
+    }
+}
+
+/// GONE: instances still work on more than a quarter of the repeatable requests and streams whose
+/// callers have left.
+pub(super) fn working_after_close(facts: &Facts) -> Vec<Violation> {
+    let lasting: Vec<(&Call, bool)> = abandoned_calls(facts)
+        .into_iter()
+        .filter(|call| call.is_stream || call.may_repeat)
+        .filter_map(|call| {
+            let limit_ms = call.ended_ms + facts.bounds.abandoned_ms;
+            let mut runs = facts.runs(&call.id);
+            let run = runs.find(|run| {
+                let works = (run.arrived_ms..=run.ended_ms).contains(&call.ended_ms);
+                works && (run.end != ExecutionEnd::Complete || run.ended_ms > limit_ms)
+            })?;
+            Some((call, run.ended_ms > limit_ms))
+        })
+        .collect();
+    let working: Vec<_> = lasting.iter().filter(|(_, works)| *works).collect();
+    match working.first() {
+        Some((first, _)) if working.len() * 4 > lasting.len() => {
+            let detail = format!(
+                "{} of {} requests ran on after their callers had left, the first {}",
+                working.len(),
+                lasting.len(),
+                first.id
+            );
+            vec![Violation::new("GONE", first.ended_ms, detail)]
+        }
+        _ => Vec::new(),
+    }
+}
+
+/// BUDGET: requests run at more instances than their route allows, or instances are told that more
+/// time is left than the caller gave.
+pub(super) fn over_budget(facts: &Facts) -> Vec<Violation> {
+    let calls = facts.history.calls.iter();
+    let over: Vec<&Call> = calls.filter(|call| is_over_attempts(facts, call)).collect();
+    let mut violations = Vec::new();
+    if let (Some(first), true) = (over.first(), over.len() > MAX_OVER_ATTEMPTS) {
+        let detail = format!(
+            "{} requests ran at more instances than their route allows, the first {}",
+            over.len(),
+            first.id
+        );
+        violations.push(Violation::new("BUDGET", first.sent_ms, detail));
+    }
+    violations.extend(over_deadline(facts));
+    violations
+}
+
+fn is_over_attempts(facts: &Facts, call: &Call) -> bool {
+    let routes = facts.routes(call);
+    let Some(allowed) = routes.iter().map(|route| route.max_attempts).max() else {
+        return false;
+    };
+    let instances: BTreeSet<&str> = facts
+        .runs(&call.id)
+        .filter(|run| run.resumed_after.is_none())
+        .filter(|run| {
+            !facts.history.faults.iter().any(|fault| {
+                fault.target == run.instance && overlaps(fault, run.arrived_ms, run.ended_ms)
+            })
+        })
+        .map(|run| &*run.instance)
+        .collect();
+    instances.len() > usize::try_from(allowed).unwrap_or(usize::MAX)
+}
+
+fn over_deadline(facts: &Facts) -> Option<Violation> {
+    let in_touch = facts.history.executions.iter().filter_map(|execution| {
+        let call = facts.calls.get(&*execution.id)?;
+        facts
+            .is_in_touch(&call.process, execution.arrived_ms)
+            .then_some((*call, execution))
+    });
+    let arrivals: Vec<(&Call, &Execution)> = in_touch.collect();
+    let over: Vec<_> = arrivals
+        .iter()
+        .filter(|(call, execution)| has_too_much_time(facts, call, execution))
+        .collect();
+    let (_, first) = over.first()?;
+    (over.len() > MAX_OVER_DEADLINE && over.len() * 5 > arrivals.len()).then(|| {
+        let detail = format!(
+            "{} of {} arrivals had more time than was left, the first {}",
+            over.len(),
+            arrivals.len(),
+            first.id
+        );
+        Violation::new("BUDGET", first.arrived_ms, detail)
+    })
+}
+
+fn has_too_much_time(facts: &Facts, call: &Call, execution: &Execution) -> bool {
+    let Some(deadline_ms) = execution.deadline_ms else {
+        return true;
+    };
+    let first = facts.arrivals(&call.id)[0];
+    let end_ms = execution.arrived_ms + deadline_ms;
+    let first_end_ms = first.arrived_ms + first.deadline_ms.unwrap_or(deadline_ms);
+    let own_end_ms = call.sent_ms + call.deadline_ms;
+    let is_late = execution.arrived_ms > first.arrived_ms + DEADLINE_SLACK_MS;
+    let ends_late = end_ms > first_end_ms.max(own_end_ms) + DEADLINE_SLACK_MS;
+    deadline_ms > call.deadline_ms + DEADLINE_SLACK_MS || (is_late && ends_late)
+}
--- a/src/soak/history.rs
+++ b/src/soak/history.rs
@@ -3,7 +3,7 @@
 //!
 //! All times are milliseconds since the start of the run, on the clock of the soak process.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -22,6 +22,9 @@
     /// Processes that have ended although nothing was done to them.
     pub unexpected_exits: Vec<UnexpectedExit>,
     pub ended_ms: u64,
+    /// The control processes; `None` if these are all processes that an operator has called.
+    #[serde(default)]
+    pub controls: Option<BTreeSet<Arc<str>>>,
 }
 
 /// Time bounds and limits that the run is checked against.
@@ -130,6 +133,7 @@
 
 /// One request of a caller, as the caller saw it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
+#[allow(clippy::struct_excessive_bools)]
 pub struct Call {
     pub id: Arc<str>,
     /// The entry process that the connection leads to.
--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -1,8 +1,10 @@
 //! Fault soak: runs the daemons as separate processes on loopback addresses, drives callers and an
 //! operator, injects faults from outside, and checks what callers, operators and instances see.
 
+mod checker;
 mod history;
 
+pub use checker::{Figures, Violation, check, figures, is_in_touch};
 pub use history::{
     Bounds, Call, CallEnd, DocumentRead, Execution, ExecutionEnd, Fault, FaultKind, History,
     Publication, SentDocument, SentRoute, UnexpectedExit,
