Refuse a split route that names an unknown service

An operator's document whose route has both a split and a service that the document does not have was acknowledged: the service was dropped when the route was decoded, before it was validated.

The service is now validated also where the split takes precedence; an empty one counts as absent.

Before: service_of_a_split_route_must_be_known failed at assert!(!is_valid(&split("unknown"))). After: document_rules 5 of 5 and platform_wire 11 of 11 pass.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -1,5 +1,6 @@
 //! Decodes the operator's document.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -38,7 +39,7 @@
     gap_target_ms: Option<f64>,
     #[serde(default)]
     priority: u32,
-    /// The only service; used if `traffic_split` is empty.
+    /// The only service; used if `traffic_split` is empty, and validated in any case.
     #[serde(default)]
     service: Option<Arc<str>>,
     #[serde(default)]
@@ -127,11 +128,12 @@
         }
     };
     let mut findings = Findings::default();
+    let services: BTreeSet<Arc<str>> = wire.services.iter().map(|s| Arc::clone(&s.name)).collect();
     let routes = wire.routes.into_iter();
     let document = Document {
         version: wire.version,
         routes: routes
-            .map(|route| Arc::new(decode_route(route, &mut findings)))
+            .map(|route| Arc::new(decode_route(route, &services, &mut findings)))
             .collect(),
         services: wire.services.into_iter().map(decode_service).collect(),
         workspaces: wire.tenants.into_iter().map(decode_workspace).collect(),
@@ -146,7 +148,7 @@
     findings.into_result(document)
 }
 
-fn decode_route(wire: WireRoute, findings: &mut Findings) -> Route {
+fn decode_route(wire: WireRoute, services: &BTreeSet<Arc<str>>, findings: &mut Findings) -> Route {
     let repeat = match wire.kind.as_str() {
         "safe" => Repeat::Safe,
         "streaming" => Repeat::Stream,
@@ -166,8 +168,13 @@
             weight: share.weight,
         })
         .collect();
-    if let (true, Some(service)) = (shares.is_empty(), wire.service) {
-        shares.push(Share { service, weight: 1 });
+    match wire.service {
+        Some(service) if shares.is_empty() => shares.push(Share { service, weight: 1 }),
+        Some(service) if !service.is_empty() && !services.contains(&service) => {
+            let reason = format!("names the unknown service {service}");
+            findings.add(format!("route {}", wire.name), reason);
+        }
+        _ => {}
     }
     Route {
         name: wire.name,
