Refuse workspaces of the same name that share a key

A document in which two workspaces have the same name and a common key was acknowledged, since the owners of a key were told apart by name. They are now told apart by their place in the document; a key that one workspace lists twice remains valid.

--- a/src/domain/document/validate.rs
+++ b/src/domain/document/validate.rs
@@ -21,10 +21,11 @@
         }
     }
     let mut owners = BTreeMap::new();
-    for workspace in &document.workspaces {
+    for (index, workspace) in document.workspaces.iter().enumerate() {
         for key in &workspace.keys {
-            let owner = owners.insert(&**key, &workspace.name);
-            if let Some(other) = owner.filter(|other| **other != workspace.name) {
+            let owner = owners.insert(&**key, index);
+            if let Some(other) = owner.filter(|other| *other != index) {
+                let other = &document.workspaces[other].name;
                 // The key is a secret, so the message does not contain it.
                 let reason = format!("shares a key with workspace {other}");
                 findings.add(format!("workspace {}", workspace.name), reason);
--- a/tests/document_rules.rs
+++ b/tests/document_rules.rs
@@ -40,6 +40,19 @@
     assert!(!is_valid(&split("unknown")));
 }
 
+/// Guards against a key that two workspaces share because they have the same name.
+#[test]
+fn workspaces_of_the_same_name_share_no_key() {
+    let second = |keys: &[&str]| {
+        changed(|document| {
+            let workspaces = document["tenants"].as_array_mut().unwrap();
+            workspaces.push(json!({"name": "w1", "apiKeys": keys}));
+        })
+    };
+    assert!(is_valid(&second(&["k2", "k2"])));
+    assert!(!is_valid(&second(&["k2", "k1"])));
+}
+
 /// Guards against invalid documents that are accepted.
 #[test]
 fn documents_that_cannot_be_read_in_full_are_invalid() {
