Find routes whose host is written with capitals or a port

Requests on a route whose host the document writes with capitals, or with a port, were refused with 404 unless they wrote it the same way: a request's host was looked up as given, without its port, and in lower case, but the document's host was kept as written. Hosts are compared without regard to case (RFC 9110).

Routes are now also indexed by the host's name in lower case without a port; routes of the host as written still take precedence, so no request changes its route.

Before: hosts_are_found_regardless_of_case_and_port failed with "calls.example is not found as Calls.Example".

--- a/src/domain/document/index.rs
+++ b/src/domain/document/index.rs
@@ -9,8 +9,10 @@
 #[derive(Debug)]
 pub struct Index {
     document: Document,
-    /// Indices of routes by host, longest path prefix first.
+    /// Indices of routes by host as written, longest path prefix first.
     by_host: BTreeMap<Arc<str>, Vec<usize>>,
+    /// The same by the host's name in lower case, without a port.
+    by_host_name: BTreeMap<String, Vec<usize>>,
     /// Index of the workspace that owns each API key.
     by_key: BTreeMap<Arc<str>, usize>,
     /// Index of each service by name.
@@ -32,13 +34,14 @@
     /// Builds the look-up tables. The document must have passed [`super::validate()`].
     pub fn new(document: Document) -> Self {
         let mut by_host: BTreeMap<Arc<str>, Vec<usize>> = BTreeMap::new();
+        let mut by_host_name: BTreeMap<String, Vec<usize>> = BTreeMap::new();
         for (index, route) in document.routes.iter().enumerate() {
-            by_host
-                .entry(Arc::clone(&route.host))
-                .or_default()
-                .push(index);
+            let written = by_host.entry(Arc::clone(&route.host)).or_default();
+            written.push(index);
+            let name = without_port(&route.host).to_ascii_lowercase();
+            by_host_name.entry(name).or_default().push(index);
         }
-        for indices in by_host.values_mut() {
+        for indices in by_host.values_mut().chain(by_host_name.values_mut()) {
             indices.sort_by_key(|p| std::cmp::Reverse(document.routes[*p].prefix.len()));
         }
         let workspaces = document.workspaces.iter().enumerate();
@@ -52,6 +55,7 @@
         Self {
             document,
             by_host,
+            by_host_name,
             by_key,
             services,
         }
@@ -65,22 +69,17 @@
         &self.document
     }
 
-    /// Returns the route of `host` with the longest prefix that matches `path`. A port in `host` is
-    /// ignored; a host that is not found as given is looked up in lower case.
+    /// Returns the route of `host` with the longest prefix that matches `path`. If no route of the
+    /// host as given matches, its port and then its case are ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let host = host.rsplit_once(':').map_or(host, |(name, port)| {
-            if port.bytes().all(|digit| digit.is_ascii_digit()) {
-                name
-            } else {
-                host
-            }
-        });
-        let indices = match self.by_host.get(host) {
-            Some(indices) => indices,
-            None => self.by_host.get(host.to_ascii_lowercase().as_str())?,
+        let find = |indices: Option<&Vec<usize>>| {
+            let mut candidates = indices?.iter().map(|p| &self.document.routes[*p]);
+            candidates.find(|route| path.starts_with(&*route.prefix))
         };
-        let mut candidates = indices.iter().map(|p| &self.document.routes[*p]);
-        candidates.find(|route| path.starts_with(&*route.prefix))
+        let name = without_port(host);
+        find(self.by_host.get(host))
+            .or_else(|| find(self.by_host.get(name)))
+            .or_else(|| find(self.by_host_name.get(&name.to_ascii_lowercase())))
     }
 
     /// Returns the access that a request with this key has to a route; `None` is a request without
@@ -118,3 +117,11 @@
         None
     }
 }
+
+/// Returns a host without its port.
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|digit| digit.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- a/tests/document_rules.rs
+++ b/tests/document_rules.rs
@@ -1,6 +1,7 @@
 //! Documents that the protocol calls invalid are refused, and valid ones are obeyed as they are
 //! written.
 
+use lilacspindle::domain::document::Index;
 use lilacspindle::platform::decode_document;
 use serde_json::{Value, json};
 
@@ -53,6 +54,24 @@
     assert!(!is_valid(&second(&["k2", "k1"])));
 }
 
+/// Guards against a route that is not found because the document writes its host with capitals or
+/// a port.
+#[test]
+fn hosts_are_found_regardless_of_case_and_port() {
+    for (written, sent) in [
+        ("calls.example", "CALLS.example"),
+        ("Calls.Example", "calls.example"),
+        ("Calls.Example", "Calls.Example:8080"),
+        ("calls.example:8080", "calls.example:8080"),
+        ("calls.example:8080", "calls.example"),
+    ] {
+        let wire = changed(|document| document["routes"][0]["host"] = json!(written));
+        let index = Index::new(decode_document(wire.to_string().as_bytes()).unwrap());
+        let found = index.route(sent, "/a/x").is_some();
+        assert!(found, "{sent} is not found as {written}");
+    }
+}
+
 /// Guards against invalid documents that are accepted.
 #[test]
 fn documents_that_cannot_be_read_in_full_are_invalid() {
