Publish the documents of a soak run as the operators do

A soak needs documents and someone who publishes them. Drafts draws a sequence of documents from a seed: routes that move, split, come and go, other time-outs, workspaces and keys that come and go, services that appear with their routes, large documents, other content under one version, and each kind of invalid document. Operator sends them to control processes over HTTP: two operators, up to eight publications in progress, redirects, back-off, acknowledgements that are lost on the way, reads during the run and at the end; it records publications and reads for the checker.

--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -3,9 +3,11 @@
 
 mod checker;
 mod history;
+mod operator;
 
 pub use checker::{Figures, Violation, check, figures, is_in_touch};
 pub use history::{
     Bounds, Call, CallEnd, DocumentRead, Execution, ExecutionEnd, Fault, FaultKind, History,
     Publication, SentDocument, SentRoute, UnexpectedExit,
 };
+pub use operator::{Catalog, Draft, Drafts, News, Operator, OperatorRecord, OperatorSettings};
--- a/tests/soak_checker_requests.rs
+++ b/tests/soak_checker_requests.rs
@@ -245,9 +245,7 @@
         for n in 0..30 {
             match n < cuts_apart {
                 true => {
-                    record
-                        .cut(&format!("a{n}"), 30_000, 30_010)
-                        .number_on_connection = 0
+                    record.cut(&format!("a{n}"), 30_000, 30_010);
                 }
                 false => record.served(&format!("a{n}"), "/a/x", "old", 30_000),
             }
