Change documents while most of control is lost

One process at a time was disturbed. A third test freezes an entry with one control process, all of control, and two of three for 7 s each, and kills all of control at once, with documents of up to 1.5 MB: a revoked key must not run and no older document may be returned or obeyed. Calls are now sent at a steady rate, so that a frozen entry finds requests that were sent during the freeze.

--- a/tests/site_configuration.rs
+++ b/tests/site_configuration.rs
@@ -10,6 +10,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use lilacspindle::soak::{
@@ -24,6 +25,13 @@
 /// Time between two faults: the connectivity window, in which no bound holds, and some calm.
 const CALM: Duration = Duration::from_secs(5);
 
+/// Time in which a process ends after SIGTERM.
+const STOP_LIMIT: Duration = Duration::from_secs(10);
+
+/// What is done to some processes at the same time, and for how many milliseconds.
+#[derive(Clone, Copy)]
+struct Step<'a>(FaultKind, &'a [&'a str], u64);
+
 /// Sends calls to one entry on routes of the newest document, and on routes just added or removed.
 struct Caller {
     entry: Arc<str>,
@@ -33,22 +41,19 @@
 }
 
 impl Caller {
-    fn now_ms(&self) -> u64 {
-        u64::try_from(self.started_at.elapsed().as_millis()).unwrap()
-    }
-
+    /// Sends calls at a steady rate, whether or not those before are answered.
     async fn call_repeatedly(mut self, news: tokio::sync::watch::Receiver<News>) -> Vec<Call> {
-        let mut calls = Vec::new();
+        let mut calls = JoinSet::new();
         let mut keys: Vec<Arc<str>> = Vec::new();
         // The sender is dropped with the operator, at the end of the run.
         while news.has_changed().is_ok() {
             let news = news.borrow().clone();
             if let Some(call) = self.draw(&news, &mut keys, calls.len()) {
-                calls.push(self.send(call).await);
+                calls.spawn(send(call, self.address, self.started_at));
             }
-            sleep(Duration::from_millis(20)).await;
+            sleep(Duration::from_millis(25)).await;
         }
-        calls
+        calls.join_all().await
     }
 
     fn draw(&mut self, news: &News, keys: &mut Vec<Arc<str>>, number: usize) -> Option<Call> {
@@ -85,48 +90,49 @@
             end: CallEnd::NotSent,
         })
     }
+}
 
-    async fn send(&self, mut call: Call) -> Call {
-        call.sent_ms = self.now_ms();
-        let request = client()
-            .post(format!("http://{}{}", self.address, call.path))
-            .timeout(Duration::from_secs(8))
-            .header("Host", &*call.host)
-            .header(
-                "Authorization",
-                format!("Bearer {}", call.key.as_deref().unwrap()),
-            )
-            .header("X-Lilacspindle-Request-Id", &*call.id)
-            .header("X-Lilacspindle-Deadline-Milliseconds", call.deadline_ms);
-        match request.body("the body").send().await {
-            Ok(answer) => {
-                call.head_ms = Some(self.now_ms());
-                call.sent_whole_ms = Some(call.sent_ms);
-                call.status = Some(answer.status().as_u16());
-                call.is_sealed = answer
-                    .headers()
-                    .contains_key("x-lilacspindle-response-seal");
-                let body = answer.bytes().await;
-                call.is_own_body = body.as_ref().is_ok_and(|body| &**body == b"proper");
-                call.end = if body.is_ok() {
-                    CallEnd::Complete
-                } else {
-                    CallEnd::Cut
-                };
-            }
-            Err(error) if error.is_connect() => call.end = CallEnd::NotSent,
-            Err(error) => {
-                call.sent_whole_ms = Some(call.sent_ms);
-                call.end = if error.is_timeout() {
-                    CallEnd::Abandoned
-                } else {
-                    CallEnd::Cut
-                };
-            }
+async fn send(mut call: Call, address: SocketAddr, started_at: Instant) -> Call {
+    let now_ms = || u64::try_from(started_at.elapsed().as_millis()).unwrap();
+    call.sent_ms = now_ms();
+    let request = client()
+        .post(format!("http://{}{}", address, call.path))
+        .timeout(Duration::from_secs(8))
+        .header("Host", &*call.host)
+        .header(
+            "Authorization",
+            format!("Bearer {}", call.key.as_deref().unwrap()),
+        )
+        .header("X-Lilacspindle-Request-Id", &*call.id)
+        .header("X-Lilacspindle-Deadline-Milliseconds", call.deadline_ms);
+    match request.body("the body").send().await {
+        Ok(answer) => {
+            call.head_ms = Some(now_ms());
+            call.sent_whole_ms = Some(call.sent_ms);
+            call.status = Some(answer.status().as_u16());
+            call.is_sealed = answer
+                .headers()
+                .contains_key("x-lilacspindle-response-seal");
+            let body = answer.bytes().await;
+            call.is_own_body = body.as_ref().is_ok_and(|body| &**body == b"proper");
+            call.end = if body.is_ok() {
+                CallEnd::Complete
+            } else {
+                CallEnd::Cut
+            };
+        }
+        Err(error) if error.is_connect() => call.end = CallEnd::NotSent,
+        Err(error) => {
+            call.sent_whole_ms = Some(call.sent_ms);
+            call.end = if error.is_timeout() {
+                CallEnd::Abandoned
+            } else {
+                CallEnd::Cut
+            };
         }
-        call.ended_ms = self.now_ms();
-        call
     }
+    call.ended_ms = now_ms();
+    call
 }
 
 fn executions(service: &str, upstream: &Upstream, started_at: Instant) -> Vec<Execution> {
@@ -155,40 +161,47 @@
         .collect()
 }
 
-/// Does one thing to a process and waits until it runs again.
-async fn inject(site: &mut Site, kind: FaultKind, target: &str, started_at: Instant) -> Fault {
+/// Does one thing to some processes at the same time and waits until they run again.
+async fn inject(site: &mut Site, step: Step<'_>, started_at: Instant) -> Vec<Fault> {
     let now_ms = || u64::try_from(started_at.elapsed().as_millis()).unwrap();
+    let Step(kind, targets, lasting_ms) = step;
     let at_ms = now_ms();
-    match kind {
-        FaultKind::Freeze => {
-            site.signal(target, "STOP");
-            sleep(Duration::from_millis(1_500)).await;
-            site.signal(target, "CONT");
+    for target in targets {
+        match kind {
+            FaultKind::Freeze => site.signal(target, "STOP"),
+            FaultKind::Reload => site.signal(target, "HUP"),
+            FaultKind::Kill => site.kill(target),
+            _ => site.signal(target, "TERM"),
         }
-        FaultKind::Reload => site.signal(target, "HUP"),
-        _ => {
-            site.signal(target, "TERM");
-            assert!(
-                site.ended(target, Duration::from_secs(10)).await,
-                "{target} ended"
-            );
-            let machine = target.rsplit('-').next().unwrap().parse().unwrap();
-            match target.starts_with("control") {
-                true => site.start_control(machine, false),
-                false => site.start_entry(machine),
+    }
+    sleep(Duration::from_millis(lasting_ms)).await;
+    let mut faults = Vec::new();
+    for target in targets {
+        match kind {
+            FaultKind::Freeze => site.signal(target, "CONT"),
+            FaultKind::Reload => {}
+            _ => {
+                let is_stopped = kind == FaultKind::Kill || site.ended(target, STOP_LIMIT).await;
+                assert!(is_stopped, "{target} has not ended");
+                let machine = target.rsplit('-').next().unwrap().parse().unwrap();
+                match target.starts_with("control") {
+                    true => site.start_control(machine, false),
+                    false => site.start_entry(machine),
+                }
             }
         }
+        faults.push(Fault {
+            kind,
+            target: (*target).into(),
+            at_ms,
+            until_ms: now_ms(),
+        });
     }
-    Fault {
-        kind,
-        target: target.into(),
-        at_ms,
-        until_ms: now_ms(),
-    }
+    faults
 }
 
 /// Runs a site with documents and calls while the faults are injected; returns what was seen.
-async fn run(seed: u64, large: Option<(u32, usize)>, faults: &[(FaultKind, &str)]) -> History {
+async fn run(seed: u64, large: Option<(u32, usize)>, steps: &[Step<'_>]) -> History {
     let mut site = Site::new(CONTROLS).await;
     let mut upstreams = Vec::new();
     for service in SERVICES {
@@ -246,11 +259,11 @@
             .map(|n| format!("control-{n}").into())
             .collect(),
     );
-    for (kind, target) in faults {
+    for step in steps {
         sleep(CALM).await;
         history
             .faults
-            .push(inject(&mut site, *kind, target, started_at).await);
+            .extend(inject(&mut site, *step, started_at).await);
     }
     sleep(CALM).await;
     stop.send(true).unwrap();
@@ -301,14 +314,14 @@
 async fn documents_change_while_control_is_disturbed() {
     use FaultKind::{Freeze, Reload, Terminate};
     let seed = 1;
-    let faults = [
-        (Freeze, "control-1"),
-        (Terminate, "control-2"),
-        (Reload, "control-3"),
-        (Freeze, "control-2"),
-        (Terminate, "control-1"),
+    let steps = [
+        Step(Freeze, &["control-1"], 1_500),
+        Step(Terminate, &["control-2"], 0),
+        Step(Reload, &["control-3"], 0),
+        Step(Freeze, &["control-2"], 1_500),
+        Step(Terminate, &["control-1"], 0),
     ];
-    assert_keeps_the_rules(&run(seed, None, &faults).await, seed);
+    assert_keeps_the_rules(&run(seed, None, &steps).await, seed);
 }
 
 /// Guards against the same while entries are disturbed, with large documents.
@@ -316,11 +329,27 @@
 async fn documents_change_while_entries_are_disturbed() {
     use FaultKind::{Freeze, Reload, Terminate};
     let seed = 2;
-    let faults = [
-        (Freeze, "entry-1"),
-        (Terminate, "entry-2"),
-        (Reload, "entry-3"),
-        (Freeze, "control-3"),
+    let steps = [
+        Step(Freeze, &["entry-1"], 1_500),
+        Step(Terminate, &["entry-2"], 0),
+        Step(Reload, &["entry-3"], 0),
+        Step(Freeze, &["control-3"], 1_500),
+    ];
+    assert_keeps_the_rules(&run(seed, Some((4, 300_000)), &steps).await, seed);
+}
+
+/// Guards against a revoked key that runs, and an older document that is returned or obeyed, while
+/// more is lost at once than can be borne.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn documents_change_while_most_of_control_is_lost() {
+    use FaultKind::{Freeze, Kill};
+    let seed = 3;
+    let controls = ["control-1", "control-2", "control-3"];
+    let steps = [
+        Step(Freeze, &["entry-1", "control-1"], 7_000),
+        Step(Freeze, &controls, 7_000),
+        Step(Freeze, &controls[..2], 7_000),
+        Step(Kill, &controls, 500),
     ];
-    assert_keeps_the_rules(&run(seed, Some((4, 300_000)), &faults).await, seed);
+    assert_keeps_the_rules(&run(seed, Some((8, 1_500_000)), &steps).await, seed);
 }
