--- a/tests/soak_checker_requests.rs
+++ b/tests/soak_checker_requests.rs
@@ -350,6 +350,19 @@
     told(21, 104, None).breaks("BUDGET", "21 of 104");
     told(21, 105, None).is_clean();
     told(20, 20, None).is_clean();
+    // Sent once more a second later with the whole time of the caller.
+    let again = |late_ms| {
+        let mut record = told(0, 21, None);
+        for n in 0..21 {
+            let mut again = record.0.executions[n].clone();
+            again.arrived_ms += late_ms;
+            again.end = ExecutionEnd::Refused;
+            record.0.executions.push(again);
+        }
+        record
+    };
+    again(500).is_clean();
+    again(501).breaks("BUDGET", "21 of 42");
 }
 
 #[test]
