--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -1,9 +1,13 @@
 //! Fault soak: runs the daemons as separate processes on loopback addresses, drives callers and an
 //! operator, injects faults from outside, and checks what callers, operators and instances see.
 
+mod checker;
 mod history;
+mod operator;
 
+pub use checker::{Figures, Violation, check, figures, is_in_touch};
 pub use history::{
     Bounds, Call, CallEnd, DocumentRead, Execution, ExecutionEnd, Fault, FaultKind, History,
     Publication, SentDocument, SentRoute, UnexpectedExit,
 };
+pub use operator::{Catalog, Draft, Drafts, News, Operator, OperatorRecord, OperatorSettings};
