Run the daemons as real processes under faults

lilacspindle soak starts control processes, entries and sidecars on loopback addresses, with callers on kept connections and stand-ins for the platform and its instances, and carries out a plan that follows from a seed: planned stops of entries, reloads, lost and full disks of control processes, engines that fall silent or leave, slow links.

--- a/src/bin/lilacspindle/cli.rs
+++ b/src/bin/lilacspindle/cli.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
-use lilacspindle::{bench, capacity};
+use lilacspindle::{bench, capacity, soak};
 
 /// Reads and edits the table of a lilacspindle fleet, and drains instances.
 ///
@@ -67,6 +67,8 @@
     Bench(Bench),
     /// Compute capacity tables from measured slopes
     Capacity(capacity::Options),
+    /// Run the daemons as processes on loopback under faults, and check what callers see
+    Soak(Soak),
 }
 
 #[derive(Debug, Subcommand)]
@@ -85,6 +87,39 @@
     Slopes(bench::slopes::SlopesOptions),
 }
 
+#[derive(Debug, Args)]
+pub struct Soak {
+    /// Decides the plan of the run
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Length of the run
+    #[arg(long, default_value_t = 120)]
+    pub seconds: u64,
+    #[arg(long, value_enum, default_value = "mixed")]
+    pub kind: soak::PlanKind,
+    /// Number of entries, 4 to 30 [default: by the seed]
+    #[arg(long)]
+    pub entries: Option<usize>,
+    /// Number of control processes, 3 to 9 [default: by the seed]
+    #[arg(long)]
+    pub controls: Option<usize>,
+    /// Number of threads that only use processor time
+    #[arg(long, default_value_t = 0)]
+    pub busy: usize,
+    /// Only print the plan
+    #[arg(long)]
+    pub plan: bool,
+    /// Folder of the run [default: a new one for temporary files]
+    #[arg(long)]
+    pub folder: Option<PathBuf>,
+    /// Keep the folder although nothing failed
+    #[arg(long)]
+    pub keep: bool,
+    /// The daemon's program [default: `lilacspindled` beside this one]
+    #[arg(long)]
+    pub daemon: Option<PathBuf>,
+}
+
 #[derive(Debug, Args)]
 pub struct BenchLog {
     /// Folder for the data folders; determines which file system is measured
--- a/src/bin/lilacspindle/cmd/mod.rs
+++ b/src/bin/lilacspindle/cmd/mod.rs
@@ -21,6 +21,7 @@
 mod check;
 mod drain;
 mod explain;
+mod soak;
 mod status;
 mod table;
 
@@ -52,6 +53,7 @@
         // These commands create their own async runtimes if they need one.
         Command::Bench(command) => bench::run(options, command),
         Command::Capacity(arguments) => bench::capacity(arguments),
+        Command::Soak(options) => soak::run(options),
         command => match tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
--- /dev/null
+++ b/src/soak/callers.rs
@@ -0,0 +1,286 @@
+//! Callers: raw HTTP/1.1 on kept connections.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::platform::Platform;
+use super::processes::{Layout, entry_name};
+use super::recorder::Recorder;
+use super::wire::{Head, Input};
+use crate::soak::history::{Call, CallEnd, SentDocument, SentRoute};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after the deadline for which a caller still waits for the response.
+const PATIENCE: Duration = Duration::from_secs(2);
+const STEP_MS: u64 = 30;
+const PLAIN_DEADLINE_MS: u64 = 3_000;
+
+/// What the callers of a run share.
+pub(super) struct Callers {
+    pub(super) recorder: Arc<Recorder>,
+    pub(super) platform: Arc<Platform>,
+    pub(super) layout: Arc<Layout>,
+    pub(super) entries: usize,
+    /// The newest acknowledged document.
+    pub(super) document: watch::Receiver<Option<Arc<SentDocument>>>,
+    /// Callers begin no more requests once this is set.
+    pub(super) ending: CancellationToken,
+    pub(super) seed: u64,
+    pub(super) next_connection: AtomicU64,
+}
+
+/// How a caller behaves during one request.
+struct Behaviour {
+    events: u64,
+    takes_ms: u64,
+    /// Pause between reads of a stream.
+    read_pause: Duration,
+    /// Pause in the middle of the request.
+    send_pause: Duration,
+    abandons_after: Option<Duration>,
+}
+
+struct Connection {
+    number: u64,
+    requests: u32,
+    input: Input<OwnedReadHalf>,
+    writer: OwnedWriteHalf,
+}
+
+impl Callers {
+    /// Sends requests, one after the other, until the run ends.
+    pub(super) async fn run(self: Arc<Self>, caller: u64) {
+        let mut random = StdRng::seed_from_u64(self.seed ^ caller.wrapping_mul(0x9e37_79b9));
+        while !self.ending.is_cancelled() {
+            let in_rotation = self.platform.in_rotation(self.entries);
+            let entry = in_rotation[random.random_range(0..in_rotation.len())];
+            let address = self.layout.caller_address(entry);
+            let connected = timeout(CONNECT_TIMEOUT, connect(address)).await;
+            if let Ok(Ok((input, writer))) = connected {
+                let number = self.next_connection.fetch_add(1, Ordering::Relaxed);
+                let connection = Connection {
+                    number,
+                    requests: 0,
+                    input,
+                    writer,
+                };
+                self.use_connection(connection, entry, &mut random).await;
+            }
+            sleep(Duration::from_millis(random.random_range(20..400))).await;
+        }
+    }
+
+    async fn use_connection(&self, mut connection: Connection, entry: usize, random: &mut StdRng) {
+        let most = random.random_range(1..=8);
+        while connection.requests < most && !self.ending.is_cancelled() {
+            let document = self.document.borrow().clone();
+            let Some(document) = document.filter(|document| !document.routes.is_empty()) else {
+                return;
+            };
+            let route = &document.routes[random.random_range(0..document.routes.len())];
+            let keys: Vec<&Arc<str>> = document.keys.keys().collect();
+            let key = match keys.len() {
+                0 => None,
+                _ if route.is_anonymous => None,
+                count => Some(Arc::clone(keys[random.random_range(0..count)])),
+            };
+            let behaviour = draw_behaviour(route, random);
+            let mut call = self.begin(&connection, entry, route, key, random);
+            let may_go_on = self
+                .exchange(&mut connection, &mut call, route, &behaviour)
+                .await;
+            call.ended_ms = self.recorder.now_ms();
+            self.recorder.history().calls.push(call);
+            connection.requests += 1;
+            if !may_go_on {
+                return;
+            }
+            sleep(Duration::from_millis(random.random_range(0..300))).await;
+        }
+    }
+
+    fn begin(
+        &self,
+        connection: &Connection,
+        entry: usize,
+        route: &SentRoute,
+        key: Option<Arc<str>>,
+        random: &mut StdRng,
+    ) -> Call {
+        let id = format!("{:016x}", random.random::<u64>());
+        let now_ms = self.recorder.now_ms();
+        Call {
+            path: format!("{}{id}", route.prefix).into(),
+            id: id.into(),
+            process: entry_name(entry).into(),
+            connection: connection.number,
+            number_on_connection: connection.requests,
+            host: Arc::clone(&route.host),
+            key,
+            is_stream: route.is_stream,
+            may_repeat: route.is_safe,
+            deadline_ms: match route.is_stream {
+                true => route.timeout_ms,
+                false => PLAIN_DEADLINE_MS.min(route.timeout_ms),
+            },
+            sent_ms: now_ms,
+            sent_whole_ms: None,
+            head_ms: None,
+            status: None,
+            is_sealed: false,
+            is_own_body: false,
+            events: Vec::new(),
+            ended_ms: now_ms,
+            end: CallEnd::Open,
+        }
+    }
+
+    /// Sends a request and reads its response. Returns true if the connection can be used again.
+    async fn exchange(
+        &self,
+        connection: &mut Connection,
+        call: &mut Call,
+        route: &SentRoute,
+        behaviour: &Behaviour,
+    ) -> bool {
+        let body = json!({
+            "events": behaviour.events, "step_ms": STEP_MS, "takes_ms": behaviour.takes_ms,
+        })
+        .to_string();
+        let key = call.key.as_ref();
+        let key = key.map_or_else(String::new, |key| {
+            format!("Authorization: Bearer {key}\r\n")
+        });
+        let tokens = match route.is_stream {
+            true => format!(
+                "X-Lilacspindle-Model: m\r\nX-Lilacspindle-Token-Usage: 400,{}\r\n\
+                 X-Lilacspindle-Prompt-Prefix: {:x}:400\r\n",
+                behaviour.events * 4,
+                connection.number + 1,
+            ),
+            false => String::new(),
+        };
+        let head = format!(
+            "POST {} HTTP/1.1\r\nHost: {}\r\nX-Lilacspindle-Request-Id: {}\r\n\
+             X-Lilacspindle-Deadline-Milliseconds: {}\r\n{key}{tokens}\
+             Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            call.path,
+            call.host,
+            call.id,
+            call.deadline_ms,
+            body.len()
+        );
+        call.sent_ms = self.recorder.now_ms();
+        let sent = async {
+            connection.writer.write_all(head.as_bytes()).await?;
+            if !behaviour.send_pause.is_zero() {
+                sleep(behaviour.send_pause).await;
+            }
+            connection.writer.write_all(body.as_bytes()).await
+        };
+        if sent.await.is_err() {
+            call.end = CallEnd::NotSent;
+            return false;
+        }
+        call.sent_whole_ms = Some(self.recorder.now_ms());
+        let limit = Duration::from_millis(call.deadline_ms) + PATIENCE;
+        let limit = behaviour.abandons_after.unwrap_or(limit);
+        let read = self.read_response(&mut connection.input, call, behaviour.read_pause);
+        match timeout(limit, read).await {
+            Ok(Ok(head)) => {
+                call.end = CallEnd::Complete;
+                !head.closes()
+            }
+            Ok(Err(_)) => {
+                call.end = CallEnd::Cut;
+                false
+            }
+            Err(_) => {
+                call.end = CallEnd::Abandoned;
+                false
+            }
+        }
+    }
+
+    async fn read_response(
+        &self,
+        input: &mut Input<OwnedReadHalf>,
+        call: &mut Call,
+        read_pause: Duration,
+    ) -> io::Result<Head> {
+        let head = input.head().await?;
+        call.head_ms = Some(self.recorder.now_ms());
+        call.status = head.word(1).parse().ok();
+        call.is_sealed = head.header("x-lilacspindle-response-seal").is_some();
+        if !(call.is_stream && head.is_chunked()) {
+            let body = input.body(&head).await?;
+            call.is_own_body = body == format!("answer to {}", call.id).into_bytes();
+            return Ok(head);
+        }
+        call.is_own_body = true;
+        let mut rest = String::new();
+        loop {
+            let chunk = input.chunk().await?;
+            if chunk.is_empty() {
+                call.is_own_body &= rest.is_empty();
+                return Ok(head);
+            }
+            rest.push_str(&String::from_utf8_lossy(&chunk));
+            while let Some((event, others)) = rest.split_once("\n\n") {
+                let id = event.lines().find_map(|line| line.strip_prefix("id: "));
+                let id = id.and_then(|id| id.parse().ok()).unwrap_or(0);
+                call.is_own_body &= event.ends_with(&format!("data: {} {id}", call.id));
+                call.events.push(id);
+                rest = others.to_owned();
+            }
+            if !read_pause.is_zero() {
+                sleep(read_pause).await;
+            }
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> io::Result<(Input<OwnedReadHalf>, OwnedWriteHalf)> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.into_split();
+    Ok((Input::new(reader), writer))
+}
+
+fn draw_behaviour(route: &SentRoute, random: &mut StdRng) -> Behaviour {
+    let events = match route.is_stream {
+        true => random.random_range(100..=280),
+        false => 0,
+    };
+    let longest_ms = match route.is_stream {
+        true => events * STEP_MS,
+        false => 300,
+    };
+    let abandons = random.random_ratio(1, 20);
+    Behaviour {
+        events,
+        takes_ms: random.random_range(5..250),
+        read_pause: Duration::from_millis(match random.random_range(0..20) {
+            0 => 40,
+            _ => 0,
+        }),
+        send_pause: Duration::from_millis(match random.random_range(0..20) {
+            0 => random.random_range(50..800),
+            _ => 0,
+        }),
+        abandons_after: abandons.then(|| Duration::from_millis(random.random_range(5..longest_ms))),
+    }
+}
--- a/src/soak/history.rs
+++ b/src/soak/history.rs
@@ -130,6 +130,7 @@
 
 /// One request of a caller, as the caller saw it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
+#[allow(clippy::struct_excessive_bools)]
 pub struct Call {
     pub id: Arc<str>,
     /// The entry process that the connection leads to.
--- /dev/null
+++ b/src/soak/plan.rs
@@ -0,0 +1,238 @@
+//! The plan of a run: a pure function of its seed and size.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+/// Time that processes have to form the site before the first step.
+const FIRST_STEP_MS: u64 = 5_000;
+/// Time at the end of a run without steps.
+const CALM_END_MS: u64 = 16_000;
+/// Time from a step at an entry until that entry is steady again: its grace period and its start.
+const ENTRY_RECOVERY_MS: u64 = 14_000;
+/// Time from the end of a fault at a control process until the next process may be lost.
+const CONTROL_RECOVERY_MS: u64 = 5_000;
+/// Longest outage of a control process that is stopped by a signal.
+const CONTROL_STOP_MS: u64 = 9_000;
+const ZONES: usize = 3;
+
+/// What a run consists of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, clap::ValueEnum)]
+pub enum PlanKind {
+    /// All faults, in series and overlapping.
+    Mixed,
+    /// Planned stops of entries under long streams, with engines that pause and leave.
+    Stops,
+}
+
+/// Number of processes and length of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Size {
+    pub controls: usize,
+    pub entries: usize,
+    pub engines: usize,
+    pub services: usize,
+    pub callers: usize,
+    pub run_ms: u64,
+}
+
+impl Size {
+    /// Draws the size of a run; given numbers take precedence.
+    pub fn draw(seed: u64, seconds: u64, entries: Option<usize>, controls: Option<usize>) -> Self {
+        let mut random = StdRng::seed_from_u64(seed ^ 0x51e);
+        let controls = controls.unwrap_or_else(|| 3 + 2 * random.random_range(0..4));
+        let entries = entries.unwrap_or_else(|| random.random_range(4..=30));
+        Self {
+            controls: controls.clamp(3, 9),
+            entries: entries.clamp(4, 30),
+            engines: (entries * 2 / 3).clamp(4, 20),
+            services: (entries / 4).clamp(2, 6),
+            callers: entries * 5,
+            run_ms: seconds.max(30) * 1_000,
+        }
+    }
+}
+
+/// What is done at a step. Numbers count from 0.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Action {
+    /// SIGTERM; the process is started again after it has ended.
+    StopEntry { entry: usize },
+    /// SIGHUP, with other control addresses in the settings if `reseeds` is set.
+    ReloadEntry { entry: usize, reseeds: bool },
+    /// SIGTERM; the process is started again, with an empty disk if `loses_disk` is set.
+    StopControl { control: usize, loses_disk: bool },
+    /// SIGKILL, and a start after `down_ms`.
+    KillControl { control: usize, down_ms: u64 },
+    /// SIGSTOP, and SIGCONT after `for_ms`.
+    FreezeControl { control: usize, for_ms: u64 },
+    /// The files of the process cannot grow for `for_ms`.
+    FillDisk { control: usize, for_ms: u64 },
+    /// An engine makes no progress and does not answer for `for_ms`.
+    SilenceEngine { engine: usize, for_ms: u64 },
+    /// An engine announces that it leaves, and is gone after `notice_ms`.
+    LeaveEngine { engine: usize, notice_ms: u64 },
+    /// The links of an engine delay all bytes for `for_ms`.
+    DelayLink {
+        engine: usize,
+        delay_ms: u64,
+        for_ms: u64,
+    },
+    /// The links of an engine hold back all bytes for `for_ms`.
+    HoldLink { engine: usize, for_ms: u64 },
+}
+
+/// One step of a plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    pub at_ms: u64,
+    pub action: Action,
+}
+
+/// The plan of a run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    pub seed: u64,
+    pub kind: PlanKind,
+    pub size: Size,
+    pub steps: Vec<Step>,
+}
+
+impl Plan {
+    /// Draws a plan.
+    pub fn draw(seed: u64, kind: PlanKind, size: Size) -> Self {
+        let mut drawing = Drawing {
+            random: StdRng::seed_from_u64(seed),
+            size,
+            end_ms: size.run_ms.saturating_sub(CALM_END_MS),
+            steps: Vec::new(),
+        };
+        drawing.entries(kind);
+        drawing.engines(kind);
+        if kind == PlanKind::Mixed {
+            drawing.controls();
+        }
+        let mut steps = drawing.steps;
+        steps.sort_by_key(|step| step.at_ms);
+        Self {
+            seed,
+            kind,
+            size,
+            steps,
+        }
+    }
+
+    /// Returns the zone of the machine with a number.
+    pub fn zone(machine: usize) -> usize {
+        machine % ZONES
+    }
+}
+
+struct Drawing {
+    random: StdRng,
+    size: Size,
+    end_ms: u64,
+    steps: Vec<Step>,
+}
+
+impl Drawing {
+    fn push(&mut self, at_ms: u64, action: Action) {
+        if at_ms < self.end_ms {
+            self.steps.push(Step { at_ms, action });
+        }
+    }
+
+    /// Stops and reloads entries in rounds: a single one, a series, several at once, and one in each
+    /// zone. At most a third of the entries stop in one round.
+    fn entries(&mut self, kind: PlanKind) {
+        let mut at_ms = FIRST_STEP_MS;
+        let mut first = 0;
+        let most = (self.size.entries / 3).max(1);
+        while at_ms < self.end_ms {
+            let reloads = kind == PlanKind::Mixed && self.random.random_ratio(1, 5);
+            let (count, gap_ms) = match self.random.random_range(0..4) {
+                0 => (1, 0),
+                1 => (most, self.random.random_range(200..1_500)),
+                2 => (most, 0),
+                _ => (ZONES.min(most), 0),
+            };
+            for n in 0..count {
+                let entry = (first + n) % self.size.entries;
+                let action = match reloads {
+                    true => Action::ReloadEntry {
+                        entry,
+                        reseeds: self.random.random_ratio(1, 2),
+                    },
+                    false => Action::StopEntry { entry },
+                };
+                self.push(at_ms + n as u64 * gap_ms, action);
+            }
+            first += count;
+            at_ms += gap_ms * count as u64 + ENTRY_RECOVERY_MS / 3;
+            at_ms += self.random.random_range(0..4_000);
+        }
+    }
+
+    /// Lets engines fall silent, leave, and be reached over slow links. A step concerns a quarter of
+    /// them at most; leaving engines are others than those that left before.
+    fn engines(&mut self, kind: PlanKind) {
+        let mut at_ms = FIRST_STEP_MS;
+        let mut next_leaving = 0;
+        let pause_ms = match kind {
+            PlanKind::Stops => 400..1_500,
+            PlanKind::Mixed => 1_000..4_000,
+        };
+        while at_ms < self.end_ms {
+            let count = self.random.random_range(1..=(self.size.engines / 4).max(1));
+            let kind = self.random.random_range(0..10);
+            for _ in 0..count {
+                let engine = self.random.random_range(0..self.size.engines);
+                let for_ms = self.random.random_range(300..2_000);
+                let action = match kind {
+                    0..5 => Action::SilenceEngine { engine, for_ms },
+                    5..7 => {
+                        let engine = next_leaving % self.size.engines;
+                        next_leaving += 1;
+                        let notice_ms = self.random.random_range(1_500..4_000);
+                        Action::LeaveEngine { engine, notice_ms }
+                    }
+                    7 => Action::HoldLink { engine, for_ms },
+                    _ => Action::DelayLink {
+                        engine,
+                        delay_ms: self.random.random_range(20..250),
+                        for_ms,
+                    },
+                };
+                self.push(at_ms, action);
+            }
+            at_ms += self.random.random_range(pause_ms.clone());
+        }
+    }
+
+    /// Loses control processes, one at a time.
+    fn controls(&mut self) {
+        let mut at_ms = FIRST_STEP_MS + 1_000;
+        while at_ms < self.end_ms {
+            let control = self.random.random_range(0..self.size.controls);
+            let for_ms = self.random.random_range(1_000..5_000);
+            let (action, down_ms) = match self.random.random_range(0..8) {
+                0..4 => (Action::FillDisk { control, for_ms }, for_ms),
+                4 => (Action::FreezeControl { control, for_ms }, for_ms),
+                5 => {
+                    let down_ms = for_ms;
+                    (Action::KillControl { control, down_ms }, down_ms)
+                }
+                kind => {
+                    let loses_disk = kind == 7;
+                    let action = Action::StopControl {
+                        control,
+                        loses_disk,
+                    };
+                    (action, CONTROL_STOP_MS)
+                }
+            };
+            self.push(at_ms, action);
+            at_ms += down_ms + CONTROL_RECOVERY_MS + self.random.random_range(0..3_000);
+        }
+    }
+}
--- /dev/null
+++ b/src/soak/steps.rs
@@ -0,0 +1,255 @@
+//! Carries out the steps of a plan.
+
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use rustix::process::Signal;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use super::document::{ENGINE_SERVICE, PLAIN_SERVICE};
+use super::plan::Action;
+use super::platform::Platform;
+use super::processes::{Layout, Processes, control_name, entry_name};
+use super::recorder::Recorder;
+use super::upstreams::{Fleet, SLOTS, Upstream};
+use crate::proxy::{Direction, Proxy};
+use crate::soak::history::FaultKind;
+
+/// Time after which the address of an instance that is gone is used again.
+const REUSE_DELAY: Duration = Duration::from_millis(2_500);
+/// Time between SIGHUP and the process having read its settings again.
+const RELOAD_TIME: Duration = Duration::from_millis(500);
+
+/// The place of an upstream instance: its address and links, which stay the same.
+pub(super) struct Place {
+    index: usize,
+    own_address: SocketAddr,
+    proxy: Proxy,
+    starts: Mutex<u32>,
+    current: Mutex<Option<Arc<Upstream>>>,
+}
+
+pub(super) struct Site {
+    pub(super) layout: Arc<Layout>,
+    pub(super) recorder: Arc<Recorder>,
+    pub(super) processes: Processes,
+    pub(super) platform: Arc<Platform>,
+    pub(super) fleet: Arc<Fleet>,
+    /// The engines, followed by the plain services.
+    pub(super) places: Vec<Place>,
+    pub(super) engines: usize,
+    /// Names of processes and instances that a step has not finished with.
+    busy: Mutex<BTreeSet<String>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Place {
+    pub(super) async fn new(index: usize, own_address: SocketAddr, seed: u64) -> io::Result<Self> {
+        Ok(Self {
+            index,
+            own_address,
+            proxy: Proxy::start_seeded(own_address, seed ^ index as u64).await?,
+            starts: Mutex::new(0),
+            current: Mutex::new(None),
+        })
+    }
+
+    /// Returns the address under which the instance is listed.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.proxy.address()
+    }
+
+    fn current(&self) -> Option<Arc<Upstream>> {
+        lock(&self.current).clone()
+    }
+}
+
+impl Site {
+    pub(super) fn new(
+        layout: Arc<Layout>,
+        recorder: Arc<Recorder>,
+        places: Vec<Place>,
+        engines: usize,
+    ) -> Self {
+        Self {
+            processes: Processes::new(&layout, Arc::clone(&recorder)),
+            platform: Arc::new(Platform::new(Arc::clone(&recorder))),
+            fleet: Arc::new(Fleet::new(Arc::clone(&recorder))),
+            layout,
+            recorder,
+            places,
+            engines,
+            busy: Mutex::default(),
+        }
+    }
+
+    pub(super) fn service_of(&self, place: usize) -> &'static str {
+        match place < self.engines {
+            true => ENGINE_SERVICE,
+            false => PLAIN_SERVICE,
+        }
+    }
+
+    /// Starts a new instance at a place.
+    pub(super) async fn start_instance(&self, place: &Place) -> io::Result<()> {
+        let listener = TcpListener::bind(place.own_address).await?;
+        let number = {
+            let mut starts = lock(&place.starts);
+            *starts += 1;
+            *starts
+        };
+        let identity: Arc<str> = format!("i-{}-{number}", place.index).into();
+        let service = self.service_of(place.index);
+        let address = place.address();
+        self.platform
+            .add(&identity, service, address, place.index, SLOTS);
+        let is_engine = place.index < self.engines;
+        let upstream = self
+            .fleet
+            .start(identity, service.into(), address, is_engine, listener);
+        *lock(&place.current) = Some(upstream);
+        Ok(())
+    }
+
+    /// Carries out a step, unless an earlier one has not finished with the same target.
+    pub(super) async fn carry_out(&self, action: Action) -> io::Result<()> {
+        let (target, links) = match action {
+            Action::StopEntry { entry } | Action::ReloadEntry { entry, .. } => {
+                (entry_name(entry), false)
+            }
+            Action::StopControl { control, .. }
+            | Action::KillControl { control, .. }
+            | Action::FreezeControl { control, .. }
+            | Action::FillDisk { control, .. } => (control_name(control), false),
+            Action::SilenceEngine { engine, .. } | Action::LeaveEngine { engine, .. } => {
+                (format!("engine-{engine}"), false)
+            }
+            Action::DelayLink { engine, .. } | Action::HoldLink { engine, .. } => {
+                (format!("engine-{engine}"), true)
+            }
+        };
+        let name = if links {
+            format!("{target}-links")
+        } else {
+            target.clone()
+        };
+        if !lock(&self.busy).insert(name.clone()) {
+            return Ok(());
+        }
+        let done = self.act(action, &target).await;
+        lock(&self.busy).remove(&name);
+        done
+    }
+
+    async fn act(&self, action: Action, target: &str) -> io::Result<()> {
+        let at_ms = self.recorder.now_ms();
+        let grace = Duration::from_millis(self.layout.grace_ms);
+        let processes = &self.processes;
+        let millis = Duration::from_millis;
+        let kind = match action {
+            Action::StopEntry { .. } => {
+                processes.stop(target, grace).await?;
+                processes.start(target)?;
+                FaultKind::Terminate
+            }
+            Action::ReloadEntry { entry, reseeds } => {
+                let first = if reseeds {
+                    entry % self.layout.controls
+                } else {
+                    0
+                };
+                let settings = self.layout.entry_settings(entry, first);
+                processes.write_settings(target, &settings)?;
+                processes.signal(target, Signal::HUP)?;
+                sleep(RELOAD_TIME).await;
+                FaultKind::Reload
+            }
+            Action::StopControl {
+                control,
+                loses_disk,
+            } => {
+                processes.stop(target, grace).await?;
+                if loses_disk {
+                    std::fs::remove_dir_all(self.layout.data_folder(control))?;
+                }
+                processes.start(target)?;
+                match loses_disk {
+                    true => FaultKind::DiskLost,
+                    false => FaultKind::Terminate,
+                }
+            }
+            Action::KillControl { down_ms, .. } => {
+                processes.kill(target).await?;
+                sleep(millis(down_ms)).await;
+                processes.start(target)?;
+                FaultKind::Kill
+            }
+            Action::FreezeControl { for_ms, .. } => {
+                processes.signal(target, Signal::STOP)?;
+                sleep(millis(for_ms)).await;
+                processes.signal(target, Signal::CONT)?;
+                FaultKind::Freeze
+            }
+            Action::FillDisk { for_ms, .. } => {
+                processes.fill_disk(target, true)?;
+                sleep(millis(for_ms)).await;
+                processes.fill_disk(target, false)?;
+                FaultKind::DiskFull
+            }
+            Action::SilenceEngine { engine, for_ms } => {
+                if let Some(upstream) = self.places[engine].current() {
+                    upstream.silence(at_ms + for_ms);
+                }
+                sleep(millis(for_ms)).await;
+                FaultKind::InstanceSilent
+            }
+            Action::LeaveEngine { engine, notice_ms } => {
+                self.replace_engine(&self.places[engine], at_ms, notice_ms)
+                    .await?;
+                return Ok(());
+            }
+            Action::DelayLink {
+                engine,
+                delay_ms,
+                for_ms,
+            } => {
+                let proxy = &self.places[engine].proxy;
+                proxy.delay(Direction::Both, delay_ms, delay_ms / 4);
+                sleep(millis(for_ms)).await;
+                proxy.heal();
+                FaultKind::Link
+            }
+            Action::HoldLink { engine, for_ms } => {
+                let proxy = &self.places[engine].proxy;
+                proxy.pause(Direction::Both);
+                sleep(millis(for_ms)).await;
+                proxy.heal();
+                FaultKind::Link
+            }
+        };
+        self.recorder.fault(kind, target, at_ms);
+        Ok(())
+    }
+
+    async fn replace_engine(&self, place: &Place, at_ms: u64, notice_ms: u64) -> io::Result<()> {
+        let Some(upstream) = place.current() else {
+            return Ok(());
+        };
+        upstream.announce_leave(at_ms + notice_ms);
+        self.platform.drain(&upstream.identity);
+        sleep(Duration::from_millis(notice_ms)).await;
+        upstream.leave();
+        self.platform.end(&upstream.identity);
+        self.recorder
+            .fault(FaultKind::InstanceLeaves, &upstream.identity, at_ms);
+        sleep(REUSE_DELAY).await;
+        self.start_instance(place).await
+    }
+}
--- /dev/null
+++ b/src/soak/upstreams.rs
@@ -0,0 +1,479 @@
+//! Stand-ins for inference engines and plain services, by the platform's published protocol. They
+//! record what arrives.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::recorder::Recorder;
+use super::wire::{Head, Input, response};
+use crate::soak::history::{Execution, ExecutionEnd};
+
+pub(super) const SLOTS: usize = 64;
+const MEMORY_TOKENS: u64 = 200_000;
+const TOKENS_PER_EVENT: u64 = 4;
+/// Time that a copy of a generation's memory takes, and time between updates of a backup.
+const COPY_MS: u64 = 40;
+const BACKUP_INTERVAL_MS: u64 = 250;
+const SILENCE_POLL_MS: u64 = 10;
+
+/// A generation that runs at an engine.
+struct Run {
+    made: AtomicU64,
+    total: u64,
+    stopped: CancellationToken,
+}
+
+/// A copy of a generation's memory, by its handle at the source.
+struct Moved {
+    id: Arc<str>,
+    target: SocketAddr,
+    /// True if the generation was stopped for it, so that it may also go on at the source.
+    is_stopped: bool,
+}
+
+/// One start of an upstream instance.
+pub(super) struct Upstream {
+    pub(super) identity: Arc<str>,
+    pub(super) service: Arc<str>,
+    /// The address under which the instance is listed.
+    pub(super) address: SocketAddr,
+    is_engine: bool,
+    fleet: Arc<Fleet>,
+    silent_until_ms: AtomicU64,
+    /// Time at which the instance will be gone; 0 if it does not leave.
+    gone_at_ms: AtomicU64,
+    gone: CancellationToken,
+    active: AtomicU64,
+    runs: Mutex<BTreeMap<Arc<str>, Arc<Run>>>,
+    moved: Mutex<BTreeMap<String, Moved>>,
+    /// Events covered by the backups that are kept here, by request.
+    backups: Mutex<BTreeMap<Arc<str>, u64>>,
+}
+
+/// All instances of a run, by their listed address.
+pub(super) struct Fleet {
+    recorder: Arc<Recorder>,
+    by_address: Mutex<BTreeMap<SocketAddr, Arc<Upstream>>>,
+    next_handle: AtomicU64,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Fleet {
+    pub(super) fn new(recorder: Arc<Recorder>) -> Self {
+        Self {
+            recorder,
+            by_address: Mutex::default(),
+            next_handle: AtomicU64::new(1),
+        }
+    }
+
+    fn at(&self, address: SocketAddr) -> Option<Arc<Upstream>> {
+        let by_address = lock(&self.by_address);
+        let found = by_address.get(&address).cloned();
+        found.filter(|upstream| !upstream.gone.is_cancelled())
+    }
+
+    /// Starts an instance that is reached at `address` and serves the connections of `listener`.
+    pub(super) fn start(
+        self: &Arc<Self>,
+        identity: Arc<str>,
+        service: Arc<str>,
+        address: SocketAddr,
+        is_engine: bool,
+        listener: TcpListener,
+    ) -> Arc<Upstream> {
+        let upstream = Arc::new(Upstream {
+            identity,
+            service,
+            address,
+            is_engine,
+            fleet: Arc::clone(self),
+            silent_until_ms: AtomicU64::new(0),
+            gone_at_ms: AtomicU64::new(0),
+            gone: CancellationToken::new(),
+            active: AtomicU64::new(0),
+            runs: Mutex::default(),
+            moved: Mutex::default(),
+            backups: Mutex::default(),
+        });
+        lock(&self.by_address).insert(address, Arc::clone(&upstream));
+        let accepting = Arc::clone(&upstream);
+        tokio::spawn(async move {
+            let gone = accepting.gone.clone();
+            gone.run_until_cancelled(accept(accepting, listener)).await;
+        });
+        upstream
+    }
+}
+
+async fn accept(upstream: Arc<Upstream>, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let upstream = Arc::clone(&upstream);
+        // A connection ends with an error when its caller closes it.
+        tokio::spawn(async move {
+            let gone = upstream.gone.clone();
+            gone.run_until_cancelled(upstream.serve(stream)).await
+        });
+    }
+}
+
+/// Records an execution when it ends, also if its task is cancelled.
+struct Recorded {
+    recorder: Arc<Recorder>,
+    gone: CancellationToken,
+    run: Option<(Arc<Upstream>, Arc<Run>)>,
+    execution: Execution,
+    is_decided: bool,
+}
+
+impl Recorded {
+    fn end(&mut self, end: ExecutionEnd) {
+        self.execution.end = end;
+        self.execution.ended_ms = self.recorder.now_ms();
+        self.is_decided = true;
+    }
+}
+
+impl Drop for Recorded {
+    fn drop(&mut self) {
+        if !self.is_decided {
+            self.end(match self.gone.is_cancelled() {
+                true => ExecutionEnd::BrokenOff,
+                false => ExecutionEnd::Dropped,
+            });
+        }
+        if let Some((upstream, run)) = &self.run {
+            self.execution.last_event = run.made.load(Ordering::Relaxed);
+            let mut runs = lock(&upstream.runs);
+            let is_own = |own: &Arc<Run>| Arc::ptr_eq(own, run);
+            // A run that was stopped for a copy keeps its memory until it is resumed.
+            if runs.get(&self.execution.id).is_some_and(is_own) {
+                runs.remove(&self.execution.id);
+            }
+        }
+        let execution = self.execution.clone();
+        self.recorder.history().executions.push(execution);
+    }
+}
+
+/// Counts a running request.
+struct Active(Arc<Upstream>);
+
+impl Active {
+    fn begin(upstream: &Arc<Upstream>) -> Self {
+        upstream.active.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(upstream))
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+type Reader<'a> = Input<ReadHalf<'a>>;
+
+impl Upstream {
+    /// Makes no progress and answers nothing until `until_ms`.
+    pub(super) fn silence(&self, until_ms: u64) {
+        self.silent_until_ms.fetch_max(until_ms, Ordering::Relaxed);
+    }
+
+    /// Announces in reports that the instance is gone at `gone_at_ms`.
+    pub(super) fn announce_leave(&self, gone_at_ms: u64) {
+        self.gone_at_ms.store(gone_at_ms, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.gone_at_ms.load(Ordering::Relaxed) > 0
+    }
+
+    /// Closes all connections; the instance is gone.
+    pub(super) fn leave(&self) {
+        self.gone.cancel();
+    }
+
+    async fn wait_unless_silent(&self) {
+        while self.fleet.recorder.now_ms() < self.silent_until_ms.load(Ordering::Relaxed) {
+            sleep(Duration::from_millis(SILENCE_POLL_MS)).await;
+        }
+    }
+
+    async fn serve(self: &Arc<Self>, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let (reader, mut writer) = stream.split();
+        let mut input = Input::new(reader);
+        loop {
+            let head = input.head().await?;
+            let body = input.body(&head).await?;
+            let answer = match head.word(1) {
+                "/report" | "/health" | "/kv-move" => {
+                    self.wait_unless_silent().await;
+                    match head.word(1) {
+                        "/report" => self.report(),
+                        "/health" => self.health(),
+                        _ => self.copy_memory(&body).await,
+                    }
+                }
+                path if path.starts_with("/kv-") => response("200 OK", "", b""),
+                path => {
+                    let path = Arc::from(path);
+                    self.run(&head, path, &body, &mut input, &mut writer)
+                        .await?;
+                    continue;
+                }
+            };
+            writer.write_all(&answer).await?;
+        }
+    }
+
+    fn report(&self) -> Vec<u8> {
+        let now_ms = self.fleet.recorder.now_ms();
+        let gone_at_ms = self.gone_at_ms.load(Ordering::Relaxed);
+        let made = |run: &Arc<Run>| run.made.load(Ordering::Relaxed);
+        let used: u64 = lock(&self.runs).values().map(made).sum();
+        let mut report = json!({
+            "stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}],
+            "busy": false, "sequence": 1, "queuedRequests": 0,
+            "activeRequests": self.active.load(Ordering::Relaxed),
+            "kvCacheUsed": used * TOKENS_PER_EVENT, "kvCacheTotal": MEMORY_TOKENS,
+            "handles": lock(&self.moved).len(), "state": "ready",
+        });
+        if gone_at_ms > 0 {
+            report["leaves_ms"] = json!(gone_at_ms.saturating_sub(now_ms));
+            report["state"] = json!("draining");
+        }
+        json_response("200 OK", &report)
+    }
+
+    fn health(&self) -> Vec<u8> {
+        let status = match self.is_leaving() {
+            true => "503 Service Unavailable",
+            false => "200 OK",
+        };
+        let headers = format!("X-Lilacspindle-Instance-Id: {}\r\n", self.identity);
+        response(status, &headers, b"")
+    }
+
+    /// Copies the memory of a running generation to another engine.
+    async fn copy_memory(&self, body: &[u8]) -> Vec<u8> {
+        let call: Value = serde_json::from_slice(body).unwrap_or_default();
+        let id = call["identifier"].as_str().unwrap_or_default();
+        let run = lock(&self.runs).get(id).cloned();
+        let Some(run) = run else {
+            return json_response("404 Not Found", &json!({}));
+        };
+        let target = call["to"].as_str().and_then(|to| to.parse().ok());
+        let stops = call["last"] == json!(true);
+        if stops {
+            run.stopped.cancel();
+        }
+        sleep(Duration::from_millis(COPY_MS)).await;
+        let made = run.made.load(Ordering::Relaxed);
+        let number = self.fleet.next_handle.fetch_add(1, Ordering::Relaxed);
+        let handle = format!("h{number}");
+        let reached = target.filter(|target| self.fleet.at(*target).is_some());
+        lock(&self.moved).insert(
+            handle.clone(),
+            Moved {
+                id: id.into(),
+                target: reached.unwrap_or(self.address),
+                is_stopped: stops,
+            },
+        );
+        let body = json!({"handle": handle, "made": made});
+        match reached {
+            Some(_) => json_response("200 OK", &body),
+            None if stops => json_response("503 Service Unavailable", &body),
+            None => json_response("503 Service Unavailable", &json!({})),
+        }
+    }
+
+    /// Takes the copy that `Kv-From` names, if this instance may go on from it.
+    fn take_copy(&self, from: &str, id: &str) -> bool {
+        let Some((address, handle)) = from.split_once('/') else {
+            return false;
+        };
+        let Some(source) = address.parse().ok().and_then(|at| self.fleet.at(at)) else {
+            return false;
+        };
+        if handle == id && source.address == self.address {
+            return lock(&self.backups).remove(id).is_some();
+        }
+        let mut moved = lock(&source.moved);
+        let usable = moved.get(handle).is_some_and(|moved| {
+            let is_here = moved.target == self.address
+                || (source.address == self.address && moved.is_stopped);
+            &*moved.id == id && moved.is_stopped && is_here
+        });
+        usable && moved.remove(handle).is_some()
+    }
+
+    async fn run(
+        self: &Arc<Self>,
+        head: &Head,
+        path: Arc<str>,
+        body: &[u8],
+        input: &mut Reader<'_>,
+        writer: &mut WriteHalf<'_>,
+    ) -> io::Result<()> {
+        let id: Arc<str> = head
+            .header("x-lilacspindle-request-id")
+            .unwrap_or_default()
+            .into();
+        let ask: Value = serde_json::from_slice(body).unwrap_or_default();
+        let total = ask["events"].as_u64().unwrap_or(0);
+        let resumed_after = head.number("last-event-id");
+        let arrived_ms = self.fleet.recorder.now_ms();
+        let mut recorded = Recorded {
+            recorder: Arc::clone(&self.fleet.recorder),
+            gone: self.gone.clone(),
+            run: None,
+            is_decided: false,
+            execution: Execution {
+                id: Arc::clone(&id),
+                instance: Arc::clone(&self.identity),
+                service: Arc::clone(&self.service),
+                path,
+                workspace: head.header("x-lilacspindle-tenant").map(Arc::from),
+                arrived_ms,
+                ended_ms: arrived_ms,
+                end: ExecutionEnd::Open,
+                resumed_after,
+                last_event: 0,
+                total_events: total,
+                deadline_ms: head.number("x-lilacspindle-deadline-milliseconds"),
+            },
+        };
+        tokio::select! {
+            () = self.wait_unless_silent() => {}
+            // The entry has closed the connection.
+            ended = input.fill() => return ended.and(Err(io::ErrorKind::InvalidData.into())),
+        }
+        let expected = head.header("x-lilacspindle-expected-instance");
+        let copy = head.header("kv-from");
+        let active = self.active.load(Ordering::Relaxed);
+        let refusal = match expected {
+            Some(expected) if expected != &*self.identity => Some("421 Misdirected Request"),
+            _ if id.is_empty() => Some("400 Bad Request"),
+            _ if active >= SLOTS as u64 => Some("503 Service Unavailable"),
+            _ if copy.is_some_and(|from| !self.take_copy(from, &id)) => {
+                Some("503 Service Unavailable")
+            }
+            _ => None,
+        };
+        let echo = format!("X-Lilacspindle-Request-Id: {id}\r\n");
+        if let Some(status) = refusal {
+            recorded.end(ExecutionEnd::Refused);
+            let headers = format!("{echo}X-Lilacspindle-Not-Executed: 1\r\n");
+            return writer.write_all(&response(status, &headers, b"")).await;
+        }
+        let _active = Active::begin(self);
+        let seal = "X-Lilacspindle-Response-Seal: soak\r\n";
+        if total == 0 || !self.is_engine {
+            let takes = Duration::from_millis(ask["takes_ms"].as_u64().unwrap_or(0));
+            // The caller that closes its connection drops the request.
+            if timeout(takes, input.fill()).await.is_ok() {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            self.wait_unless_silent().await;
+            let text = format!("answer to {id}");
+            let bytes = response("200 OK", &format!("{echo}{seal}"), text.as_bytes());
+            writer.write_all(&bytes).await?;
+            recorded.end(ExecutionEnd::Complete);
+            return Ok(());
+        }
+        let run = Arc::new(Run {
+            made: AtomicU64::new(resumed_after.unwrap_or(0)),
+            total,
+            stopped: CancellationToken::new(),
+        });
+        recorded.run = Some((Arc::clone(self), Arc::clone(&run)));
+        lock(&self.runs).insert(Arc::clone(&id), Arc::clone(&run));
+        let backup = head.header("x-lilacspindle-cache-backup");
+        if let Some(backup) = backup.and_then(|at| at.parse().ok()) {
+            self.keep_backup(&run, Arc::clone(&id), backup);
+        }
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n{echo}{seal}\r\n"
+        );
+        writer.write_all(head.as_bytes()).await?;
+        let step = Duration::from_millis(ask["step_ms"].as_u64().unwrap_or(30));
+        let made = run.stopped.run_until_cancelled(async {
+            tokio::select! {
+                made = self.make_events(&run, &id, step, writer) => made,
+                // Only the end of the connection is expected here.
+                ended = input.fill() => ended.and(Err(io::ErrorKind::InvalidData.into())),
+            }
+        });
+        match made.await {
+            None => {
+                recorded.end(ExecutionEnd::Stopped);
+                // The stream closes without its end.
+                Err(io::ErrorKind::ConnectionAborted.into())
+            }
+            Some(made) => {
+                made?;
+                recorded.end(ExecutionEnd::Complete);
+                Ok(())
+            }
+        }
+    }
+
+    async fn make_events(
+        &self,
+        run: &Run,
+        id: &str,
+        step: Duration,
+        writer: &mut WriteHalf<'_>,
+    ) -> io::Result<()> {
+        while run.made.load(Ordering::Relaxed) < run.total {
+            sleep(step).await;
+            self.wait_unless_silent().await;
+            let event = run.made.fetch_add(1, Ordering::Relaxed) + 1;
+            let text = format!("id: {event}\ndata: {id} {event}\n\n");
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            writer.write_all(chunk.as_bytes()).await?;
+        }
+        writer.write_all(b"0\r\n\r\n").await
+    }
+
+    /// Sends the memory of a run to another engine as it grows. The copy there appears late.
+    fn keep_backup(self: &Arc<Self>, run: &Arc<Run>, id: Arc<str>, target: SocketAddr) {
+        let (source, run) = (Arc::clone(self), Arc::downgrade(run));
+        tokio::spawn(async move {
+            while let Some(run) = run.upgrade() {
+                let made = run.made.load(Ordering::Relaxed);
+                drop(run);
+                sleep(Duration::from_millis(BACKUP_INTERVAL_MS)).await;
+                if source.gone.is_cancelled() {
+                    return;
+                }
+                if let Some(target) = source.fleet.at(target) {
+                    lock(&target.backups).insert(Arc::clone(&id), made);
+                }
+            }
+        });
+    }
+}
+
+fn json_response(status: &str, body: &Value) -> Vec<u8> {
+    let headers = "Content-Type: application/json\r\n";
+    response(status, headers, body.to_string().as_bytes())
+}
