Keep copies of stand-in engines apart from their source

By the protocol the destination holds the memory. Copies are now kept by their handle with the instances that hold them.

Faults of engines and their links are recorded under the identity of the instance, which executions name too; the checker could not have matched the place.

--- a/src/soak/steps.rs
+++ b/src/soak/steps.rs
@@ -150,6 +150,15 @@
 
     async fn act(&self, action: Action, target: &str) -> io::Result<()> {
         let at_ms = self.recorder.now_ms();
+        // Faults of an engine and its links are recorded by the instance that runs there.
+        let instance = match action {
+            Action::SilenceEngine { engine, .. }
+            | Action::DelayLink { engine, .. }
+            | Action::HoldLink { engine, .. } => self.places[engine].current(),
+            _ => None,
+        };
+        let recorded = instance.as_ref();
+        let recorded = recorded.map_or(target, |upstream| &*upstream.identity);
         let grace = Duration::from_millis(self.layout.grace_ms);
         let processes = &self.processes;
         let millis = Duration::from_millis;
@@ -203,8 +212,8 @@
                 processes.fill_disk(target, false)?;
                 FaultKind::DiskFull
             }
-            Action::SilenceEngine { engine, for_ms } => {
-                if let Some(upstream) = self.places[engine].current() {
+            Action::SilenceEngine { for_ms, .. } => {
+                if let Some(upstream) = &instance {
                     upstream.silence(at_ms + for_ms);
                 }
                 sleep(millis(for_ms)).await;
@@ -234,7 +243,7 @@
                 FaultKind::Link
             }
         };
-        self.recorder.fault(kind, target, at_ms);
+        self.recorder.fault(kind, recorded, at_ms);
         Ok(())
     }
 
--- a/src/soak/upstreams.rs
+++ b/src/soak/upstreams.rs
@@ -34,11 +34,12 @@
     stopped: CancellationToken,
 }
 
-/// A copy of a generation's memory, by its handle at the source.
+/// A copy of a generation's memory.
 struct Moved {
     id: Arc<str>,
-    target: SocketAddr,
-    /// True if the generation was stopped for it, so that it may also go on at the source.
+    /// The instances that hold the memory: the source, and the target if it was reached.
+    holders: Vec<Arc<str>>,
+    /// True if the generation was stopped for it, so that it may go on.
     is_stopped: bool,
 }
 
@@ -56,7 +57,6 @@
     gone: CancellationToken,
     active: AtomicU64,
     runs: Mutex<BTreeMap<Arc<str>, Arc<Run>>>,
-    moved: Mutex<BTreeMap<String, Moved>>,
     /// Events covered by the backups that are kept here, by request.
     backups: Mutex<BTreeMap<Arc<str>, u64>>,
 }
@@ -65,6 +65,8 @@
 pub(super) struct Fleet {
     recorder: Arc<Recorder>,
     by_address: Mutex<BTreeMap<SocketAddr, Arc<Upstream>>>,
+    /// Copies, by the address of their source and their handle.
+    moved: Mutex<BTreeMap<(SocketAddr, String), Moved>>,
     next_handle: AtomicU64,
 }
 
@@ -77,6 +79,7 @@
         Self {
             recorder,
             by_address: Mutex::default(),
+            moved: Mutex::default(),
             next_handle: AtomicU64::new(1),
         }
     }
@@ -107,7 +110,6 @@
             gone: CancellationToken::new(),
             active: AtomicU64::new(0),
             runs: Mutex::default(),
-            moved: Mutex::default(),
             backups: Mutex::default(),
         });
         lock(&self.by_address).insert(address, Arc::clone(&upstream));
@@ -252,7 +254,7 @@
             "busy": false, "sequence": 1, "queuedRequests": 0,
             "activeRequests": self.active.load(Ordering::Relaxed),
             "kvCacheUsed": used * TOKENS_PER_EVENT, "kvCacheTotal": MEMORY_TOKENS,
-            "handles": lock(&self.moved).len(), "state": "ready",
+            "handles": 0, "state": "ready",
         });
         if gone_at_ms > 0 {
             report["leaves_ms"] = json!(gone_at_ms.saturating_sub(now_ms));
@@ -287,15 +289,17 @@
         let made = run.made.load(Ordering::Relaxed);
         let number = self.fleet.next_handle.fetch_add(1, Ordering::Relaxed);
         let handle = format!("h{number}");
-        let reached = target.filter(|target| self.fleet.at(*target).is_some());
-        lock(&self.moved).insert(
-            handle.clone(),
-            Moved {
-                id: id.into(),
-                target: reached.unwrap_or(self.address),
-                is_stopped: stops,
-            },
-        );
+        let reached = target.and_then(|target| self.fleet.at(target));
+        let target = reached.as_ref().map(|target| Arc::clone(&target.identity));
+        let moved = Moved {
+            id: id.into(),
+            holders: target
+                .into_iter()
+                .chain([Arc::clone(&self.identity)])
+                .collect(),
+            is_stopped: stops,
+        };
+        lock(&self.fleet.moved).insert((self.address, handle.clone()), moved);
         let body = json!({"handle": handle, "made": made});
         match reached {
             Some(_) => json_response("200 OK", &body),
@@ -309,19 +313,18 @@
         let Some((address, handle)) = from.split_once('/') else {
             return false;
         };
-        let Some(source) = address.parse().ok().and_then(|at| self.fleet.at(at)) else {
+        let Ok(source) = address.parse::<SocketAddr>() else {
             return false;
         };
-        if handle == id && source.address == self.address {
+        if handle == id && source == self.address {
             return lock(&self.backups).remove(id).is_some();
         }
-        let mut moved = lock(&source.moved);
-        let usable = moved.get(handle).is_some_and(|moved| {
-            let is_here = moved.target == self.address
-                || (source.address == self.address && moved.is_stopped);
-            &*moved.id == id && moved.is_stopped && is_here
+        let named = (source, handle.to_owned());
+        let mut moved = lock(&self.fleet.moved);
+        let usable = moved.get(&named).is_some_and(|moved| {
+            &*moved.id == id && moved.is_stopped && moved.holders.contains(&self.identity)
         });
-        usable && moved.remove(handle).is_some()
+        usable && moved.remove(&named).is_some()
     }
 
     async fn run(
