--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -1,9 +1,20 @@
 //! Fault soak: runs the daemons as separate processes on loopback addresses, drives callers and an
 //! operator, injects faults from outside, and checks what callers, operators and instances see.
 
+mod callers;
 mod checker;
+mod document;
 mod history;
 mod operator;
+mod plan;
+mod platform;
+mod processes;
+mod recorder;
+mod report;
+mod run;
+mod steps;
+mod upstreams;
+mod wire;
 
 pub use checker::{Figures, Violation, check, figures, is_in_touch};
 pub use history::{
@@ -11,3 +22,6 @@
     Publication, SentDocument, SentRoute, UnexpectedExit,
 };
 pub use operator::{Catalog, Draft, Drafts, News, Operator, OperatorRecord, OperatorSettings};
+pub use plan::{Action, Plan, PlanKind, Size, Step};
+pub use report::{summary, write};
+pub use run::{Environment, run};
