Answer what waits in the sockets when a stopping entry closes its listener

Cause: 2.5 s after SIGTERM the accept loop ended although connections waited in the backlog, and connections on which nothing had been read were closed at once. A process that had no processor time until then finds both due before it has read anything; sockets closed with unread bytes are reset.

Change: the listener and the connections are read for 100 ms more, sockets before timers; requests are refused by then (503, Connection: close). The stop waits for the listener, and a connection counts as open from its accept.

Result: requests_unread_at_the_end_of_accepting_are_answered failed on the code before (one run, 'Connection reset by peer') and passes; site_planned_stop (9) and site_path (14) pass.

--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -66,6 +66,10 @@
 /// needs two failed readiness probes, one second apart, to route callers elsewhere.
 const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(2_500);
 
+/// Time after which connections and requests that had arrived before the end of `ACCEPT_AFTER_SIGTERM`
+/// have been read. Timers are only checked after sockets are, so a short time is enough.
+const LAST_READS_TIME: Duration = Duration::from_millis(100);
+
 /// Time after the grace period of a planned stop for the responses to requests that are still open
 /// then. It takes a few milliseconds for a response to reach its caller.
 const LAST_RESPONSES_TIME: Duration = Duration::from_millis(250);
@@ -168,7 +172,8 @@
         })
         .await?;
         tokio::spawn(Arc::clone(&gateway).sync(seeds));
-        tokio::spawn(Arc::clone(&gateway).accept(listener));
+        let open = gateway.open_connections.subscribe();
+        tokio::spawn(Arc::clone(&gateway).accept(listener, open));
         tokio::spawn(Arc::clone(&gateway).close_idle_connections());
         Ok(gateway)
     }
@@ -185,10 +190,6 @@
         let done = async {
             sleep_until(closes_at).await;
             self.closed.send_replace(true);
-            tracing::info!(
-                open = self.open_connections.receiver_count(),
-                "listener closed"
-            );
             self.open_connections.closed().await;
         };
         tokio::pin!(done);
@@ -304,30 +305,38 @@
         }
     }
 
-    async fn accept(self: Arc<Self>, listener: TcpListener) {
-        let mut closed = self.closed.subscribe();
+    /// Accepts connections until a planned stop closes the listener. `_open` keeps the stop from
+    /// ending before that.
+    async fn accept(self: Arc<Self>, listener: TcpListener, _open: watch::Receiver<()>) {
+        let closing = wait_until_read(self.closed.subscribe());
+        tokio::pin!(closing);
         loop {
             let accepted = tokio::select! {
+                biased;
                 accepted = listener.accept() => accepted,
-                () = wait_until_set(&mut closed) => return,
+                () = &mut closing => break,
             };
             match accepted {
                 Ok((stream, _)) => {
-                    tokio::spawn(Arc::clone(&self).serve(stream));
+                    let open = self.open_connections.subscribe();
+                    tokio::spawn(Arc::clone(&self).serve(stream, open));
                 }
                 Err(error) => {
                     tracing::error!(%error, "cannot accept a caller connection");
                     sleep(ACCEPT_RETRY_DELAY).await;
+                    if *self.closed.borrow() {
+                        break;
+                    }
                 }
             }
         }
+        let open = self.open_connections.receiver_count().saturating_sub(1);
+        tracing::info!(open, "listener closed");
     }
 
-    async fn serve(self: Arc<Self>, stream: TcpStream) {
+    async fn serve(self: Arc<Self>, stream: TcpStream, _open: watch::Receiver<()>) {
         // Ignored: a broken socket fails again on first use.
         let _ = stream.set_nodelay(true);
-        let _open = self.open_connections.subscribe();
-        let mut close = self.closed.subscribe();
         let limits = self
             .index
             .borrow()
@@ -367,8 +376,9 @@
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         let ended = tokio::select! {
+            biased;
             ended = &mut connection => ended,
-            () = wait_until_set(&mut close) => {
+            () = wait_until_read(self.closed.subscribe()) => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -390,8 +400,11 @@
     }
 }
 
-/// Returns once a flag of the gateway is true.
-async fn wait_until_set(flag: &mut watch::Receiver<bool>) {
+/// Returns some time after `closed` is set, when connections and requests that had arrived by then
+/// can be read. Sockets that are closed before they are read are reset, and a process that was held
+/// up finds its listener due to be closed before it has read anything.
+async fn wait_until_read(mut closed: watch::Receiver<bool>) {
     // Cannot fail: the gateway keeps the sender for as long as it serves connections.
-    let _ = flag.wait_for(|set| *set).await;
+    let _ = closed.wait_for(|set| *set).await;
+    sleep(LAST_READS_TIME).await;
 }
