Let a hold-up before a signal not shorten the grace period, and leave a silent engine for one that has begun

- LOST: the grace period ran from the last check that found no signal.
A process held up for 1.5 s just before its SIGTERM cut its streams that much earlier, when the platform does not excuse it.
It now ends at most 0.4 s before a whole period from when the signal was noticed; requests are refused from 2.5 s after the lower bound as before. hold_up_before_a_stop_does_not_shorten_its_grace_period fails without the change ('unexpected EOF during chunk size line') and passes.
- TWICE: an attempt to resume a silent generation was dropped when its engine spoke again, although the other one might have begun.

--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -66,6 +66,10 @@
 /// needs two failed readiness probes, one second apart, to route callers elsewhere.
 const ACCEPT_AFTER_SIGTERM: Duration = Duration::from_millis(2_500);
 
+/// The end of the grace period is at most this much earlier than a whole period after the signal was
+/// noticed. It is below the sixth of the period in which the platform excuses streams that are cut.
+const MAX_GRACE_SHIFT: Duration = Duration::from_millis(400);
+
 /// Time after which connections and requests that had arrived before the end of `ACCEPT_AFTER_SIGTERM`
 /// have been read. Timers are only checked after sockets are, so a short time is enough.
 const LAST_READS_TIME: Duration = Duration::from_millis(100);
@@ -178,12 +182,17 @@
         Ok(gateway)
     }
 
-    /// Stops accepting connections `ACCEPT_AFTER_SIGTERM` after `signalled_at` and returns once all
-    /// open requests have finished. Those that are still open `grace` after `signalled_at` are
-    /// answered as unknown or, if they were not forwarded, as not run.
-    pub async fn drain(&self, signalled_at: Instant, grace: Duration) {
-        let grace_ends_at = signalled_at + grace;
-        let closes_at = signalled_at + ACCEPT_AFTER_SIGTERM.min(grace);
+    /// Stops accepting connections `ACCEPT_AFTER_SIGTERM` after `unsignalled_at`, the last moment at
+    /// which the signal had certainly not been sent, and returns once all open requests have
+    /// finished. Those that are still open at the end of the grace period are answered as unknown
+    /// or, if they were not forwarded, as not run.
+    pub async fn drain(&self, unsignalled_at: Instant, grace: Duration) {
+        // A process that was held up before its signal must not end streams that much earlier.
+        let earliest = Instant::now()
+            .checked_sub(MAX_GRACE_SHIFT)
+            .unwrap_or(unsignalled_at);
+        let grace_ends_at = unsignalled_at.max(earliest) + grace;
+        let closes_at = unsignalled_at + ACCEPT_AFTER_SIGTERM.min(grace);
         self.grace_ends_at.send_replace(Some(grace_ends_at));
         self.closes_at.send_replace(Some(closes_at));
         self.stopping.send_replace(true);
--- a/src/roles/gateway/relay.rs
+++ b/src/roles/gateway/relay.rs
@@ -242,7 +242,6 @@
         if let Some(source) = &mut self.source {
             source.ticket.mark_prompt_read();
         }
-        self.resumption.take_if(|r| r.reason == Reason::Silent);
         self.silent_attempts = 0;
         self.last_event_at = Instant::now();
         self.job
--- a/tests/site_planned_stop.rs
+++ b/tests/site_planned_stop.rs
@@ -9,7 +9,9 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::sleep;
 
-use site_support::{Reply, Request, Site, call, document, proper, sse, wait_routable};
+use site_support::{
+    Reply, Request, Site, call, document, patient_caller, proper, sse, wait_routable,
+};
 
 /// Grace period of the entries of the site, after which they end.
 const GRACE: Duration = Duration::from_secs(5);
@@ -196,6 +198,34 @@
     assert!(upstream.requests("/once/late").is_empty());
 }
 
+/// Guards against a grace period that is shorter by the time in which the process was held up before
+/// its signal.
+#[tokio::test]
+async fn hold_up_before_a_stop_does_not_shorten_its_grace_period() {
+    let mut patient = document(1);
+    patient["routes"][2]["timeoutMs"] = json!(30_000);
+    let mut site = Site::serving(&patient).await;
+    let _engine = site
+        .upstream("model", |request: &Request| {
+            let pause = if request.path == "/stream/x" { 5 } else { 0 };
+            vec![
+                Reply::Bytes(sse(request.id(), 1..=1, true, false)),
+                Reply::Pause(Duration::from_secs(pause)),
+                Reply::Bytes(sse(request.id(), 2..=2, false, true)),
+            ]
+        })
+        .await;
+    wait_routable(&site, "/stream/warm").await;
+    let call = patient_caller(&site, "/stream/x", "id-1", 20_000);
+    let mut stream = call.send().await.unwrap();
+    assert!(stream.chunk().await.unwrap().is_some());
+    site.signal("entry-1", "STOP");
+    sleep(Duration::from_millis(1_500)).await;
+    site.signal("entry-1", "TERM");
+    site.signal("entry-1", "CONT");
+    assert_eq!(stream.text().await.unwrap(), "id: 2\ndata: piece 2\n\n");
+}
+
 /// Returns a site with an engine whose streams take 1.5 s.
 async fn site_with_streams() -> (Site, site_support::Upstream) {
     let mut site = Site::serving(&document(1)).await;
--- a/tests/site_resumptions.rs
+++ b/tests/site_resumptions.rs
@@ -18,6 +18,8 @@
 const NOTICE_MS: u64 = 1_500;
 /// How long an engine may still be at work on a generation that has been resumed elsewhere.
 const OVERLAP_LIMIT: Duration = Duration::from_millis(400);
+/// Longer than an entry waits for an engine to accept a resumption.
+const RESUMPTION_LIMIT: Duration = Duration::from_millis(1_300);
 /// How long after its deadline a caller may wait for the end of its stream.
 const LATE_END_LIMIT: Duration = Duration::from_millis(500);
 
@@ -138,8 +140,8 @@
     assert_eq!(resumptions(&[&first, &second]), 1);
 }
 
-/// Guards against a stream that is moved although its engine has gone on in the meantime, and
-/// against a request for its resumption that stays open.
+/// Guards against a stream that is lost although its engine has gone on while another one does not
+/// answer, and against a request for its resumption that stays open.
 #[tokio::test]
 async fn engine_that_speaks_again_keeps_its_stream() {
     let (site, first, second) = engines_with_backups(|request| {
@@ -150,7 +152,7 @@
             Reply::Bytes(sse(request.id(), 1..=3, true, false)),
             Reply::Pause(Duration::from_millis(700)),
             Reply::Bytes(sse(request.id(), 4..=6, false, false)),
-            Reply::Pause(OVERLAP_LIMIT),
+            Reply::Pause(RESUMPTION_LIMIT),
             Reply::Bytes(sse(request.id(), 7..=7, false, true)),
         ]
     })
@@ -167,6 +169,34 @@
     assert_eq!(resumptions(&[&first, &second]), 1);
 }
 
+/// Guards against two engines that run one generation: the silent one speaks again after the other
+/// one has begun, but before that has answered.
+#[tokio::test]
+async fn engine_that_speaks_again_is_left_once_another_one_has_accepted() {
+    let (site, first, second) = engines_with_backups(|request| {
+        if is_resumption(request) {
+            return vec![
+                Reply::Pause(Duration::from_millis(400)),
+                Reply::Bytes(sse(request.id(), 4..=7, true, true)),
+            ];
+        }
+        vec![
+            Reply::Bytes(sse(request.id(), 1..=3, true, false)),
+            Reply::Pause(Duration::from_millis(700)),
+            Reply::Bytes(sse(request.id(), 4..=5, false, false)),
+            Reply::AwaitClose,
+        ]
+    })
+    .await;
+    let stream = call(&site, "/stream/x", "id-1").await;
+    assert_eq!(stream.text().await.unwrap(), events(1..=7));
+    wait_for("the first engine is left", || async {
+        abandoned(&[&first, &second]) == 1
+    })
+    .await;
+    assert_eq!(resumptions(&[&first, &second]), 1);
+}
+
 /// Guards against cutting off an engine that leaves, and could still end its stream, before the
 /// engine with the backup copy has accepted the generation.
 #[tokio::test]
