Publish changing documents during a soak

The soak published one document, so its checker saw no changes of routes or keys, no refusals and no reads. run.rs now publishes through the operator: the first document before the callers start, new ones during the plan, and reads for the connectivity window after the last step. Callers take routes and keys from the newest acknowledged document and probe added and removed routes and revoked keys. The history names the control processes. Plain calls have two services, so that a route can lead elsewhere.

Plans gain a series of full disks, each control process once, and a series of stops over all entries.

--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -20,7 +20,8 @@
 use super::processes::{Layout, entry_name};
 use super::recorder::Recorder;
 use super::wire::{Head, Input};
-use crate::soak::history::{Call, CallEnd, SentDocument, SentRoute};
+use crate::soak::history::{Call, CallEnd, SentRoute};
+use crate::soak::operator::News;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after the deadline for which a caller still waits for the response.
@@ -35,7 +36,7 @@
     pub(super) layout: Arc<Layout>,
     pub(super) entries: usize,
     /// The newest acknowledged document.
-    pub(super) document: watch::Receiver<Option<Arc<SentDocument>>>,
+    pub(super) news: watch::Receiver<News>,
     /// Callers begin no more requests once this is set.
     pub(super) ending: CancellationToken,
     pub(super) seed: u64,
@@ -86,21 +87,14 @@
     async fn use_connection(&self, mut connection: Connection, entry: usize, random: &mut StdRng) {
         let most = random.random_range(1..=8);
         while connection.requests < most && !self.ending.is_cancelled() {
-            let document = self.document.borrow().clone();
-            let Some(document) = document.filter(|document| !document.routes.is_empty()) else {
+            let news = self.news.borrow().clone();
+            let Some((route, key)) = draw_target(&news, random) else {
                 return;
             };
-            let route = &document.routes[random.random_range(0..document.routes.len())];
-            let keys: Vec<&Arc<str>> = document.keys.keys().collect();
-            let key = match keys.len() {
-                0 => None,
-                _ if route.is_anonymous => None,
-                count => Some(Arc::clone(keys[random.random_range(0..count)])),
-            };
-            let behaviour = draw_behaviour(route, random);
-            let mut call = self.begin(&connection, entry, route, key, random);
+            let behaviour = draw_behaviour(&route, random);
+            let mut call = self.begin(&connection, entry, &route, key, random);
             let may_go_on = self
-                .exchange(&mut connection, &mut call, route, &behaviour)
+                .exchange(&mut connection, &mut call, &route, &behaviour)
                 .await;
             call.ended_ms = self.recorder.now_ms();
             self.recorder.history().calls.push(call);
@@ -260,6 +254,31 @@
     Ok((Input::new(reader), writer))
 }
 
+/// Draws a route and a key: usually those of the newest document, sometimes a route that it has added
+/// or removed, or a key that it has revoked.
+fn draw_target(news: &News, random: &mut StdRng) -> Option<(SentRoute, Option<Arc<str>>)> {
+    let document = news.document.as_ref()?;
+    let routes = match random.random_range(0..20) {
+        0 if !news.added.is_empty() => &news.added,
+        1 if !news.removed.is_empty() => &news.removed,
+        _ => &document.routes,
+    };
+    let route = pick(routes, random)?.clone();
+    let keys: Vec<Arc<str>> = match random.random_range(0..20) {
+        0 if !news.revoked_keys.is_empty() => news.revoked_keys.clone(),
+        _ => document.keys.keys().cloned().collect(),
+    };
+    let key = pick(&keys, random).filter(|_| !route.is_anonymous).cloned();
+    Some((route, key))
+}
+
+fn pick<'a, T>(items: &'a [T], random: &mut StdRng) -> Option<&'a T> {
+    match items.len() {
+        0 => None,
+        count => items.get(random.random_range(0..count)),
+    }
+}
+
 fn draw_behaviour(route: &SentRoute, random: &mut StdRng) -> Behaviour {
     let events = match route.is_stream {
         true => random.random_range(100..=280),
--- a/src/soak/document.rs
+++ b/src/soak/document.rs
@@ -1,127 +1,48 @@
-//! The document that a run publishes first.
+//! What the documents of a run are made of.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use serde_json::{Value, json};
-use tokio::time::sleep;
-use xxhash_rust::xxh3::xxh3_64;
+use serde_json::json;
 
+use super::operator::{Catalog, OperatorSettings};
+use super::processes::{Layout, control_name};
 use super::recorder::Recorder;
-use crate::platform::paths;
-use crate::soak::history::{Publication, SentDocument, SentRoute};
 
-pub(super) const PLAIN_SERVICE: &str = "sums";
+pub(super) const PLAIN_SERVICES: [&str; 2] = ["sums", "words"];
 pub(super) const ENGINE_SERVICE: &str = "essays";
 const HOST: &str = "soak.example";
-const STREAM_TIMEOUT_MS: u64 = 20_000;
-const PLAIN_TIMEOUT_MS: u64 = 4_000;
-const RETRY_DELAY: Duration = Duration::from_millis(100);
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+const TIMEOUT_MS: u64 = 20_000;
+/// Mean time between two documents of one operator.
+const PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
+/// One in so many documents has about this size, in bytes.
+const LARGE_DOCUMENTS: (u32, usize) = (20, 400_000);
 
-fn routes() -> Vec<SentRoute> {
-    let route = |prefix: &str, service: &str, is_stream, is_safe| SentRoute {
+pub(super) fn catalog() -> Catalog {
+    Catalog {
         host: HOST.into(),
-        prefix: prefix.into(),
-        services: vec![service.into()],
-        timeout_ms: if is_stream {
-            STREAM_TIMEOUT_MS
-        } else {
-            PLAIN_TIMEOUT_MS
-        },
-        is_stream,
-        is_safe,
-        max_attempts: if is_safe { 2 } else { 1 },
-        is_anonymous: prefix == "/open/",
-    };
-    vec![
-        route("/once/", PLAIN_SERVICE, false, false),
-        route("/safe/", PLAIN_SERVICE, false, true),
-        route("/open/", PLAIN_SERVICE, false, true),
-        // Most calls are streams.
-        route("/essay-a/", ENGINE_SERVICE, true, false),
-        route("/essay-b/", ENGINE_SERVICE, true, false),
-        route("/essay-c/", ENGINE_SERVICE, true, false),
-    ]
-}
-
-/// Returns the first document, and its body.
-pub(super) fn first() -> (SentDocument, Vec<u8>) {
-    let routes = routes();
-    let wire: Vec<Value> = routes
-        .iter()
-        .map(|route| {
-            let kind = match (route.is_stream, route.is_safe) {
-                (true, _) => "streaming",
-                (_, true) => "safe",
-                _ => "unsafe",
-            };
-            json!({
-                "name": route.prefix.trim_matches('/'), "host": route.host,
-                "pathPrefix": route.prefix, "kind": kind, "timeoutMs": route.timeout_ms,
-                "targetLatencyMs": 1_500, "priority": 1, "service": route.services[0],
-                "maxAttempts": route.max_attempts, "allowAnonymous": route.is_anonymous,
-                "stickySessions": route.is_stream, "gapTargetMs": 180,
-            })
-        })
-        .collect();
-    let body = json!({
-        "version": 1, "routes": wire,
-        "services": [
-            {"name": PLAIN_SERVICE, "healthCheckPath": "/health", "maxConnections": 400},
-            {"name": ENGINE_SERVICE, "healthCheckPath": "/health", "maxConnections": 400,
-                "engine": {"slots": super::upstreams::SLOTS, "kvCacheTokens": 200_000,
-                    "kvBytes": 163_840, "linkMbps": 24_000.0, "moves": true, "backups": true,
-                    "stride": 4, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0, "handleS": 5.0,
-                    "models": [{"name": "m"}]}},
-        ],
-        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 4_194_304,
-            "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000},
-        "tenants": [{"name": "w1", "apiKeys": ["key-1", "key-2"], "priority": 1},
-            {"name": "w2", "apiKeys": ["key-3"], "priority": 1}],
-    });
-    let workspaces = [("key-1", "w1"), ("key-2", "w1"), ("key-3", "w2")];
-    let keys = workspaces
-        .iter()
-        .map(|(key, workspace)| (Arc::from(*key), Arc::from(*workspace)))
-        .collect();
-    let sent = SentDocument {
-        version: 1,
-        fault: None,
-        routes,
-        keys,
-    };
-    (sent, body.to_string().into_bytes())
+        plain: PLAIN_SERVICES.map(Into::into).to_vec(),
+        engines: vec![ENGINE_SERVICE.into()],
+        engine: json!({"slots": super::upstreams::SLOTS, "kvCacheTokens": 200_000,
+            "kvBytes": 163_840, "linkMbps": 24_000.0, "moves": true, "backups": true,
+            "stride": 4, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0, "handleS": 5.0,
+            "models": [{"name": "m"}]}),
+        timeout_ms: TIMEOUT_MS,
+    }
 }
 
-/// Publishes the first document through the control processes in turn until it is acknowledged.
-pub(super) async fn publish_first(
+pub(super) fn operator_settings(
+    layout: &Layout,
     recorder: &Recorder,
-    controls: &[(Arc<str>, SocketAddr)],
-) -> reqwest::Result<Arc<SentDocument>> {
-    let client = reqwest::Client::builder().timeout(ANSWER_TIMEOUT).build()?;
-    let (sent, body) = first();
-    let content = xxh3_64(&body);
-    recorder.history().documents.insert(content, sent.clone());
-    loop {
-        for (process, address) in controls {
-            let sent_ms = recorder.now_ms();
-            let url = format!("http://{address}{}", paths::PUBLISH);
-            let answer = client.post(url).body(body.clone()).send().await.ok();
-            let status = answer.map(|answer| answer.status().as_u16());
-            recorder.history().publications.push(Publication {
-                version: sent.version,
-                content,
-                process: Arc::clone(process),
-                sent_ms,
-                answered_ms: status.map(|_| recorder.now_ms()),
-                status,
-            });
-            if status == Some(200) {
-                return Ok(Arc::new(sent));
-            }
-            sleep(RETRY_DELAY).await;
-        }
+    seed: u64,
+) -> OperatorSettings {
+    let controls = 0..layout.controls;
+    OperatorSettings {
+        controls: controls
+            .map(|n| (control_name(n).into(), layout.operator_address(n)))
+            .collect(),
+        started_at: recorder.started_at(),
+        seed,
+        interval: PUBLISH_INTERVAL,
+        large: Some(LARGE_DOCUMENTS),
     }
 }
--- a/src/soak/operator/driver.rs
+++ b/src/soak/operator/driver.rs
@@ -54,6 +54,7 @@
     pub document: Option<Arc<SentDocument>>,
     pub added: Vec<SentRoute>,
     pub removed: Vec<SentRoute>,
+    pub revoked_keys: Vec<Arc<str>>,
 }
 
 /// The operators' part of the history.
@@ -275,9 +276,12 @@
                 return false;
             }
             let before = held.map_or(&[][..], |held| &held.routes);
+            let keys = held.into_iter().flat_map(|held| held.keys.keys());
+            let revoked = keys.filter(|key| !sent.keys.contains_key(*key));
             *news = News {
                 added: without(&sent.routes, before),
                 removed: without(before, &sent.routes),
+                revoked_keys: revoked.map(Arc::clone).collect(),
                 document: Some(Arc::clone(sent)),
             };
             true
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -142,18 +142,22 @@
         }
     }
 
-    /// Stops and reloads entries in rounds: a single one, a series, several at once, and one in each
-    /// zone. At most a third of the entries stop in one round.
+    /// Stops and reloads entries in rounds: a single one, a series, several at once, one in each
+    /// zone, and all of them, one after the other. At most a third of the entries stop at a time.
     fn entries(&mut self, kind: PlanKind) {
         let mut at_ms = FIRST_STEP_MS;
         let mut first = 0;
         let most = (self.size.entries / 3).max(1);
         while at_ms < self.end_ms {
             let reloads = kind == PlanKind::Mixed && self.random.random_ratio(1, 5);
-            let (count, gap_ms) = match self.random.random_range(0..4) {
+            let (count, gap_ms) = match self.random.random_range(0..5) {
                 0 => (1, 0),
                 1 => (most, self.random.random_range(200..1_500)),
                 2 => (most, 0),
+                3 => {
+                    let entries = self.size.entries;
+                    (entries, ENTRY_RECOVERY_MS * 3 / entries as u64)
+                }
                 _ => (ZONES.min(most), 0),
             };
             for n in 0..count {
@@ -209,9 +213,25 @@
         }
     }
 
-    /// Loses control processes, one at a time.
+    /// Fills the disk of each control process once, one after the other. Returns the time at which
+    /// the next process may be lost.
+    fn disks(&mut self, mut at_ms: u64) -> u64 {
+        let first = self.random.random_range(0..self.size.controls);
+        for n in 0..self.size.controls {
+            let control = (first + n) % self.size.controls;
+            let for_ms = self.random.random_range(1_000..4_000);
+            self.push(at_ms, Action::FillDisk { control, for_ms });
+            at_ms += for_ms + CONTROL_RECOVERY_MS;
+        }
+        at_ms
+    }
+
+    /// Loses control processes, one at a time; some runs begin with a series of full disks.
     fn controls(&mut self) {
         let mut at_ms = FIRST_STEP_MS + 1_000;
+        if self.random.random_ratio(1, 2) {
+            at_ms = self.disks(at_ms);
+        }
         while at_ms < self.end_ms {
             let control = self.random.random_range(0..self.size.controls);
             let for_ms = self.random.random_range(1_000..5_000);
--- a/src/soak/recorder.rs
+++ b/src/soak/recorder.rs
@@ -18,6 +18,10 @@
         }
     }
 
+    pub(super) fn started_at(&self) -> Instant {
+        self.started_at
+    }
+
     /// Returns the time since the start of the run.
     pub(super) fn now_ms(&self) -> u64 {
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
--- a/src/soak/run.rs
+++ b/src/soak/run.rs
@@ -15,7 +15,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::callers::Callers;
-use super::document::publish_first;
+use super::document::{catalog, operator_settings};
+use super::operator::{Drafts, Operator};
 use super::plan::Plan;
 use super::processes::{Layout, control_name, entry_name, sidecar_name};
 use super::recorder::Recorder;
@@ -89,11 +90,12 @@
         tasks.spawn(Arc::clone(&site.platform).probe(Arc::clone(&layout), entry));
     }
     start_site(&site, plan).await?;
-    let controls: Vec<(Arc<str>, SocketAddr)> = (0..plan.size.controls)
-        .map(|n| (control_name(n).into(), layout.operator_address(n)))
-        .collect();
-    let published = timeout(START_LIMIT, publish_first(&recorder, &controls)).await?;
-    let (_documents, document) = watch::channel(Some(published.map_err(io::Error::other)?));
+    let settings = operator_settings(&layout, &recorder, plan.seed);
+    let controls = settings.controls.iter().map(|(name, _)| Arc::clone(name));
+    recorder.history().controls = Some(controls.collect());
+    let operator = Operator::new(settings, Drafts::new(catalog(), plan.seed));
+    let operator = operator.map_err(io::Error::other)?;
+    timeout(START_LIMIT, operator.publish_first()).await?;
     let ready = async {
         while site.platform.ready_entries() < plan.size.entries {
             sleep(WATCH_INTERVAL).await;
@@ -107,7 +109,7 @@
         platform: Arc::clone(&site.platform),
         layout,
         entries: plan.size.entries,
-        document,
+        news: operator.news(),
         ending: CancellationToken::new(),
         seed: plan.seed,
         next_connection: AtomicU64::new(0),
@@ -116,6 +118,12 @@
     for caller in 0..plan.size.callers as u64 {
         calling.spawn(Arc::clone(&callers).run(caller));
     }
+    let (stop_publishing, publishing_stop) = watch::channel(false);
+    let mut publishing = JoinSet::new();
+    publishing.spawn({
+        let operator = Arc::clone(&operator);
+        async move { operator.run(publishing_stop).await }
+    });
     let mut stepping = JoinSet::new();
     for step in plan.steps.clone() {
         let site = Arc::clone(&site);
@@ -129,16 +137,36 @@
     watch_progress(&site, plan, began_ms).await;
     callers.ending.cancel();
     while stepping.join_next().await.is_some() {}
-    let last_calls = async { while calling.join_next().await.is_some() {} };
-    if timeout(LAST_CALLS_LIMIT, last_calls).await.is_err() {
-        eprintln!("soak: {} callers have not ended", calling.len());
-    }
+    stop_publishing.send_replace(true);
+    tokio::join!(await_calls(calling), read_at_end(&operator, publishing));
     site.processes.record_unexpected_exits();
     let mut history = std::mem::take(&mut *recorder.history());
+    let record = operator.take_record();
+    history.documents = record.documents;
+    history.publications = record.publications;
+    history.reads = record.reads;
     history.ended_ms = recorder.now_ms();
     Ok(history)
 }
 
+/// Waits until the callers have ended.
+async fn await_calls(mut calling: JoinSet<()>) {
+    let ended = async { while calling.join_next().await.is_some() {} };
+    if timeout(LAST_CALLS_LIMIT, ended).await.is_err() {
+        eprintln!("soak: {} callers have not ended", calling.len());
+    }
+}
+
+/// Waits until no publication is in progress, and reads the document that is then in force.
+async fn read_at_end(operator: &Operator, mut publishing: JoinSet<()>) {
+    let ended = timeout(LAST_CALLS_LIMIT, publishing.join_next());
+    if ended.await.is_err() {
+        eprintln!("soak: publications have not ended");
+    }
+    let time = Duration::from_millis(Bounds::default().connectivity_ms);
+    operator.read_at_end(time).await;
+}
+
 /// Starts the instances, control processes, entries and sidecars.
 async fn start_site(site: &Site, plan: &Plan) -> io::Result<()> {
     for place in &site.places {
--- a/src/soak/steps.rs
+++ b/src/soak/steps.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-use super::document::{ENGINE_SERVICE, PLAIN_SERVICE};
+use super::document::{ENGINE_SERVICE, PLAIN_SERVICES};
 use super::plan::Action;
 use super::platform::Platform;
 use super::processes::{Layout, Processes, control_name, entry_name};
@@ -93,7 +93,7 @@
     pub(super) fn service_of(&self, place: usize) -> &'static str {
         match place < self.engines {
             true => ENGINE_SERVICE,
-            false => PLAIN_SERVICE,
+            false => PLAIN_SERVICES[place % PLAIN_SERVICES.len()],
         }
     }
 
