--- a/tests/soak_run.rs
+++ b/tests/soak_run.rs
@@ -1,16 +1,16 @@
 //! A short soak run with real processes.
 
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 
-use lilacspindle::soak::{self, CallEnd, Environment, FaultKind, Plan, PlanKind, Size};
+use lilacspindle::soak::{self, CallEnd, Environment, FaultKind, History, Plan, PlanKind, Size};
 
-/// Guards against a soak that judges a site that serves nothing, and against broken promises under
-/// planned stops of entries.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn short_run_keeps_all_promises() {
-    let size = Size::draw(1, 35, Some(4), Some(3));
-    let plan = Plan::draw(1, PlanKind::Stops, size);
-    let folder = std::env::temp_dir().join(format!("lilac-soak-test-{}", std::process::id()));
+/// Runs a short plan, checks it, and returns its history and summary.
+async fn run_and_check(kind: PlanKind) -> (History, String) {
+    let size = Size::draw(1, 40, Some(4), Some(3));
+    let plan = Plan::draw(1, kind, size);
+    let name = format!("lilac-soak-test-{kind:?}-{}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder).unwrap();
     let environment = Environment {
         folder: folder.clone(),
@@ -27,6 +27,12 @@
         history.unexpected_exits.is_empty(),
         "kept in {kept}\n{summary}"
     );
+    std::fs::remove_dir_all(&folder).unwrap();
+    (history, summary)
+}
+
+/// Guards against a soak that judges a site that serves nothing or whose document stays the same.
+fn assert_exercised(history: &History, summary: &str) {
     let complete = |is_stream: bool| {
         let calls = history.calls.iter();
         calls
@@ -36,8 +42,30 @@
     };
     assert!(complete(true) >= 20, "{summary}");
     assert!(complete(false) >= 20, "{summary}");
-    let stops = history.faults.iter();
-    let stops = stops.filter(|fault| fault.kind == FaultKind::Terminate);
-    assert!(stops.count() >= 2, "{summary}");
-    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(soak::figures(history).acknowledged >= 10, "{summary}");
+    let controls = history.controls.as_ref().map_or(0, BTreeSet::len);
+    assert_eq!(controls, 3);
+    let mut final_reads = history.reads.iter().filter(|read| read.is_final);
+    assert!(final_reads.any(|read| read.document.is_some()), "{summary}");
+}
+
+fn count(history: &History, kind: FaultKind) -> usize {
+    let faults = history.faults.iter();
+    faults.filter(|fault| fault.kind == kind).count()
+}
+
+/// Guards against broken promises under planned stops of entries.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn planned_stops_keep_all_promises() {
+    let (history, summary) = run_and_check(PlanKind::Stops).await;
+    assert_exercised(&history, &summary);
+    assert!(count(&history, FaultKind::Terminate) >= 2, "{summary}");
+}
+
+/// Guards against broken promises under full disks and stops that overlap with new documents.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn mixed_faults_keep_all_promises() {
+    let (history, summary) = run_and_check(PlanKind::Mixed).await;
+    assert_exercised(&history, &summary);
+    assert!(count(&history, FaultKind::DiskFull) >= 1, "{summary}");
 }
