Excuse overlapping runs behind a held link in the checker

The rule holds only where the sender reaches that instance. Held links are now a fault of their own; a link that is only delayed excuses nothing.

soak_checker_requests: 18 passed. No soak was run with this change.

--- a/src/soak/checker/executions.rs
+++ b/src/soak/checker/executions.rs
@@ -49,7 +49,7 @@
     let until_ms = second.arrived_ms + HANDOVER_MS;
     let is_reached = facts.is_in_touch(&call.process, until_ms)
         && !facts.history.faults.iter().any(|fault| {
-            fault.kind == FaultKind::InstanceSilent
+            matches!(fault.kind, FaultKind::InstanceSilent | FaultKind::LinkHeld)
                 && fault.target == first.instance
                 && overlaps(fault, second.arrived_ms, until_ms)
         });
--- a/src/soak/checker/lost.rs
+++ b/src/soak/checker/lost.rs
@@ -48,6 +48,7 @@
                 | FaultKind::DiskFull
                 | FaultKind::DiskLost
                 | FaultKind::Link
+                | FaultKind::LinkHeld
         );
         unplanned && overlaps(fault, since_ms, call.ended_ms)
     });
--- a/src/soak/checker/obeyed.rs
+++ b/src/soak/checker/obeyed.rs
@@ -159,8 +159,10 @@
     let slack_ms = facts.bounds.rollback_slack_ms;
     let since_ms = obeyed.call.sent_ms.saturating_sub(slack_ms * SLOWED_FACTOR);
     let is_slowed = facts.history.faults.iter().any(|fault| {
-        matches!(fault.kind, FaultKind::Freeze | FaultKind::Link)
-            && *fault.target == *obeyed.call.process
+        matches!(
+            fault.kind,
+            FaultKind::Freeze | FaultKind::Link | FaultKind::LinkHeld
+        ) && *fault.target == *obeyed.call.process
             && overlaps(fault, since_ms, obeyed.at_ms)
     });
     match is_slowed {
--- a/src/soak/checker/touch.rs
+++ b/src/soak/checker/touch.rs
@@ -36,7 +36,8 @@
             | FaultKind::Freeze
             | FaultKind::DiskFull
             | FaultKind::DiskLost
-            | FaultKind::Link => true,
+            | FaultKind::Link
+            | FaultKind::LinkHeld => true,
             FaultKind::Reload | FaultKind::InstanceSilent | FaultKind::InstanceLeaves => false,
         };
         disturbs && &*fault.target == process && overlaps(fault, since_ms, until_ms)
@@ -53,7 +54,7 @@
             continue;
         }
         match fault.kind {
-            FaultKind::Link => return false,
+            FaultKind::Link | FaultKind::LinkHeld => return false,
             FaultKind::Terminate | FaultKind::Kill | FaultKind::Freeze | FaultKind::DiskLost
                 if fault.at_ms >= since_ms || fault.until_ms <= until_ms =>
             {
--- a/src/soak/history.rs
+++ b/src/soak/history.rs
@@ -213,8 +213,10 @@
     DiskFull,
     /// The process is started with an empty data folder.
     DiskLost,
-    /// Links are delayed, cut or reset until `until_ms`.
+    /// Links are delayed until `until_ms`.
     Link,
+    /// Links hold back all bytes until `until_ms`.
+    LinkHeld,
     /// An upstream instance falls silent until `until_ms`, and then goes on.
     InstanceSilent,
     /// An upstream instance announces that it leaves, and is gone at `until_ms`.
--- a/src/soak/steps.rs
+++ b/src/soak/steps.rs
@@ -240,7 +240,7 @@
                 proxy.pause(Direction::Both);
                 sleep(millis(for_ms)).await;
                 proxy.heal();
-                FaultKind::Link
+                FaultKind::LinkHeld
             }
         };
         self.recorder.fault(kind, recorded, at_ms);
