--- a/src/roles/gateway/relay.rs
+++ b/src/roles/gateway/relay.rs
@@ -222,6 +222,8 @@
     fn next_events(&mut self) -> Result<Option<Bytes>, String> {
         let mut whole = bytes::BytesMut::new();
         while let Some(event) = self.events.next_event()? {
+            // Events that are skipped show too that the engine is not silent.
+            self.last_event_at = Instant::now();
             if let (true, Some(last), Some(id)) = (self.is_resuming, self.last_event, event.id) {
                 match id {
                     _ if id <= last => continue,
@@ -243,7 +245,6 @@
             source.ticket.mark_prompt_read();
         }
         self.silent_attempts = 0;
-        self.last_event_at = Instant::now();
         self.job
             .open
             .set_last_event(self.last_event.unwrap_or_default());
--- a/tests/site_resumptions.rs
+++ b/tests/site_resumptions.rs
@@ -197,6 +197,29 @@
     assert_eq!(resumptions(&[&first, &second]), 1);
 }
 
+/// Guards against taking an engine for silent that repeats events which the caller has, since its
+/// copy is older.
+#[tokio::test]
+async fn engine_that_repeats_events_is_not_silent() {
+    let (site, first, second) = engines_with_backups(|request| {
+        let id = request.id();
+        if !is_resumption(request) {
+            return vec![Reply::Bytes(sse(id, 1..=20, true, false)), Reply::Close];
+        }
+        let mut replies = vec![Reply::Bytes(sse(id, 1..=1, true, false))];
+        for event in 2..=20 {
+            replies.push(Reply::Pause(Duration::from_millis(50)));
+            replies.push(Reply::Bytes(sse(id, event..=event, false, false)));
+        }
+        replies.push(Reply::Bytes(sse(id, 21..=21, false, true)));
+        replies
+    })
+    .await;
+    let stream = call(&site, "/stream/x", "id-1").await;
+    assert_eq!(stream.text().await.unwrap(), events(1..=21));
+    assert_eq!(resumptions(&[&first, &second]), 1);
+}
+
 /// Guards against cutting off an engine that leaves, and could still end its stream, before the
 /// engine with the backup copy has accepted the generation.
 #[tokio::test]
