Leave an engine that is leaving soon after another one was asked to go on

The same attempt now reads the last relayed event when it is sent, not when it is planned, since the engine before may have gone on while it waited; and a backup that leaves no longer makes the relay wake every millisecond.

When to leave an engine has a file of its own (relay/departure.rs). leaving_engine_is_left_soon_after_another_one_was_asked fails before ('the first engine works on') and passes; site_resumptions, site_streams, site_planned_stop, site_engines, site_instance_signals and site_limits pass.

--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -219,10 +219,8 @@
         "to": target.to_string(),
         "last": stop,
     });
-    let (path, sending) = (
-        "/kv-move",
-        send(source, Method::POST, "/kv-move", body.to_string()),
-    );
+    let path = "/kv-move";
+    let sending = send(source, Method::POST, path, body.to_string());
     let response = timeout(limit, sending).await;
     let handle = match &response {
         Ok(Ok(response)) if stop || response.status().is_success() => decode_handle(response),
--- a/src/roles/gateway/open_requests.rs
+++ b/src/roles/gateway/open_requests.rs
@@ -53,6 +53,12 @@
         *instance = Some(Arc::clone(identity));
     }
 
+    /// Returns the id of the last event that was relayed; `None` if there is none.
+    pub(super) fn last_event(&self) -> Option<u64> {
+        let id = self.progress.last_event.load(Ordering::Relaxed);
+        (id > 0).then_some(id)
+    }
+
     /// Records the last event that was relayed.
     pub(super) fn set_last_event(&self, id: u64) {
         self.progress.last_event.store(id, Ordering::Relaxed);
--- /dev/null
+++ b/src/roles/gateway/relay/departure.rs
@@ -0,0 +1,134 @@
+//! When a generation is taken away from an engine that is leaving or silent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::super::migrate::{Migration, MigrationPlan};
+use super::super::resume::Reason;
+use super::Relay;
+use crate::adapters::clock::monotonic_ms;
+
+/// Time from the first event after which the backup can be expected to hold the KV cache of the
+/// prompt: half a gigabyte over a link of 3 GB/s, queued behind other copies. The copy may still be
+/// missing after 400 ms.
+const BACKUP_COPY_MS: u64 = 1_200;
+/// A generation is resumed from its backup at the latest this long before its engine is gone.
+const BACKUP_SWITCH_MARGIN_MS: u64 = 200;
+/// If an engine sends no event for this long, its generation is resumed from the backup, if there
+/// is one. Engines produce an event every 30 to 100 ms, and pauses of more than 180 ms count as
+/// stalls.
+const EVENT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// An engine that is leaving is left this long after another one was asked to take its generation
+/// over, even without an answer: the two must not work on it together for 400 ms.
+const HANDOVER_TIME: Duration = Duration::from_millis(300);
+/// Time between checks whether the other engine has been asked.
+const HANDOVER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+impl Relay {
+    /// If the engine is leaving, prepares to resume the generation elsewhere: from the backup if
+    /// there is one, else by a migration.
+    pub(super) fn check_departure(&mut self) {
+        let (None, None, Some(source)) = (&self.migration, &self.resumption, &self.source) else {
+            return;
+        };
+        // A generation can be migrated only after its first token.
+        let Some(first_event_ms) = self.first_event_ms else {
+            return;
+        };
+        let identity = Arc::clone(&source.ticket.identity);
+        let now_ms = monotonic_ms();
+        let (leaving, backup_leaving) = self.gateway.with_view(|view| {
+            let backup = self.backup.as_ref();
+            let backup_leaving = backup.is_some_and(|b| view.leaving(&b.identity).is_some());
+            (view.leaving(&identity), backup_leaving)
+        });
+        if backup_leaving {
+            self.backup = None;
+            self.switch_at_ms = None;
+        }
+        let Some(leaving) = leaving else {
+            return;
+        };
+        if self.backup.is_some() {
+            let latest_ms = leaving
+                .gone_at_ms
+                .unwrap_or(u64::MAX)
+                .saturating_sub(BACKUP_SWITCH_MARGIN_MS);
+            let switch_at_ms = (first_event_ms + BACKUP_COPY_MS).min(latest_ms);
+            self.switch_at_ms = Some(switch_at_ms);
+            if now_ms >= switch_at_ms {
+                self.begin_resumption(Reason::Leaving);
+            }
+            return;
+        }
+        if !self.engine.moves {
+            return;
+        }
+        tracing::info!(
+            request = &*self.job.id,
+            instance = &*identity,
+            gone_in_ms = leaving.gone_at_ms.map(|at_ms| at_ms.saturating_sub(now_ms)),
+            last_event = self.last_event,
+            "engine is shutting down; migrating the generation"
+        );
+        let from = source.ticket.address;
+        let plan = MigrationPlan {
+            request_id: Arc::clone(&self.job.id),
+            service: Arc::clone(&self.job.service),
+            from,
+            from_identity: identity,
+            demand: self.job.demand,
+            held_tokens: self.held_tokens(),
+            engine: self.engine,
+            gone_at_ms: leaving.gone_at_ms,
+        };
+        self.migration = Some(Migration::begin(Arc::clone(&self.gateway), plan));
+    }
+
+    /// Returns when the engine is left although the one that was asked has not answered; `None` if
+    /// it is kept until then.
+    pub(super) fn handover_ends_at(&self) -> Option<Instant> {
+        let resumption = self.resumption.as_ref()?;
+        let is_leaving = resumption.reason == Reason::Leaving && self.source.is_some();
+        let asked_at = resumption.asked_at().filter(|_| is_leaving)?;
+        Some(asked_at + HANDOVER_TIME)
+    }
+
+    /// Returns when the state has to be checked even if nothing is received.
+    pub(super) fn next_check_at(&self) -> Instant {
+        let stalled_at = match (&self.backup, &self.resumption) {
+            (_, Some(resumption)) if resumption.reason == Reason::Leaving => {
+                let unasked = || Instant::now() + HANDOVER_CHECK_INTERVAL;
+                return self.handover_ends_at().unwrap_or_else(unasked);
+            }
+            (_, Some(_)) => return self.job.deadline,
+            (Some(_), None) if self.first_event_ms.is_some() => {
+                self.last_event_at + self.silence_limit()
+            }
+            _ => self.job.deadline,
+        };
+        match self.switch_at_ms {
+            Some(at_ms) => {
+                let wait_ms = at_ms.saturating_sub(monotonic_ms()).max(1);
+                stalled_at.min(Instant::now() + Duration::from_millis(wait_ms))
+            }
+            None => stalled_at,
+        }
+    }
+
+    pub(super) fn has_stalled(&self) -> bool {
+        self.backup.is_some()
+            && self.resumption.is_none()
+            && self.first_event_ms.is_some()
+            && self.last_event_at.elapsed() >= self.silence_limit()
+    }
+
+    /// Returns the time without an event after which the backup is asked. It doubles with each
+    /// refusal.
+    fn silence_limit(&self) -> Duration {
+        EVENT_TIMEOUT.saturating_mul(2_u32.saturating_pow(self.silent_attempts))
+    }
+}
--- a/src/roles/gateway/relay.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -1,8 +1,9 @@
 //! Relays the event stream of a running generation to its caller, and resumes the generation at
 //! another engine when its own shuts down or fails.
 
+mod departure;
+
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream;
@@ -15,7 +16,7 @@
 use super::Gateway;
 use super::events::EventBuffer;
 use super::generation::response_lost;
-use super::migrate::{Migration, MigrationPlan};
+use super::migrate::Migration;
 use super::plain::end_to_end_headers;
 use super::request::Job;
 use super::response::{Body, IncompleteBody, Refusal};
@@ -26,17 +27,6 @@
 use crate::domain::document::EngineSpec;
 use crate::domain::fleet::Outcome;
 
-/// Time from the first event after which the backup can be expected to hold the KV cache of the
-/// prompt: half a gigabyte over a link of 3 GB/s, queued behind other copies. The copy may still be
-/// missing after 400 ms.
-const BACKUP_COPY_MS: u64 = 1_200;
-/// A generation is resumed from its backup at the latest this long before its engine is gone.
-const BACKUP_SWITCH_MARGIN_MS: u64 = 200;
-/// If an engine sends no event for this long, its generation is resumed from the backup, if there
-/// is one. Engines produce an event every 30 to 100 ms, and pauses of more than 180 ms count as
-/// stalls.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// The response stream of the engine that runs a generation.
 pub(super) struct EngineStream {
     pub(super) exchange: Exchange,
@@ -157,6 +147,12 @@
             if Instant::now() >= self.job.deadline {
                 return Err("out of time".to_owned());
             }
+            if self
+                .handover_ends_at()
+                .is_some_and(|at| Instant::now() >= at)
+            {
+                self.detach_source(Reason::Leaving, "another engine was asked to go on");
+            }
             if self.source.is_none() && self.resumption.is_none() {
                 return Err("no engine holds a copy of the KV cache".to_owned());
             }
@@ -270,65 +266,6 @@
         self.events.take_rest()
     }
 
-    /// If the engine is leaving, prepares to resume the generation elsewhere: from the backup if
-    /// there is one, else by a migration.
-    fn check_departure(&mut self) {
-        let (None, None, Some(source)) = (&self.migration, &self.resumption, &self.source) else {
-            return;
-        };
-        // A generation can be migrated only after its first token.
-        let Some(first_event_ms) = self.first_event_ms else {
-            return;
-        };
-        let identity = Arc::clone(&source.ticket.identity);
-        let now_ms = monotonic_ms();
-        let (leaving, backup_leaving) = self.gateway.with_view(|view| {
-            let backup = self.backup.as_ref();
-            let backup_leaving = backup.is_some_and(|b| view.leaving(&b.identity).is_some());
-            (view.leaving(&identity), backup_leaving)
-        });
-        if backup_leaving {
-            self.backup = None;
-        }
-        let Some(leaving) = leaving else {
-            return;
-        };
-        if self.backup.is_some() {
-            let latest_ms = leaving
-                .gone_at_ms
-                .unwrap_or(u64::MAX)
-                .saturating_sub(BACKUP_SWITCH_MARGIN_MS);
-            let switch_at_ms = (first_event_ms + BACKUP_COPY_MS).min(latest_ms);
-            self.switch_at_ms = Some(switch_at_ms);
-            if now_ms >= switch_at_ms {
-                self.begin_resumption(Reason::Leaving);
-            }
-            return;
-        }
-        if !self.engine.moves {
-            return;
-        }
-        tracing::info!(
-            request = &*self.job.id,
-            instance = &*identity,
-            gone_in_ms = leaving.gone_at_ms.map(|at_ms| at_ms.saturating_sub(now_ms)),
-            last_event = self.last_event,
-            "engine is shutting down; migrating the generation"
-        );
-        let from = source.ticket.address;
-        let plan = MigrationPlan {
-            request_id: Arc::clone(&self.job.id),
-            service: Arc::clone(&self.job.service),
-            from,
-            from_identity: identity,
-            demand: self.job.demand,
-            held_tokens: self.held_tokens(),
-            engine: self.engine,
-            gone_at_ms: leaving.gone_at_ms,
-        };
-        self.migration = Some(Migration::begin(Arc::clone(&self.gateway), plan));
-    }
-
     /// Returns the number of tokens in the generation's KV cache.
     fn held_tokens(&self) -> u64 {
         self.job.demand.prompt_tokens + self.produced_tokens()
@@ -339,35 +276,6 @@
         events * u64::from(self.engine.tokens_per_event)
     }
 
-    /// Returns when the state has to be checked even if nothing is received.
-    fn next_check_at(&self) -> Instant {
-        let stalled_at = match self.backup {
-            _ if self.resumption.is_some() => return self.job.deadline,
-            Some(_) if self.first_event_ms.is_some() => self.last_event_at + self.silence_limit(),
-            _ => self.job.deadline,
-        };
-        match self.switch_at_ms {
-            Some(at_ms) => {
-                let wait_ms = at_ms.saturating_sub(monotonic_ms()).max(1);
-                stalled_at.min(Instant::now() + Duration::from_millis(wait_ms))
-            }
-            None => stalled_at,
-        }
-    }
-
-    fn has_stalled(&self) -> bool {
-        self.backup.is_some()
-            && self.resumption.is_none()
-            && self.first_event_ms.is_some()
-            && self.last_event_at.elapsed() >= self.silence_limit()
-    }
-
-    /// Returns the time without an event after which the backup is asked. It doubles with each
-    /// refusal.
-    fn silence_limit(&self) -> Duration {
-        EVENT_TIMEOUT.saturating_mul(2_u32.saturating_pow(self.silent_attempts))
-    }
-
     /// Starts to resume the generation from its backup while its engine may still go on.
     fn begin_resumption(&mut self, reason: Reason) {
         let Some(backup) = &self.backup else {
@@ -378,12 +286,8 @@
     }
 
     fn resumer(&self) -> Resumer {
-        Resumer {
-            gateway: Arc::clone(&self.gateway),
-            job: Arc::clone(&self.job),
-            engine: self.engine,
-            last_event: self.last_event,
-        }
+        let (gateway, job) = (Arc::clone(&self.gateway), Arc::clone(&self.job));
+        Resumer::new(gateway, job, self.engine)
     }
 
     /// Drops the stream of an engine that has failed or has stopped the generation, and starts to
--- a/src/roles/gateway/resume.rs
+++ b/src/roles/gateway/resume.rs
@@ -2,13 +2,13 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::Gateway;
 use super::generation::with_backup;
@@ -90,6 +90,8 @@
 /// An attempt in progress. Dropping it cancels the attempt and closes its connection.
 pub(super) struct Resumption {
     pub(super) reason: Reason,
+    /// When the request was sent; unset before that.
+    asked_at: Arc<OnceLock<Instant>>,
     attempt: Pin<Box<dyn Future<Output = ResumeResult> + Send>>,
 }
 
@@ -100,7 +102,10 @@
         let copy = format!("{}/{}", ticket.address, resumer.job.id);
         Self {
             reason,
-            attempt: Box::pin(async move { resumer.resume_at(ticket, &copy).await }),
+            asked_at: Arc::clone(&resumer.asked_at),
+            attempt: Box::pin(
+                async move { resumer.resume_at(ticket, &copy, RESUME_TIMEOUT).await },
+            ),
         }
     }
 
@@ -114,10 +119,16 @@
     ) -> Self {
         Self {
             reason,
+            asked_at: Arc::clone(&resumer.asked_at),
             attempt: Box::pin(resumer.resume_migrated(migration, source)),
         }
     }
 
+    /// Returns when the other engine was asked; `None` if it has not been yet.
+    pub(super) fn asked_at(&self) -> Option<Instant> {
+        self.asked_at.get().copied()
+    }
+
     /// Returns the result of an attempt, which must not be used again after that. Never returns if
     /// there is no attempt.
     pub(super) async fn finish(attempt: &mut Option<Self>) -> ResumeResult {
@@ -133,11 +144,19 @@
     pub(super) gateway: Arc<Gateway>,
     pub(super) job: Arc<Job>,
     pub(super) engine: EngineSpec,
-    /// Id of the last event that was relayed.
-    pub(super) last_event: Option<u64>,
+    asked_at: Arc<OnceLock<Instant>>,
 }
 
 impl Resumer {
+    pub(super) fn new(gateway: Arc<Gateway>, job: Arc<Job>, engine: EngineSpec) -> Self {
+        Self {
+            gateway,
+            job,
+            engine,
+            asked_at: Arc::default(),
+        }
+    }
+
     async fn resume_migrated(self, migration: Migration, source: Ticket) -> ResumeResult {
         let stopped = match timeout(MOVE_TIMEOUT, migration.finish()).await {
             Ok(Some(stopped)) => Ok(stopped),
@@ -148,26 +167,27 @@
             .map_err(|(label, cause)| self.failed(ResumeFailure::unknown(label, cause.into())))?;
         let copy = format!("{}/{handle}", source.address);
         if let Some(target) = target {
-            match self.resume_at(target, &copy).await {
+            match self.resume_at(target, &copy, RESUME_TIMEOUT).await {
                 Err(failure) if failure.not_run => {}
                 result => return result,
             }
         }
-        self.resume_at(source, &copy).await
+        self.resume_at(source, &copy, RESUME_TIMEOUT).await
     }
 
-    /// Resumes the generation at an engine from a copy, which is given as `address/handle`.
-    async fn resume_at(&self, ticket: Ticket, copy: &str) -> ResumeResult {
+    /// Resumes the generation at an engine from a copy, which is given as `address/handle`. Waits up
+    /// to `pause_limit` if the engine has asked for time.
+    async fn resume_at(&self, ticket: Ticket, copy: &str, pause_limit: Duration) -> ResumeResult {
         tracing::info!(
             request = &*self.job.id,
             instance = &*ticket.identity,
             copy,
-            last_event = self.last_event,
+            last_event = self.job.open.last_event(),
             left_ms = self.job.left_ms(),
             "resuming the generation"
         );
         let identity = Arc::clone(&ticket.identity);
-        let resumed = self.try_resume(ticket, copy).await;
+        let resumed = self.try_resume(ticket, copy, pause_limit).await;
         let resumed = resumed.map_err(|failure| self.failed(failure))?;
         self.gateway.metrics.count_resumption("resumed");
         self.gateway.metrics.count_move("continued");
@@ -175,16 +195,16 @@
         tracing::info!(
             request = &*self.job.id,
             instance = &*identity,
-            last_event = self.last_event,
+            last_event = self.job.open.last_event(),
             "generation resumed"
         );
         Ok(resumed)
     }
 
-    async fn try_resume(&self, ticket: Ticket, copy: &str) -> ResumeResult {
+    async fn try_resume(&self, ticket: Ticket, copy: &str, pause_limit: Duration) -> ResumeResult {
         let (gateway, identity) = (&self.gateway, &ticket.identity);
         let backup = gateway.choose_backup(&self.job, self.engine, &ticket);
-        if !gateway.wait_until_unpaused(identity, RESUME_TIMEOUT).await {
+        if !gateway.wait_until_unpaused(identity, pause_limit).await {
             let cause = format!("requests to {identity} are paused");
             return Err(ResumeFailure::not_run("paused", cause));
         }
@@ -194,6 +214,8 @@
             return Err(ResumeFailure::not_run("limited", cause));
         }
         let request = with_backup(self.request(&ticket, copy), backup.as_ref());
+        // Only the first of several engines is asked while the one before may still run.
+        self.asked_at.get_or_init(Instant::now);
         let sending = gateway.send(&ticket, request, &self.job.id);
         let sent = timeout(RESUME_TIMEOUT, sending).await;
         match sent {
@@ -232,10 +254,9 @@
         if let Some(value) = headers::value(copy) {
             sent.insert(headers::CONTINUE_FROM, value);
         }
-        if let Some(value) = self
-            .last_event
-            .and_then(|id| headers::value(&id.to_string()))
-        {
+        // Read now, as the engine before may have gone on until here.
+        let last_event = self.job.open.last_event();
+        if let Some(value) = last_event.and_then(|id| headers::value(&id.to_string())) {
             sent.insert(headers::LAST_EVENT, value);
         }
         request
@@ -248,7 +269,7 @@
             request = &*self.job.id,
             reason = failure.label,
             cause = &*failure.cause,
-            last_event = self.last_event,
+            last_event = self.job.open.last_event(),
             "generation not resumed"
         );
         failure
--- a/tests/site_resumptions.rs
+++ b/tests/site_resumptions.rs
@@ -251,6 +251,51 @@
     assert_eq!(resumptions(&[&first, &second]), 1);
 }
 
+/// Guards against two engines that work on one generation: the one that leaves goes on while the
+/// other one has not answered yet.
+#[tokio::test]
+async fn leaving_engine_is_left_soon_after_another_one_was_asked() {
+    let (site, first, second) = engines_with_backups(|request| {
+        let id = request.id();
+        if is_resumption(request) {
+            let after: u64 = request.header("last-event-id").unwrap().parse().unwrap();
+            return vec![
+                Reply::Pause(Duration::from_millis(800)),
+                Reply::Bytes(sse(id, after + 1..=60, true, true)),
+            ];
+        }
+        let event = |event| {
+            [
+                Reply::Pause(Duration::from_millis(50)),
+                Reply::Bytes(sse(id, event..=event, false, false)),
+            ]
+        };
+        let mut replies = vec![Reply::Bytes(sse(id, 1..=1, true, false))];
+        replies.extend((2..=50).flat_map(event));
+        replies.push(Reply::AwaitClose);
+        replies
+    })
+    .await;
+    let mut stream = call(&site, "/stream/x", "id-1").await;
+    let mut received = stream.chunk().await.unwrap().unwrap().to_vec();
+    let source = usize::from(first.requests("/stream/x").is_empty());
+    site.list.lock().unwrap()[source]["state"] = json!("draining");
+    let engines = [&first, &second];
+    let mut arrivals = Vec::new();
+    while let Some(chunk) = stream.chunk().await.unwrap() {
+        arrivals.push(Instant::now());
+        received.extend_from_slice(&chunk);
+    }
+    assert_eq!(String::from_utf8(received).unwrap(), events(1..=60));
+    assert_eq!(resumptions(&engines), 1);
+    let asked = engines[1 - source].requests("/stream/x");
+    // The other engine sends its first event after 800 ms.
+    let late = OVERLAP_LIMIT..Duration::from_millis(750);
+    let asked_at = asked[0].received_at;
+    let is_late = |at: &Instant| late.contains(&at.saturating_duration_since(asked_at));
+    assert!(!arrivals.iter().any(is_late), "the first engine works on");
+}
+
 /// Guards against a caller that waits past its deadline for an engine to resume its generation.
 #[tokio::test]
 async fn resumption_ends_at_the_deadline_of_the_request() {
@@ -291,6 +336,7 @@
 ) -> (Result<String, String>, Upstream, Upstream) {
     let mut without_copies = document(1);
     without_copies["services"][1]["engine"]["backups"] = json!(false);
+    without_copies["routes"][2]["timeoutMs"] = json!(10_000);
     let mut site = Site::serving(&without_copies).await;
     let leaving = Arc::new(AtomicBool::new(false));
     let notice = Arc::clone(&leaving);
@@ -320,7 +366,8 @@
     let source = site.upstream("model", source).await;
     wait_routable(&site, "/stream/warm").await;
     site.start_sidecar(&source);
-    let mut stream = call(&site, "/stream/x", "id-1").await;
+    let call = patient_caller(&site, "/stream/x", "id-1", 9_000);
+    let mut stream = call.send().await.unwrap();
     let mut received = stream.chunk().await.unwrap().unwrap().to_vec();
     let target = site
         .upstream("model", move |request: &Request| {
