Wait out the pause of the only engine that can go on

What callers saw: a stream that ended although its memory was kept, if the engine that had stopped the generation for a move answered the copy with 503 and Retry-After (found by the review).

Cause: that answer pauses the engine, and a resumption waited for 1 s at most, also where no other engine is left. It now waits until the request's deadline there.

generation_whose_engine_asks_for_time_goes_on_there (Retry-After: 2) fails before ('unexpected EOF during chunk size line') and passes; site_resumptions passes (12).

--- a/src/roles/gateway/resume.rs
+++ b/src/roles/gateway/resume.rs
@@ -172,7 +172,9 @@
                 result => return result,
             }
         }
-        self.resume_at(source, &copy, RESUME_TIMEOUT).await
+        // No other engine is left, so a pause that it asks for is waited out.
+        let pause_limit = Duration::from_millis(self.job.left_ms());
+        self.resume_at(source, &copy, pause_limit).await
     }
 
     /// Resumes the generation at an engine from a copy, which is given as `address/handle`. Waits up
--- a/tests/site_resumptions.rs
+++ b/tests/site_resumptions.rs
@@ -11,7 +11,7 @@
 
 use site_support::{
     Reply, Request, Site, Upstream, answer, call, document, patient_caller, sse, wait_for,
-    wait_routable,
+    wait_routable, with_header,
 };
 
 /// Time between an engine's notice and its shutdown; the shortest on the supported sites.
@@ -393,6 +393,22 @@
     vec![Reply::Bytes(sse(request.id(), 4..=5, true, true))]
 }
 
+/// Guards against a stream that is lost because the only engine that can go on asks for time.
+#[tokio::test]
+async fn generation_whose_engine_asks_for_time_goes_on_there() {
+    let (stream, source, _target) = stream_of_stopped_engine(
+        |_| {
+            let failure = json_answer("503 Service Unavailable", &json!({"handle": "h7"}));
+            with_header(failure, "Retry-After: 2")
+        },
+        rest_of_stream,
+        |_| not_executed(),
+    )
+    .await;
+    assert_eq!(stream.unwrap(), events(1..=5));
+    assert_resumed_at(&source);
+}
+
 /// Asserts that the engine that was stopped got the generation back, from the memory it had kept.
 fn assert_resumed_at(source: &Upstream) {
     let requests = source.requests("/stream/x");
