--- a/src/roles/entry/mod.rs
+++ b/src/roles/entry/mod.rs
@@ -21,6 +21,7 @@
 mod room;
 mod routes;
 mod service_calls;
+mod start;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
