Lock the mutexes of the soak in one place

No change for callers. The function that locks a mutex also after another holder has panicked was written four times in src/soak (platform, steps, upstreams, operator/driver) and in place twice more (recorder, processes).

--- a/src/soak/operator/driver.rs
+++ b/src/soak/operator/driver.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use futures::future;
@@ -15,6 +15,7 @@
 use super::drafts::{Draft, Drafts};
 use crate::platform::paths;
 use crate::soak::history::{DocumentRead, Publication, SentDocument, SentRoute};
+use crate::soak::lock;
 
 /// Number of operators that publish at the same time.
 const OPERATORS: u64 = 2;
@@ -75,10 +76,6 @@
     news: watch::Sender<News>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Operator {
     /// Fails if no HTTP client can be built.
     pub fn new(settings: OperatorSettings, drafts: Drafts) -> reqwest::Result<Arc<Self>> {
--- a/src/soak/platform.rs
+++ b/src/soak/platform.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -12,6 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
+use super::lock;
 use super::plan::Plan;
 use super::processes::Layout;
 use super::recorder::Recorder;
@@ -50,10 +51,6 @@
     rotation: Mutex<BTreeSet<usize>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Platform {
     pub(super) fn new(recorder: Arc<Recorder>) -> Self {
         Self {
--- a/src/soak/processes.rs
+++ b/src/soak/processes.rs
@@ -5,13 +5,14 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use tokio::process::{Child, Command};
 use tokio::time::timeout;
 
+use super::lock;
 use super::plan::Plan;
 use super::recorder::Recorder;
 use crate::soak::history::UnexpectedExit;
@@ -145,10 +146,6 @@
         }
     }
 
-    fn running(&self) -> MutexGuard<'_, BTreeMap<String, Child>> {
-        self.running.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn settings_file(&self, name: &str) -> PathBuf {
         self.folder.join(format!("{name}.ini"))
     }
@@ -179,12 +176,12 @@
                 }
             });
         }
-        self.running().insert(name.to_owned(), child);
+        lock(&self.running).insert(name.to_owned(), child);
         Ok(())
     }
 
     fn pid(&self, name: &str) -> io::Result<Pid> {
-        let running = self.running();
+        let running = lock(&self.running);
         let id = running.get(name).and_then(Child::id);
         id.and_then(|id| Pid::from_raw(i32::try_from(id).ok()?))
             .ok_or_else(|| {
@@ -210,7 +207,7 @@
     pub(super) async fn stop(&self, name: &str, grace: Duration) -> io::Result<()> {
         let pid = self.pid(name)?;
         // Taken out first: its end is expected from here on.
-        let Some(mut child) = self.running().remove(name) else {
+        let Some(mut child) = lock(&self.running).remove(name) else {
             return Ok(());
         };
         kill_process(pid, Signal::TERM)?;
@@ -222,7 +219,7 @@
     }
 
     pub(super) async fn kill(&self, name: &str) -> io::Result<()> {
-        let child = self.running().remove(name);
+        let child = lock(&self.running).remove(name);
         match child {
             Some(mut child) => child.kill().await,
             None => Ok(()),
@@ -233,7 +230,7 @@
     pub(super) fn record_unexpected_exits(&self) {
         let at_ms = self.recorder.now_ms();
         let mut ended = Vec::new();
-        self.running().retain(|name, child| match child.try_wait() {
+        lock(&self.running).retain(|name, child| match child.try_wait() {
             Ok(None) => true,
             result => {
                 ended.push(UnexpectedExit {
--- a/src/soak/recorder.rs
+++ b/src/soak/recorder.rs
@@ -1,9 +1,10 @@
 //! Collects the history of a run.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Instant;
 
 use super::history::{Fault, FaultKind, History};
+use super::lock;
 
 pub(super) struct Recorder {
     started_at: Instant,
@@ -28,7 +29,7 @@
     }
 
     pub(super) fn history(&self) -> MutexGuard<'_, History> {
-        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.history)
     }
 
     /// Records a fault that began at `at_ms` and is over now.
--- a/src/soak/steps.rs
+++ b/src/soak/steps.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use rustix::process::Signal;
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use super::document::{ENGINE_SERVICE, PLAIN_SERVICES};
+use super::lock;
 use super::plan::Action;
 use super::platform::Platform;
 use super::processes::{Layout, Processes, control_name, entry_name};
@@ -46,10 +47,6 @@
     busy: Mutex<BTreeSet<String>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Place {
     pub(super) async fn new(index: usize, own_address: SocketAddr, seed: u64) -> io::Result<Self> {
         Ok(Self {
--- a/src/soak/upstreams.rs
+++ b/src/soak/upstreams.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -15,6 +15,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
+use super::lock;
 use super::recorder::Recorder;
 use super::wire::{Head, Input, response};
 use crate::soak::history::{Execution, ExecutionEnd};
@@ -70,10 +71,6 @@
     next_handle: AtomicU64,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Fleet {
     pub(super) fn new(recorder: Arc<Recorder>) -> Self {
         Self {
