Keep the protocol's names for stand-ins in src/platform

No change for callers.

src/platform/standin encodes and decodes the other side of the protocol from the types of src/domain: callers.rs (head of a call), list.rs (pages and tokens), replicas.rs (requests, reports, moves), documents.rs and faults.rs (valid and invalid documents). The names of headers come from headers.rs, which gains the model and the seal; paths gains those of the list, the report and the moves, used by calls.rs too. The soak's catalog takes an EngineSpec in place of JSON, its routes are those of src/domain/document, and two tests write their catalog so; it decodes to the same specification.

No header, field or path of the protocol is found in src/soak. On the wire, header names that the soak sends are in lower case now.

--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -17,7 +17,7 @@
 use tokio::time::error::Elapsed;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::{HEAD_LIMIT_BYTES, decode_instances, decode_report, headers};
+use super::{HEAD_LIMIT_BYTES, decode_instances, decode_report, headers, paths};
 use crate::domain::fleet::{AskedPause, Listed, NamedLimit, Report};
 
 /// Upper bound on a page of the list, which has about 15 KB on the sites planned for.
@@ -93,13 +93,13 @@
     let deadline = Instant::now() + limit;
     let mut connection = None;
     let mut listed = Vec::new();
-    let mut path = "/instances".to_owned();
+    let mut path = paths::INSTANCES.to_owned();
     for _ in 0..MAX_PAGES {
         let body = read_page(&mut connection, address, &path, deadline).await?;
         let (page, next) = decode_instances(&body).map_err(CallFailure::Failed)?;
         listed.extend(page);
         match next {
-            Some(token) => path = format!("/instances?pageToken={token}"),
+            Some(token) => path = format!("{}?pageToken={token}", paths::INSTANCES),
             None => return Ok(listed),
         }
     }
@@ -170,10 +170,15 @@
         let response = get(
             &mut self.connection,
             address,
-            "/report",
+            paths::REPORT,
             MAX_REPLICA_RESPONSE_BYTES,
         );
-        let response = check_response(address, "/report", limit, timeout(limit, response).await)?;
+        let response = check_response(
+            address,
+            paths::REPORT,
+            limit,
+            timeout(limit, response).await,
+        )?;
         let report = decode_report(response.body()).map_err(CallFailure::Failed)?;
         let report = Report {
             draining: report.draining || headers::announces_shutdown(response.headers()),
@@ -220,8 +225,8 @@
         "last": stop,
     });
     let (path, sending) = (
-        "/kv-move",
-        send(source, Method::POST, "/kv-move", body.to_string()),
+        paths::MOVE,
+        send(source, Method::POST, paths::MOVE, body.to_string()),
     );
     let response = timeout(limit, sending).await;
     let handle = match &response {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -23,6 +23,10 @@
 pub const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-lilacspindle-prompt-prefix");
 /// The caller's estimate of the number of output tokens.
 pub const LENGTH_HINT: HeaderName = HeaderName::from_static("x-lilacspindle-length-hint");
+/// Model that a generation asks for.
+pub(crate) const MODEL: HeaderName = HeaderName::from_static("x-lilacspindle-model");
+/// Set on each response of a replica that executed the request.
+pub(crate) const SEAL: HeaderName = HeaderName::from_static("x-lilacspindle-response-seal");
 /// Set on a response if the replica did not execute the request.
 pub const NOT_RUN: HeaderName = HeaderName::from_static("x-lilacspindle-not-executed");
 /// Priority at the engine, from 0 (first) to 9 (last); engines assume 5 if it is absent.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 pub mod headers;
 mod instances;
 mod reports;
+pub(crate) mod standin;
 
 pub use calls::{
     CallFailure, MoveFailure, ReportReader, move_generation, read_identity, read_list,
@@ -26,4 +27,12 @@
     pub const READ: &str = "/Configuration.Read";
     /// Readiness check: returns whether an entry accepts new connections.
     pub const READINESS: &str = "/readiness";
+    /// List of instances, of the platform.
+    pub(crate) const INSTANCES: &str = "/instances";
+    /// Status report of a replica.
+    pub(crate) const REPORT: &str = "/report";
+    /// Copies the memory of a generation to another replica.
+    pub(crate) const MOVE: &str = "/kv-move";
+    /// Common prefix of the calls to a replica that concern its memory.
+    pub(crate) const MEMORY_PREFIX: &str = "/kv-";
 }
--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -20,6 +20,8 @@
 use super::processes::{Layout, entry_name};
 use super::recorder::Recorder;
 use super::wire::{Head, Input};
+use crate::platform::headers;
+use crate::platform::standin::{CallHead, GenerationSize, encode_call_head};
 use crate::soak::history::{Call, CallEnd, SentRoute};
 use crate::soak::operator::News;
 
@@ -28,6 +30,9 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 const STEP_MS: u64 = 30;
 const PLAIN_DEADLINE_MS: u64 = 3_000;
+const PROMPT_TOKENS: u64 = 400;
+/// Output tokens that a caller allows for each event.
+const TOKENS_PER_EVENT: u64 = 4;
 
 /// What the callers of a run share.
 pub(super) struct Callers {
@@ -154,29 +159,19 @@
             "events": behaviour.events, "step_ms": STEP_MS, "takes_ms": behaviour.takes_ms,
         })
         .to_string();
-        let key = call.key.as_ref();
-        let key = key.map_or_else(String::new, |key| {
-            format!("Authorization: Bearer {key}\r\n")
+        let head = encode_call_head(&CallHead {
+            path: &call.path,
+            host: &call.host,
+            id: &call.id,
+            deadline_ms: call.deadline_ms,
+            key: call.key.as_deref(),
+            generation: route.is_stream.then(|| GenerationSize {
+                prompt_tokens: PROMPT_TOKENS,
+                max_output_tokens: behaviour.events * TOKENS_PER_EVENT,
+                session: connection.number + 1,
+            }),
+            body_bytes: body.len(),
         });
-        let tokens = match route.is_stream {
-            true => format!(
-                "X-Lilacspindle-Model: m\r\nX-Lilacspindle-Token-Usage: 400,{}\r\n\
-                 X-Lilacspindle-Prompt-Prefix: {:x}:400\r\n",
-                behaviour.events * 4,
-                connection.number + 1,
-            ),
-            false => String::new(),
-        };
-        let head = format!(
-            "POST {} HTTP/1.1\r\nHost: {}\r\nX-Lilacspindle-Request-Id: {}\r\n\
-             X-Lilacspindle-Deadline-Milliseconds: {}\r\n{key}{tokens}\
-             Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
-            call.path,
-            call.host,
-            call.id,
-            call.deadline_ms,
-            body.len()
-        );
         call.sent_ms = self.recorder.now_ms();
         let sent = async {
             connection.writer.write_all(head.as_bytes()).await?;
@@ -218,7 +213,7 @@
         let head = input.head().await?;
         call.head_ms = Some(self.recorder.now_ms());
         call.status = head.word(1).parse().ok();
-        call.is_sealed = head.header("x-lilacspindle-response-seal").is_some();
+        call.is_sealed = head.header(headers::SEAL.as_str()).is_some();
         if !(call.is_stream && head.is_chunked()) {
             let body = input.body(&head).await?;
             call.is_own_body = body == format!("answer to {}", call.id).into_bytes();
--- a/src/soak/document.rs
+++ b/src/soak/document.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use serde_json::json;
-
 use super::operator::{Catalog, OperatorSettings};
 use super::processes::{Layout, control_name};
 use super::recorder::Recorder;
+use super::upstreams::{MEMORY_TOKENS, SLOTS, TOKENS_PER_EVENT};
+use crate::domain::document::EngineSpec;
 
 pub(super) const PLAIN_SERVICES: [&str; 2] = ["sums", "words"];
 pub(super) const ENGINE_SERVICE: &str = "essays";
@@ -22,10 +22,15 @@
         host: HOST.into(),
         plain: PLAIN_SERVICES.map(Into::into).to_vec(),
         engines: vec![ENGINE_SERVICE.into()],
-        engine: json!({"slots": super::upstreams::SLOTS, "kvCacheTokens": 200_000,
-            "kvBytes": 163_840, "linkMbps": 24_000.0, "moves": true, "backups": true,
-            "stride": 4, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0, "handleS": 5.0,
-            "models": [{"name": "m"}]}),
+        engine: EngineSpec {
+            slots: SLOTS,
+            memory_tokens: MEMORY_TOKENS,
+            bytes_per_token: 163_840,
+            link_mbps: 24_000,
+            tokens_per_event: TOKENS_PER_EVENT,
+            moves: true,
+            backups: true,
+        },
         timeout_ms: TIMEOUT_MS,
     }
 }
--- a/src/soak/operator/drafts.rs
+++ b/src/soak/operator/drafts.rs
@@ -5,10 +5,15 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::domain::document::{
+    CallerLimits, Document, EngineSpec, Repeat, Route, Service, Share, Workspace,
+};
+use crate::model::WorkspaceName;
+use crate::platform::standin;
 use crate::soak::history::{SentDocument, SentRoute};
+use crate::soak::upstreams::HEALTH_PATH;
 
 /// Number of routes of each kind that every document has.
 const FIXED_ROUTES: usize = 2;
@@ -16,6 +21,18 @@
 /// Bound on the routes that are added.
 const MAX_ADDED_ROUTES: usize = 12;
 
+const REPEATS: [Repeat; 3] = [Repeat::Safe, Repeat::Once, Repeat::Stream];
+const TARGET_MS: u64 = 1_500;
+const GAP_TARGET_MS: u64 = 180;
+const PRIORITY: u32 = 1;
+const MAX_CONNECTIONS: u32 = 200;
+const LIMITS: CallerLimits = CallerLimits {
+    header_bytes: 16_384,
+    body_bytes: 4_194_304,
+    header_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+};
+
 /// What the documents of a run are made of.
 #[derive(Debug, Clone)]
 pub struct Catalog {
@@ -24,8 +41,7 @@
     /// named in a document once a route leads to it.
     pub plain: Vec<Arc<str>>,
     pub engines: Vec<Arc<str>>,
-    /// The `engine` object of the engines' services.
-    pub engine: Value,
+    pub engine: EngineSpec,
     /// Longest time-out of a route.
     pub timeout_ms: u64,
 }
@@ -49,22 +65,12 @@
     }
 }
 
-#[derive(Debug, Clone)]
-struct RouteDraft {
-    prefix: Arc<str>,
-    kind: &'static str,
-    timeout_ms: u64,
-    max_attempts: u32,
-    is_anonymous: bool,
-    shares: Vec<(Arc<str>, u32)>,
-}
-
 /// A sequence of documents that is determined by its seed.
 pub struct Drafts {
     pub(super) random: StdRng,
     catalog: Catalog,
     version: u64,
-    routes: Vec<RouteDraft>,
+    routes: Vec<Route>,
     /// Keys by workspace.
     workspaces: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
     /// Number of names given to routes, workspaces and keys.
@@ -85,9 +91,9 @@
             names: 0,
             padded_bytes: 0,
         };
-        for kind in ["safe", "unsafe", "streaming"] {
+        for repeat in REPEATS {
             for _ in 0..FIXED_ROUTES {
-                drafts.add_route(kind);
+                drafts.add_route(repeat);
             }
         }
         for _ in 0..2 {
@@ -127,23 +133,28 @@
         format!("{kind}{:x}-{}", self.random.random::<u16>(), self.names).into()
     }
 
-    fn add_route(&mut self, kind: &'static str) {
+    fn add_route(&mut self, repeat: Repeat) {
         let name = self.next_name("r");
-        let service = self.any_service(kind);
-        self.routes.push(RouteDraft {
+        let service = self.any_service(repeat);
+        self.routes.push(Route {
+            host: Arc::clone(&self.catalog.host),
             prefix: format!("/{name}/").into(),
-            kind,
+            name,
+            repeat,
             timeout_ms: self.catalog.timeout_ms,
-            max_attempts: if kind == "safe" { 2 } else { 1 },
-            is_anonymous: self.random.random_ratio(1, 4),
-            shares: vec![(service, 1)],
+            target_ms: TARGET_MS,
+            gap_target_ms: Some(GAP_TARGET_MS),
+            priority: PRIORITY,
+            max_attempts: if repeat == Repeat::Safe { 2 } else { 1 },
+            anonymous: self.random.random_ratio(1, 4),
+            shares: vec![Share { service, weight: 1 }],
         });
     }
 
-    fn any_service(&mut self, kind: &str) -> Arc<str> {
-        let services = match kind {
-            "streaming" => &self.catalog.engines,
-            _ => &self.catalog.plain,
+    fn any_service(&mut self, repeat: Repeat) -> Arc<str> {
+        let services = match repeat {
+            Repeat::Stream => &self.catalog.engines,
+            Repeat::Safe | Repeat::Once => &self.catalog.plain,
         };
         let index = self.random.random_range(0..services.len());
         Arc::clone(&services[index])
@@ -168,18 +179,20 @@
 
     fn change(&mut self) {
         let index = self.random.random_range(0..self.routes.len());
-        let kind = self.routes[index].kind;
+        let repeat = self.routes[index].repeat;
         let fixed = 3 * FIXED_ROUTES;
         match self.random.random_range(0..9) {
             0 | 1 => {
-                let service = self.any_service(kind);
-                self.routes[index].shares = vec![(service, 1)];
+                let service = self.any_service(repeat);
+                self.routes[index].shares = vec![Share { service, weight: 1 }];
             }
             2 => {
-                let split = [self.any_service(kind), self.any_service(kind)];
+                let split = [self.any_service(repeat), self.any_service(repeat)];
                 let weight = self.random.random_range(0..100);
-                let weights = [weight, 100 - weight];
-                self.routes[index].shares = split.into_iter().zip(weights).collect();
+                let shares = split.into_iter().zip([weight, 100 - weight]);
+                self.routes[index].shares = shares
+                    .map(|(service, weight)| Share { service, weight })
+                    .collect();
             }
             3 => {
                 let longest_ms = self.catalog.timeout_ms;
@@ -187,8 +200,8 @@
                     self.random.random_range(longest_ms / 2..=longest_ms);
             }
             4 | 5 if self.routes.len() < fixed + MAX_ADDED_ROUTES => {
-                let kind = ["safe", "unsafe", "streaming"][self.random.random_range(0..3)];
-                self.add_route(kind);
+                let repeat = REPEATS[self.random.random_range(0..3)];
+                self.add_route(repeat);
             }
             4..=6 if self.routes.len() > fixed => {
                 let index = self.random.random_range(fixed..self.routes.len());
@@ -213,91 +226,73 @@
         keys.insert(added);
     }
 
-    fn draft(&mut self) -> Draft {
-        let mut wire = self.wire();
-        let unpadded = wire.to_string().len();
-        if let Some(routes) = wire["routes"].as_array_mut() {
-            let example = routes[0].clone();
-            let padding = self.padded_bytes.saturating_sub(unpadded) / example.to_string().len();
-            for n in 0..padding {
-                let mut route = example.clone();
-                route["name"] = json!(format!("p-{n}"));
-                route["host"] = json!(format!("padding-{}.example", n % 50));
-                route["pathPrefix"] = json!(format!("/p{n}/"));
-                routes.push(route);
-            }
+    fn draft(&self) -> Draft {
+        let mut document = self.document();
+        let mut body = standin::encode_document(&document);
+        let padding = document.routes.first().map_or(0, |example| {
+            let missing_bytes = self.padded_bytes.saturating_sub(body.len());
+            missing_bytes / standin::encode_route(example).len()
+        });
+        if padding > 0 {
+            let example = Route::clone(&document.routes[0]);
+            let routes = (0..padding).map(|n| {
+                Arc::new(Route {
+                    name: format!("p-{n}").into(),
+                    host: format!("padding-{}.example", n % 50).into(),
+                    prefix: format!("/p{n}/").into(),
+                    ..example.clone()
+                })
+            });
+            document.routes.extend(routes);
+            body = standin::encode_document(&document);
         }
-        Draft::new(wire.to_string().into_bytes(), self.sent())
+        Draft::new(body, self.sent())
     }
 
-    /// Returns the last document as JSON, without padding.
-    pub(super) fn wire(&self) -> Value {
-        let routes: Vec<Value> = self
-            .routes
-            .iter()
-            .map(|route| self.wire_route(route))
-            .collect();
+    /// Returns the last document, without padding.
+    pub(super) fn document(&self) -> Document {
         let named: BTreeSet<&Arc<str>> = self
             .routes
             .iter()
-            .flat_map(|route| route.shares.iter().map(|(service, _)| service))
+            .flat_map(|route| route.shares.iter().map(|share| &share.service))
             .collect();
-        let services: Vec<Value> = named
-            .into_iter()
-            .map(|name| {
-                let mut service =
-                    json!({"name": name, "healthCheckPath": "/health", "maxConnections": 200});
-                if self.catalog.engines.contains(name) {
-                    service["engine"] = self.catalog.engine.clone();
-                }
-                service
-            })
-            .collect();
-        let workspaces: Vec<Value> = self
-            .workspaces
-            .iter()
-            .map(|(name, keys)| json!({"name": name, "apiKeys": keys, "priority": 1}))
-            .collect();
-        json!({
-            "version": self.version, "routes": routes, "services": services,
-            "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 4_194_304,
-                "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
-            "tenants": workspaces,
-        })
-    }
-
-    fn wire_route(&self, route: &RouteDraft) -> Value {
-        let mut wire = json!({
-            "name": route.prefix.trim_matches('/'), "host": self.catalog.host,
-            "pathPrefix": route.prefix, "kind": route.kind, "timeoutMs": route.timeout_ms,
-            "targetLatencyMs": 1_500, "priority": 1, "maxAttempts": route.max_attempts,
-            "allowAnonymous": route.is_anonymous, "gapTargetMs": 180,
+        let services = named.into_iter().map(|name| Service {
+            name: Arc::clone(name),
+            max_connections: MAX_CONNECTIONS,
+            health_path: Some(HEALTH_PATH.into()),
+            engine: self
+                .catalog
+                .engines
+                .contains(name)
+                .then_some(self.catalog.engine),
         });
-        match &route.shares[..] {
-            [(service, _)] => wire["service"] = json!(service),
-            shares => {
-                let split = shares
-                    .iter()
-                    .map(|(service, weight)| json!({"service": service, "weight": weight}));
-                wire["trafficSplit"] = split.collect();
-            }
+        let workspaces = self.workspaces.iter().map(|(name, keys)| Workspace {
+            name: WorkspaceName(Arc::clone(name)),
+            keys: keys.iter().map(Arc::clone).collect(),
+            priority: Some(PRIORITY),
+        });
+        Document {
+            version: self.version,
+            routes: self.routes.iter().cloned().map(Arc::new).collect(),
+            services: services.collect(),
+            workspaces: workspaces.collect(),
+            limits: LIMITS,
         }
-        wire
     }
 
     /// Returns what the checker knows of the last document.
     pub(super) fn sent(&self) -> SentDocument {
         let routes = self.routes.iter().map(|route| {
-            let used = route.shares.iter().filter(|(_, weight)| *weight > 0);
+            let used = route.shares.iter().filter(|share| share.weight > 0);
             SentRoute {
-                host: Arc::clone(&self.catalog.host),
+                host: Arc::clone(&route.host),
                 prefix: Arc::clone(&route.prefix),
-                services: used.map(|(service, _)| Arc::clone(service)).collect(),
+                services: used.map(|share| Arc::clone(&share.service)).collect(),
                 timeout_ms: route.timeout_ms,
-                is_stream: route.kind == "streaming",
-                is_safe: route.kind == "safe",
+                is_stream: route.repeat == Repeat::Stream,
+                is_safe: route.repeat == Repeat::Safe,
                 max_attempts: route.max_attempts,
-                is_anonymous: route.is_anonymous,
+                is_anonymous: route.anonymous,
             }
         });
         let keys = self.workspaces.iter().flat_map(|(workspace, keys)| {
--- a/src/soak/operator/driver.rs
+++ b/src/soak/operator/driver.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::drafts::{Draft, Drafts};
-use crate::platform::paths;
+use crate::platform::{paths, standin};
 use crate::soak::history::{DocumentRead, Publication, SentDocument, SentRoute};
 use crate::soak::lock;
 
@@ -298,8 +298,7 @@
         let answer = self.read_from(address).await;
         let (status, body) = answer.unzip();
         let document = body.filter(|_| status == Some(200)).map(|body: Vec<u8>| {
-            let wire: Option<serde_json::Value> = serde_json::from_slice(&body).ok();
-            let version = wire.and_then(|wire| wire["version"].as_u64());
+            let version = standin::decode_version(&body);
             (version.unwrap_or(0), xxh3_64(&body))
         });
         lock(&self.record).reads.push(DocumentRead {
--- a/src/soak/platform.rs
+++ b/src/soak/platform.rs
@@ -7,7 +7,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -16,7 +15,10 @@
 use super::plan::Plan;
 use super::processes::Layout;
 use super::recorder::Recorder;
-use super::wire::{Head, Input, response};
+use super::wire::{Head, Input, json_response, response};
+use crate::domain::fleet::{Listed, ListedState};
+use crate::model::ZoneName;
+use crate::platform::{paths, standin};
 
 const LIST_LAG_MS: u64 = 600;
 const PAGE_ENTRIES: usize = 50;
@@ -27,9 +29,8 @@
 const MAX_MISSES: u32 = 2;
 
 /// One entry of the list, and when it became true.
-struct Listed {
-    identity: Arc<str>,
-    entry: Value,
+struct ListEntry {
+    instance: Listed,
     since_ms: u64,
     /// When the instance began to drain, and when it ended.
     draining_ms: Option<u64>,
@@ -45,7 +46,7 @@
 
 pub(super) struct Platform {
     recorder: Arc<Recorder>,
-    listed: Mutex<Vec<Listed>>,
+    listed: Mutex<Vec<ListEntry>>,
     rate: Mutex<Rate>,
     /// Numbers of the entries in rotation.
     rotation: Mutex<BTreeSet<usize>>,
@@ -68,16 +69,20 @@
         service: &str,
         address: SocketAddr,
         machine: usize,
-        slots: usize,
+        slots: u32,
     ) {
-        let entry = json!({
-            "identifier": &**identity, "service": service, "address": address.to_string(),
-            "zone": format!("z{}", Plan::zone(machine)), "version": "v1", "slots": slots,
-            "state": "ready", "coldRemainingMs": 0,
-        });
-        lock(&self.listed).push(Listed {
+        let instance = Listed {
             identity: Arc::clone(identity),
-            entry,
+            service: service.into(),
+            address,
+            zone: ZoneName(format!("z{}", Plan::zone(machine)).into()),
+            slots,
+            state: ListedState::Ready,
+            cold: false,
+            born_ms: None,
+        };
+        lock(&self.listed).push(ListEntry {
+            instance,
             since_ms: self.recorder.now_ms(),
             draining_ms: None,
             ended_ms: None,
@@ -87,7 +92,7 @@
     pub(super) fn drain(&self, identity: &str) {
         let now_ms = self.recorder.now_ms();
         for listed in lock(&self.listed).iter_mut() {
-            if &*listed.identity == identity {
+            if &*listed.instance.identity == identity {
                 listed.draining_ms = Some(now_ms);
             }
         }
@@ -96,14 +101,14 @@
     pub(super) fn end(&self, identity: &str) {
         let now_ms = self.recorder.now_ms();
         for listed in lock(&self.listed).iter_mut() {
-            if &*listed.identity == identity {
+            if &*listed.instance.identity == identity {
                 listed.ended_ms = Some(now_ms);
             }
         }
     }
 
     /// Returns the list as of some time ago.
-    fn lagging_list(&self) -> Vec<Value> {
+    fn lagging_list(&self) -> Vec<Listed> {
         let as_of_ms = self.recorder.now_ms().saturating_sub(LIST_LAG_MS);
         let listed = lock(&self.listed);
         let current = listed.iter().filter(|listed| {
@@ -112,11 +117,11 @@
             is_known && listed.ended_ms.is_none_or(|ended_ms| ended_ms > as_of_ms)
         });
         let entries = current.map(|listed| {
-            let mut entry = listed.entry.clone();
+            let mut instance = listed.instance.clone();
             if listed.draining_ms.is_some_and(|at_ms| at_ms <= as_of_ms) {
-                entry["state"] = json!("draining");
+                instance.state = ListedState::Draining;
             }
-            entry
+            instance
         });
         entries.collect()
     }
@@ -153,18 +158,11 @@
         if !self.admits_call() {
             return response("429 Too Many Requests", "", b"");
         }
-        let token = head.word(1).split_once("pageToken=p-");
-        let first = token.map_or(0, |(_, token)| token.parse().unwrap_or(0));
         let list = self.lagging_list();
-        let next = first + PAGE_ENTRIES;
-        let page: Vec<&Value> = list.iter().skip(first).take(PAGE_ENTRIES).collect();
-        let next = (next < list.len()).then(|| format!("p-{next}"));
-        let body = json!({"instances": page, "next": next}).to_string();
-        response(
-            "200 OK",
-            "Content-Type: application/json\r\n",
-            body.as_bytes(),
-        )
+        let first = standin::first_of_page(head.word(1)).min(list.len());
+        let next = list.len().min(first + PAGE_ENTRIES);
+        let body = standin::encode_page(&list[first..next], (next < list.len()).then_some(next));
+        json_response("200 OK", &body)
     }
 
     /// Probes an entry once per second and keeps its place in the rotation.
@@ -205,7 +203,10 @@
 
 async fn probe(address: SocketAddr) -> io::Result<bool> {
     let mut stream = TcpStream::connect(address).await?;
-    let request = "GET /readiness HTTP/1.1\r\nHost: platform\r\nConnection: close\r\n\r\n";
+    let request = format!(
+        "GET {} HTTP/1.1\r\nHost: platform\r\nConnection: close\r\n\r\n",
+        paths::READINESS
+    );
     stream.write_all(request.as_bytes()).await?;
     let head = Input::new(&mut stream).head().await?;
     Ok(head.word(1) == "200")
--- a/src/soak/upstreams.rs
+++ b/src/soak/upstreams.rs
@@ -4,11 +4,11 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -17,12 +17,15 @@
 
 use super::lock;
 use super::recorder::Recorder;
-use super::wire::{Head, Input, response};
+use super::wire::{Head, Input, json_response, response};
+use crate::domain::fleet::Report;
+use crate::platform::{paths, standin};
 use crate::soak::history::{Execution, ExecutionEnd};
 
-pub(super) const SLOTS: usize = 64;
-const MEMORY_TOKENS: u64 = 200_000;
-const TOKENS_PER_EVENT: u64 = 4;
+pub(super) const SLOTS: u32 = 64;
+pub(super) const MEMORY_TOKENS: u64 = 200_000;
+pub(super) const TOKENS_PER_EVENT: u32 = 4;
+pub(super) const HEALTH_PATH: &str = "/health";
 /// Time that a copy of a generation's memory takes, and time between updates of a backup.
 const COPY_MS: u64 = 40;
 const BACKUP_INTERVAL_MS: u64 = 250;
@@ -56,7 +59,7 @@
     /// Time at which the instance will be gone; 0 if it does not leave.
     gone_at_ms: AtomicU64,
     gone: CancellationToken,
-    active: AtomicU64,
+    active: AtomicU32,
     runs: Mutex<BTreeMap<Arc<str>, Arc<Run>>>,
     /// Events covered by the backups that are kept here, by request.
     backups: Mutex<BTreeMap<Arc<str>, u64>>,
@@ -105,7 +108,7 @@
             silent_until_ms: AtomicU64::new(0),
             gone_at_ms: AtomicU64::new(0),
             gone: CancellationToken::new(),
-            active: AtomicU64::new(0),
+            active: AtomicU32::new(0),
             runs: Mutex::default(),
             backups: Mutex::default(),
         });
@@ -221,15 +224,15 @@
             let head = input.head().await?;
             let body = input.body(&head).await?;
             let answer = match head.word(1) {
-                "/report" | "/health" | "/kv-move" => {
+                paths::REPORT | HEALTH_PATH | paths::MOVE => {
                     self.wait_unless_silent().await;
                     match head.word(1) {
-                        "/report" => self.report(),
-                        "/health" => self.health(),
+                        paths::REPORT => self.report(),
+                        HEALTH_PATH => self.health(),
                         _ => self.copy_memory(&body).await,
                     }
                 }
-                path if path.starts_with("/kv-") => response("200 OK", "", b""),
+                path if path.starts_with(paths::MEMORY_PREFIX) => response("200 OK", "", b""),
                 path => {
                     let path = Arc::from(path);
                     self.run(&head, path, &body, &mut input, &mut writer)
@@ -246,18 +249,16 @@
         let gone_at_ms = self.gone_at_ms.load(Ordering::Relaxed);
         let made = |run: &Arc<Run>| run.made.load(Ordering::Relaxed);
         let used: u64 = lock(&self.runs).values().map(made).sum();
-        let mut report = json!({
-            "stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}],
-            "busy": false, "sequence": 1, "queuedRequests": 0,
-            "activeRequests": self.active.load(Ordering::Relaxed),
-            "kvCacheUsed": used * TOKENS_PER_EVENT, "kvCacheTotal": MEMORY_TOKENS,
-            "handles": 0, "state": "ready",
-        });
-        if gone_at_ms > 0 {
-            report["leaves_ms"] = json!(gone_at_ms.saturating_sub(now_ms));
-            report["state"] = json!("draining");
-        }
-        json_response("200 OK", &report)
+        let report = Report {
+            queued: 0,
+            running: self.active.load(Ordering::Relaxed),
+            used_tokens: used * u64::from(TOKENS_PER_EVENT),
+            total_tokens: MEMORY_TOKENS,
+            leaves_in_ms: (gone_at_ms > 0).then(|| gone_at_ms.saturating_sub(now_ms)),
+            draining: gone_at_ms > 0,
+            born_ms: None,
+        };
+        json_response("200 OK", &standin::encode_report(&report))
     }
 
     fn health(&self) -> Vec<u8> {
@@ -265,52 +266,45 @@
             true => "503 Service Unavailable",
             false => "200 OK",
         };
-        let headers = format!("X-Lilacspindle-Instance-Id: {}\r\n", self.identity);
-        response(status, &headers, b"")
+        response(status, &standin::encode_identity(&self.identity), b"")
     }
 
     /// Copies the memory of a running generation to another engine.
     async fn copy_memory(&self, body: &[u8]) -> Vec<u8> {
-        let call: Value = serde_json::from_slice(body).unwrap_or_default();
-        let id = call["identifier"].as_str().unwrap_or_default();
-        let run = lock(&self.runs).get(id).cloned();
+        let call = standin::decode_move_call(body);
+        let run = lock(&self.runs).get(&call.id).cloned();
         let Some(run) = run else {
-            return json_response("404 Not Found", &json!({}));
+            return json_response("404 Not Found", &standin::encode_no_copy());
         };
-        let target = call["to"].as_str().and_then(|to| to.parse().ok());
-        let stops = call["last"] == json!(true);
-        if stops {
+        if call.stops {
             run.stopped.cancel();
         }
         sleep(Duration::from_millis(COPY_MS)).await;
         let made = run.made.load(Ordering::Relaxed);
         let number = self.fleet.next_handle.fetch_add(1, Ordering::Relaxed);
         let handle = format!("h{number}");
-        let reached = target.and_then(|target| self.fleet.at(target));
+        let reached = call.target.and_then(|target| self.fleet.at(target));
         let target = reached.as_ref().map(|target| Arc::clone(&target.identity));
         let moved = Moved {
-            id: id.into(),
+            id: call.id,
             holders: target
                 .into_iter()
                 .chain([Arc::clone(&self.identity)])
                 .collect(),
-            is_stopped: stops,
+            is_stopped: call.stops,
         };
         lock(&self.fleet.moved).insert((self.address, handle.clone()), moved);
-        let body = json!({"handle": handle, "made": made});
+        let body = standin::encode_copy(&handle, made);
         match reached {
             Some(_) => json_response("200 OK", &body),
-            None if stops => json_response("503 Service Unavailable", &body),
-            None => json_response("503 Service Unavailable", &json!({})),
+            None if call.stops => json_response("503 Service Unavailable", &body),
+            None => json_response("503 Service Unavailable", &standin::encode_no_copy()),
         }
     }
 
-    /// Takes the copy that `Kv-From` names, if this instance may go on from it.
+    /// Takes the copy that a request names, if this instance may go on from it.
     fn take_copy(&self, from: &str, id: &str) -> bool {
-        let Some((address, handle)) = from.split_once('/') else {
-            return false;
-        };
-        let Ok(source) = address.parse::<SocketAddr>() else {
+        let Some((source, handle)) = standin::parse_copy(from) else {
             return false;
         };
         if handle == id && source == self.address {
@@ -332,13 +326,11 @@
         input: &mut Reader<'_>,
         writer: &mut WriteHalf<'_>,
     ) -> io::Result<()> {
-        let id: Arc<str> = head
-            .header("x-lilacspindle-request-id")
-            .unwrap_or_default()
-            .into();
+        let request = standin::decode_request(|name| head.header(name.as_str()));
+        let id = request.id;
         let ask: Value = serde_json::from_slice(body).unwrap_or_default();
         let total = ask["events"].as_u64().unwrap_or(0);
-        let resumed_after = head.number("last-event-id");
+        let resumed_after = request.last_event;
         let arrived_ms = self.fleet.recorder.now_ms();
         let mut recorded = Recorded {
             recorder: Arc::clone(&self.fleet.recorder),
@@ -350,14 +342,14 @@
                 instance: Arc::clone(&self.identity),
                 service: Arc::clone(&self.service),
                 path,
-                workspace: head.header("x-lilacspindle-tenant").map(Arc::from),
+                workspace: request.workspace,
                 arrived_ms,
                 ended_ms: arrived_ms,
                 end: ExecutionEnd::Open,
                 resumed_after,
                 last_event: 0,
                 total_events: total,
-                deadline_ms: head.number("x-lilacspindle-deadline-milliseconds"),
+                deadline_ms: request.deadline_ms,
             },
         };
         tokio::select! {
@@ -365,26 +357,26 @@
             // The entry has closed the connection.
             ended = input.fill() => return ended.and(Err(io::ErrorKind::InvalidData.into())),
         }
-        let expected = head.header("x-lilacspindle-expected-instance");
-        let copy = head.header("kv-from");
         let active = self.active.load(Ordering::Relaxed);
-        let refusal = match expected {
-            Some(expected) if expected != &*self.identity => Some("421 Misdirected Request"),
+        let refusal = match &request.expected_instance {
+            Some(expected) if *expected != self.identity => Some("421 Misdirected Request"),
             _ if id.is_empty() => Some("400 Bad Request"),
-            _ if active >= SLOTS as u64 => Some("503 Service Unavailable"),
-            _ if copy.is_some_and(|from| !self.take_copy(from, &id)) => {
+            _ if active >= SLOTS => Some("503 Service Unavailable"),
+            _ if request
+                .continue_from
+                .is_some_and(|from| !self.take_copy(&from, &id)) =>
+            {
                 Some("503 Service Unavailable")
             }
             _ => None,
         };
-        let echo = format!("X-Lilacspindle-Request-Id: {id}\r\n");
         if let Some(status) = refusal {
             recorded.end(ExecutionEnd::Refused);
-            let headers = format!("{echo}X-Lilacspindle-Not-Executed: 1\r\n");
+            let headers = standin::encode_execution(&id, standin::Execution::NotExecuted);
             return writer.write_all(&response(status, &headers, b"")).await;
         }
         let _active = Active::begin(self);
-        let seal = "X-Lilacspindle-Response-Seal: soak\r\n";
+        let headers = standin::encode_execution(&id, standin::Execution::Executed);
         if total == 0 || !self.is_engine {
             let takes = Duration::from_millis(ask["takes_ms"].as_u64().unwrap_or(0));
             // The caller that closes its connection drops the request.
@@ -393,7 +385,7 @@
             }
             self.wait_unless_silent().await;
             let text = format!("answer to {id}");
-            let bytes = response("200 OK", &format!("{echo}{seal}"), text.as_bytes());
+            let bytes = response("200 OK", &headers, text.as_bytes());
             writer.write_all(&bytes).await?;
             recorded.end(ExecutionEnd::Complete);
             return Ok(());
@@ -405,13 +397,12 @@
         });
         recorded.run = Some((Arc::clone(self), Arc::clone(&run)));
         lock(&self.runs).insert(Arc::clone(&id), Arc::clone(&run));
-        let backup = head.header("x-lilacspindle-cache-backup");
-        if let Some(backup) = backup.and_then(|at| at.parse().ok()) {
+        if let Some(backup) = request.backup {
             self.keep_backup(&run, Arc::clone(&id), backup);
         }
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
-             Transfer-Encoding: chunked\r\n{echo}{seal}\r\n"
+             Transfer-Encoding: chunked\r\n{headers}\r\n"
         );
         writer.write_all(head.as_bytes()).await?;
         let step = Duration::from_millis(ask["step_ms"].as_u64().unwrap_or(30));
@@ -472,8 +463,3 @@
         });
     }
 }
-
-fn json_response(status: &str, body: &Value) -> Vec<u8> {
-    let headers = "Content-Type: application/json\r\n";
-    response(status, headers, body.to_string().as_bytes())
-}
--- a/src/soak/wire.rs
+++ b/src/soak/wire.rs
@@ -141,3 +141,8 @@
     bytes.extend_from_slice(body);
     bytes
 }
+
+/// Returns a response with a JSON body.
+pub(super) fn json_response(status: &str, body: &[u8]) -> Vec<u8> {
+    response(status, "Content-Type: application/json\r\n", body)
+}
--- a/tests/site_configuration.rs
+++ b/tests/site_configuration.rs
@@ -9,10 +9,10 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use serde_json::json;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use lilacspindle::domain::document::EngineSpec;
 use lilacspindle::soak::{
     Call, CallEnd, Catalog, Drafts, Execution, ExecutionEnd, Fault, FaultKind, History, News,
     Operator, OperatorSettings, check, figures,
@@ -230,7 +230,15 @@
         host: "calls.example".into(),
         plain: SERVICES.map(Into::into).into(),
         engines: vec!["engine".into()],
-        engine: json!({"slots": 4, "kvCacheTokens": 30_000}),
+        engine: EngineSpec {
+            slots: 4,
+            memory_tokens: 30_000,
+            bytes_per_token: 0,
+            link_mbps: 0,
+            tokens_per_event: 1,
+            moves: false,
+            backups: false,
+        },
         timeout_ms: 4_000,
     };
     let operator = Operator::new(settings, Drafts::new(catalog, seed)).unwrap();
--- a/tests/soak_operator.rs
+++ b/tests/soak_operator.rs
@@ -2,16 +2,24 @@
 
 use std::collections::BTreeSet;
 
+use lilacspindle::domain::document::EngineSpec;
 use lilacspindle::platform::decode_document;
 use lilacspindle::soak::{Catalog, Drafts};
-use serde_json::json;
 
 fn catalog() -> Catalog {
     Catalog {
         host: "calls.example".into(),
         plain: vec!["p1".into(), "p2".into(), "p3".into()],
         engines: vec!["e1".into(), "e2".into()],
-        engine: json!({"slots": 4, "kvCacheTokens": 30_000}),
+        engine: EngineSpec {
+            slots: 4,
+            memory_tokens: 30_000,
+            bytes_per_token: 0,
+            link_mbps: 0,
+            tokens_per_event: 1,
+            moves: false,
+            backups: false,
+        },
         timeout_ms: 4_000,
     }
 }
