Store deadlines in the soak, never durations

House rule broken: deadlines are stored, never durations, and numbers carry their unit as a suffix. Behaviour in src/soak/callers.rs held three durations and OperatorSettings one; four functions took durations.

A caller now holds when it sends the body and when it gives up, and whether it reads slowly, with the pause as a constant. The settings name interval_ms. read_at_end takes the time until which it reads, stop the time of SIGKILL, make_events step_ms. Random values are drawn in the same order. A caller's limits now count from the draw of its behaviour, right before the head is sent, instead of from the end of sending.

--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use super::platform::Platform;
@@ -30,6 +30,8 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 const STEP_MS: u64 = 30;
 const PLAIN_DEADLINE_MS: u64 = 3_000;
+/// Pause between reads of a caller that reads slowly.
+const SLOW_READ_PAUSE: Duration = Duration::from_millis(40);
 const PROMPT_TOKENS: u64 = 400;
 /// Output tokens that a caller allows for each event.
 const TOKENS_PER_EVENT: u64 = 4;
@@ -52,11 +54,11 @@
 struct Behaviour {
     events: u64,
     takes_ms: u64,
-    /// Pause between reads of a stream.
-    read_pause: Duration,
-    /// Pause in the middle of the request.
-    send_pause: Duration,
-    abandons_after: Option<Duration>,
+    /// Pauses between reads of a stream.
+    reads_slowly: bool,
+    /// `None` if the body follows the head of the request at once.
+    sends_body_at: Option<Instant>,
+    gives_up_at: Instant,
 }
 
 struct Connection {
@@ -131,10 +133,7 @@
             key,
             is_stream: route.is_stream,
             may_repeat: route.is_safe,
-            deadline_ms: match route.is_stream {
-                true => route.timeout_ms,
-                false => PLAIN_DEADLINE_MS.min(route.timeout_ms),
-            },
+            deadline_ms: deadline_ms(route),
             sent_ms: now_ms,
             sent_whole_ms: None,
             head_ms: None,
@@ -175,8 +174,8 @@
         call.sent_ms = self.recorder.now_ms();
         let sent = async {
             connection.writer.write_all(head.as_bytes()).await?;
-            if !behaviour.send_pause.is_zero() {
-                sleep(behaviour.send_pause).await;
+            if let Some(sends_body_at) = behaviour.sends_body_at {
+                sleep_until(sends_body_at).await;
             }
             connection.writer.write_all(body.as_bytes()).await
         };
@@ -185,10 +184,8 @@
             return false;
         }
         call.sent_whole_ms = Some(self.recorder.now_ms());
-        let limit = Duration::from_millis(call.deadline_ms) + PATIENCE;
-        let limit = behaviour.abandons_after.unwrap_or(limit);
-        let read = self.read_response(&mut connection.input, call, behaviour.read_pause);
-        match timeout(limit, read).await {
+        let read = self.read_response(&mut connection.input, call, behaviour.reads_slowly);
+        match timeout_at(behaviour.gives_up_at, read).await {
             Ok(Ok(head)) => {
                 call.end = CallEnd::Complete;
                 !head.closes()
@@ -208,7 +205,7 @@
         &self,
         input: &mut Input<OwnedReadHalf>,
         call: &mut Call,
-        read_pause: Duration,
+        reads_slowly: bool,
     ) -> io::Result<Head> {
         let head = input.head().await?;
         call.head_ms = Some(self.recorder.now_ms());
@@ -235,8 +232,8 @@
                 call.events.push(id);
                 rest = others.to_owned();
             }
-            if !read_pause.is_zero() {
-                sleep(read_pause).await;
+            if reads_slowly {
+                sleep(SLOW_READ_PAUSE).await;
             }
         }
     }
@@ -274,6 +271,13 @@
     }
 }
 
+fn deadline_ms(route: &SentRoute) -> u64 {
+    match route.is_stream {
+        true => route.timeout_ms,
+        false => PLAIN_DEADLINE_MS.min(route.timeout_ms),
+    }
+}
+
 fn draw_behaviour(route: &SentRoute, random: &mut StdRng) -> Behaviour {
     let events = match route.is_stream {
         true => random.random_range(100..=280),
@@ -284,17 +288,22 @@
         false => 300,
     };
     let abandons = random.random_ratio(1, 20);
+    let takes_ms = random.random_range(5..250);
+    let reads_slowly = random.random_range(0..20) == 0;
+    let now = Instant::now();
+    let sends_body_at = match random.random_range(0..20) {
+        0 => Some(now + Duration::from_millis(random.random_range(50..800))),
+        _ => None,
+    };
+    let patience = match abandons {
+        true => Duration::from_millis(random.random_range(5..longest_ms)),
+        false => Duration::from_millis(deadline_ms(route)) + PATIENCE,
+    };
     Behaviour {
         events,
-        takes_ms: random.random_range(5..250),
-        read_pause: Duration::from_millis(match random.random_range(0..20) {
-            0 => 40,
-            _ => 0,
-        }),
-        send_pause: Duration::from_millis(match random.random_range(0..20) {
-            0 => random.random_range(50..800),
-            _ => 0,
-        }),
-        abandons_after: abandons.then(|| Duration::from_millis(random.random_range(5..longest_ms))),
+        takes_ms,
+        reads_slowly,
+        sends_body_at,
+        gives_up_at: sends_body_at.unwrap_or(now) + patience,
     }
 }
--- a/src/soak/document.rs
+++ b/src/soak/document.rs
@@ -1,7 +1,5 @@
 //! What the documents of a run are made of.
 
-use std::time::Duration;
-
 use super::operator::{Catalog, OperatorSettings};
 use super::processes::{Layout, control_name};
 use super::recorder::Recorder;
@@ -13,7 +11,7 @@
 const HOST: &str = "soak.example";
 const TIMEOUT_MS: u64 = 20_000;
 /// Mean time between two documents of one operator.
-const PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
+const PUBLISH_INTERVAL_MS: u64 = 1_000;
 /// One in so many documents has about this size, in bytes.
 const LARGE_DOCUMENTS: (u32, usize) = (20, 400_000);
 
@@ -47,7 +45,7 @@
             .collect(),
         started_at: recorder.started_at(),
         seed,
-        interval: PUBLISH_INTERVAL,
+        interval_ms: PUBLISH_INTERVAL_MS,
         large: Some(LARGE_DOCUMENTS),
     }
 }
--- a/src/soak/operator/driver.rs
+++ b/src/soak/operator/driver.rs
@@ -44,7 +44,7 @@
     pub started_at: Instant,
     pub seed: u64,
     /// Mean time between two documents of one operator.
-    pub interval: Duration,
+    pub interval_ms: u64,
     /// One in so many documents has about this size, in bytes.
     pub large: Option<(u32, usize)>,
 }
@@ -134,9 +134,8 @@
         drop(permits.acquire_many(all).await);
     }
 
-    /// Reads the document from random control processes for some time at the end of a run.
-    pub async fn read_at_end(&self, time: Duration) {
-        let until = Instant::now() + time;
+    /// Reads the document from random control processes at the end of a run, up to `until`.
+    pub async fn read_at_end(&self, until: Instant) {
         while Instant::now() < until {
             self.read(true).await;
             sleep(FINAL_READ_INTERVAL).await;
@@ -158,8 +157,7 @@
                 operator.publish(draft).await;
                 drop(permit);
             });
-            let mean_ms = u64::try_from(self.settings.interval.as_millis()).unwrap_or(u64::MAX);
-            let pause_ms = lock(&self.random).random_range(0..=mean_ms * 2);
+            let pause_ms = lock(&self.random).random_range(0..=self.settings.interval_ms * 2);
             sleep(Duration::from_millis(pause_ms)).await;
         }
     }
@@ -288,7 +286,7 @@
     async fn read_repeatedly(&self) {
         loop {
             self.read(false).await;
-            sleep(self.settings.interval / 4).await;
+            sleep(Duration::from_millis(self.settings.interval_ms / 4)).await;
         }
     }
 
--- a/src/soak/processes.rs
+++ b/src/soak/processes.rs
@@ -6,11 +6,10 @@
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use tokio::process::{Child, Command};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use super::lock;
 use super::plan::Plan;
@@ -203,15 +202,15 @@
         Ok(())
     }
 
-    /// Sends SIGTERM, and SIGKILL after `grace`. Returns once the process has ended.
-    pub(super) async fn stop(&self, name: &str, grace: Duration) -> io::Result<()> {
+    /// Sends SIGTERM, and SIGKILL at `kill_at`. Returns once the process has ended.
+    pub(super) async fn stop(&self, name: &str, kill_at: Instant) -> io::Result<()> {
         let pid = self.pid(name)?;
         // Taken out first: its end is expected from here on.
         let Some(mut child) = lock(&self.running).remove(name) else {
             return Ok(());
         };
         kill_process(pid, Signal::TERM)?;
-        if timeout(grace, child.wait()).await.is_err() {
+        if timeout_at(kill_at, child.wait()).await.is_err() {
             eprintln!("soak: {name} is killed after its grace period");
             child.kill().await?;
         }
--- a/src/soak/run.rs
+++ b/src/soak/run.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -164,7 +164,7 @@
         eprintln!("soak: publications have not ended");
     }
     let time = Duration::from_millis(Bounds::default().connectivity_ms);
-    operator.read_at_end(time).await;
+    operator.read_at_end(Instant::now() + time).await;
 }
 
 /// Starts the instances, control processes, entries and sidecars.
--- a/src/soak/steps.rs
+++ b/src/soak/steps.rs
@@ -8,7 +8,7 @@
 
 use rustix::process::Signal;
 use tokio::net::TcpListener;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::document::{ENGINE_SERVICE, PLAIN_SERVICES};
 use super::lock;
@@ -156,12 +156,12 @@
         };
         let recorded = instance.as_ref();
         let recorded = recorded.map_or(target, |upstream| &*upstream.identity);
-        let grace = Duration::from_millis(self.layout.grace_ms);
+        let kill_at = Instant::now() + Duration::from_millis(self.layout.grace_ms);
         let processes = &self.processes;
         let millis = Duration::from_millis;
         let kind = match action {
             Action::StopEntry { .. } => {
-                processes.stop(target, grace).await?;
+                processes.stop(target, kill_at).await?;
                 processes.start(target)?;
                 FaultKind::Terminate
             }
@@ -181,7 +181,7 @@
                 control,
                 loses_disk,
             } => {
-                processes.stop(target, grace).await?;
+                processes.stop(target, kill_at).await?;
                 if loses_disk {
                     std::fs::remove_dir_all(self.layout.data_folder(control))?;
                 }
--- a/src/soak/upstreams.rs
+++ b/src/soak/upstreams.rs
@@ -405,10 +405,10 @@
              Transfer-Encoding: chunked\r\n{headers}\r\n"
         );
         writer.write_all(head.as_bytes()).await?;
-        let step = Duration::from_millis(ask["step_ms"].as_u64().unwrap_or(30));
+        let step_ms = ask["step_ms"].as_u64().unwrap_or(30);
         let made = run.stopped.run_until_cancelled(async {
             tokio::select! {
-                made = self.make_events(&run, &id, step, writer) => made,
+                made = self.make_events(&run, &id, step_ms, writer) => made,
                 // Only the end of the connection is expected here.
                 ended = input.fill() => ended.and(Err(io::ErrorKind::InvalidData.into())),
             }
@@ -431,11 +431,11 @@
         &self,
         run: &Run,
         id: &str,
-        step: Duration,
+        step_ms: u64,
         writer: &mut WriteHalf<'_>,
     ) -> io::Result<()> {
         while run.made.load(Ordering::Relaxed) < run.total {
-            sleep(step).await;
+            sleep(Duration::from_millis(step_ms)).await;
             self.wait_unless_silent().await;
             let event = run.made.fetch_add(1, Ordering::Relaxed) + 1;
             let text = format!("id: {event}\ndata: {id} {event}\n\n");
--- a/tests/site_configuration.rs
+++ b/tests/site_configuration.rs
@@ -223,7 +223,7 @@
         controls: (1..=CONTROLS).map(control).collect(),
         started_at,
         seed,
-        interval: Duration::from_millis(400),
+        interval_ms: 400,
         large,
     };
     let catalog = Catalog {
@@ -276,7 +276,8 @@
     sleep(CALM).await;
     stop.send(true).unwrap();
     publishing.await.unwrap();
-    operator.read_at_end(Duration::from_secs(2)).await;
+    let until = Instant::now() + Duration::from_secs(2);
+    operator.read_at_end(until).await;
     let record = operator.take_record();
     drop(operator);
     for caller in callers {
