--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -13,13 +13,15 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use super::platform::Platform;
 use super::processes::{Layout, entry_name};
 use super::recorder::Recorder;
 use super::wire::{Head, Input};
+use crate::platform::headers;
+use crate::platform::standin::{CallHead, GenerationSize, encode_call_head};
 use crate::soak::history::{Call, CallEnd, SentRoute};
 use crate::soak::operator::News;
 
@@ -28,6 +30,11 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 const STEP_MS: u64 = 30;
 const PLAIN_DEADLINE_MS: u64 = 3_000;
+/// Pause between reads of a caller that reads slowly.
+const SLOW_READ_PAUSE: Duration = Duration::from_millis(40);
+const PROMPT_TOKENS: u64 = 400;
+/// Output tokens that a caller allows for each event.
+const TOKENS_PER_EVENT: u64 = 4;
 
 /// What the callers of a run share.
 pub(super) struct Callers {
@@ -47,11 +54,11 @@
 struct Behaviour {
     events: u64,
     takes_ms: u64,
-    /// Pause between reads of a stream.
-    read_pause: Duration,
-    /// Pause in the middle of the request.
-    send_pause: Duration,
-    abandons_after: Option<Duration>,
+    /// Pauses between reads of a stream.
+    reads_slowly: bool,
+    /// `None` if the body follows the head of the request at once.
+    sends_body_at: Option<Instant>,
+    gives_up_at: Instant,
 }
 
 struct Connection {
@@ -126,10 +133,7 @@
             key,
             is_stream: route.is_stream,
             may_repeat: route.is_safe,
-            deadline_ms: match route.is_stream {
-                true => route.timeout_ms,
-                false => PLAIN_DEADLINE_MS.min(route.timeout_ms),
-            },
+            deadline_ms: deadline_ms(route),
             sent_ms: now_ms,
             sent_whole_ms: None,
             head_ms: None,
@@ -154,34 +158,24 @@
             "events": behaviour.events, "step_ms": STEP_MS, "takes_ms": behaviour.takes_ms,
         })
         .to_string();
-        let key = call.key.as_ref();
-        let key = key.map_or_else(String::new, |key| {
-            format!("Authorization: Bearer {key}\r\n")
+        let head = encode_call_head(&CallHead {
+            path: &call.path,
+            host: &call.host,
+            id: &call.id,
+            deadline_ms: call.deadline_ms,
+            key: call.key.as_deref(),
+            generation: route.is_stream.then(|| GenerationSize {
+                prompt_tokens: PROMPT_TOKENS,
+                max_output_tokens: behaviour.events * TOKENS_PER_EVENT,
+                session: connection.number + 1,
+            }),
+            body_bytes: body.len(),
         });
-        let tokens = match route.is_stream {
-            true => format!(
-                "X-Lilacspindle-Model: m\r\nX-Lilacspindle-Token-Usage: 400,{}\r\n\
-                 X-Lilacspindle-Prompt-Prefix: {:x}:400\r\n",
-                behaviour.events * 4,
-                connection.number + 1,
-            ),
-            false => String::new(),
-        };
-        let head = format!(
-            "POST {} HTTP/1.1\r\nHost: {}\r\nX-Lilacspindle-Request-Id: {}\r\n\
-             X-Lilacspindle-Deadline-Milliseconds: {}\r\n{key}{tokens}\
-             Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
-            call.path,
-            call.host,
-            call.id,
-            call.deadline_ms,
-            body.len()
-        );
         call.sent_ms = self.recorder.now_ms();
         let sent = async {
             connection.writer.write_all(head.as_bytes()).await?;
-            if !behaviour.send_pause.is_zero() {
-                sleep(behaviour.send_pause).await;
+            if let Some(sends_body_at) = behaviour.sends_body_at {
+                sleep_until(sends_body_at).await;
             }
             connection.writer.write_all(body.as_bytes()).await
         };
@@ -190,10 +184,8 @@
             return false;
         }
         call.sent_whole_ms = Some(self.recorder.now_ms());
-        let limit = Duration::from_millis(call.deadline_ms) + PATIENCE;
-        let limit = behaviour.abandons_after.unwrap_or(limit);
-        let read = self.read_response(&mut connection.input, call, behaviour.read_pause);
-        match timeout(limit, read).await {
+        let read = self.read_response(&mut connection.input, call, behaviour.reads_slowly);
+        match timeout_at(behaviour.gives_up_at, read).await {
             Ok(Ok(head)) => {
                 call.end = CallEnd::Complete;
                 !head.closes()
@@ -213,12 +205,12 @@
         &self,
         input: &mut Input<OwnedReadHalf>,
         call: &mut Call,
-        read_pause: Duration,
+        reads_slowly: bool,
     ) -> io::Result<Head> {
         let head = input.head().await?;
         call.head_ms = Some(self.recorder.now_ms());
         call.status = head.word(1).parse().ok();
-        call.is_sealed = head.header("x-lilacspindle-response-seal").is_some();
+        call.is_sealed = head.header(headers::SEAL.as_str()).is_some();
         if !(call.is_stream && head.is_chunked()) {
             let body = input.body(&head).await?;
             call.is_own_body = body == format!("answer to {}", call.id).into_bytes();
@@ -240,8 +232,8 @@
                 call.events.push(id);
                 rest = others.to_owned();
             }
-            if !read_pause.is_zero() {
-                sleep(read_pause).await;
+            if reads_slowly {
+                sleep(SLOW_READ_PAUSE).await;
             }
         }
     }
@@ -279,6 +271,13 @@
     }
 }
 
+fn deadline_ms(route: &SentRoute) -> u64 {
+    match route.is_stream {
+        true => route.timeout_ms,
+        false => PLAIN_DEADLINE_MS.min(route.timeout_ms),
+    }
+}
+
 fn draw_behaviour(route: &SentRoute, random: &mut StdRng) -> Behaviour {
     let events = match route.is_stream {
         true => random.random_range(100..=280),
@@ -289,17 +288,22 @@
         false => 300,
     };
     let abandons = random.random_ratio(1, 20);
+    let takes_ms = random.random_range(5..250);
+    let reads_slowly = random.random_range(0..20) == 0;
+    let now = Instant::now();
+    let sends_body_at = match random.random_range(0..20) {
+        0 => Some(now + Duration::from_millis(random.random_range(50..800))),
+        _ => None,
+    };
+    let patience = match abandons {
+        true => Duration::from_millis(random.random_range(5..longest_ms)),
+        false => Duration::from_millis(deadline_ms(route)) + PATIENCE,
+    };
     Behaviour {
         events,
-        takes_ms: random.random_range(5..250),
-        read_pause: Duration::from_millis(match random.random_range(0..20) {
-            0 => 40,
-            _ => 0,
-        }),
-        send_pause: Duration::from_millis(match random.random_range(0..20) {
-            0 => random.random_range(50..800),
-            _ => 0,
-        }),
-        abandons_after: abandons.then(|| Duration::from_millis(random.random_range(5..longest_ms))),
+        takes_ms,
+        reads_slowly,
+        sends_body_at,
+        gives_up_at: sends_body_at.unwrap_or(now) + patience,
     }
 }
--- a/src/soak/document.rs
+++ b/src/soak/document.rs
@@ -1,19 +1,17 @@
 //! What the documents of a run are made of.
 
-use std::time::Duration;
-
-use serde_json::json;
-
 use super::operator::{Catalog, OperatorSettings};
 use super::processes::{Layout, control_name};
 use super::recorder::Recorder;
+use super::upstreams::{MEMORY_TOKENS, SLOTS, TOKENS_PER_EVENT};
+use crate::domain::document::EngineSpec;
 
 pub(super) const PLAIN_SERVICES: [&str; 2] = ["sums", "words"];
 pub(super) const ENGINE_SERVICE: &str = "essays";
 const HOST: &str = "soak.example";
 const TIMEOUT_MS: u64 = 20_000;
 /// Mean time between two documents of one operator.
-const PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
+const PUBLISH_INTERVAL_MS: u64 = 1_000;
 /// One in so many documents has about this size, in bytes.
 const LARGE_DOCUMENTS: (u32, usize) = (20, 400_000);
 
@@ -22,10 +20,15 @@
         host: HOST.into(),
         plain: PLAIN_SERVICES.map(Into::into).to_vec(),
         engines: vec![ENGINE_SERVICE.into()],
-        engine: json!({"slots": super::upstreams::SLOTS, "kvCacheTokens": 200_000,
-            "kvBytes": 163_840, "linkMbps": 24_000.0, "moves": true, "backups": true,
-            "stride": 4, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0, "handleS": 5.0,
-            "models": [{"name": "m"}]}),
+        engine: EngineSpec {
+            slots: SLOTS,
+            memory_tokens: MEMORY_TOKENS,
+            bytes_per_token: 163_840,
+            link_mbps: 24_000,
+            tokens_per_event: TOKENS_PER_EVENT,
+            moves: true,
+            backups: true,
+        },
         timeout_ms: TIMEOUT_MS,
     }
 }
@@ -42,7 +45,7 @@
             .collect(),
         started_at: recorder.started_at(),
         seed,
-        interval: PUBLISH_INTERVAL,
+        interval_ms: PUBLISH_INTERVAL_MS,
         large: Some(LARGE_DOCUMENTS),
     }
 }
--- a/src/soak/operator/driver.rs
+++ b/src/soak/operator/driver.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use futures::future;
@@ -13,8 +13,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::drafts::{Draft, Drafts};
-use crate::platform::paths;
+use crate::platform::{paths, standin};
 use crate::soak::history::{DocumentRead, Publication, SentDocument, SentRoute};
+use crate::soak::lock;
 
 /// Number of operators that publish at the same time.
 const OPERATORS: u64 = 2;
@@ -43,7 +44,7 @@
     pub started_at: Instant,
     pub seed: u64,
     /// Mean time between two documents of one operator.
-    pub interval: Duration,
+    pub interval_ms: u64,
     /// One in so many documents has about this size, in bytes.
     pub large: Option<(u32, usize)>,
 }
@@ -75,10 +76,6 @@
     news: watch::Sender<News>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Operator {
     /// Fails if no HTTP client can be built.
     pub fn new(settings: OperatorSettings, drafts: Drafts) -> reqwest::Result<Arc<Self>> {
@@ -137,9 +134,8 @@
         drop(permits.acquire_many(all).await);
     }
 
-    /// Reads the document from random control processes for some time at the end of a run.
-    pub async fn read_at_end(&self, time: Duration) {
-        let until = Instant::now() + time;
+    /// Reads the document from random control processes at the end of a run, up to `until`.
+    pub async fn read_at_end(&self, until: Instant) {
         while Instant::now() < until {
             self.read(true).await;
             sleep(FINAL_READ_INTERVAL).await;
@@ -161,8 +157,7 @@
                 operator.publish(draft).await;
                 drop(permit);
             });
-            let mean_ms = u64::try_from(self.settings.interval.as_millis()).unwrap_or(u64::MAX);
-            let pause_ms = lock(&self.random).random_range(0..=mean_ms * 2);
+            let pause_ms = lock(&self.random).random_range(0..=self.settings.interval_ms * 2);
             sleep(Duration::from_millis(pause_ms)).await;
         }
     }
@@ -291,7 +286,7 @@
     async fn read_repeatedly(&self) {
         loop {
             self.read(false).await;
-            sleep(self.settings.interval / 4).await;
+            sleep(Duration::from_millis(self.settings.interval_ms / 4)).await;
         }
     }
 
@@ -301,8 +296,7 @@
         let answer = self.read_from(address).await;
         let (status, body) = answer.unzip();
         let document = body.filter(|_| status == Some(200)).map(|body: Vec<u8>| {
-            let wire: Option<serde_json::Value> = serde_json::from_slice(&body).ok();
-            let version = wire.and_then(|wire| wire["version"].as_u64());
+            let version = standin::decode_version(&body);
             (version.unwrap_or(0), xxh3_64(&body))
         });
         lock(&self.record).reads.push(DocumentRead {
--- a/src/soak/steps.rs
+++ b/src/soak/steps.rs
@@ -3,14 +3,15 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use rustix::process::Signal;
 use tokio::net::TcpListener;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::document::{ENGINE_SERVICE, PLAIN_SERVICES};
+use super::lock;
 use super::plan::Action;
 use super::platform::Platform;
 use super::processes::{Layout, Processes, control_name, entry_name};
@@ -46,10 +47,6 @@
     busy: Mutex<BTreeSet<String>>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Place {
     pub(super) async fn new(index: usize, own_address: SocketAddr, seed: u64) -> io::Result<Self> {
         Ok(Self {
@@ -159,12 +156,12 @@
         };
         let recorded = instance.as_ref();
         let recorded = recorded.map_or(target, |upstream| &*upstream.identity);
-        let grace = Duration::from_millis(self.layout.grace_ms);
+        let kill_at = Instant::now() + Duration::from_millis(self.layout.grace_ms);
         let processes = &self.processes;
         let millis = Duration::from_millis;
         let kind = match action {
             Action::StopEntry { .. } => {
-                processes.stop(target, grace).await?;
+                processes.stop(target, kill_at).await?;
                 processes.start(target)?;
                 FaultKind::Terminate
             }
@@ -184,7 +181,7 @@
                 control,
                 loses_disk,
             } => {
-                processes.stop(target, grace).await?;
+                processes.stop(target, kill_at).await?;
                 if loses_disk {
                     std::fs::remove_dir_all(self.layout.data_folder(control))?;
                 }
--- a/tests/site_configuration.rs
+++ b/tests/site_configuration.rs
@@ -9,10 +9,10 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use serde_json::json;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use lilacspindle::domain::document::EngineSpec;
 use lilacspindle::soak::{
     Call, CallEnd, Catalog, Drafts, Execution, ExecutionEnd, Fault, FaultKind, History, News,
     Operator, OperatorSettings, check, figures,
@@ -223,14 +223,22 @@
         controls: (1..=CONTROLS).map(control).collect(),
         started_at,
         seed,
-        interval: Duration::from_millis(400),
+        interval_ms: 400,
         large,
     };
     let catalog = Catalog {
         host: "calls.example".into(),
         plain: SERVICES.map(Into::into).into(),
         engines: vec!["engine".into()],
-        engine: json!({"slots": 4, "kvCacheTokens": 30_000}),
+        engine: EngineSpec {
+            slots: 4,
+            memory_tokens: 30_000,
+            bytes_per_token: 0,
+            link_mbps: 0,
+            tokens_per_event: 1,
+            moves: false,
+            backups: false,
+        },
         timeout_ms: 4_000,
     };
     let operator = Operator::new(settings, Drafts::new(catalog, seed)).unwrap();
@@ -268,7 +276,8 @@
     sleep(CALM).await;
     stop.send(true).unwrap();
     publishing.await.unwrap();
-    operator.read_at_end(Duration::from_secs(2)).await;
+    let until = Instant::now() + Duration::from_secs(2);
+    operator.read_at_end(until).await;
     let record = operator.take_record();
     drop(operator);
     for caller in callers {
