Keep one function that locks a mutex

Cause: the same three lines stood in the soak, the gateway and the stand-in engine. Change: adapters::mutex.

--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod disk;
 pub mod http;
+pub(crate) mod mutex;
 pub mod telemetry;
 pub mod upstream;
 pub mod web;
--- a/src/roles/gateway/open_requests.rs
+++ b/src/roles/gateway/open_requests.rs
@@ -3,10 +3,12 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use tokio::time::Instant;
 
+use crate::adapters::mutex::lock;
+
 /// Upper bound on the log lines of one call of `log_all`.
 const MAX_LOGGED_REQUESTS: usize = 32;
 
@@ -112,7 +114,3 @@
         lock(&self.open)
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/roles/standin/shared.rs
+++ b/src/roles/standin/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the HTTP routes of an engine and the task that advances it.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use tokio::sync::{Notify, watch};
@@ -14,6 +14,7 @@
 use super::sequence::{EndReason, Event, SequenceId, SequenceRequest};
 use super::tokens::TokenSource;
 use crate::adapters::clock::monotonic_ms;
+use crate::adapters::mutex::lock;
 
 /// Ended streams can be read for this time.
 const ENDED_RETENTION_US: u64 = 30_000_000;
@@ -316,7 +317,3 @@
 pub(super) fn weight_store_now_ms() -> u64 {
     monotonic_ms()
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -16,8 +16,6 @@
 mod upstreams;
 mod wire;
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
-
 pub use checker::{Figures, Violation, check, figures, is_in_touch};
 pub use history::{
     Bounds, Call, CallEnd, DocumentRead, Execution, ExecutionEnd, Fault, FaultKind, History,
@@ -27,8 +25,3 @@
 pub use plan::{Action, Plan, PlanKind, Size, Step};
 pub use report::{summary, write};
 pub use run::{Environment, run};
-
-/// Locks a mutex, also after another holder has panicked.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/soak/operator/driver.rs
+++ b/src/soak/operator/driver.rs
@@ -13,9 +13,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::drafts::{Draft, Drafts};
+use crate::adapters::mutex::lock;
 use crate::platform::{paths, standin};
 use crate::soak::history::{DocumentRead, Publication, SentDocument, SentRoute};
-use crate::soak::lock;
 
 /// Number of operators that publish at the same time.
 const OPERATORS: u64 = 2;
--- a/src/soak/platform.rs
+++ b/src/soak/platform.rs
@@ -11,11 +11,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-use super::lock;
 use super::plan::Plan;
 use super::processes::Layout;
 use super::recorder::Recorder;
 use super::wire::{Head, Input, json_response, response};
+use crate::adapters::mutex::lock;
 use crate::domain::fleet::{Listed, ListedState};
 use crate::model::ZoneName;
 use crate::platform::{paths, standin};
--- a/src/soak/processes.rs
+++ b/src/soak/processes.rs
@@ -11,9 +11,9 @@
 use tokio::process::{Child, Command};
 use tokio::time::{Instant, timeout_at};
 
-use super::lock;
 use super::plan::Plan;
 use super::recorder::Recorder;
+use crate::adapters::mutex::lock;
 use crate::soak::history::UnexpectedExit;
 
 const RPC_PORT: u16 = 7_200;
--- a/src/soak/recorder.rs
+++ b/src/soak/recorder.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use super::history::{Fault, FaultKind, History};
-use super::lock;
+use crate::adapters::mutex::lock;
 
 pub(super) struct Recorder {
     started_at: Instant,
--- a/src/soak/steps.rs
+++ b/src/soak/steps.rs
@@ -11,12 +11,12 @@
 use tokio::time::{Instant, sleep};
 
 use super::document::{ENGINE_SERVICE, PLAIN_SERVICES};
-use super::lock;
 use super::plan::Action;
 use super::platform::Platform;
 use super::processes::{Layout, Processes, control_name, entry_name};
 use super::recorder::Recorder;
 use super::upstreams::{Fleet, SLOTS, Upstream};
+use crate::adapters::mutex::lock;
 use crate::proxy::{Direction, Proxy};
 use crate::soak::history::FaultKind;
 
--- a/src/soak/upstreams.rs
+++ b/src/soak/upstreams.rs
@@ -15,9 +15,9 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use super::lock;
 use super::recorder::Recorder;
 use super::wire::{Head, Input, json_response, response};
+use crate::adapters::mutex::lock;
 use crate::domain::fleet::Report;
 use crate::platform::{paths, standin};
 use crate::soak::history::{Execution, ExecutionEnd};
