--- a/tests/soak_checker_requests.rs
+++ b/tests/soak_checker_requests.rs
@@ -89,6 +89,24 @@
     }
 }
 
+/// A request starts to run with its first token, so an attempt that is dropped before has not run.
+#[test]
+fn an_attempt_that_is_dropped_before_its_first_event_has_not_run() {
+    for (last_event, clean) in [(1, true), (2, false)] {
+        let mut record = stream(|call, run| {
+            (call.ended_ms, run.ended_ms) = (12_000, 10_501);
+        });
+        let run = record.run("old");
+        (run.arrived_ms, run.resumed_after) = (10_100, Some(1));
+        (run.instance, run.total_events) = ("old-2".into(), 3);
+        (run.end, run.last_event) = (ExecutionEnd::Dropped, last_event);
+        match clean {
+            true => record.is_clean(),
+            false => record.breaks("TWICE", "the instance before worked on"),
+        }
+    }
+}
+
 #[test]
 fn refusals_are_true_also_later() {
     for status in [408, 421, 429, 503] {
@@ -265,6 +283,13 @@
     };
     beside(0, 20_600).breaks("LOST", "beside a new document");
     beside(0, 23_101).is_clean();
+    // Cut at the end of a planned stop, in the last sixth of its grace period.
+    let mut stopped = beside(0, 20_600);
+    let call = stopped.0.calls.last_mut().unwrap();
+    (call.sent_ms, call.deadline_ms) = (16_900, 10_000);
+    stopped.breaks("LOST", "beside a new document");
+    stopped.fault(FaultKind::Terminate, "e1", 13_934, 29_000);
+    stopped.is_clean();
     beside(1, 20_600).is_clean();
     let mut used = beside(0, 20_800);
     used.0.calls.last_mut().unwrap().deadline_ms = 571;
