--- a/tests/site_resumptions.rs
+++ b/tests/site_resumptions.rs
@@ -379,8 +379,8 @@
     let source = site.upstream("model", source).await;
     wait_routable(&site, "/stream/warm").await;
     site.start_sidecar(&source);
-    let call = patient_caller(&site, "/stream/x", "id-1", 9_000);
-    let mut stream = call.send().await.unwrap();
+    let request = patient_caller(&site, "/stream/x", "id-1", 9_000);
+    let mut stream = request.send().await.unwrap();
     let mut received = stream.chunk().await.unwrap().unwrap().to_vec();
     let target = site
         .upstream("model", move |request: &Request| {
