Log which voters answer, and by which document a request is passed on

A leader or candidate now logs how many voters answer when that changes and exports lilac_log_voters and lilac_log_answering_voters; the lines of requests that are passed on carry the version of the document and how long before it was confirmed. No logic is changed.

--- a/src/domain/log/core.rs
+++ b/src/domain/log/core.rs
@@ -6,7 +6,9 @@
 
 use super::members::JoinRequests;
 use super::reads::PendingReads;
-use super::state::{Options, RecoveredState, ReplicaSettings, Role, RoleName, Status};
+use super::state::{
+    Options, QuorumStatus, RecoveredState, ReplicaSettings, Role, RoleName, Status,
+};
 use super::store::LogStore;
 use super::transfer::IncomingSnapshot;
 use super::types::{
@@ -45,6 +47,8 @@
     pub(super) pending_reads: PendingReads,
     pub(super) join_requests: JoinRequests,
     pub(super) incoming_snapshot: Option<IncomingSnapshot>,
+    /// The voters that answered the last campaign that did not succeed.
+    pub(super) failed_campaign: Option<QuorumStatus>,
     pub(super) elections: u64,
     pub(super) snapshot_requested: bool,
     /// Bytes of the entries applied since the last snapshot.
@@ -93,6 +97,7 @@
             pending_reads: PendingReads::default(),
             join_requests: JoinRequests::default(),
             incoming_snapshot: None,
+            failed_campaign: None,
             elections: 0,
             snapshot_requested: false,
             applied_bytes: 0,
--- a/src/domain/log/election.rs
+++ b/src/domain/log/election.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::core::Core;
-use super::state::{LeaderState, Progress, Role};
+use super::state::{LeaderState, Progress, QuorumStatus, Role};
 use super::types::{Body, HardState, NodeId, Payload};
 
 /// After a split vote, the next election starts within the shortest election timeout divided by
@@ -111,6 +111,9 @@
         self.reset_election_timer(now_ms);
         self.leader = None;
         self.campaign_started_ms = now_ms;
+        if let Role::Candidate { votes, .. } = &self.role {
+            self.failed_campaign = self.quorum_status(|voter| votes.contains_key(&voter));
+        }
         if !self.config().is_some_and(|config| config.is_voter(self.id)) {
             return;
         }
@@ -314,6 +317,32 @@
         self.continue_leadership_transfer(now_ms);
     }
 
+    /// Returns how many voters answer this replica: the followers of a leader, or those that answered
+    /// the last campaign of a candidate. `None` for a follower, which only hears from its leader.
+    pub fn answering_voters(&self, now_ms: u64) -> Option<QuorumStatus> {
+        match &self.role {
+            Role::Follower => None,
+            Role::Candidate { .. } => self.failed_campaign,
+            Role::Leader(leader_state) => {
+                let limit_ms = self.settings.election_ms;
+                self.quorum_status(|voter| {
+                    let progress = leader_state.progress.get(&voter);
+                    voter == self.id
+                        || progress.is_some_and(|p| now_ms <= p.last_contact_ms + limit_ms)
+                })
+            }
+        }
+    }
+
+    fn quorum_status(&self, answers: impl Fn(NodeId) -> bool) -> Option<QuorumStatus> {
+        let config = self.config()?;
+        Some(QuorumStatus {
+            voters: config.voters().count(),
+            answering: config.voters().filter(|voter| answers(*voter)).count(),
+            needed: config.quorum(),
+        })
+    }
+
     /// Returns the time since which a majority has been heard from, or the current time if this
     /// replica does not lead.
     fn quorum_contact_ms(&self, now_ms: u64) -> u64 {
--- a/src/domain/log/mod.rs
+++ b/src/domain/log/mod.rs
@@ -24,7 +24,7 @@
 mod types;
 
 pub use core::Core;
-pub use state::{Options, RecoveredState, ReplicaSettings, RoleName, Status};
+pub use state::{Options, QuorumStatus, RecoveredState, ReplicaSettings, RoleName, Status};
 pub use store::LogStore;
 pub use types::{
     Body, Config, Echo, Entry, HardState, Member, NodeId, Output, Packet, Payload, Persist,
--- a/src/domain/log/state.rs
+++ b/src/domain/log/state.rs
@@ -81,6 +81,17 @@
     Leader,
 }
 
+/// How many voters answer this replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuorumStatus {
+    pub voters: usize,
+    /// Voters that answered the leader within the election timeout, or the last campaign of a
+    /// candidate; including this replica.
+    pub answering: usize,
+    /// Voters needed for a majority.
+    pub needed: usize,
+}
+
 /// A summary of a replica.
 #[derive(Debug, Clone)]
 pub struct Status {
--- a/src/roles/control/replica/driver.rs
+++ b/src/roles/control/replica/driver.rs
@@ -16,7 +16,9 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::adapters::disk::{Disk, DiskError, FileOps};
 use crate::adapters::telemetry::invariant;
-use crate::domain::log::{Core, Entry, NodeId, Options, Output, Packet, Payload, ReplicaSettings};
+use crate::domain::log::{
+    Core, Entry, NodeId, Options, Output, Packet, Payload, QuorumStatus, ReplicaSettings,
+};
 use crate::model::InstanceName;
 use crate::rpc::{decode, encode};
 use crate::settings::ControlSettings;
@@ -80,6 +82,8 @@
     reads: BTreeMap<u64, Vec<oneshot::Sender<Option<u64>>>>,
     next_read: u64,
     elections: u64,
+    /// The voters that answered when they were last logged.
+    logged_quorum: Option<QuorumStatus>,
 }
 
 impl Driver {
@@ -124,6 +128,7 @@
             reads: BTreeMap::new(),
             next_read: rand::random(),
             elections: 0,
+            logged_quorum: None,
         })
     }
 
@@ -350,6 +355,7 @@
         self.metrics.add_elections(elections - self.elections);
         self.elections = elections;
         self.metrics.set_status(&status);
+        self.log_quorum();
         let current = ReplicaStatus::new(&status, None);
         self.status.send_if_modified(|previous| {
             let changed = *previous != current;
@@ -368,6 +374,33 @@
     }
 }
 
+impl Driver {
+    /// Logs and counts the voters that answer, if their number has changed.
+    fn log_quorum(&mut self) {
+        let Some(quorum) = self.core.answering_voters(monotonic_ms()) else {
+            return;
+        };
+        self.metrics.set_quorum(&quorum);
+        if self.logged_quorum.replace(quorum) == Some(quorum) {
+            return;
+        }
+        let QuorumStatus {
+            voters,
+            answering,
+            needed,
+        } = quorum;
+        match answering < needed {
+            true => tracing::warn!(
+                voters,
+                answering,
+                needed,
+                "too few voters answer to elect a leader"
+            ),
+            false => tracing::info!(voters, answering, needed, "voters that answer"),
+        }
+    }
+}
+
 /// Logs each member of `before` that is neither a voter nor a learner any more.
 fn log_removed(before: &[MemberStatus], now: &ReplicaStatus) {
     for member in before {
--- a/src/roles/control/replica/metrics.rs
+++ b/src/roles/control/replica/metrics.rs
@@ -8,12 +8,14 @@
 };
 
 use crate::adapters::telemetry::registry;
-use crate::domain::log::{RoleName, Status};
+use crate::domain::log::{QuorumStatus, RoleName, Status};
 
 struct Families {
     role: IntGaugeVec,
     term: IntGaugeVec,
     commit: IntGaugeVec,
+    voters: IntGaugeVec,
+    answering_voters: IntGaugeVec,
     sync_seconds: HistogramVec,
     elections: IntCounterVec,
     sent_bytes: IntCounterVec,
@@ -55,6 +57,14 @@
         role: gauge("lilac_log_role", "0 follower, 1 candidate, 2 leader."),
         term: gauge("lilac_log_term", "Term of the replica."),
         commit: gauge("lilac_log_commit", "Commit index."),
+        voters: gauge(
+            "lilac_log_voters",
+            "Voters, as last counted by a leader or a candidate.",
+        ),
+        answering_voters: gauge(
+            "lilac_log_answering_voters",
+            "Voters that answered, as last counted by a leader or a candidate.",
+        ),
         sync_seconds: histogram("lilac_log_sync_seconds", "Time of one write and sync."),
         elections: counter(
             "lilac_log_elections_total",
@@ -81,6 +91,8 @@
     role: IntGauge,
     term: IntGauge,
     commit: IntGauge,
+    voters: IntGauge,
+    answering_voters: IntGauge,
     sync_seconds: Histogram,
     elections: IntCounter,
     pub sent_bytes: IntCounter,
@@ -96,6 +108,8 @@
             role: families.role.with_label_values(&labels),
             term: families.term.with_label_values(&labels),
             commit: families.commit.with_label_values(&labels),
+            voters: families.voters.with_label_values(&labels),
+            answering_voters: families.answering_voters.with_label_values(&labels),
             sync_seconds: families.sync_seconds.with_label_values(&labels),
             elections: families.elections.with_label_values(&labels),
             sent_bytes: families.sent_bytes.with_label_values(&labels),
@@ -117,6 +131,12 @@
             .set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 
+    pub fn set_quorum(&self, quorum: &QuorumStatus) {
+        let number = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        self.voters.set(number(quorum.voters));
+        self.answering_voters.set(number(quorum.answering));
+    }
+
     pub fn set_status(&self, status: &Status) {
         let number = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         self.role.set(match status.role {
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -65,6 +65,8 @@
                 instance = &*ticket.identity,
                 backup = backup.as_ref().map(|backup| &*backup.identity),
                 attempt = tried.len(),
+                document = job.document_version,
+                confirmed_age_ms = job.confirmed_age_ms,
                 by_hub,
                 prompt_tokens = demand.prompt_tokens,
                 output_tokens = demand.output_tokens,
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -189,6 +189,8 @@
                 average_ms = summary.average_ms,
                 failed_percent = summary.failed_percent,
                 observed_age_ms = summary.observed_age_ms,
+                document = job.document_version,
+                confirmed_age_ms = job.confirmed_age_ms,
                 age_ms = job.age_ms(),
                 $message
             )
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -49,6 +49,10 @@
     pub(super) body: Bytes,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<str>,
+    /// Version of the document by which the request was admitted.
+    pub(super) document_version: u64,
+    /// How long before the admission that document was last confirmed; `None` if it never was.
+    pub(super) confirmed_age_ms: Option<u64>,
     /// Properties of the service's engines; `None` if its instances are not engines.
     pub(super) engine: Option<EngineSpec>,
     pub(super) demand: Demand,
@@ -127,6 +131,8 @@
 struct Admitted {
     route: Arc<Route>,
     service: Arc<str>,
+    document_version: u64,
+    confirmed_age_ms: Option<u64>,
     engine: Option<EngineSpec>,
     headers: HeaderMap,
     priority: u32,
@@ -271,6 +277,8 @@
         Ok(Admitted {
             route: Arc::clone(route),
             service: Arc::clone(service),
+            document_version: index.version(),
+            confirmed_age_ms: self.confirmed_age_ms(),
             engine: index.service(service).and_then(|service| service.engine),
             headers: passed,
             priority,
@@ -319,6 +327,8 @@
         body,
         route,
         service: admitted.service,
+        document_version: admitted.document_version,
+        confirmed_age_ms: admitted.confirmed_age_ms,
         engine: admitted.engine,
         demand: Demand {
             prompt_tokens,
