--- a/tests/log_support/mod.rs
+++ b/tests/log_support/mod.rs
@@ -45,6 +45,8 @@
     pub now_ms: u64,
     pub nodes: Vec<Node>,
     pub history: History,
+    /// Nodes that reach only each other, while the other nodes reach only each other too.
+    pub split: BTreeSet<NodeId>,
     /// Messages in transit, by time of delivery and order of sending.
     network: BTreeMap<(u64, u64), (NodeId, NodeId, Packet)>,
     sent: u64,
@@ -74,6 +76,7 @@
             now_ms: 0,
             nodes: Vec::new(),
             history: History::default(),
+            split: BTreeSet::new(),
             network: BTreeMap::new(),
             sent: 0,
             leaders: BTreeMap::new(),
@@ -105,7 +108,7 @@
         }
     }
 
-    fn add_node(&mut self, name: &str) {
+    pub fn add_node(&mut self, name: &str) {
         let node = Node {
             id: NodeId(self.random.next()),
             name: InstanceName::from(name),
@@ -176,6 +179,12 @@
         self.unrepaired = Some(self.nodes[number].name.clone());
     }
 
+    /// Removes a node and its disk for good.
+    pub fn remove_node(&mut self, number: usize) {
+        self.nodes.remove(number);
+        self.lost_disks += 1;
+    }
+
     pub fn repairing(&self) -> bool {
         self.unrepaired.is_some()
     }
@@ -355,6 +364,9 @@
                 continue;
             };
             let cut = |node: &Node| self.now_ms < node.isolated_until_ms;
+            if self.split.contains(&from) != self.split.contains(&to) {
+                continue;
+            }
             if cut(&self.nodes[number]) || self.nodes.iter().any(|n| n.id == from && cut(n)) {
                 continue;
             }
