Replace a voter that is gone in one change, by joint consensus

What callers saw: after a machine was replaced for good and another one lost its disk, no change was acknowledged and none confirmed any more (CONFIG). Cause: the replacement was added as one more voter, and the dead voter was removed only after 8 s of silence, counted anew by each leader. Meanwhile the dead voter raised the majority to three of four, so the next lost disk left two, for good, as a wiped instance can join only through a leader.

A learner that has caught up now takes the place of the old identity of its instance, or of a voter silent for two election timeouts: votes and commits need a majority of the old and of the new voters until the change is committed, so neither the dead voter nor the newcomer is ever needed, and the number of voters stays. Without a replacement, a silent voter of an even number is removed at once, which lowers no tolerance; of an odd number after 8 s as before, but never below 2 f + 1 voters (f from the platform's settings). A second silent voter no longer blocks the removal of the first. The stored form of members is that of before.

The check that entries are on a majority asks the configuration for it, as strict as before.

--- a/src/domain/log/core.rs
+++ b/src/domain/log/core.rs
@@ -13,7 +13,7 @@
 use super::transfer::IncomingSnapshot;
 use super::types::{
     Body, Config, Entry, HardState, Member, NodeId, Output, Packet, Payload, Persist, ReadDone,
-    Snapshot, Violation,
+    Snapshot, Suffrage, Violation,
 };
 use crate::model::InstanceName;
 
@@ -143,7 +143,7 @@
                 let member = Member {
                     name,
                     address,
-                    voter: true,
+                    suffrage: Suffrage::Voter,
                     since: 1,
                 };
                 (id, member)
--- a/src/domain/log/election.rs
+++ b/src/domain/log/election.rs
@@ -244,17 +244,13 @@
         else {
             return;
         };
-        let votes_of = |answer: bool| {
-            let answered = |id: &NodeId| votes.get(id) == Some(&answer);
-            config.voters().filter(answered).count()
-        };
-        let (granted, refused) = (votes_of(true), votes_of(false));
-        let (quorum, voters) = (config.quorum(), config.voters().count());
+        let is_won = config.has_majority(|id| votes.get(&id) == Some(&true));
+        let can_be_won = config.has_majority(|id| votes.get(&id) != Some(&false));
         let (pre, transfer) = (*pre, *transfer);
-        if voters - refused < quorum {
+        if !can_be_won {
             self.retry_campaign_soon(now_ms);
         }
-        if granted < quorum {
+        if !is_won {
             return;
         }
         if pre {
@@ -339,7 +335,7 @@
         Some(QuorumStatus {
             voters: config.voters().count(),
             answering: config.voters().filter(|voter| answers(*voter)).count(),
-            needed: config.quorum(),
+            has_majority: config.has_majority(answers),
         })
     }
 
--- a/src/domain/log/mod.rs
+++ b/src/domain/log/mod.rs
@@ -1,6 +1,6 @@
 //! The core of the replicated log: Raft with pre-vote, quorum check, linearizable reads through
 //! leader leases or heartbeat rounds, snapshots sent in pieces, and membership changes of one
-//! member at a time.
+//! member at a time. A voter is replaced by joint consensus, so that the number of voters stays.
 //!
 //! The core does no I/O, reads no clock and has no source of randomness: the caller passes the
 //! current time and a random seed. `Core::output` returns what the caller has to persist, send and
@@ -28,5 +28,5 @@
 pub use store::LogStore;
 pub use types::{
     Body, Config, Echo, Entry, HardState, Member, NodeId, Output, Packet, Payload, Persist,
-    ReadDone, Snapshot, SnapshotWrite, Violation,
+    ReadDone, Snapshot, SnapshotWrite, Suffrage, Violation,
 };
--- a/src/domain/log/state.rs
+++ b/src/domain/log/state.rs
@@ -17,10 +17,13 @@
     pub lease_checks: bool,
     /// Acknowledgements and votes are sent only after the sync that they depend on.
     pub sync_before_ack: bool,
-    /// The leader removes a member that it has not heard from for this long; a voter only if at
-    /// least three voters remain and all of them answer. `None` keeps silent members, for clusters
-    /// whose members are named in the settings.
+    /// The leader removes a member that it has not heard from for this long, but never a voter below
+    /// `min_voters`. A voter without which as many losses are tolerated, or for which a learner is
+    /// ready, is removed sooner. `None` keeps silent members, for clusters whose members are named in
+    /// the settings.
     pub drop_silent_ms: Option<u64>,
+    /// Voters that have to remain when a silent one is removed without a replacement.
+    pub min_voters: usize,
     /// Members beyond this number stay learners, because each voter adds to the acknowledgements
     /// that a commit waits for.
     pub max_voters: usize,
@@ -29,6 +32,9 @@
 /// Nine voters tolerate the loss of four; the fleet may reserve no more instances for control.
 const MAX_VOTERS: usize = 9;
 
+/// The fewest voters that tolerate the loss of one.
+const MIN_VOTERS: usize = 3;
+
 impl Default for Options {
     fn default() -> Self {
         Self {
@@ -37,6 +43,7 @@
             lease_checks: true,
             sync_before_ack: true,
             drop_silent_ms: None,
+            min_voters: MIN_VOTERS,
             max_voters: MAX_VOTERS,
         }
     }
@@ -88,8 +95,7 @@
     /// Voters that answered the leader within the election timeout, or the last campaign of a
     /// candidate; including this replica.
     pub answering: usize,
-    /// Voters needed for a majority.
-    pub needed: usize,
+    pub has_majority: bool,
 }
 
 /// A summary of a replica.
--- a/src/domain/log/types.rs
+++ b/src/domain/log/types.rs
@@ -19,13 +19,28 @@
     }
 }
 
+/// How a member counts towards majorities. While a voter is being replaced, two configurations are
+/// in force together, and votes and commits need a majority of each.
+///
+/// The stored form of the first two is that of the flag that earlier versions stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Suffrage {
+    /// Receives the log but does not vote.
+    Learner,
+    /// Votes; during a replacement, in both configurations.
+    Voter,
+    /// Votes in the new configuration only.
+    Incoming,
+    /// Votes in the old configuration only.
+    Outgoing,
+}
+
 /// One replica of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     pub name: InstanceName,
     pub address: SocketAddr,
-    /// False for a learner, which receives the log but does not count towards a majority.
-    pub voter: bool,
+    pub suffrage: Suffrage,
     /// Index of the entry that added this identity. Of two identities with the same name, the one
     /// with the higher index is newer.
     pub since: u64,
@@ -44,25 +59,59 @@
     pub fn voters(&self) -> impl Iterator<Item = NodeId> + '_ {
         self.members
             .iter()
-            .filter(|(_, member)| member.voter)
+            .filter(|(_, member)| member.suffrage != Suffrage::Learner)
             .map(|(id, _)| *id)
     }
 
     /// Returns true if the identity votes.
     pub fn is_voter(&self, id: NodeId) -> bool {
-        self.members.get(&id).is_some_and(|member| member.voter)
+        self.members
+            .get(&id)
+            .is_some_and(|member| member.suffrage != Suffrage::Learner)
     }
 
-    /// Returns the number of voters that make a majority.
-    pub fn quorum(&self) -> usize {
-        self.voters().count() / 2 + 1
+    /// Returns true if the voters for which `agrees` holds make a majority; during a replacement, of
+    /// the old and of the new configuration.
+    pub fn has_majority(&self, agrees: impl Fn(NodeId) -> bool) -> bool {
+        self.reached_by_quorum(|voter| u64::from(agrees(voter))) > 0
     }
 
     /// Returns the value that a majority has reached, given the value of each voter.
     pub(super) fn reached_by_quorum(&self, value: impl Fn(NodeId) -> u64) -> u64 {
-        let mut values: Vec<u64> = self.voters().map(value).collect();
-        values.sort_unstable_by(|a, b| b.cmp(a));
-        values.get(self.quorum() - 1).copied().unwrap_or(0)
+        let reached = |left_out: Suffrage| {
+            let mut values: Vec<u64> = self
+                .members
+                .iter()
+                .filter(|(_, member)| {
+                    member.suffrage != Suffrage::Learner && member.suffrage != left_out
+                })
+                .map(|(id, _)| value(*id))
+                .collect();
+            values.sort_unstable_by(|a, b| b.cmp(a));
+            values.get(values.len() / 2).copied().unwrap_or(0)
+        };
+        reached(Suffrage::Incoming).min(reached(Suffrage::Outgoing))
+    }
+
+    /// Returns true while a voter is being replaced.
+    pub(super) fn is_joint(&self) -> bool {
+        self.members
+            .values()
+            .any(|member| matches!(member.suffrage, Suffrage::Incoming | Suffrage::Outgoing))
+    }
+
+    /// Returns the configuration after the replacement that is under way.
+    pub(super) fn after_replacement(&self) -> Self {
+        let mut config = self.clone();
+        config
+            .members
+            .retain(|_, member| member.suffrage != Suffrage::Outgoing);
+        for member in config.members.values_mut() {
+            if member.suffrage == Suffrage::Incoming {
+                member.suffrage = Suffrage::Voter;
+            }
+        }
+        config
     }
 }
 
--- a/src/roles/control/replica/driver.rs
+++ b/src/roles/control/replica/driver.rs
@@ -387,16 +387,11 @@
         let QuorumStatus {
             voters,
             answering,
-            needed,
+            has_majority,
         } = quorum;
-        match answering < needed {
-            true => tracing::warn!(
-                voters,
-                answering,
-                needed,
-                "too few voters answer to elect a leader"
-            ),
-            false => tracing::info!(voters, answering, needed, "voters that answer"),
+        match has_majority {
+            true => tracing::info!(voters, answering, "voters that answer"),
+            false => tracing::warn!(voters, answering, "too few voters answer to elect a leader"),
         }
     }
 }
--- a/src/roles/control/replica/status.rs
+++ b/src/roles/control/replica/status.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::domain::log::{Config, Member, NodeId, RoleName, Status};
+use crate::domain::log::{Config, Member, NodeId, RoleName, Status, Suffrage};
 use crate::model::InstanceName;
 
 /// One voter or learner.
@@ -37,7 +37,7 @@
 fn members(config: Option<&Config>, voter: bool) -> Vec<MemberStatus> {
     let members = config.into_iter().flat_map(|config| &config.members);
     members
-        .filter(|(_, member)| member.voter == voter)
+        .filter(|(_, member)| (member.suffrage != Suffrage::Learner) == voter)
         .map(|(id, member)| MemberStatus::new(*id, member))
         .collect()
 }
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -37,9 +37,9 @@
 pub use machine::{PutAnswer, PutDocument};
 pub use operators::serve_operators;
 
-/// A voter that has not been heard for this long is removed, so that a replacement can join. The
-/// platform counts a machine as lost for 4 s after its return; a shorter time would remove machines
-/// that only restart.
+/// A voter that has not been heard for this long is removed even if that lowers the number of losses
+/// that the others tolerate. The platform counts a machine as lost for 4 s after its return; a
+/// shorter time would remove machines that only restart.
 const REMOVE_SILENT_MS: u64 = 8_000;
 /// Delay before the log is reopened after its disk has failed.
 const REOPEN_DELAY: Duration = Duration::from_millis(500);
@@ -295,6 +295,7 @@
     fn open(&self, control: &ControlSettings) -> Result<Replica, DiskError> {
         let options = Options {
             drop_silent_ms: Some(REMOVE_SILENT_MS),
+            min_voters: voters_for(self.settings.tolerated_losses),
             ..Options::default()
         };
         Replica::open_among(
@@ -407,6 +408,11 @@
     }
 }
 
+/// Returns the number of voters of which a majority remains after `losses`.
+fn voters_for(losses: usize) -> usize {
+    2 * losses + 1
+}
+
 fn log_change(change: &ListChange) {
     match change {
         ListChange::Listed(listed) => tracing::info!(
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -66,6 +66,9 @@
     /// True at the first start of the whole system, when the configured control instances may form
     /// a new cluster.
     pub may_form: bool,
+    /// Lost instances that the log has to tolerate; silent ones are not removed without a replacement
+    /// below the voters that this takes.
+    pub tolerated_losses: usize,
     /// Minimum election timeout; the heartbeat interval is a fifth of it.
     pub election_ms: u64,
     /// Number of document versions between snapshots.
@@ -85,6 +88,7 @@
                 .filter(|folder: &PathBuf| !folder.as_os_str().is_empty()),
             list_address: reader.optional(section, "list_address"),
             may_form: reader.or_default(section, "may_form", false),
+            tolerated_losses: reader.bounded(section, "tolerated_losses", 1, 0..=4),
             election_ms: reader.bounded(section, "election_ms", 350, 100..=60_000),
             snapshot_entries: reader.bounded(section, "snapshot_entries", 32, 16..=1_000_000),
         })
--- a/tests/log_core.rs
+++ b/tests/log_core.rs
@@ -5,7 +5,7 @@
 
 use lilacspindle::domain::log::{
     Body, Config, Core, Echo, Entry, HardState, Member, NodeId, Options, Packet, Payload,
-    RecoveredState, ReplicaSettings,
+    RecoveredState, ReplicaSettings, Suffrage,
 };
 use lilacspindle::model::InstanceName;
 
@@ -21,7 +21,7 @@
         let member = Member {
             name,
             address: address(id),
-            voter: true,
+            suffrage: Suffrage::Voter,
             since: 1,
         };
         (NodeId(id.into()), member)
--- a/tests/log_support/operations.rs
+++ b/tests/log_support/operations.rs
@@ -75,11 +75,13 @@
         let Some(config) = core.filter(|c| c.is_leader()).and_then(Core::config) else {
             return;
         };
-        let holders = self
+        let holders: Vec<NodeId> = self
             .nodes
             .iter()
-            .filter(|n| config.is_voter(n.id) && n.disk.holds(entry));
-        if self.lost_disks == 0 && holders.count() < config.quorum() {
+            .filter(|n| n.disk.holds(entry))
+            .map(|n| n.id)
+            .collect();
+        if self.lost_disks == 0 && !config.has_majority(|voter| holders.contains(&voter)) {
             self.violations
                 .push(format!("entry {} is not on a quorum", entry.index));
         }
