Obey no document that control answers it cannot confirm

Cause: the limit of 3 s without a confirmation was applied to requests with a key only; others were served, or denied for good, by whatever document the entry held.

An entry whose control instances answer without confirming is in touch with them, so it must obey what they have acknowledged and cannot know it: it now refuses (503) all requests after that limit. A 404 needs a confirmed document in any case; without one the answer is 503, so that the caller asks another entry. An entry that no control instance answers goes on serving routes without keys as before.

document_that_control_cannot_confirm_is_not_obeyed (200 instead of 503) and entry_cut_off_from_control_serves_keyless_routes (404 instead of 503) failed before and pass.

--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -86,6 +86,9 @@
     index: watch::Sender<Option<Arc<Index>>>,
     /// Monotonic time at which the document was last confirmed to be the newest; 0 for never.
     confirmed_ms: AtomicU64,
+    /// Monotonic time of the last answer of a control instance with a log that could not confirm the
+    /// document; 0 for never.
+    unconfirmed_reply_ms: AtomicU64,
     /// Instances and their loads as known to this entry.
     view: Mutex<View>,
     /// Schedule of this entry's own reads of the platform's instance list.
@@ -136,6 +139,7 @@
             name: name.0,
             index: watch::Sender::new(None),
             confirmed_ms: AtomicU64::new(0),
+            unconfirmed_reply_ms: AtomicU64::new(0),
             view: Mutex::new(View::new(zone)),
             list_reads: Mutex::default(),
             departure_changes: watch::Sender::new(0),
@@ -255,15 +259,22 @@
 
     /// Returns how long ago the document was last confirmed to be the newest; `None` if never.
     fn confirmed_age_ms(&self) -> Option<u64> {
-        match self.confirmed_ms.load(Ordering::Relaxed) {
-            0 => None,
-            confirmed_ms => Some(monotonic_ms().saturating_sub(confirmed_ms)),
-        }
+        age_ms(&self.confirmed_ms)
     }
 
     /// Returns true if the document was confirmed to be the newest within `confirm_limit_ms`.
     fn is_confirmed(&self) -> bool {
-        let age_ms = self.confirmed_age_ms();
+        self.is_recent(self.confirmed_age_ms())
+    }
+
+    /// Returns true if control has answered within `confirm_limit_ms`, but could not confirm the
+    /// document. Unlike an entry that is cut off, this one must obey changes that control has
+    /// acknowledged, and cannot know them.
+    fn is_unconfirmed_by_control(&self) -> bool {
+        !self.is_confirmed() && self.is_recent(age_ms(&self.unconfirmed_reply_ms))
+    }
+
+    fn is_recent(&self, age_ms: Option<u64>) -> bool {
         age_ms.is_some_and(|age_ms| age_ms < self.settings.confirm_limit_ms)
     }
 
@@ -417,3 +428,11 @@
     let _ = closed.wait_for(|set| *set).await;
     sleep(LAST_READS_TIME).await;
 }
+
+/// Returns the time since a monotonic time; `None` if that is 0, for never.
+fn age_ms(time_ms: &AtomicU64) -> Option<u64> {
+    match time_ms.load(Ordering::Relaxed) {
+        0 => None,
+        time_ms => Some(monotonic_ms().saturating_sub(time_ms)),
+    }
+}
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -30,8 +30,8 @@
 /// Time after which a caller should retry if the gateway is stopping. The load balancer routes
 /// callers to other gateways at most two seconds after the stop began.
 const LEAVING_RETRY_MS: u64 = 600;
-/// Time after which a caller should retry if its key cannot be checked; another gateway may be able
-/// to check it.
+/// Time after which a caller should retry if the document cannot be confirmed; another gateway may
+/// be able to.
 const UNCONFIRMED_RETRY_MS: u64 = 300;
 /// Assumed output tokens of requests without a token usage header.
 const DEFAULT_OUTPUT_TOKENS: u64 = 200;
@@ -248,16 +248,20 @@
         let caller = request.headers();
         let host = headers::text(caller, &header::HOST).or_else(|| request.uri().host());
         let path = request.uri().path();
-        let Some(route) = host.and_then(|host| index.route(host, path)) else {
-            return Err(Refusal::denied(StatusCode::NOT_FOUND, "no_route"));
+        let is_confirmed = self.is_confirmed();
+        let unconfirmed = || Refusal::not_run("document_unconfirmed", UNCONFIRMED_RETRY_MS);
+        let route = match host.and_then(|host| index.route(host, path)) {
+            Some(route) => route,
+            None if is_confirmed => {
+                return Err(Refusal::denied(StatusCode::NOT_FOUND, "no_route"));
+            }
+            // The route may have been added since.
+            None => return Err(unconfirmed()),
         };
         let access = index.access(route, headers::key(caller));
         let keyed = !index.document().workspaces.is_empty() && !route.anonymous;
-        if keyed && !self.is_confirmed() {
-            return Err(Refusal::not_run(
-                "document_unconfirmed",
-                UNCONFIRMED_RETRY_MS,
-            ));
+        if (keyed && !is_confirmed) || self.is_unconfirmed_by_control() {
+            return Err(unconfirmed());
         }
         let mut passed = headers::passed_on(caller);
         let mut priority = route.priority;
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -189,6 +189,10 @@
                     .fetch_max(asked_ms.max(1), Ordering::Relaxed);
             }
         }
+        if !reply.confirmed && reply.keeps_log {
+            self.unconfirmed_reply_ms
+                .store(monotonic_ms().max(1), Ordering::Relaxed);
+        }
         self.entry_count
             .store(reply.entries.max(1), Ordering::Relaxed);
         self.with_view(|view| view.set_entries(reply.entries));
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -16,8 +16,8 @@
     /// Address of the platform's list of instances, which is used while no control instance
     /// answers.
     pub list_address: Option<SocketAddr>,
-    /// Requests with an idempotency key are refused once the document has not been confirmed for
-    /// this long.
+    /// Requests with an API key are refused once the document has not been confirmed for this long;
+    /// all requests if control answers that it cannot confirm it.
     pub confirm_limit_ms: u64,
     /// Time between the start of a planned stop and the exit of the process.
     pub grace_ms: u64,
--- a/tests/site_documents.rs
+++ b/tests/site_documents.rs
@@ -157,6 +157,59 @@
     .await;
 }
 
+/// Returns a document whose route `/safe/` needs no key.
+fn keyless_document() -> Value {
+    let mut document = document(1);
+    document["routes"][1]["allowAnonymous"] = json!(true);
+    document
+}
+
+/// Guards against an entry that obeys a document, or answers 404 by it, although the control
+/// instances that it reaches cannot tell whether a newer one was acknowledged.
+#[tokio::test]
+async fn document_that_control_cannot_confirm_is_not_obeyed() {
+    let mut site = Site::new(3).await;
+    for machine in 1..=3 {
+        site.start_control(machine, true);
+    }
+    site.start_entry(1);
+    assert_eq!(site.publish(1, &keyless_document()).await, 200);
+    let _plain = site.upstream("plain", reply_with("plain")).await;
+    wait_for("the entry serves", || async {
+        call(&site, "/safe/x", "").await.0 == 200
+    })
+    .await;
+    assert_eq!(call(&site, "/unknown/x", "").await.0, 404);
+    site.kill("control-2");
+    site.kill("control-3");
+    // The limit is 3 s without a confirmation.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(call(&site, "/safe/x", "").await.0, 503);
+    assert_eq!(call(&site, "/unknown/x", "").await.0, 503);
+    site.start_control(2, false);
+    wait_for("the entry serves again", || async {
+        call(&site, "/safe/x", "").await.0 == 200
+    })
+    .await;
+}
+
+/// Guards against an entry that is cut off from control and stops serving what needs no key, or
+/// answers 404 for a route that it may not have heard of.
+#[tokio::test]
+async fn entry_cut_off_from_control_serves_keyless_routes() {
+    let mut site = Site::serving(&keyless_document()).await;
+    let _plain = site.upstream("plain", reply_with("plain")).await;
+    wait_for("the entry serves", || async {
+        call(&site, "/safe/x", "").await.0 == 200
+    })
+    .await;
+    site.kill("control-1");
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(call(&site, "/safe/x", "").await.0, 200);
+    assert_eq!(call(&site, "/once/x", "k1").await.0, 503);
+    assert_eq!(call(&site, "/unknown/x", "").await.0, 503);
+}
+
 /// Guards against a cluster that does not form while a seed is late, loses an acknowledged document
 /// with one disk, or does not admit a replaced machine.
 #[tokio::test]
@@ -232,7 +285,7 @@
     assert_eq!(site.publish(1, &document(1)).await, 200);
     site.start_control(4, false);
     site.kill("control-1");
-    // A silent voter is removed 8 s after it was last heard.
+    // The new machine takes its place, or it is removed as one of four.
     wait_for("the killed member is removed", || async {
         let removals = |n: u8| site.log_lines(&format!("control-{n}"), "member was removed");
         (2..=4).any(|machine| !removals(machine).is_empty())
