Keep prompt parts that crash engines away from the engines

Cause: nothing connected the crashes. Each request was placed by load alone, and a generation lost before its first event was sent on to the engine of its backup.

Entries now report each engine that is lost before a generation has begun, with the shared parts of its prompt, in their sync call. The hub of the leader keeps these crashes and quarantines the parts that explain them: three crashes, none explained by another part, no generation with the part begun since; of parts that always come together the last one. What it suspects and has quarantined goes to all entries with the next answer (0.2 s). An entry refuses requests with a quarantined part at once with a final status (500), before and after they wait, and resumes no generation with a suspected part that has not begun. A part is cleared as soon as a generation with it begins; a new hub is told what is quarantined.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,9 +1,12 @@
 //! Names of the platform's HTTP headers, and functions to read and filter headers.
 
+use std::sync::Arc;
+
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{HeaderName, StatusCode};
 
 use crate::domain::fleet::{AskedPause, NamedLimit};
+use crate::domain::quarantine::PartId;
 
 /// Id of one attempt of a caller; the replica repeats it in its response.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-lilacspindle-request-id");
@@ -49,6 +52,9 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
+/// Parts of a prompt that are looked at; prompts of the planned sites have up to four.
+const MAX_PROMPT_PARTS: usize = 16;
+
 /// Hop-by-hop headers, which concern one connection only.
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -125,6 +131,19 @@
     Some((prompt.trim().parse().ok()?, output.trim().parse().ok()?))
 }
 
+/// Returns the parts of a prompt that other requests may share: all but the last one.
+pub fn shared_prompt_parts(headers: &HeaderMap) -> Vec<PartId> {
+    let parts = text(headers, &PROMPT_PARTS).unwrap_or_default();
+    let mut parts: Vec<PartId> = parts
+        .split(',')
+        .filter_map(|part| part.split(':').next())
+        .map(|id| Arc::from(id.trim()))
+        .collect();
+    parts.pop();
+    parts.truncate(MAX_PROMPT_PARTS);
+    parts
+}
+
 /// Returns for how many seconds the sender keeps an idle connection open: 0 if it closes the
 /// connection now, `None` if it does not say.
 pub fn keep_alive_s(headers: &HeaderMap) -> Option<u64> {
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -45,6 +45,7 @@
         let departures = std::mem::take(&mut request.departures);
         role.record_departures(departures);
         role.record_limits(&std::mem::take(&mut request.limits));
+        role.record_part_notices(std::mem::take(&mut request.parts));
         let mut updates = role.updates.subscribe();
         if !self.has_update(&request) {
             let hold = Duration::from_millis(request.hold_ms).min(MAX_HOLD);
@@ -65,6 +66,7 @@
             list_age_ms: hub.list_age_ms(now_ms),
             entries: u32::try_from(hub.entries()).unwrap_or(u32::MAX),
             leader: role.other_leader(),
+            parts: role.known_parts(),
         })
     }
 
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -48,7 +48,10 @@
                 return Err(Refusal::not_run("out_of_time", 0));
             }
             let demand = job.demand;
+            self.check_quarantine(&job)?;
             let chosen = self.place(&job, engine, &tried).await?;
+            // A part may have been quarantined while the generation waited.
+            self.check_quarantine(&job)?;
             if !tried.is_empty() && !self.may_retry(&job.service) {
                 return Err(self.no_capacity(&job));
             }
@@ -89,7 +92,10 @@
                     match failure {
                         SendFailure::NotSent(_) if tried.len() < MAX_ATTEMPTS => continue,
                         SendFailure::NotSent(_) => return Err(self.no_capacity(&job)),
-                        SendFailure::Lost(_) => return Err(response_lost()),
+                        SendFailure::Lost(_) => {
+                            self.record_crash(&job, &ticket.identity);
+                            return Err(response_lost());
+                        }
                     }
                 }
                 Err(_) => {
@@ -122,6 +128,36 @@
         }
     }
 
+    /// Fails if a part of the prompt is quarantined: the request would crash its engine. The status
+    /// is final for callers, since no attempt can succeed.
+    fn check_quarantine(&self, job: &Job) -> Result<(), Refusal> {
+        match self.with_part_watch(|watch| watch.quarantined(&job.shared_parts).cloned()) {
+            None => Ok(()),
+            Some(part) => {
+                tracing::info!(
+                    request = &*job.id,
+                    part = &*part,
+                    "a part of the prompt is quarantined"
+                );
+                Err(Refusal::denied(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    "prompt_part_quarantined",
+                ))
+            }
+        }
+    }
+
+    /// Records that an engine was lost before it had begun to answer a generation.
+    pub(super) fn record_crash(&self, job: &Job, instance: &Arc<str>) {
+        tracing::info!(
+            request = &*job.id,
+            instance = &**instance,
+            shared_parts = job.shared_parts.join(","),
+            "engine lost before its first event"
+        );
+        self.with_part_watch(|watch| watch.record_crash(instance, &job.shared_parts));
+    }
+
     /// Returns an engine with free capacity. If there is none, waits in the queue that control
     /// keeps for the generations of all entries. Fails at once if no capacity is expected in time.
     async fn place(
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -41,6 +41,7 @@
 use crate::domain::document::Index;
 use crate::domain::fleet::{ListReads, View};
 use crate::domain::length::HintedLengths;
+use crate::domain::quarantine::PartWatch;
 use crate::domain::retry::WindowBudget;
 use crate::model::{InstanceName, ZoneName};
 use crate::platform::paths;
@@ -112,6 +113,8 @@
     control_without_log: AtomicBool,
     /// Notified when an engine may have free capacity again.
     capacity_changes: Notify,
+    /// Prompt parts on which engines crash.
+    part_watch: Mutex<PartWatch>,
     metrics: Metrics,
     /// True once a planned stop has begun.
     stopping: watch::Sender<bool>,
@@ -152,6 +155,7 @@
             admission_queue: Mutex::default(),
             control_without_log: AtomicBool::new(false),
             capacity_changes: Notify::new(),
+            part_watch: Mutex::default(),
             metrics: Metrics::new(),
             stopping: watch::Sender::new(false),
             grace_ends_at: watch::Sender::new(None),
@@ -282,6 +286,15 @@
         use_it(&mut self.view.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    fn with_part_watch<T>(&self, use_it: impl FnOnce(&mut PartWatch) -> T) -> T {
+        use_it(
+            &mut self
+                .part_watch
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner),
+        )
+    }
+
     /// Returns the link to the control instance that answered last.
     fn control_link(&self) -> Option<Arc<Link<DirectoryClient>>> {
         let link = self.control.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -200,6 +200,10 @@
             Some(Err(error)) => {
                 let cause = format!("stream from {} failed: {error}", source.ticket.identity);
                 let is_stopped = stop_was_requested(self.migration.as_ref());
+                if self.last_event.is_none() && !is_stopped {
+                    self.gateway
+                        .record_crash(&self.job, &source.ticket.identity);
+                }
                 if self.migration.is_none() {
                     source.ticket.record_outcome(Outcome::Unreachable);
                 }
@@ -245,6 +249,11 @@
         self.job
             .open
             .set_last_event(self.last_event.unwrap_or_default());
+        if self.time_to_first_event_ms.is_none() {
+            let parts = &self.job.shared_parts;
+            self.gateway
+                .with_part_watch(|watch| watch.record_begin(parts));
+        }
         self.first_event_ms.get_or_insert_with(monotonic_ms);
         let age_ms = self.job.age_ms();
         self.time_to_first_event_ms.get_or_insert(age_ms);
@@ -282,6 +291,14 @@
         let Some(backup) = &self.backup else {
             return;
         };
+        // It may be this generation that has crashed its engine as its answer began.
+        let parts = &self.job.shared_parts;
+        let is_suspected = self
+            .gateway
+            .with_part_watch(|watch| watch.is_suspected(parts));
+        if self.last_event.is_none() && is_suspected {
+            return;
+        }
         let resumption = Resumption::from_backup(reason, self.resumer(), backup);
         self.resumption = Some(resumption);
     }
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -16,6 +16,7 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::{Access, EngineSpec, Index, Repeat, Route};
 use crate::domain::fleet::Demand;
+use crate::domain::quarantine::PartId;
 use crate::platform::headers;
 
 /// Time after which a caller should retry if the gateway has no document yet, or the route has no
@@ -56,6 +57,8 @@
     /// Properties of the service's engines; `None` if its instances are not engines.
     pub(super) engine: Option<EngineSpec>,
     pub(super) demand: Demand,
+    /// The parts of the prompt that other requests may share.
+    pub(super) shared_parts: Vec<PartId>,
     /// The caller's estimate of the output tokens, or their upper bound if there is none.
     pub(super) hint_tokens: u64,
     pub(super) priority: u32,
@@ -338,6 +341,7 @@
             prompt_tokens,
             output_tokens,
         },
+        shared_parts: headers::shared_prompt_parts(&head.headers),
         hint_tokens,
         priority: admitted.priority,
         arrived,
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -14,6 +14,7 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::Index;
 use crate::domain::fleet::ListReads;
+use crate::domain::quarantine::{PartNotices, PartWatch};
 use crate::platform::{self, decode_document};
 use crate::roles::site::ControlSelector;
 use crate::rpc::directory::{DirectoryClient, Published, SyncReply, SyncRequest};
@@ -62,11 +63,18 @@
                 sleep(RETRY_DELAY).await;
                 continue;
             };
-            let request = self.sync_request();
+            let notices = self.with_part_watch(PartWatch::take_notices);
+            let request = SyncRequest {
+                parts: notices.clone(),
+                ..self.sync_request()
+            };
             let asked_ms = monotonic_ms();
             match call_sync(&link, request).await {
                 Ok(reply) => {
                     selector.follow(reply.leader);
+                    if !is_from_leader(&reply) {
+                        self.with_part_watch(|watch| watch.restore(notices));
+                    }
                     if let Some(age_ms) = reply.list_age_ms {
                         listed_ms = listed_ms.max(monotonic_ms().saturating_sub(age_ms));
                     }
@@ -84,6 +92,7 @@
                     self.apply_reply(reply, asked_ms);
                 }
                 Err(error) => {
+                    self.with_part_watch(|watch| watch.restore(notices));
                     self.metrics.sync_failures.inc();
                     selector.failed(&error.to_string());
                     sleep(RETRY_DELAY).await;
@@ -170,6 +179,7 @@
             loads: view.loads(),
             departures: view.departures(),
             limits: view.limit_notices(monotonic_ms()),
+            parts: PartNotices::default(),
             hold_ms: SYNC_HOLD_MS,
         })
     }
@@ -193,6 +203,9 @@
             self.unconfirmed_reply_ms
                 .store(monotonic_ms().max(1), Ordering::Relaxed);
         }
+        if is_from_leader(&reply) {
+            self.with_part_watch(|watch| watch.apply(reply.parts));
+        }
         self.entry_count
             .store(reply.entries.max(1), Ordering::Relaxed);
         self.with_view(|view| view.set_entries(reply.entries));
@@ -269,6 +282,11 @@
     }
 }
 
+/// Returns true if the reply comes from the leader, whose hub collects what all entries report.
+fn is_from_leader(reply: &SyncReply) -> bool {
+    reply.confirmed && reply.leader.is_none()
+}
+
 async fn call_sync(
     link: &Link<DirectoryClient>,
     request: SyncRequest,
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -10,6 +10,7 @@
     Demand, Departure, FleetUpdate, LimitNotice, LimitStatement, LimitsReached, Load, Outlook,
     PlacementRequest, Position, Report,
 };
+use crate::domain::quarantine::{KnownParts, PartNotices};
 use crate::model::ZoneName;
 use crate::rpc::Packed;
 
@@ -36,6 +37,8 @@
     pub departures: Vec<Departure>,
     /// What the entry has heard of request limits, except what the hub already knows.
     pub limits: Vec<LimitNotice>,
+    /// Crashes of engines and the prompt parts concerned.
+    pub parts: PartNotices,
     /// How long the answer may wait for an update.
     pub hold_ms: u64,
 }
@@ -58,6 +61,8 @@
     pub entries: u32,
     /// The address of the leader, which knows the loads of all entries, if another instance leads.
     pub leader: Option<SocketAddr>,
+    /// Suspected and quarantined prompt parts.
+    pub parts: KnownParts,
 }
 
 /// A sidecar's report on its engine.
--- a/tests/site_controls.rs
+++ b/tests/site_controls.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use lilacspindle::call_handler;
+use lilacspindle::domain::quarantine::KnownParts;
 use lilacspindle::rpc::directory::{
     Directory, PermitReply, PermitRequest, PlaceReply, PlaceRequest, Published, ReportReply,
     ReportRequest, SyncReply, SyncRequest, TurnReply, TurnRequest,
@@ -49,6 +50,7 @@
             list_age_ms: None,
             entries: 1,
             leader: self.leader,
+            parts: KnownParts::default(),
         }
     }
 
