Take a stream that ends inside an event for broken off

Such a stream was passed on as complete, with the first bytes of its last event. It is now treated like a stream whose connection failed: resumed from its copy, or ended without looking complete; without any event it counts as a lost engine. stream_that_ends_inside_an_event_is_broken_off failed before (it received 'id: 2\nda' and a regular end) and passes; the other seven tests of site_streams pass.

--- a/src/roles/gateway/events.rs
+++ b/src/roles/gateway/events.rs
@@ -64,6 +64,11 @@
         None
     }
 
+    /// Returns true if bytes of an event were received whose end was not.
+    pub(super) fn has_partial_event(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Takes the bytes after the last whole event, once the stream has ended; `None` if there are
     /// none.
     pub(super) fn take_rest(&mut self) -> Option<Bytes> {
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -189,6 +189,16 @@
                     self.events.push(data);
                 }
             }
+            // Without an explicit end, a stream that breaks off looks as if it had ended.
+            None if !source.exchange.has_explicit_end()
+                && (self.events.has_partial_event() || self.last_event.is_none()) =>
+            {
+                let cause = format!(
+                    "stream from {} ended inside an event",
+                    source.ticket.identity
+                );
+                self.lose_failed_source(&cause);
+            }
             // An engine closes the stream of a generation that it has stopped early. A stream that
             // reaches its explicit end is complete, whatever the state of a migration.
             None if source.exchange.has_explicit_end()
@@ -199,20 +209,7 @@
             None => self.lose_source(Reason::Stopped, "generation stopped for its migration"),
             Some(Err(error)) => {
                 let cause = format!("stream from {} failed: {error}", source.ticket.identity);
-                let is_stopped = stop_was_requested(self.migration.as_ref());
-                if self.last_event.is_none() && !is_stopped {
-                    self.gateway
-                        .record_crash(&self.job, &source.ticket.identity);
-                }
-                if self.migration.is_none() {
-                    source.ticket.record_outcome(Outcome::Unreachable);
-                }
-                let reason = if is_stopped {
-                    Reason::Stopped
-                } else {
-                    Reason::Failed
-                };
-                self.lose_source(reason, &cause);
+                self.lose_failed_source(&cause);
             }
         }
         false
@@ -328,6 +325,26 @@
         }
     }
 
+    /// Drops the stream of an engine that broke off, and resumes the generation elsewhere.
+    fn lose_failed_source(&mut self, cause: &str) {
+        let Some(source) = &self.source else {
+            return;
+        };
+        let is_stopped = stop_was_requested(self.migration.as_ref());
+        if self.last_event.is_none() && !is_stopped {
+            self.gateway
+                .record_crash(&self.job, &source.ticket.identity);
+        }
+        if self.migration.is_none() {
+            source.ticket.record_outcome(Outcome::Unreachable);
+        }
+        let reason = match is_stopped {
+            true => Reason::Stopped,
+            false => Reason::Failed,
+        };
+        self.lose_source(reason, cause);
+    }
+
     /// Closes the stream of the engine. Returns its ticket, which still counts the generation there.
     fn detach_source(&mut self, reason: Reason, cause: &str) -> Option<Ticket> {
         let EngineStream { exchange, ticket } = self.source.take()?;
--- a/tests/site_streams.rs
+++ b/tests/site_streams.rs
@@ -329,3 +329,41 @@
     assert!(rest.ends_with(b"id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n"));
     assert_eq!(target.requests("/stream/x").len(), 1);
 }
+
+/// Guards against a stream without length or chunks that breaks off inside an event and looks
+/// complete to its caller.
+#[tokio::test]
+async fn stream_that_ends_inside_an_event_is_broken_off() {
+    let mut site = Site::serving(&document(1)).await;
+    let _upstream = site
+        .upstream("model", |request: &Request| {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\
+                 X-Lilacspindle-Request-Id: {}\r\nX-Lilacspindle-Response-Seal: seal\r\n\r\n",
+                request.id()
+            );
+            let events: &[u8] = match request.path.as_str() {
+                "/stream/broken" => b"id: 1\ndata: a\n\nid: 2\nda",
+                _ => b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+            };
+            vec![
+                Reply::Bytes([head.as_bytes(), events].concat()),
+                Reply::Close,
+            ]
+        })
+        .await;
+    wait_routable(&site, "/stream/x").await;
+    let whole = call(&site, "/stream/x", "id-1").await;
+    assert_eq!(
+        whole.text().await.unwrap(),
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+    );
+    let mut broken = call(&site, "/stream/broken", "id-2").await;
+    let end = loop {
+        match broken.chunk().await {
+            Ok(Some(chunk)) => assert_eq!(chunk, "id: 1\ndata: a\n\n"),
+            end => break end,
+        }
+    };
+    assert!(end.is_err(), "the stream looks complete");
+}
