Count engines that crash together once against a prompt part

A rack or zone of engines that fails takes generations with one shared first part at several engines at once; these were three crashes against it, and its sound requests would have been refused.

--- a/src/domain/quarantine/evidence.rs
+++ b/src/domain/quarantine/evidence.rs
@@ -13,6 +13,12 @@
 const LATER_PART_CRASHES: usize = 2;
 /// Reports on one instance within this time concern the same crash. Engines need longer to restart.
 const SAME_CRASH_MS: u64 = 1_000;
+/// Crashes within this time count as one against a part: a rack that fails takes several engines at
+/// once, and its crashes are reported within one report interval of the entries.
+const EPISODE_MS: u64 = 500;
+/// This many crashes count as one more than their episodes: requests that come in quick succession
+/// may have taken most engines within two.
+const MANY_CRASHES: usize = 5;
 /// Crashes count for this long.
 const CRASH_TTL_MS: u64 = 60_000;
 /// Upper bound on the crashes that are kept.
@@ -46,6 +52,31 @@
     }
 }
 
+/// The crashes that concern a part.
+#[derive(Debug, Default)]
+struct Marks {
+    crashes: usize,
+    episodes: usize,
+    episode_began_ms: u64,
+}
+
+impl Marks {
+    fn add(&mut self, at_ms: u64) {
+        if self.crashes == 0 || at_ms >= self.episode_began_ms + EPISODE_MS {
+            self.episodes += 1;
+            self.episode_began_ms = at_ms;
+        }
+        self.crashes += 1;
+    }
+
+    fn count(&self) -> usize {
+        match self.episodes > 1 && self.crashes >= MANY_CRASHES {
+            true => self.episodes + 1,
+            false => self.episodes,
+        }
+    }
+}
+
 /// Suspected and quarantined prompt parts.
 #[derive(Debug)]
 pub struct CrashEvidence {
@@ -141,19 +172,21 @@
         });
     }
 
-    /// Returns how many of some crashes concern each part that has not been cleared since.
+    /// Returns how many of some crashes, which are in order of time, concern each part that has not
+    /// been cleared since.
     fn counts(&self, crashes: &[&Crash]) -> BTreeMap<PartId, usize> {
-        let mut counts = BTreeMap::new();
+        let mut marks: BTreeMap<PartId, Marks> = BTreeMap::new();
         for crash in crashes {
             let parts: BTreeSet<&PartId> = crash.lost.iter().flatten().collect();
             for part in parts {
                 let cleared_ms = self.cleared_ms.get(part);
                 if cleared_ms.is_none_or(|cleared_ms| *cleared_ms < crash.at_ms) {
-                    *counts.entry(Arc::clone(part)).or_default() += 1;
+                    marks.entry(Arc::clone(part)).or_default().add(crash.at_ms);
                 }
             }
         }
-        counts
+        let marks = marks.into_iter();
+        marks.map(|(part, marks)| (part, marks.count())).collect()
     }
 
     /// Quarantines the parts that explain the crashes, those with most crashes first, and releases
