Release no prompt part for lack of evidence

A quarantined part was released when few of its crashes were left: after a change of leaders, the first generation under way that crashed its engine released the part it had just confirmed, and so did any crash once the part's own had expired. A part is now released only if other parts explain all of its crashes. quarantine_outlasts_a_hub_and_an_entry and quarantine_outlasts_its_evidence failed before and pass. The position of a part is looked up for parts with equal counts only.

--- a/src/domain/quarantine/evidence.rs
+++ b/src/domain/quarantine/evidence.rs
@@ -23,8 +23,9 @@
 const CRASH_TTL_MS: u64 = 60_000;
 /// Upper bound on the crashes that are kept.
 const MAX_CRASHES: usize = 64;
-/// Upper bound on the generations that are kept of one crash.
-const MAX_LOST: usize = 64;
+/// Upper bound on the generations that are kept of one crash; engines of the planned sites seldom
+/// have more that have not begun.
+const MAX_LOST: usize = 32;
 /// A part is released after this long, as what crashed the engines may have been mended.
 const QUARANTINE_MS: u64 = 600_000;
 /// Upper bound on quarantined parts.
@@ -204,15 +205,12 @@
         }
         let all: Vec<&Crash> = self.crashes.iter().collect();
         let (implicated, rest) = (self.counts(&all), self.counts(&unexplained));
-        let is_needed = |part: &PartId| {
-            let crashes = rest.get(part);
-            crashes.is_some_and(|crashes| *crashes >= LATER_PART_CRASHES)
-        };
         let mut changes = Vec::new();
-        // What another hub has found is kept although this one has no evidence.
+        // Little or no evidence does not release a part: another hub may have found it, or the
+        // crashes may have expired.
         self.quarantined.retain(|part, _| {
-            let is_kept =
-                found.contains_key(part) || is_needed(part) || !implicated.contains_key(part);
+            let is_explained = implicated.contains_key(part) && !rest.contains_key(part);
+            let is_kept = found.contains_key(part) || !is_explained;
             if !is_kept {
                 changes.push(PartChange::Released(Arc::clone(part)));
             }
@@ -253,11 +251,14 @@
         let positions = requests().filter_map(|parts| parts.iter().position(|p| p == part));
         positions.max()
     };
+    let highest = *counts
+        .values()
+        .max()
+        .filter(|highest| **highest >= QUARANTINE_CRASHES)?;
     let most = counts
-        .iter()
-        .max_by_key(|(part, count)| (**count, position(part)))
-        .filter(|(_, count)| **count >= QUARANTINE_CRASHES)
-        .map(|(part, _)| part)?;
+        .keys()
+        .filter(|part| count(part) == highest)
+        .max_by_key(|part| position(part))?;
     let behind = |parts: &Vec<PartId>| {
         let mut parts = parts.iter().skip_while(|part| *part != most).skip(1);
         parts
--- a/src/roles/control/replica/driver.rs
+++ b/src/roles/control/replica/driver.rs
@@ -372,9 +372,7 @@
             changed
         });
     }
-}
 
-impl Driver {
     /// Logs and counts the voters that answer, if their number has changed.
     fn log_quorum(&mut self) {
         let Some(quorum) = self.core.answering_voters(monotonic_ms()) else {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -128,6 +128,23 @@
     let _ = next.record(restarted.take_notices(), 5_100);
     restarted.apply(next.known(5_100));
     assert!(restarted.quarantined(&parts(&["x"])).is_some());
+    // A generation that was under way at the change of hubs crashes its engine.
+    let _ = next.record(crashes(&[crash("b", &["x"])]), 5_200);
+    assert_eq!(next.known(5_200).quarantined, parts(&["x"]));
+}
+
+/// Guards against a part that is released because some of its crashes have expired when another
+/// engine fails.
+#[test]
+fn quarantine_outlasts_its_evidence() {
+    let mut evidence = CrashEvidence::new(1);
+    for now_ms in [0, 20_000, 40_000] {
+        let _ = evidence.record(crashes(&[crash("a", &["x"])]), now_ms);
+    }
+    for now_ms in [70_000, 90_000, 120_000] {
+        let _ = evidence.record(crashes(&[crash("b", &["y"])]), now_ms);
+        assert!(evidence.known(now_ms).quarantined.contains(&Arc::from("x")));
+    }
 }
 
 /// Guards against crashes that are not counted because a report was lost.
