--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -99,6 +99,7 @@
             ("{{dataDirectory}}", "/data/control"),
             ("{{cloud.address}}", "10.200.0.63:8742"),
             ("{{bootstrap}}", "true"),
+            ("{{faultTolerance.machines}}", "1"),
             ("{{app}}", "10.1.0.26:8745"),
             ("{{service}}", "model"),
             ("{{bounds.gracePeriodS}}", "8"),
