--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod site;
 
 mod cut_event;
+mod foreign_bytes;
 mod memory;
 mod reuse;
 mod unreadable;
@@ -22,6 +23,7 @@
         "unreadable" => unreadable::run(trouble),
         "reuse" => reuse::run(trouble),
         "cut-event" => cut_event::run(trouble),
+        "foreign-bytes" => foreign_bytes::run(trouble),
         "memory" => memory::run(trouble),
         _ => site::cannot_run("unknown case"),
     }
--- a/review/standins/memory.rs
+++ b/review/standins/memory.rs
@@ -32,6 +32,7 @@
                 engine: false,
                 work: Duration::from_millis(400),
                 events: 0,
+                idle_s: None,
             };
             Replica::start(spec, &site.record, &site.runs)
         })
--- a/review/standins/reuse.rs
+++ b/review/standins/reuse.rs
@@ -24,6 +24,7 @@
             // A prompt of 2,200 tokens, of which an engine reads 14 in a millisecond.
             work: Duration::from_millis(160),
             events: 3,
+            idle_s: None,
         };
         Replica::start(spec, &site.record, &site.runs)
     };
--- a/review/standins/unreadable.rs
+++ b/review/standins/unreadable.rs
@@ -105,6 +105,7 @@
         engine: false,
         work: Duration::from_millis(20),
         events: 0,
+        idle_s: None,
     };
     Replica::start(spec, &site.record, &site.runs)
 }
