--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs the case "reuse". TROUBLE=0 leaves the disruption out. Needs review/build.sh before.
+# Runs the case "quorum". TROUBLE=0 leaves the disruption out. Needs review/build.sh before.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not be run.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
@@ -8,7 +8,7 @@
     exit 2
 }
 pids=$(mktemp) || exit 2
-CASE_FOLDER="$here" PID_FILE="$pids" TROUBLE="${TROUBLE:-1}" target/review/standins reuse &
+CASE_FOLDER="$here" PID_FILE="$pids" TROUBLE="${TROUBLE:-1}" target/review/standins quorum &
 case=$!
 # The processes of the case are ended even if this script is stopped.
 trap 'kill $case; for pid in $(cat "$pids"); do kill -9 "$pid" 2>/dev/null; done; rm -f "$pids"; exit 2' INT TERM
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,9 +5,9 @@
 mod http;
 mod site;
 
-mod cut_event;
 mod foreign_bytes;
 mod memory;
+mod quorum;
 mod reuse;
 mod unreadable;
 
@@ -21,8 +21,8 @@
     }));
     match case.as_str() {
         "unreadable" => unreadable::run(trouble),
+        "quorum" => quorum::run(trouble),
         "reuse" => reuse::run(trouble),
-        "cut-event" => cut_event::run(trouble),
         "foreign-bytes" => foreign_bytes::run(trouble),
         "memory" => memory::run(trouble),
         _ => site::cannot_run("unknown case"),
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -51,8 +51,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Garble {
     Nothing,
-    /// Truncates a stream inside its fourth event, with the regular end of a chunked body.
-    CutEvent,
     /// Answers the first request of a connection with bytes of another kind: a success with neither
     /// the request's id nor a seal.
     Foreign,
@@ -240,14 +238,8 @@
             self.spec.identity
         );
         writer.write_all(head.as_bytes())?;
-        let is_cut = self.is_garbled(Garble::CutEvent, true);
         for number in 1..=self.spec.events {
             let event = format!("id: {number}\ndata: piece {number} of {} of {id}\n\n", self.spec.events);
-            if is_cut && number == 4 {
-                chunk(writer, &event.as_bytes()[..event.len() / 2])?;
-                self.record.line(format!("replica {} breaks {id} off inside event {number}", self.spec.identity));
-                return writer.write_all(b"0\r\n\r\n");
-            }
             chunk(writer, event.as_bytes())?;
             thread::sleep(Duration::from_millis(15));
         }
@@ -478,6 +470,31 @@
         }
     }
 
+    /// Waits until a process has ended by itself.
+    pub fn wait_for_end(&self, name: &str, limit: Duration) -> bool {
+        let has_ended = http::wait_for(limit, || {
+            let mut processes = PROCESSES.lock().unwrap();
+            let found = processes.iter_mut().find(|(known, _)| known == name);
+            found.is_none_or(|(_, child)| child.try_wait().is_ok_and(|status| status.is_some()))
+        });
+        if has_ended {
+            PROCESSES.lock().unwrap().retain(|(known, _)| known != name);
+        }
+        has_ended
+    }
+
+    /// Removes the data of a control instance that does not run.
+    pub fn wipe_control(&self, number: usize) {
+        let _ = fs::remove_dir_all(self.folder.join(format!("control-{number}-data")));
+    }
+
+    /// Reads the configuration at a control instance, like the operator.
+    pub fn read_configuration(&self, control: usize) -> http::Answer {
+        let address = self.control_api(control);
+        let head = [("Host", address.to_string())];
+        http::once(address, "GET", "/Configuration.Read", &head, b"", Duration::from_secs(1))
+    }
+
     /// Kills the processes whose names begin so.
     pub fn kill(&self, prefix: &str) {
         let mut processes = PROCESSES.lock().unwrap();
@@ -493,15 +510,22 @@
 
     /// Publishes a configuration like an operator. Returns true once it is acknowledged.
     pub fn publish(&self, version: u64, body: &str, limit: Duration) -> bool {
+        let controls: Vec<usize> = (0..self.controls).collect();
+        self.publish_to(version, body, &controls, limit).is_some()
+    }
+
+    /// Publishes a configuration at some control instances in turn. Returns the one that has
+    /// acknowledged it.
+    pub fn publish_to(&self, version: u64, body: &str, controls: &[usize], limit: Duration) -> Option<usize> {
         let end = Instant::now() + limit;
-        let mut number = 0;
-        let mut target = self.control_api(0);
+        let mut tries = 0;
+        let mut target = self.control_api(controls[0]);
         while Instant::now() < end {
             let kind = [("Host", target.to_string()), ("Content-Type", "application/json".to_owned())];
             let answer = http::once(target, "POST", "/Configuration.Replace", &kind, body.as_bytes(), Duration::from_secs(1));
             self.record.line(format!("operator sends version {version} to {target}: {}", answer.status));
             match answer.status {
-                200 => return true,
+                200 => return controls.iter().copied().find(|number| self.control_api(*number) == target),
                 307 => {
                     let location = header(&answer.headers, "location").unwrap_or_default().to_owned();
                     let authority = location.trim_start_matches("http://").split('/').next().unwrap_or_default();
@@ -512,11 +536,11 @@
                 }
                 _ => {}
             }
-            thread::sleep(Duration::from_millis(150));
-            number += 1;
-            target = self.control_api(number % self.controls);
+            tries += 1;
+            target = self.control_api(controls[tries % controls.len()]);
+            thread::sleep(Duration::from_millis(20));
         }
-        false
+        None
     }
 
     pub fn is_ready(&self, entry: usize) -> bool {
