--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,4 +1,4 @@
-//! Cases of the review. Usage: `CASE_FOLDER=DIR TROUBLE=0|1 standins CASE`, in the repository's root.
+//! Cases of the review. Usage: `RECORD=FILE TROUBLE=0|1 standins CASE`, in the repository's root.
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not be run.
 
--- a/review/standins/memory.rs
+++ b/review/standins/memory.rs
@@ -65,6 +65,8 @@
                         site.record.line(format!("{name} uses {used_kb} KB, more than {MEMORY_MB} MB: the platform kills it"));
                         kills.fetch_add(1, Ordering::Relaxed);
                         site.kill(&name);
+                        thread::sleep(Duration::from_millis(500));
+                        site.start_entry(entry);
                         return;
                     }
                     thread::sleep(Duration::from_millis(5));
--- a/review/standins/reuse.rs
+++ b/review/standins/reuse.rs
@@ -8,6 +8,9 @@
 use crate::http::{self, header};
 use crate::site::{Replica, ReplicaSpec, Site, cannot_run, configuration};
 
+/// Engines of the service; one of them is a share of 0.143.
+const ALPHAS: usize = 7;
+const CLIENTS: usize = 45;
 /// `reuseAfterS` is 2.
 const REUSE_AFTER: Duration = Duration::from_millis(2_500);
 /// `maxLagMs` of the platform's list is 800.
@@ -28,16 +31,19 @@
         };
         Replica::start(spec, &site.record, &site.runs)
     };
-    let (a1, a2) = (engine("i-alpha1", "alpha", 60), engine("i-alpha2", "alpha", 61));
-    let b1 = engine("i-beta1", "beta", 62);
+    let alphas: Vec<_> = (0..ALPHAS).map(|number| engine(&format!("i-alpha{number}"), "alpha", 60 + number)).collect();
+    let b1 = engine("i-beta1", "beta", 60 + ALPHAS);
     let list = |replicas: &[&Arc<Replica>]| {
         *site.listed.lock().unwrap() = replicas.iter().map(|replica| replica.entry()).collect();
         let names: Vec<&str> = replicas.iter().map(|replica| &*replica.spec.identity).collect();
         site.record.line(format!("the list shows {}", names.join(", ")));
     };
-    list(&[&a1, &a2, &b1]);
+    let (a0, others) = alphas.split_first().unwrap();
+    let mut stable: Vec<&Arc<Replica>> = others.iter().collect();
+    stable.push(&b1);
+    list(&[stable.clone(), vec![a0]].concat());
     site.start_all(true);
-    for (number, engine) in [&a1, &a2, &b1].into_iter().enumerate() {
+    for (number, engine) in alphas.iter().chain([&b1]).enumerate() {
         site.start_sidecar(number, engine.spec.address, &engine.spec.service);
     }
     let document = configuration(
@@ -52,7 +58,7 @@
 
     let stop = Arc::new(AtomicBool::new(false));
     let (sent, served) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
-    let clients: Vec<_> = (0..8)
+    let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let (site, stop) = (Arc::clone(&site), Arc::clone(&stop));
             let (sent, served) = (Arc::clone(&sent), Arc::clone(&served));
@@ -60,7 +66,7 @@
                 let mut turn = client;
                 while !stop.load(Ordering::Relaxed) {
                     turn += 1;
-                    let path = if client == 7 { "/beta/1" } else { "/alpha/1" };
+                    let path = if client == 0 { "/beta/1" } else { "/alpha/1" };
                     let id = site.next_id("r");
                     let mut headers = site.caller_headers(&id, 6_000);
                     headers.push(("X-Lilacspindle-Model", "m".to_owned()));
@@ -72,14 +78,14 @@
                     served.fetch_add(u64::from(answer.status == 200 && answer.whole), Ordering::Relaxed);
                     let seal = header(&answer.headers, "x-lilacspindle-response-seal").unwrap_or("-");
                     site.record.line(format!("{id} {path} at {entry}: {} whole {} seal {seal} {}", answer.status, answer.whole, answer.error));
-                    thread::sleep(Duration::from_millis(150));
+                    thread::sleep(Duration::from_millis(50));
                 }
             })
         })
         .collect();
 
     thread::sleep(Duration::from_secs(4));
-    a1.crash();
+    a0.crash();
     thread::sleep(REUSE_AFTER);
     if trouble {
         let b2 = engine("i-beta2", "beta", 60);
@@ -87,10 +93,10 @@
         let (name, _) = site.sidecar_settings(0, b2.spec.address, "beta");
         site.signal(&name, "HUP");
         thread::sleep(LIST_LAG);
-        list(&[&a2, &b1, &b2]);
+        list(&[stable.clone(), vec![&b2]].concat());
     } else {
         thread::sleep(LIST_LAG);
-        list(&[&a2, &b1]);
+        list(&stable);
     }
     thread::sleep(Duration::from_secs(5));
     stop.store(true, Ordering::Relaxed);
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -311,8 +311,8 @@
     /// Prepares a deployment with `controls` control instances and `entries` entries.
     pub fn new(case: &str, controls: usize, entries: usize) -> Self {
         let begun = Instant::now();
-        let case_folder = PathBuf::from(std::env::var("CASE_FOLDER").unwrap_or_else(|_| ".".to_owned()));
-        let file = File::create(case_folder.join("record.txt")).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".to_owned());
+        let file = File::options().append(true).create(true).open(path).unwrap_or_else(|e| cannot_run(&e.to_string()));
         let record = Record { begun, file: Arc::new(Mutex::new(file)) };
         let pid = std::process::id();
         let folder = std::env::temp_dir().join(format!("lilac-review-{case}-{pid}"));
@@ -519,6 +519,8 @@
     pub fn publish_to(&self, version: u64, body: &str, controls: &[usize], limit: Duration) -> Option<usize> {
         let end = Instant::now() + limit;
         let mut tries = 0;
+        let mut redirects = 0;
+        let mut backoff = Duration::from_millis(50);
         let mut target = self.control_api(controls[0]);
         while Instant::now() < end {
             let kind = [("Host", target.to_string()), ("Content-Type", "application/json".to_owned())];
@@ -526,19 +528,22 @@
             self.record.line(format!("operator sends version {version} to {target}: {}", answer.status));
             match answer.status {
                 200 => return controls.iter().copied().find(|number| self.control_api(*number) == target),
-                307 => {
+                307 if redirects < 2 => {
                     let location = header(&answer.headers, "location").unwrap_or_default().to_owned();
                     let authority = location.trim_start_matches("http://").split('/').next().unwrap_or_default();
                     if let Ok(leader) = authority.parse() {
                         target = leader;
+                        redirects += 1;
                         continue;
                     }
                 }
                 _ => {}
             }
             tries += 1;
+            redirects = 0;
             target = self.control_api(controls[tries % controls.len()]);
-            thread::sleep(Duration::from_millis(20));
+            thread::sleep(backoff);
+            backoff = (backoff * 2).min(Duration::from_millis(800));
         }
         None
     }
