Take nothing for an instance's answer that no instance has given

A 421 or a refusal without an id on a new connection counted as proof that a request had not run, and Server-Leaving, Retry-After and Server-Limit of such bytes took instances out of use.

Cause: the echoed id was required on reused connections only, and nothing looked for the seal.

Change: a response is an instance's if it echoes the id or, on a new connection, carries a seal; a success needs a seal. All others are lost answers: 502 with `unknown`, sent again for `safe` requests only. A sealed response that says that the request has not run is unknown too. The check stands before anything is concluded from the head, for calls, generations and resumptions.

Stand-ins of older tests that left out the id or the seal send both now, as the users' page says of replicas; without that the tests of late, crossed, doubled and endless responses would end at the missing seal. The refusal without an id in repeated_refusal_is_not_the_answer_to_the_next_request was expected to be believed on a new connection (503); it must be unknown (502).

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -157,6 +157,40 @@
     timeouts.next()?.parse().ok()
 }
 
+/// Fails unless a response is that of a replica to the request with this id. On a reused connection,
+/// a late response to an earlier request may arrive first, so the id is required there.
+pub fn check_origin(
+    status: StatusCode,
+    response: &HeaderMap,
+    request_id: &str,
+    is_reused: bool,
+) -> Result<(), String> {
+    let is_sealed = is_executed(response);
+    match text(response, &REQUEST_ID) {
+        Some(id) if id != request_id => Err(format!("the response belongs to request {id}")),
+        None if is_reused => Err("a response on a reused connection has no request id".to_owned()),
+        None if !is_sealed => Err(format!(
+            "a response with status {status} has neither a request id nor a seal"
+        )),
+        _ if status.is_success() && !is_sealed => {
+            Err(format!("a response with status {status} has no seal"))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Returns true if a response carries the seal of a replica that executed the request.
+fn is_executed(response: &HeaderMap) -> bool {
+    response.contains_key(SEAL)
+}
+
+/// Returns true if a response states that the replica did not execute the request. One that carries
+/// a seal as well contradicts itself and states nothing.
+pub fn states_not_run(status: StatusCode, response: &HeaderMap) -> bool {
+    let is_marked = status == StatusCode::MISDIRECTED_REQUEST || response.contains_key(NOT_RUN);
+    is_marked && !is_executed(response)
+}
+
 /// Returns true if a response announces that the replica is about to leave. Every value except `0`
 /// does: sending requests to a replica that leaves is worse than not using one that stays.
 pub fn announces_shutdown(response: &HeaderMap) -> bool {
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -10,7 +10,7 @@
 
 use super::Gateway;
 use super::instance_signals::retry_after;
-use super::plain::{implies_not_run, is_marked_not_run, to_response};
+use super::plain::{implies_not_run, to_response};
 use super::relay::{EngineStream, Relay};
 use super::request::Job;
 use super::response::{Body, Refusal};
@@ -102,7 +102,7 @@
                     return Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "out_of_time"));
                 }
             };
-            if is_marked_not_run(&exchange.head) {
+            if headers::states_not_run(exchange.head.status, &exchange.head.headers) {
                 tracing::info!(
                     request = &*job.id,
                     instance = &*ticket.identity,
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -120,7 +120,7 @@
             self.pool.collect(exchange).await.map_err(SendFailure::Lost)
         };
         let (result, outcome) = match timeout_at(job.deadline, sending).await {
-            Ok(Ok((head, _))) if is_marked_not_run(&head) => {
+            Ok(Ok((head, _))) if headers::states_not_run(head.status, &head.headers) => {
                 if head.status == StatusCode::MISDIRECTED_REQUEST {
                     self.with_view(|view| view.misdirected(&ticket.identity, monotonic_ms()));
                 }
@@ -212,16 +212,12 @@
     }
 }
 
-/// Returns true if the response states that the instance did not execute the request.
-pub(super) fn is_marked_not_run(head: &response::Parts) -> bool {
-    head.status == StatusCode::MISDIRECTED_REQUEST || head.headers.contains_key(headers::NOT_RUN)
-}
-
 /// Returns true for statuses that guarantee to callers that the request was not executed.
 pub(super) fn implies_not_run(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
             | StatusCode::TOO_MANY_REQUESTS
             | StatusCode::SERVICE_UNAVAILABLE
     )
--- a/src/roles/gateway/resume.rs
+++ b/src/roles/gateway/resume.rs
@@ -13,7 +13,6 @@
 use super::Gateway;
 use super::generation::with_backup;
 use super::migrate::{Migration, StoppedGeneration};
-use super::plain::is_marked_not_run;
 use super::relay::EngineStream;
 use super::request::Job;
 use super::ticket::Ticket;
@@ -248,10 +247,12 @@
                     gateway.with_view(|view| view.misdirected(identity, monotonic_ms()));
                 }
                 let cause = format!("{identity} answered {status}");
-                Err(match is_marked_not_run(&exchange.head) {
-                    true => ResumeFailure::not_run("refused", cause),
-                    false => ResumeFailure::unknown("status", cause),
-                })
+                Err(
+                    match headers::states_not_run(status, &exchange.head.headers) {
+                        true => ResumeFailure::not_run("refused", cause),
+                        false => ResumeFailure::unknown("status", cause),
+                    },
+                )
             }
             Err(failure) => {
                 let cause = format!("{identity}: {failure}");
--- a/src/roles/gateway/upstream.rs
+++ b/src/roles/gateway/upstream.rs
@@ -234,8 +234,8 @@
 
 type Unsent = Option<Request<Full<Bytes>>>;
 
-/// Sends a request over a connection and returns the response head. On failure returns the request
-/// as well if nothing of it was sent.
+/// Sends a request over a connection and returns the response head, which is known to be that of an
+/// instance to this request. On failure returns the request as well if nothing of it was sent.
 async fn send_on(
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
@@ -258,17 +258,7 @@
             return Err((failure, unsent));
         }
     };
-    // On a reused connection, a late response to an earlier request may arrive first.
-    match headers::text(response.headers(), &headers::REQUEST_ID) {
-        Some(id) if id == request_id => Ok(response),
-        Some(id) => {
-            let cause = format!("the response belongs to request {id}");
-            Err((SendFailure::Lost(cause), None))
-        }
-        None if is_reused => {
-            let cause = "a response on a reused connection has no request id".to_owned();
-            Err((SendFailure::Lost(cause), None))
-        }
-        None => Ok(response),
-    }
+    headers::check_origin(response.status(), response.headers(), request_id, is_reused)
+        .map_err(|cause| (SendFailure::Lost(cause), None))?;
+    Ok(response)
 }
--- a/tests/site_endless.rs
+++ b/tests/site_endless.rs
@@ -12,7 +12,10 @@
 
 /// Upper bound on the memory of an entry on the smallest supported machines.
 const MAX_MEMORY_KB: u64 = 88_000;
-const OK: &str = "HTTP/1.1 200 OK\r\n";
+const STATUS: &str = "HTTP/1.1 200 OK";
+/// Start of a valid head for the requests with this id.
+const OK: &str = "HTTP/1.1 200 OK\r\nX-Lilacspindle-Request-Id: id-1\r\n\
+                  X-Lilacspindle-Response-Seal: seal\r\n";
 const CHUNKED: &str = "Transfer-Encoding: chunked\r\n\r\n";
 
 /// The start of a response, and the bytes that are repeated endlessly after it.
@@ -29,7 +32,7 @@
         ),
         (
             "one long status line",
-            (OK.trim_end().to_owned(), vec![b'x'; 4_096]),
+            (STATUS.to_owned(), vec![b'x'; 4_096]),
         ),
         (
             "informational answers",
@@ -156,9 +159,9 @@
     let mut site = Site::serving(&document(1)).await;
     let script = |request: &Request| match request.path.as_str() {
         "/once/large" => {
-            let start = format!("{OK}\r\n").into_bytes();
+            let start = format!("{OK}\r\n").replace("id-1", request.id());
             vec![
-                Reply::Bytes(start),
+                Reply::Bytes(start.into_bytes()),
                 Reply::Forever(vec![b'x'; 65_536], Duration::ZERO),
             ]
         }
--- a/tests/site_faulty_responses.rs
+++ b/tests/site_faulty_responses.rs
@@ -40,7 +40,7 @@
                 replies.extend(respond(request));
                 replies
             }
-            // The request to be refused then uses a new connection, on which a response may lack an id.
+            // The request to be refused then uses a new connection.
             path if path.ends_with("/warm-up") => {
                 with_header(respond(request), "Connection: close")
             }
@@ -72,11 +72,15 @@
             })
             .await;
             let refused = call(&site, &path("refused"), "id-1").await;
-            assert_eq!(refused.status(), 503, "{prefix}");
+            // Without the id, nothing shows that the instance has refused this request.
+            let expected = if names_request { 503 } else { 502 };
+            assert_eq!(refused.status(), expected, "{prefix}");
             // Leaves a kept connection also where the refusal has closed its own.
-            let whole = call(&site, &path("whole"), "id-w").await;
-            assert_eq!(whole.status(), 200);
-            whole.bytes().await.unwrap();
+            wait_for("the instance is used again", || async {
+                let whole = call(&site, &path("whole"), "id-w").await;
+                whole.status() == 200 && whole.bytes().await.is_ok()
+            })
+            .await;
             // A second instance, to which a request that was not run may be sent.
             let other = match prefix {
                 "/once" => site.upstream("plain", proper).await,
@@ -166,3 +170,94 @@
         .map(|engine| engine.requests("/stream/cut").len());
     assert_eq!(cut.sum::<usize>(), 20);
 }
+
+/// Returns responses that prove neither that an instance gave them nor whether the request has run.
+fn unproved(request: &Request) -> Vec<(&'static str, Vec<u8>)> {
+    let (id, not_run) = (
+        ("X-Lilacspindle-Request-Id", request.id()),
+        ("X-Lilacspindle-Not-Executed", "1"),
+    );
+    let sealed = ("X-Lilacspindle-Response-Seal", "seal");
+    let leaving = ("Server-Leaving", "1");
+    let asks = ("Retry-After", "2");
+    let html = b"<html>It works!</html>";
+    vec![
+        ("foreign", answer("200 OK", &[], html)),
+        ("unsealed", answer("200 OK", &[id], html)),
+        ("moved", answer("421 Misdirected Request", &[], b"")),
+        ("full", answer("503 Service Unavailable", &[not_run], b"")),
+        (
+            "left",
+            answer("503 Service Unavailable", &[not_run, leaving, asks], b""),
+        ),
+        ("error", answer("500 Internal Server Error", &[], html)),
+        ("both", answer("503 Full", &[id, not_run, sealed], b"")),
+        ("elsewhere", answer("421 Elsewhere", &[id, sealed], b"")),
+    ]
+}
+
+/// Guards against bytes that are passed on as the answer, or taken as proof that a request has not
+/// run or that an instance leaves, although no instance gave them: a faulty instance writes a page
+/// of its web server as the first response of a connection.
+#[tokio::test]
+async fn response_that_no_instance_has_given_proves_nothing() {
+    let mut site = Site::serving(&document(1)).await;
+    let script = |request: &Request| {
+        let mut shapes = unproved(request).into_iter();
+        let shape = shapes.find(|(shape, _)| request.path.ends_with(shape));
+        let replies = match shape {
+            Some((_, bytes)) => vec![Reply::Bytes(bytes)],
+            None if request.path.starts_with("/stream") => stream(request),
+            None => proper(request),
+        };
+        // Each request gets a connection of its own.
+        with_header(replies, "Connection: close")
+    };
+    let plain = site.upstream("plain", script).await;
+    let model = site.upstream("model", script).await;
+    let second_plain = site.upstream("plain", script).await;
+    let second_model = site.upstream("model", script).await;
+    let sent = |path: &str| {
+        let upstreams = [&plain, &model, &second_plain, &second_model];
+        let counts = upstreams.map(|upstream| upstream.requests(path).len());
+        counts.iter().sum::<usize>()
+    };
+    let shapes = [
+        "foreign",
+        "unsealed",
+        "moved",
+        "full",
+        "left",
+        "error",
+        "both",
+        "elsewhere",
+    ];
+    for prefix in ["/once", "/stream"] {
+        for shape in shapes {
+            wait_for("an instance is usable after the fault before", || async {
+                let path = format!("{prefix}/whole");
+                call(&site, &path, "id-0").await.status() == 200
+            })
+            .await;
+            let path = format!("{prefix}/{shape}");
+            let answered = call(&site, &path, "id-1").await;
+            assert_eq!(answered.status(), 502, "{path}");
+            assert!(answered.text().await.unwrap().contains("unknown"), "{path}");
+            assert_eq!(
+                sent(&path),
+                1,
+                "{path}: sent again although it may have run"
+            );
+        }
+    }
+    // None of them counts as leaving or as asking for time.
+    drop((second_plain, second_model));
+    for (upstream, prefix) in [(&plain, "/once"), (&model, "/stream")] {
+        let path = format!("{prefix}/after");
+        wait_for("the first instance is used again", || async {
+            call(&site, &path, "id-2").await;
+            !upstream.requests(&path).is_empty()
+        })
+        .await;
+    }
+}
--- a/tests/site_path.rs
+++ b/tests/site_path.rs
@@ -19,6 +19,8 @@
     ("X-Lilacspindle-Request-Id", request.id())
 }
 
+const SEALED: (&str, &str) = ("X-Lilacspindle-Response-Seal", "seal");
+
 /// Guards against forwarding a changed body, the API key or system headers set by the caller, and
 /// against requests without a deadline or an expected instance.
 #[tokio::test]
@@ -140,7 +142,7 @@
     let script = |request: &Request| match request.path.as_str() {
         "/once/lost" => vec![Reply::Close],
         "/once/half" => {
-            let mut half = answer("200 OK", &[echoed_id(request)], b"0123456789");
+            let mut half = answer("200 OK", &[echoed_id(request), SEALED], b"0123456789");
             half.truncate(half.len() - 4);
             vec![Reply::Bytes(half)]
         }
@@ -278,7 +280,7 @@
     let mut site = Site::serving(&document(1)).await;
     let _upstream = site
         .upstream("plain", |request: &Request| {
-            let headers = [("X-Lilacspindle-Request-Id", request.id())];
+            let headers = [echoed_id(request), SEALED];
             let mut bytes = answer("200 OK", &headers, request.id().as_bytes());
             bytes.extend_from_slice(&answer("200 OK", &headers, b"extra"));
             vec![Reply::Bytes(bytes)]
@@ -304,7 +306,7 @@
     let upstream = site
         .upstream("plain", |request: &Request| match request.path.as_str() {
             "/once/crossed" => {
-                let headers = [("X-Lilacspindle-Request-Id", "id-of-another")];
+                let headers = [("X-Lilacspindle-Request-Id", "id-of-another"), SEALED];
                 vec![Reply::Bytes(answer("200 OK", &headers, b"another's"))]
             }
             _ => proper(request),
@@ -325,7 +327,7 @@
     let mut site = Site::serving(&document(1)).await;
     let upstream = site
         .upstream("plain", |request: &Request| match request.path.as_str() {
-            "/once/second" => vec![Reply::Bytes(answer("200 OK", &[], b"late copy"))],
+            "/once/second" => vec![Reply::Bytes(answer("200 OK", &[SEALED], b"late copy"))],
             "/once/refused" => vec![Reply::Bytes(answer("503 Full", &[NOT_RUN], b""))],
             _ => proper(request),
         })
--- a/tests/site_quarantine.rs
+++ b/tests/site_quarantine.rs
@@ -14,7 +14,8 @@
     let parts = request.header("x-lilacspindle-prompt-prefix");
     match parts.is_some_and(|parts| parts.contains(DEADLY)) {
         true => {
-            let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+            let no_events = std::ops::RangeInclusive::new(1, 0);
+            let head = sse(request.id(), no_events, true, false);
             vec![Reply::Bytes(head), Reply::Close]
         }
         false => vec![Reply::Bytes(sse(request.id(), 1..=3, true, true))],
--- a/tests/site_resumptions.rs
+++ b/tests/site_resumptions.rs
@@ -32,8 +32,11 @@
 }
 
 /// Returns the response with which an engine refuses a generation that it does not execute.
-fn not_executed() -> Vec<Reply> {
-    let headers = [("X-Lilacspindle-Not-Executed", "1")];
+fn not_executed(request: &Request) -> Vec<Reply> {
+    let headers = [
+        ("X-Lilacspindle-Request-Id", request.id()),
+        ("X-Lilacspindle-Not-Executed", "1"),
+    ];
     vec![Reply::Bytes(answer(
         "503 Service Unavailable",
         &headers,
@@ -97,7 +100,7 @@
 async fn stream_of_a_silent_engine_goes_on_if_its_backup_refuses() {
     let (site, first, second) = engines_with_backups(|request| {
         if is_resumption(request) {
-            return not_executed();
+            return not_executed(request);
         }
         vec![
             Reply::Bytes(sse(request.id(), 1..=3, true, false)),
@@ -226,7 +229,7 @@
 async fn stream_of_a_leaving_engine_goes_on_if_its_backup_refuses() {
     let (site, first, second) = engines_with_backups(|request| {
         if is_resumption(request) {
-            return not_executed();
+            return not_executed(request);
         }
         let event = |id| {
             [
@@ -415,7 +418,7 @@
             with_header(failure, "Retry-After: 2")
         },
         rest_of_stream,
-        |_| not_executed(),
+        not_executed,
     )
     .await;
     assert_eq!(stream.unwrap(), events(1..=5));
@@ -439,7 +442,7 @@
     let (stream, source, target) = stream_of_stopped_engine(
         |_| json_answer("503 Service Unavailable", &json!({"handle": "h7"})),
         rest_of_stream,
-        |_| not_executed(),
+        not_executed,
     )
     .await;
     assert_eq!(stream.unwrap(), events(1..=5));
@@ -453,7 +456,7 @@
     let (stream, source, target) = stream_of_stopped_engine(
         |_| json_answer("200 OK", &json!({"handle": "h7", "made": 3})),
         rest_of_stream,
-        |_| not_executed(),
+        not_executed,
     )
     .await;
     assert_eq!(stream.unwrap(), events(1..=5));
@@ -469,7 +472,7 @@
             0 => vec![Reply::Close],
             _ => json_answer("200 OK", &json!({"handle": "h7", "made": 3})),
         },
-        |_| not_executed(),
+        not_executed,
         rest_of_stream,
     )
     .await;
