Announce an engine only for a service that its address still belongs to

Cause: a health check tells the identity, not the service, and the sidecar bound whatever answered to the service that its settings named at its start.

Change: an engine belongs to the service if it is first seen within reuse_after_s (the platform's reuseAfterS) of the sidecar's start, of changed settings or of the last report of an engine of the service, or if it has that engine's identity; the list decides on others. The sidecar reads its engine's address and service again when the file changes, on SIGHUP and when another engine appears. The hub drops an announced engine at once when its sidecar counts it to another service or none, and leaves addresses that the list shows for another service to the list.

--- a/src/domain/fleet/announced.rs
+++ b/src/domain/fleet/announced.rs
@@ -33,6 +33,8 @@
 impl Announcement {
     /// Updates the announcement from the instance that the list shows at the engine's address.
     fn update_from_list(&mut self, listed: &Listed) {
+        // The address is being assigned to another service, or is shown as it was before.
+        self.list_caught_up |= listed.service != self.engine.service;
         let is_other = listed.identity != self.engine.identity;
         let started_before = listed.born_ms.is_some() && listed.born_ms < self.engine.born_ms;
         if is_other && (self.awaits_first_list || started_before) {
@@ -53,7 +55,8 @@
     /// list.
     pub(super) fn announce(&mut self, engine: Listed, platform: &[Listed], now_ms: u64) -> bool {
         if let Some(known) = self.by_address.get_mut(&engine.address)
-            && known.engine.identity == engine.identity
+            && (&known.engine.identity, &known.engine.service)
+                == (&engine.identity, &engine.service)
         {
             known.last_report_ms = now_ms;
             return false;
@@ -62,7 +65,8 @@
         let announcement = Announcement {
             previous_identity: at_address.map(|listed| Arc::clone(&listed.identity)),
             awaits_first_list: platform.is_empty(),
-            list_caught_up: platform.iter().any(|l| l.identity == engine.identity),
+            list_caught_up: platform.iter().any(|l| l.identity == engine.identity)
+                || at_address.is_some_and(|listed| listed.service != engine.service),
             last_report_ms: now_ms,
             engine,
         };
@@ -72,6 +76,17 @@
         changes_list
     }
 
+    /// Drops the engine at an address, unless its sidecar still counts it to the same service.
+    /// Returns true if that changes the merged list.
+    pub(super) fn retract(&mut self, address: SocketAddr, service: Option<&Arc<str>>) -> bool {
+        let is_other = |known: &mut Announcement| Some(&known.engine.service) != service;
+        let retracted = self
+            .by_address
+            .extract_if(address..=address, |_, known| is_other(known))
+            .next();
+        retracted.is_some_and(|(_, known)| !known.list_caught_up)
+    }
+
     /// Returns the platform's list plus the engines that it does not show yet. Each of those
     /// replaces an earlier start at its address.
     pub(super) fn merge(&mut self, platform: &[Listed], now_ms: u64) -> Vec<Listed> {
--- a/src/domain/fleet/hub/mod.rs
+++ b/src/domain/fleet/hub/mod.rs
@@ -119,6 +119,20 @@
         }
     }
 
+    /// Drops the announced engine at an address, unless its sidecar still counts it to this service.
+    /// Returns the resulting changes.
+    pub fn retract(
+        &mut self,
+        address: SocketAddr,
+        service: Option<&Arc<str>>,
+        now_ms: u64,
+    ) -> Vec<ListChange> {
+        match self.announcements.retract(address, service) {
+            true => self.merge(now_ms),
+            false => Vec::new(),
+        }
+    }
+
     /// Adds the departures that an entry has been informed of. Returns the resulting changes.
     pub fn depart(&mut self, departures: Vec<Departure>, now_ms: u64) -> Vec<ListChange> {
         let mut any_new = false;
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The upstream instances that requests are sent to: the platform's list, the reports of sidecars,
 //! and the load that entries have placed on them.
 
+mod address_owner;
 mod announced;
 mod choice;
 mod copy_schedule;
@@ -30,6 +31,7 @@
 
 use crate::model::ZoneName;
 
+pub use address_owner::AddressOwner;
 pub use choice::{ChosenInstance, Demand, EngineQuery, PlainCandidates};
 pub use copy_schedule::{CopyPlan, CopySchedule, Target, Turn, sort_by_worth};
 pub use departures::Departure;
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -263,6 +263,12 @@
     /// Adds an engine to the fleet if the report of its sidecar identifies it. Returns the health
     /// check path of its service, at which the sidecar reads the identity.
     fn register_engine(self: &Arc<Self>, request: ReportRequest) -> Option<Arc<str>> {
+        // The engine of an earlier announcement has ended if its sidecar neither names it nor is
+        // about to.
+        let is_vouched = request.identity.is_some() || request.is_identifying;
+        let service = request.service.as_ref().filter(|_| is_vouched);
+        let changes = self.with_hub(|hub| hub.retract(request.address, service, monotonic_ms()));
+        self.publish_changes(&changes);
         let document = self.machine.document()?;
         let name = request.service?;
         let service = document.services.iter().find(|known| known.name == name)?;
--- a/src/roles/reporter/mod.rs
+++ b/src/roles/reporter/mod.rs
@@ -11,7 +11,7 @@
 
 use super::site::ControlSelector;
 use crate::adapters::clock::monotonic_ms;
-use crate::domain::fleet::{KnownLimit, LimitChange, Report};
+use crate::domain::fleet::{AddressOwner, KnownLimit, LimitChange, Report};
 use crate::model::ZoneName;
 use crate::platform::{CallFailure, ReportReader, read_identity};
 use crate::rpc::directory::ReportRequest;
@@ -42,13 +42,21 @@
     born_ms: Option<u64>,
     identity: Option<Arc<str>>,
     identify_attempts: u32,
+    /// True if the engine belongs to the service of the settings. Without that, the platform's list
+    /// decides.
+    is_owned: bool,
+    /// True if its identity may show that it does.
+    may_be_owned: bool,
     /// The request limit that the engine names in its reports.
     limit: KnownLimit,
 }
 
 impl EngineRun {
-    fn new(report: Report) -> Self {
+    fn new(report: Report, owner: &AddressOwner) -> Self {
+        let is_owned = owner.owns_any(monotonic_ms());
         Self {
+            is_owned,
+            may_be_owned: is_owned || owner.knows_identity(),
             first_seen: Instant::now(),
             born_ms: report.born_ms,
             identity: None,
@@ -68,19 +76,28 @@
     /// Returns true while the identity of the engine is still to be read.
     fn is_identifying(&self) -> bool {
         self.identity.is_none()
+            && self.may_be_owned
             && self.identify_attempts < MAX_IDENTIFY_ATTEMPTS
             && self.first_seen.elapsed() <= IDENTIFY_WINDOW
     }
 
     /// Reads the identity of the engine if that is still to be done. Returns true if this was the
     /// last attempt: it succeeded, or no other one will follow.
-    async fn identify(&mut self, engine: SocketAddr, health_path: &str) -> bool {
+    async fn identify(
+        &mut self,
+        engine: SocketAddr,
+        health_path: &str,
+        owner: &AddressOwner,
+    ) -> bool {
         if !self.is_identifying() {
             return false;
         }
         self.identify_attempts += 1;
         match read_identity(engine, health_path, IDENTIFY_TIMEOUT).await {
-            Ok(identity) => self.identity = Some(identity),
+            Ok(identity) => {
+                self.is_owned |= owner.owns(&identity);
+                self.identity = Some(identity);
+            }
             Err(error) => {
                 tracing::info!(%engine, %error, "cannot read the identity of the engine");
                 if let CallFailure::AskedForTime(pause) = error {
@@ -90,16 +107,23 @@
         }
         !self.is_identifying()
     }
+
+    /// Returns the identity to announce.
+    fn announced(&self) -> Option<&Arc<str>> {
+        self.identity.as_ref().filter(|_| self.is_owned)
+    }
 }
 
-/// Reports on the engine of the settings. `seeds` are the addresses of control instances, which may
-/// change. Does not return.
+/// Reports on the engine of the settings. `seeds` are the addresses of control instances; both may
+/// change. `reload` reads the settings file again. Does not return.
 pub async fn run(
-    settings: ReporterSettings,
+    mut watched: watch::Receiver<ReporterSettings>,
+    reload: impl Fn(),
     zone: ZoneName,
     seeds: watch::Receiver<Vec<SocketAddr>>,
 ) {
-    let engine = settings.engine_address;
+    let mut settings = watched.borrow_and_update().clone();
+    let mut owner = AddressOwner::new(monotonic_ms() + settings.reuse_after_ms);
     let mut selector = ControlSelector::new(seeds);
     let mut last_sent: Option<(Instant, Report)> = None;
     let mut run: Option<EngineRun> = None;
@@ -108,6 +132,17 @@
     let mut reader = ReportReader::default();
     loop {
         let asked_ms = monotonic_ms();
+        if watched.has_changed().unwrap_or(false) {
+            let changed = watched.borrow_and_update().clone();
+            if changed != settings {
+                tracing::info!(engine = %changed.engine_address,
+                    service = changed.engine_service.as_deref(), "engine of the settings changed");
+                owner = AddressOwner::new(asked_ms + changed.reuse_after_ms);
+                (settings, run, last_sent, health_path) = (changed, None, None, None);
+                reader = ReportReader::default();
+            }
+        }
+        let engine = settings.engine_address;
         match reader.read(engine, READ_TIMEOUT).await {
             Ok((report, named)) => {
                 if !std::mem::replace(&mut is_reachable, true) {
@@ -116,16 +151,25 @@
                 let known = run.take().filter(|run| run.includes(report));
                 if known.is_none() {
                     last_sent = None;
+                    // The settings may have changed with the engine.
+                    reload();
+                    if watched.has_changed().unwrap_or(false) {
+                        continue;
+                    }
                 }
-                let run = run.insert(known.unwrap_or_else(|| EngineRun::new(report)));
+                let run = run.insert(known.unwrap_or_else(|| EngineRun::new(report, &owner)));
                 if let Some(path) = &health_path
-                    && run.identify(engine, path).await
+                    && run.identify(engine, path, &owner).await
                 {
                     tracing::info!(%engine, identity = run.identity.as_deref(),
-                        after_ms = run.first_seen.elapsed().as_millis(),
+                        is_owned = run.is_owned, after_ms = run.first_seen.elapsed().as_millis(),
                         "engine identified, or no further attempts to identify it");
                     last_sent = None;
                 }
+                if run.is_owned {
+                    let assigned_until_ms = asked_ms + settings.reuse_after_ms;
+                    owner.extend(run.identity.as_ref(), assigned_until_ms);
+                }
                 let limit_change = run.limit.hear_response(named, asked_ms, monotonic_ms());
                 if limit_change != LimitChange::Unchanged {
                     tracing::info!(%engine, ?named, change = ?limit_change,
@@ -140,7 +184,7 @@
                     report,
                     zone: zone.clone(),
                     service: settings.engine_service.clone(),
-                    identity: run.identity.clone(),
+                    identity: run.announced().cloned(),
                     is_identifying: run.is_identifying(),
                     limit: run.limit.statement(monotonic_ms()),
                 };
--- a/src/roles/site/mod.rs
+++ b/src/roles/site/mod.rs
@@ -5,7 +5,8 @@
 
 use std::error::Error;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
@@ -19,7 +20,7 @@
 use crate::adapters::clock::watch_for_stalls;
 use crate::adapters::web;
 use crate::rpc::{Services, serve};
-use crate::settings::Settings;
+use crate::settings::{ReporterSettings, Settings};
 
 pub use control_selector::ControlSelector;
 
@@ -65,9 +66,23 @@
         }
         None => None,
     };
-    if let Some(reporter) = &settings.reporter {
+    let reloader = Arc::new(Reloader {
+        file,
+        seeds,
+        reporter: settings.reporter.clone().map(watch::Sender::new),
+    });
+    if let Some(reporter) = &reloader.reporter {
         let zone = settings.zone.clone();
-        tokio::spawn(reporter::run(reporter.clone(), zone, watched.clone()));
+        let reload = {
+            let reloader = Arc::clone(&reloader);
+            move || reloader.reload(false)
+        };
+        tokio::spawn(reporter::run(
+            reporter.subscribe(),
+            reload,
+            zone,
+            watched.clone(),
+        ));
     }
     tracing::info!(instance = %settings.instance, zone = %settings.zone,
         gateway = gateway.is_some(), directory = directory.is_some(),
@@ -79,7 +94,7 @@
             biased;
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = reload.recv() => reload_settings(&file, &seeds, true),
+            _ = reload.recv() => reloader.reload(true),
             () = sleep_until(checked_at + SIGNAL_CHECK_INTERVAL) => {
                 unsignalled_at = checked_at;
                 checked_at = Instant::now();
@@ -87,7 +102,7 @@
                     continue;
                 }
                 reload_at = checked_at + SETTINGS_RELOAD_INTERVAL;
-                reload_settings(&file, &seeds, false);
+                reloader.reload(false);
             }
         }
         if let Some(role) = &directory {
@@ -114,25 +129,42 @@
     Ok(())
 }
 
-/// Reloads the addresses of control instances from the settings file. Other settings need a
-/// restart.
-fn reload_settings(file: &Path, seeds: &watch::Sender<Vec<SocketAddr>>, signalled: bool) {
-    let addresses = match Settings::load(file) {
-        Ok(settings) => settings.control_rpc_addresses(),
-        Err(findings) => {
-            // The file may be read while it is being written.
-            if signalled {
-                tracing::warn!(%findings, "settings not reloaded");
+/// Reloads the settings that may change while the process runs: the addresses of control instances
+/// and the engine of the reporter. Other settings need a restart.
+struct Reloader {
+    file: PathBuf,
+    seeds: watch::Sender<Vec<SocketAddr>>,
+    reporter: Option<watch::Sender<ReporterSettings>>,
+}
+
+impl Reloader {
+    fn reload(&self, signalled: bool) {
+        let settings = match Settings::load(&self.file) {
+            Ok(settings) => settings,
+            Err(findings) => {
+                // The file may be read while it is being written.
+                if signalled {
+                    tracing::warn!(%findings, "settings not reloaded");
+                }
+                return;
             }
-            return;
+        };
+        let addresses = settings.control_rpc_addresses();
+        let changed = replace(&self.seeds, addresses.clone());
+        if changed || signalled {
+            tracing::info!(?addresses, changed, "settings reloaded");
+        }
+        if let (Some(current), Some(reporter)) = (&self.reporter, settings.reporter) {
+            replace(current, reporter);
         }
-    };
-    let changed = seeds.send_if_modified(|seeds| {
-        let changed = *seeds != addresses;
-        seeds.clone_from(&addresses);
-        changed
-    });
-    if changed || signalled {
-        tracing::info!(?addresses, changed, "settings reloaded");
     }
 }
+
+/// Replaces a watched value. Returns true if it has changed.
+fn replace<T: PartialEq>(watched: &watch::Sender<T>, value: T) -> bool {
+    watched.send_if_modified(|current| {
+        let changed = *current != value;
+        *current = value;
+        changed
+    })
+}
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -99,13 +99,15 @@
 }
 
 /// The reporter role, which reports the state of the engine on its machine to the directory.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReporterSettings {
     /// The engine on the same machine.
     pub engine_address: SocketAddr,
     /// The service that the engine belongs to. If none, the engine takes requests as soon as the
     /// platform lists it.
     pub engine_service: Option<Arc<str>>,
+    /// The address of an engine that has ended is not assigned to another service before this time.
+    pub reuse_after_ms: u64,
 }
 
 impl ReporterSettings {
@@ -119,6 +121,7 @@
                 .optional(section, "engine_service")
                 .filter(|service: &String| !service.is_empty())
                 .map(Arc::from),
+            reuse_after_ms: read_thousandths(reader, section, "reuse_after_s", 2.0),
         })
     }
 }
--- a/tests/fleet_hub.rs
+++ b/tests/fleet_hub.rs
@@ -125,6 +125,39 @@
     assert_eq!(identities(&hub), ["i-2", "k-1"]);
 }
 
+/// An engine must not stay in use for a service to which its sidecar no longer counts it.
+#[test]
+fn announced_engine_is_dropped_when_its_sidecar_counts_it_to_no_service() {
+    let address = announced(2, "i-2").address;
+    for service in [None, Some("other".into())] {
+        let mut hub = Hub::new(0);
+        hub.list(vec![listed(1, "a")], 0);
+        hub.announce(announced(2, "i-2"), 100);
+        assert_eq!(hub.retract(address, Some(&"model".into()), 200), []);
+        let gone = ListChange::Gone("i-2".into());
+        assert_eq!(hub.retract(address, service.as_ref(), 300), [gone]);
+        assert_eq!(identities(&hub), ["i-1"]);
+    }
+}
+
+/// A sidecar that still has the settings from before must not bring the engine of another service
+/// into use.
+#[test]
+fn address_that_the_list_shows_for_another_service_is_left_to_the_list() {
+    let other = Listed {
+        service: "other".into(),
+        ..listed(1, "a")
+    };
+    let mut hub = Hub::new(0);
+    hub.list(vec![other.clone()], 0);
+    assert_eq!(hub.announce(announced(1, "j-1"), 100), []);
+    // The address changes hands after the announcement.
+    hub.list(vec![listed(2, "a")], 200);
+    hub.announce(announced(1, "k-1"), 300);
+    hub.list(vec![other], 400);
+    assert_eq!(identities(&hub), ["i-1"]);
+}
+
 /// After a power loss, all engines of a large fleet were announced before the leader first read the
 /// platform's list, and the previous engines in that list replaced them.
 #[test]
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -103,6 +103,7 @@
             ("{{app}}", "10.1.0.26:8745"),
             ("{{service}}", "model"),
             ("{{bounds.gracePeriodS}}", "8"),
+            ("{{bounds.reuseAfterS}}", "2"),
             ("{{bounds.retryBudgetRatio}}", "0.2"),
             ("{{bounds.retryBudgetSlack}}", "58"),
             ("{{bounds.retryWindowS}}", "10"),
--- a/tests/site_engines.rs
+++ b/tests/site_engines.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::sleep;
 
 use site_support::{
@@ -40,6 +40,20 @@
     }
 }
 
+/// Returns a document with a second service of engines, `other`, for `/other/`.
+fn document_with_two_engine_services() -> Value {
+    let mut document = document(1);
+    let mut service = document["services"][1].clone();
+    service["name"] = json!("other");
+    document["services"].as_array_mut().unwrap().push(service);
+    let mut route = document["routes"][2].clone();
+    route["name"] = json!("other");
+    route["pathPrefix"] = json!("/other/");
+    route["service"] = json!("other");
+    document["routes"].as_array_mut().unwrap().push(route);
+    document
+}
+
 /// Returns the number of health checks, which return the identity, that an engine has received.
 fn health_checks(engine: &Upstream) -> usize {
     engine.requests("/health").len()
@@ -102,3 +116,57 @@
     .await;
     assert_eq!(health_checks(&upstream), 1);
 }
+
+/// Guards against requests that are sent to an engine of another service: the address of an engine
+/// that has ended was assigned to it, and the sidecar still has the settings from before.
+#[tokio::test]
+async fn engine_of_another_service_at_the_address_is_not_announced() {
+    for is_reloaded in [true, false] {
+        let mut site = Site::serving(&document_with_two_engine_services()).await;
+        let first = site
+            .unlisted_upstream(engine(&Arc::new(AtomicU64::new(1))))
+            .await;
+        let address = first.address;
+        site.start_sidecar(&first);
+        wait_routable(&site, "/stream/x").await;
+        first.stop().await;
+        // An address is not assigned again before 2 s have passed.
+        sleep(Duration::from_millis(2_300)).await;
+        let other = Upstream::start(address, engine(&Arc::new(AtomicU64::new(2)))).await;
+        if is_reloaded {
+            site.set_sidecar_engine(address, "other");
+            site.signal("sidecar-1", "HUP");
+        }
+        for attempt in 0..20 {
+            call(&site, "/stream/x", &format!("id-{attempt}")).await;
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert!(other.requests("/stream/").is_empty(), "{is_reloaded}");
+        if is_reloaded {
+            wait_for("the engine serves its own service", || async {
+                call(&site, "/other/x", "id-o").await.status() == 200
+            })
+            .await;
+        }
+    }
+}
+
+/// Guards against an engine that gets no requests after a longer restart with its identity, although
+/// that shows to which service it belongs.
+#[tokio::test]
+async fn engine_that_returns_with_its_identity_is_announced_again() {
+    let mut site = Site::serving(&document(1)).await;
+    let start = Arc::new(AtomicU64::new(1));
+    let first = site.unlisted_upstream(engine(&start)).await;
+    let address = first.address;
+    site.start_sidecar(&first);
+    wait_routable(&site, "/stream/x").await;
+    first.stop().await;
+    sleep(Duration::from_millis(2_300)).await;
+    let again = Upstream::start(address, engine(&start)).await;
+    wait_for("the engine receives requests again", || async {
+        call(&site, "/stream/x", "id-1").await.status() == 200
+    })
+    .await;
+    assert_eq!(health_checks(&again), 1);
+}
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -290,14 +290,23 @@
 
     /// Starts a sidecar that reports on an engine of the service `model`.
     pub fn start_sidecar(&mut self, engine: &Upstream) {
-        let text = format!(
-            "{}[reporter]\nengine_address = {}\nengine_service = model\n",
-            self.instance_section("sidecar-1", 1, 7_208, 7_209),
-            engine.address,
-        );
+        let text = self.sidecar_settings(engine.address, "model");
         self.start("sidecar-1", &text);
     }
 
+    /// Replaces the settings file of the sidecar, which keeps running.
+    pub fn set_sidecar_engine(&self, engine: SocketAddr, service: &str) {
+        let text = self.sidecar_settings(engine, service);
+        self.write_settings("sidecar-1", &text);
+    }
+
+    fn sidecar_settings(&self, engine: SocketAddr, service: &str) -> String {
+        format!(
+            "{}[reporter]\nengine_address = {engine}\nengine_service = {service}\n",
+            self.instance_section("sidecar-1", 1, 7_208, 7_209),
+        )
+    }
+
     /// Sets the machines whose control addresses are named in the settings of processes started
     /// later.
     pub fn set_seeds(&mut self, machines: &[u8]) {
--- a/tests/site_support/replica.rs
+++ b/tests/site_support/replica.rs
@@ -6,7 +6,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
 /// A request that the instance received.
@@ -87,9 +87,10 @@
         let script: Script = Arc::new(script);
         let (recorded, counted) = (Arc::clone(&seen), Arc::clone(&abandoned));
         let task = tokio::spawn(async move {
+            let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
                 let (script, seen) = (Arc::clone(&script), Arc::clone(&recorded));
-                tokio::spawn(serve(stream, script, seen, Arc::clone(&counted)));
+                connections.spawn(serve(stream, script, seen, Arc::clone(&counted)));
             }
         });
         Self {
@@ -101,6 +102,12 @@
         }
     }
 
+    /// Ends the instance with its connections. Returns once its address is free.
+    pub async fn stop(mut self) {
+        self.task.abort();
+        let _ = (&mut self.task).await;
+    }
+
     /// Returns the received requests whose path starts with `path`.
     pub fn requests(&self, path: &str) -> Vec<Request> {
         let seen = self.seen.lock().unwrap();
