Read what has arrived before an engine counts as silent

An entry that was held up for 0.9 s resumed all of its streams from their backups at once, although their engines had worked all the while: each ran at two engines (TWICE in the users' record has this shape; its lines name no request).

Cause: after a stall the timer of a relay expires before the connection's task has read the events that have arrived.

Change: an engine counts as silent if it still is 50 ms after the timer.

--- a/src/roles/gateway/relay/departure.rs
+++ b/src/roles/gateway/relay/departure.rs
@@ -21,6 +21,10 @@
 /// stalls.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which an engine has to stay silent after `EVENT_TIMEOUT`. If this process was held up,
+/// the timer expires before the events are read that have arrived meanwhile.
+const SILENCE_RECHECK_TIME: Duration = Duration::from_millis(50);
+
 /// Time limit for another engine to take over from one that is leaving: the two must not work on the
 /// generation together for 400 ms.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(300);
@@ -96,11 +100,12 @@
         let (Some(_), Some(resumption)) = (&self.source, &self.resumption) else {
             return None;
         };
+        let asked_at = resumption.asked_at()?;
         let limit = match resumption.reason {
             Reason::Leaving => HANDOVER_TIMEOUT,
             _ => RESUME_TIMEOUT,
         };
-        Some(resumption.asked_at()? + limit)
+        Some(asked_at + limit)
     }
 
     /// Returns when the state has to be checked even if nothing is received.
@@ -112,7 +117,8 @@
             }
             (_, Some(_)) => return self.job.deadline,
             (Some(_), None) if self.first_event_ms.is_some() => {
-                self.last_event_at + self.silence_limit()
+                let expires_at = self.last_event_at + self.silence_limit();
+                self.silence_recheck_at.unwrap_or(expires_at)
             }
             _ => self.job.deadline,
         };
@@ -125,11 +131,20 @@
         }
     }
 
-    pub(super) fn has_stalled(&self) -> bool {
-        self.backup.is_some()
+    /// Returns true if the engine is silent: at two checks, between which what has arrived is read.
+    pub(super) fn has_stalled(&mut self) -> bool {
+        let is_silent = self.backup.is_some()
             && self.resumption.is_none()
             && self.first_event_ms.is_some()
-            && self.last_event_at.elapsed() >= self.silence_limit()
+            && self.last_event_at.elapsed() >= self.silence_limit();
+        let now = Instant::now();
+        match self.silence_recheck_at.filter(|_| is_silent) {
+            Some(recheck_at) => now >= recheck_at,
+            None => {
+                self.silence_recheck_at = is_silent.then_some(now + SILENCE_RECHECK_TIME);
+                false
+            }
+        }
     }
 
     /// Returns the time without an event after which the backup is asked. It doubles with each
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -58,6 +58,8 @@
     time_to_first_event_ms: Option<u64>,
     /// Time at which the last event was received.
     last_event_at: Instant,
+    /// When to check again whether the engine is silent; set once it seems to be.
+    silence_recheck_at: Option<Instant>,
     /// Monotonic time at which the generation is to be resumed from its backup; set once its engine
     /// is leaving.
     switch_at_ms: Option<u64>,
@@ -90,6 +92,7 @@
             first_event_ms: None,
             time_to_first_event_ms: None,
             last_event_at: Instant::now(),
+            silence_recheck_at: None,
             switch_at_ms: None,
             done: false,
         }
@@ -222,6 +225,7 @@
         while let Some(event) = self.events.next_event()? {
             // Events that are skipped show too that the engine is not silent.
             self.last_event_at = Instant::now();
+            self.silence_recheck_at = None;
             if let (true, Some(last), Some(id)) = (self.is_resuming, self.last_event, event.id) {
                 match id {
                     _ if id <= last => continue,
@@ -375,6 +379,7 @@
                 self.detach_source(reason, "another engine has taken the generation over");
                 self.is_resuming = true;
                 self.last_event_at = Instant::now();
+                self.silence_recheck_at = None;
                 self.first_event_ms = Some(monotonic_ms());
                 self.silent_attempts = 0;
                 self.backup = backup;
--- a/tests/site_resumptions.rs
+++ b/tests/site_resumptions.rs
@@ -57,7 +57,15 @@
 async fn engines_with_backups(
     script: impl Fn(&Request) -> Vec<Reply> + Clone + Send + Sync + 'static,
 ) -> (Site, Upstream, Upstream) {
-    let mut site = Site::serving(&document(1)).await;
+    engines_with_backups_for(&document(1), script).await
+}
+
+/// Starts such engines and an entry with a document.
+async fn engines_with_backups_for(
+    document: &Value,
+    script: impl Fn(&Request) -> Vec<Reply> + Clone + Send + Sync + 'static,
+) -> (Site, Upstream, Upstream) {
+    let mut site = Site::serving(document).await;
     let engine = move |request: &Request| match request.path.as_str() {
         "/stream/x" => script(request),
         _ => vec![Reply::Bytes(sse(request.id(), 1..=1, true, true))],
@@ -479,3 +487,49 @@
     assert_eq!(stream.unwrap(), events(1..=5));
     assert_eq!(target.requests("/stream/x").len(), 1);
 }
+
+/// Returns the response to a request that streams events 1 to 80, 50 ms apart.
+fn steady_stream(request: &Request) -> Vec<Reply> {
+    let mut replies = vec![Reply::Bytes(sse(request.id(), 1..=1, true, false))];
+    for event in 2..=80 {
+        replies.push(Reply::Pause(Duration::from_millis(50)));
+        replies.push(Reply::Bytes(sse(request.id(), event..=event, false, false)));
+    }
+    replies.push(Reply::Bytes(sse(request.id(), 81..=81, false, true)));
+    replies
+}
+
+/// Guards against generations that run twice because the entry was held up: the events of working
+/// engines have arrived, but it has not read them when it finds that time has passed.
+#[tokio::test]
+async fn frozen_entry_does_not_resume_generations_of_working_engines() {
+    let mut patient = document(1);
+    patient["routes"][2]["timeoutMs"] = json!(15_000);
+    let (site, first, second) =
+        engines_with_backups_for(&patient, |request| match is_resumption(request) {
+            true => vec![Reply::AwaitClose],
+            false => steady_stream(request),
+        })
+        .await;
+    let streams: Vec<_> = (0..3)
+        .map(|number| patient_caller(&site, "/stream/x", &format!("id-{number}"), 12_000).send())
+        .map(tokio::spawn)
+        .collect();
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    for _ in 0..2 {
+        site.signal("entry-1", "STOP");
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        site.signal("entry-1", "CONT");
+        tokio::time::sleep(Duration::from_millis(400)).await;
+    }
+    for stream in streams {
+        let response = stream.await.unwrap().unwrap();
+        let text = response.text().await.unwrap();
+        assert!(
+            text == events(1..=81),
+            "{}",
+            &text[text.len().saturating_sub(300)..]
+        );
+    }
+    assert_eq!(resumptions(&[&first, &second]), 0);
+}
