Leave the second engine once the first one has spoken again

An engine that had been silent for half a second and spoke again worked on beside the engine with the backup copy, which had been asked, for up to 1 s (TWICE: 400 ms).

Cause: the limit of 300 ms for a takeover held for engines that leave only.

Change: it holds once the first engine has sent an event after the other one was asked; then it keeps its generation.

--- a/src/roles/gateway/relay/departure.rs
+++ b/src/roles/gateway/relay/departure.rs
@@ -25,10 +25,10 @@
 /// the timer expires before the events are read that have arrived meanwhile.
 const SILENCE_RECHECK_TIME: Duration = Duration::from_millis(50);
 
-/// Time limit for another engine to take over from one that is leaving: the two must not work on the
+/// Time limit for another engine to take over from one that works: the two must not work on the
 /// generation together for 400 ms.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time limit for another engine to take over from one that is silent.
+/// Time limit for another engine to take over from one that stays silent.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between checks whether the other engine has been asked.
 const ASKED_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -103,6 +103,7 @@
         let asked_at = resumption.asked_at()?;
         let limit = match resumption.reason {
             Reason::Leaving => HANDOVER_TIMEOUT,
+            _ if self.last_event_at > asked_at => HANDOVER_TIMEOUT,
             _ => RESUME_TIMEOUT,
         };
         Some(asked_at + limit)
