--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -23,6 +23,8 @@
     Mixed,
     /// Planned stops of entries under long streams, with engines that pause and leave.
     Stops,
+    /// As `Stops`, with entries that are frozen in half of the rounds.
+    Freezes,
 }
 
 /// Number of processes and length of a run.
@@ -58,6 +60,8 @@
 pub enum Action {
     /// SIGTERM; the process is started again after it has ended.
     StopEntry { entry: usize },
+    /// SIGSTOP, and SIGCONT after `for_ms`.
+    FreezeEntry { entry: usize, for_ms: u64 },
     /// SIGHUP, with other control addresses in the settings if `reseeds` is set.
     ReloadEntry { entry: usize, reseeds: bool },
     /// SIGTERM; the process is started again, with an empty disk if `loses_disk` is set.
@@ -142,7 +146,7 @@
         }
     }
 
-    /// Stops and reloads entries in rounds: a single one, a series, several at once, one in each
+    /// Stops, reloads and freezes entries in rounds: a single one, a series, several at once, one in each
     /// zone, and all of them, one after the other. At most a third of the entries stop at a time.
     fn entries(&mut self, kind: PlanKind) {
         let mut at_ms = FIRST_STEP_MS;
@@ -150,6 +154,7 @@
         let most = (self.size.entries / 3).max(1);
         while at_ms < self.end_ms {
             let reloads = kind == PlanKind::Mixed && self.random.random_ratio(1, 5);
+            let freezes = kind == PlanKind::Freezes && self.random.random_ratio(1, 2);
             let (count, gap_ms) = match self.random.random_range(0..5) {
                 0 => (1, 0),
                 1 => (most, self.random.random_range(200..1_500)),
@@ -162,12 +167,16 @@
             };
             for n in 0..count {
                 let entry = (first + n) % self.size.entries;
-                let action = match reloads {
-                    true => Action::ReloadEntry {
+                let action = match () {
+                    () if reloads => Action::ReloadEntry {
                         entry,
                         reseeds: self.random.random_ratio(1, 2),
                     },
-                    false => Action::StopEntry { entry },
+                    () if freezes => Action::FreezeEntry {
+                        entry,
+                        for_ms: self.random.random_range(500..2_500),
+                    },
+                    () => Action::StopEntry { entry },
                 };
                 self.push(at_ms + n as u64 * gap_ms, action);
             }
@@ -179,12 +188,12 @@
 
     /// Lets engines fall silent, leave, and be reached over slow links. A step concerns a quarter of
     /// them at most; leaving engines are others than those that left before. Link faults excuse
-    /// requests that are lost, so plans of `Stops` have none.
+    /// requests that are lost, so plans of `Stops` and `Freezes` have none.
     fn engines(&mut self, kind: PlanKind) {
         let mut at_ms = FIRST_STEP_MS;
         let mut next_leaving = 0;
         let (pause_ms, kinds) = match kind {
-            PlanKind::Stops => (400..1_500, 7),
+            PlanKind::Stops | PlanKind::Freezes => (400..1_500, 7),
             PlanKind::Mixed => (1_000..4_000, 10),
         };
         while at_ms < self.end_ms {
--- a/src/soak/steps.rs
+++ b/src/soak/steps.rs
@@ -118,9 +118,9 @@
     /// Carries out a step, unless an earlier one has not finished with the same target.
     pub(super) async fn carry_out(&self, action: Action) -> io::Result<()> {
         let (target, links) = match action {
-            Action::StopEntry { entry } | Action::ReloadEntry { entry, .. } => {
-                (entry_name(entry), false)
-            }
+            Action::StopEntry { entry }
+            | Action::ReloadEntry { entry, .. }
+            | Action::FreezeEntry { entry, .. } => (entry_name(entry), false),
             Action::StopControl { control, .. }
             | Action::KillControl { control, .. }
             | Action::FreezeControl { control, .. }
@@ -197,7 +197,7 @@
                 processes.start(target)?;
                 FaultKind::Kill
             }
-            Action::FreezeControl { for_ms, .. } => {
+            Action::FreezeControl { for_ms, .. } | Action::FreezeEntry { for_ms, .. } => {
                 processes.signal(target, Signal::STOP)?;
                 sleep(millis(for_ms)).await;
                 processes.signal(target, Signal::CONT)?;
--- a/tests/log_membership.rs
+++ b/tests/log_membership.rs
@@ -179,6 +179,18 @@
         self.count_loss(0);
     }
 
+    /// Ends all faults. Fails unless the cluster serves again and has lost nothing.
+    fn check_healed(&mut self) -> Result<(), String> {
+        self.simulation.heal();
+        self.run(2 * CATCH_UP_MS);
+        self.check_service("healed")?;
+        self.simulation.check_logs();
+        match self.simulation.violations.first() {
+            Some(violation) => Err(violation.clone()),
+            None => self.simulation.history.check(),
+        }
+    }
+
     /// Fails unless an operation completes in time.
     fn check_service(&mut self, what: &str) -> Result<(), String> {
         if let Some(violation) = self.simulation.violations.first() {
@@ -225,16 +237,7 @@
         let pause_ms = histories.simulation.random.below(CATCH_UP_MS);
         histories.run(pause_ms);
     }
-    histories.simulation.heal();
-    histories.run(2 * CATCH_UP_MS);
-    histories.check_service("healed")?;
-    histories.simulation.check_logs();
-    histories
-        .simulation
-        .violations
-        .first()
-        .map_or(Ok(()), |violation| Err(violation.clone()))?;
-    histories.simulation.history.check()
+    histories.check_healed()
 }
 
 /// Guards against clusters that stop, or lose an acknowledged change, although no more instances
@@ -303,16 +306,7 @@
         let pause_ms = histories.simulation.random.below(CATCH_UP_MS);
         histories.run(pause_ms);
     }
-    histories.simulation.heal();
-    histories.run(2 * CATCH_UP_MS);
-    histories.check_service("healed")?;
-    histories.simulation.check_logs();
-    histories
-        .simulation
-        .violations
-        .first()
-        .map_or(Ok(()), |violation| Err(violation.clone()))?;
-    histories.simulation.history.check()
+    histories.check_healed()
 }
 
 /// Guards against clusters that stop, or lose an acknowledged change, although no more instances are
--- a/tests/soak_plan.rs
+++ b/tests/soak_plan.rs
@@ -7,7 +7,8 @@
 fn plans() -> impl Iterator<Item = Plan> {
     (0..SEEDS).flat_map(|seed| {
         let size = Size::draw(seed, 120, None, None);
-        [PlanKind::Mixed, PlanKind::Stops].map(|kind| Plan::draw(seed, kind, size))
+        [PlanKind::Mixed, PlanKind::Stops, PlanKind::Freezes]
+            .map(|kind| Plan::draw(seed, kind, size))
     })
 }
 
@@ -103,9 +104,9 @@
         for step in &plan.steps {
             assert!(step.at_ms + 16_000 <= size.run_ms, "{step:?}");
             let exists = match step.action {
-                Action::StopEntry { entry } | Action::ReloadEntry { entry, .. } => {
-                    entry < size.entries
-                }
+                Action::StopEntry { entry }
+                | Action::FreezeEntry { entry, .. }
+                | Action::ReloadEntry { entry, .. } => entry < size.entries,
                 Action::SilenceEngine { engine, .. }
                 | Action::LeaveEngine { engine, .. }
                 | Action::DelayLink { engine, .. }
