--- a/src/domain/log/leave.rs
+++ b/src/domain/log/leave.rs
@@ -22,7 +22,7 @@
 pub enum LeaveResult {
     /// The replica is not a member any more.
     Removed,
-    /// The replica keeps its vote: without it, fewer losses would be tolerated once it is back.
+    /// The replica keeps its vote: the others alone would tolerate too few losses.
     KeepsVote,
 }
 
@@ -76,16 +76,15 @@
     /// Handles the request of a replica that leaves. It repeats the request until it is answered.
     pub(super) fn on_leave(&mut self, from: NodeId, now_ms: u64) {
         let election_ms = self.settings.election_ms;
+        let is_absent = |config: &Config| !config.members.contains_key(&from);
+        let is_removed = self.config().is_some_and(is_absent);
         let committed = self.configs.range(..=self.commit).next_back();
-        let is_committed = committed.is_some_and(|(_, c)| !c.members.contains_key(&from));
-        let is_current = self
-            .config()
-            .is_some_and(|config| !config.members.contains_key(&from));
+        let is_removal_committed = committed.is_some_and(|(_, config)| is_absent(config));
         let Role::Leader(leader_state) = &mut self.role else {
             return;
         };
-        let result = match is_current {
-            true if is_committed => Some(LeaveResult::Removed),
+        let result = match is_removed {
+            true if is_removal_committed => Some(LeaveResult::Removed),
             true => None,
             false => {
                 // A replica that has started again after all is not removed for an old request.
