Log who has ended an engine's stream, and attempts that are dropped while it goes on

The hypotheses on TWICE differ in how the first run ends and in what becomes of an attempt at a second engine; the logs told neither. Added: why and after how much silence the engine with the backup is asked, whether a stream was ended by its engine or closed by the entry, and that a generation goes on at its engine after another one was asked, with the time since its request was sent.

--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -300,10 +300,25 @@
         if self.last_event.is_none() && is_suspected {
             return;
         }
+        tracing::info!(
+            request = &*self.job.id,
+            instance = self.source_identity().as_deref(),
+            backup = &*backup.identity,
+            reason = reason.label(),
+            silent_ms = elapsed_ms(self.last_event_at),
+            last_event = self.last_event,
+            "asking the engine with the backup copy"
+        );
         let resumption = Resumption::from_backup(reason, self.resumer(), backup);
         self.resumption = Some(resumption);
     }
 
+    /// Returns the engine that runs the generation.
+    fn source_identity(&self) -> Option<Arc<str>> {
+        let source = self.source.as_ref()?;
+        Some(Arc::clone(&source.ticket.identity))
+    }
+
     fn resumer(&self) -> Resumer {
         let (gateway, job) = (Arc::clone(&self.gateway), Arc::clone(&self.job));
         Resumer::new(gateway, job, self.engine)
@@ -313,7 +328,7 @@
     /// resume it at the engine that holds its KV cache: the target of the migration if there is
     /// one, else the backup.
     fn lose_source(&mut self, reason: Reason, cause: &str) {
-        let Some(ticket) = self.detach_source(reason, cause) else {
+        let Some(ticket) = self.detach_source(reason, cause, true) else {
             return;
         };
         if self.resumption.is_some() {
@@ -350,7 +365,12 @@
     }
 
     /// Closes the stream of the engine. Returns its ticket, which still counts the generation there.
-    fn detach_source(&mut self, reason: Reason, cause: &str) -> Option<Ticket> {
+    fn detach_source(
+        &mut self,
+        reason: Reason,
+        cause: &str,
+        ended_by_engine: bool,
+    ) -> Option<Ticket> {
         let EngineStream { exchange, ticket } = self.source.take()?;
         drop(exchange);
         self.gateway.metrics.count_detached(reason.label());
@@ -359,6 +379,8 @@
             instance = &*ticket.identity,
             reason = reason.label(),
             cause,
+            // False if this entry closes the stream: the engine may not have noticed yet.
+            ended_by_engine,
             silent_ms = elapsed_ms(self.last_event_at),
             last_event = self.last_event,
             "engine stream closed; resuming the generation elsewhere"
@@ -371,12 +393,26 @@
     /// Applies the result of an attempt to resume the generation. Fails if no engine is left that
     /// runs it.
     fn finish_resumption(&mut self, result: Result<Resumed, ResumeFailure>) -> Result<(), String> {
-        let Some(Resumption { reason, .. }) = self.resumption.take() else {
+        let Some(resumption) = self.resumption.take() else {
             return Ok(());
         };
+        let reason = resumption.reason;
+        if let (Err(failure), Some(source)) = (&result, &self.source) {
+            tracing::info!(
+                request = &*self.job.id,
+                instance = &*source.ticket.identity,
+                reason = reason.label(),
+                not_run = failure.not_run,
+                asked_for_ms = resumption.asked_at().map(elapsed_ms),
+                silent_ms = elapsed_ms(self.last_event_at),
+                last_event = self.last_event,
+                "generation goes on at its engine after another one was asked"
+            );
+        }
         match result {
             Ok(Resumed { source, backup }) => {
-                self.detach_source(reason, "another engine has taken the generation over");
+                let cause = "another engine has taken the generation over";
+                self.detach_source(reason, cause, false);
                 self.is_resuming = true;
                 self.last_event_at = Instant::now();
                 self.silence_recheck_at = None;
@@ -405,15 +441,11 @@
             "broken"
         };
         self.gateway.metrics.count_stream(label);
-        let instance = self
-            .source
-            .as_ref()
-            .map(|source| Arc::clone(&source.ticket.identity));
         tracing::info!(
             request = &*self.job.id,
             route = &*self.job.route.name,
             outcome,
-            instance = instance.as_deref(),
+            instance = self.source_identity().as_deref(),
             last_event = self.last_event,
             first_event_after_ms = self.time_to_first_event_ms,
             age_ms = self.job.age_ms(),
