Show two engines at work on one generation after a stall

A stalled engine keeps what was sent to it in its socket and begins it when it goes on, even if the connection was closed meanwhile. The scripted instances of the tests can do so already: they pause before they write, and notice a close only when they write. They now record when they begin and when they make each event.

--- /dev/null
+++ b/tests/site_stalled_engines.rs
@@ -0,0 +1,169 @@
+//! Engines that are held up, as a process without processor time is: what was sent to them waits in
+//! their sockets, and they begin it when they go on, even if its connection was closed meanwhile.
+
+mod site_support;
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use site_support::{Reply, Request, Site, Upstream, call, document, patient_caller, sse, wait_for};
+
+/// How long an engine may still be at work on a generation that another one has begun to go on with.
+const OVERLAP_LIMIT: Duration = Duration::from_millis(400);
+/// Time between two events.
+const STEP: Duration = Duration::from_millis(50);
+/// Number of events of a generation.
+const EVENTS: u64 = 61;
+
+/// Returns the events of a stream as its caller receives them.
+fn events(ids: std::ops::RangeInclusive<u64>) -> String {
+    let events: Vec<String> = ids
+        .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
+        .collect();
+    events.concat()
+}
+
+fn is_resumption(request: &Request) -> bool {
+    request.header("kv-from").is_some()
+}
+
+/// Returns the steps that make the events after `last` one by one. Each one is recorded as `event`,
+/// the first one as `begin` too.
+fn work_from(request: &Request, last: u64) -> Vec<Reply> {
+    let mut replies = vec![Reply::Record("begin")];
+    for event in last + 1..=EVENTS {
+        let is_first = event == last + 1;
+        replies.push(Reply::Record("event"));
+        replies.push(Reply::Bytes(sse(
+            request.id(),
+            event..=event,
+            is_first,
+            event == EVENTS,
+        )));
+        replies.push(Reply::Pause(STEP));
+    }
+    replies
+}
+
+fn resume(request: &Request) -> Vec<Reply> {
+    let last = request.header("last-event-id").unwrap().parse().unwrap();
+    work_from(request, last)
+}
+
+/// Starts two engines that back up each other's generations, with the same script. Returns them once
+/// the entry uses both.
+async fn engines(
+    script: impl Fn(&Request) -> Vec<Reply> + Clone + Send + Sync + 'static,
+) -> (Site, Upstream, Upstream) {
+    let mut patient = document(1);
+    patient["routes"][2]["timeoutMs"] = json!(15_000);
+    let mut site = Site::serving(&patient).await;
+    let first = site.upstream("model", script.clone()).await;
+    let second = site.upstream("model", script).await;
+    wait_for("both engines are known", || async {
+        let _ = call(&site, "/stream/warm", "warm").await.bytes().await;
+        let mut all = first.requests("/stream/warm");
+        all.extend(second.requests("/stream/warm"));
+        all.iter()
+            .any(|request| request.header("x-lilacspindle-cache-backup").is_some())
+    })
+    .await;
+    (site, first, second)
+}
+
+fn warm(request: &Request) -> Vec<Reply> {
+    vec![Reply::Bytes(sse(request.id(), 1..=1, true, true))]
+}
+
+/// Returns the text of a stream, and calls `after_first` once its first event has arrived.
+async fn read_stream(site: &Site, after_first: impl FnOnce()) -> String {
+    let sent = patient_caller(site, "/stream/x", "id-1", 12_000).send();
+    let mut stream = sent.await.unwrap();
+    let mut received = stream.chunk().await.unwrap().unwrap().to_vec();
+    after_first();
+    while let Some(chunk) = stream.chunk().await.unwrap() {
+        received.extend_from_slice(&chunk);
+    }
+    String::from_utf8(received).unwrap()
+}
+
+/// Asserts that no engine made an event of the generation more than `OVERLAP_LIMIT` after another
+/// one had begun to go on with it.
+async fn assert_one_at_work(engines: [&Upstream; 2]) {
+    // Engines that were left notice it with their next events.
+    tokio::time::sleep(OVERLAP_LIMIT).await;
+    for (engine, other) in [(engines[0], engines[1]), (engines[1], engines[0])] {
+        for begun in engine.times("begin") {
+            let before = other.times("begin").iter().any(|at| *at < begun);
+            let worked_on = other
+                .times("event")
+                .into_iter()
+                .filter(|at| before && *at > begun + OVERLAP_LIMIT);
+            let late_ms: Vec<u128> = worked_on.map(|at| (at - begun).as_millis()).collect();
+            assert!(
+                late_ms.is_empty(),
+                "the engine before made {} events, until {:?} ms after the other one had begun",
+                late_ms.len(),
+                late_ms.last()
+            );
+        }
+    }
+}
+
+/// Guards against an engine that is held up and begins a generation after the entry has dropped the
+/// attempt, while the engine that leaves goes on.
+#[tokio::test]
+async fn stalled_backup_does_not_begin_what_the_leaving_engine_goes_on_with() {
+    let (site, first, second) = engines(|request| match request.path.as_str() {
+        "/stream/x" if is_resumption(request) => {
+            let mut replies = vec![Reply::Pause(Duration::from_millis(700))];
+            replies.extend(resume(request));
+            replies
+        }
+        "/stream/x" => work_from(request, 0),
+        _ => warm(request),
+    })
+    .await;
+    let text = read_stream(&site, || {
+        let source = usize::from(first.requests("/stream/x").is_empty());
+        site.list.lock().unwrap()[source]["state"] = json!("draining");
+    })
+    .await;
+    assert_eq!(text, events(1..=EVENTS));
+    assert_one_at_work([&first, &second]).await;
+}
+
+/// Guards against a second engine that goes on with the generation of an engine that is only held
+/// up, and works on.
+#[tokio::test]
+async fn stalled_engine_is_not_replaced_while_it_may_go_on() {
+    let stalled_until: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let stall = Arc::clone(&stalled_until);
+    let (site, first, second) = engines(move |request| {
+        if is_resumption(request) {
+            return resume(request);
+        }
+        if request.path == "/stream/x" {
+            let stall_time = Duration::from_millis(1_500);
+            let mut replies = work_from(request, 0);
+            // After the first ten events.
+            replies.insert(30, Reply::Pause(stall_time));
+            *stall.lock().unwrap() = Some(Instant::now() + 10 * STEP + stall_time);
+            return replies;
+        }
+        let is_stalled = request.path == "/report" || request.path == "/kv-move";
+        let until = stall.lock().unwrap().filter(|_| is_stalled);
+        let left = until.map_or(Duration::ZERO, |until| {
+            until.saturating_duration_since(Instant::now())
+        });
+        let mut replies = vec![Reply::Pause(left)];
+        replies.extend(warm(request));
+        replies
+    })
+    .await;
+    let text = read_stream(&site, || {}).await;
+    assert_eq!(text, events(1..=EVENTS));
+    assert_one_at_work([&first, &second]).await;
+}
--- a/tests/site_support/replica.rs
+++ b/tests/site_support/replica.rs
@@ -6,6 +6,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
@@ -40,6 +41,8 @@
     /// Sends bytes.
     Bytes(Vec<u8>),
     Pause(Duration),
+    /// Adds the label and the time to `recorded`.
+    Record(&'static str),
     /// Closes the connection.
     Close,
     /// Waits until the client closes the connection, and counts it in `abandoned`.
@@ -56,16 +59,28 @@
     pub seen: Arc<Mutex<Vec<Request>>>,
     /// Number of connections that the client closed during a response.
     pub abandoned: Arc<Mutex<u32>>,
+    pub recorded: Recorded,
+    /// Notified when no further connections are to be accepted.
+    closing: Arc<Notify>,
     task: JoinHandle<()>,
 }
 
+/// Labels and times of the `Record` steps of responses.
+type Recorded = Arc<Mutex<Vec<(&'static str, Instant)>>>;
+
 impl Drop for Upstream {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-type Script = Arc<dyn Fn(&Request) -> Vec<Reply> + Send + Sync>;
+/// What the connections of an instance share.
+struct Server {
+    script: Box<dyn Fn(&Request) -> Vec<Reply> + Send + Sync>,
+    seen: Arc<Mutex<Vec<Request>>>,
+    abandoned: Arc<Mutex<u32>>,
+    recorded: Recorded,
+}
 
 impl Upstream {
     /// Starts an instance at `address`.
@@ -84,24 +99,52 @@
         let address = listener.local_addr().unwrap();
         let seen = Arc::new(Mutex::new(Vec::new()));
         let abandoned = Arc::new(Mutex::new(0));
-        let script: Script = Arc::new(script);
-        let (recorded, counted) = (Arc::clone(&seen), Arc::clone(&abandoned));
+        let recorded = Recorded::default();
+        let closing = Arc::new(Notify::new());
+        let server = Arc::new(Server {
+            script: Box::new(script),
+            seen: Arc::clone(&seen),
+            abandoned: Arc::clone(&abandoned),
+            recorded: Arc::clone(&recorded),
+        });
+        let closed = Arc::clone(&closing);
         let task = tokio::spawn(async move {
             let mut connections = JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
-                let (script, seen) = (Arc::clone(&script), Arc::clone(&recorded));
-                connections.spawn(serve(stream, script, seen, Arc::clone(&counted)));
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => match accepted {
+                        Ok((stream, _)) => connections.spawn(serve(stream, Arc::clone(&server))),
+                        Err(_) => break,
+                    },
+                    () = closed.notified() => break,
+                };
             }
+            drop(listener);
+            while connections.join_next().await.is_some() {}
         });
         Self {
             address,
             identity: format!("i-{}", address.port()).into(),
             seen,
             abandoned,
+            recorded,
+            closing,
             task,
         }
     }
 
+    /// Refuses further connections; those that are open stay so.
+    pub fn refuse_connections(&self) {
+        self.closing.notify_one();
+    }
+
+    /// Returns when a `Record` step with this label was reached, in order.
+    pub fn times(&self, label: &str) -> Vec<Instant> {
+        let recorded = self.recorded.lock().unwrap();
+        let found = recorded.iter().filter(|(own, _)| *own == label);
+        found.map(|(_, at)| *at).collect()
+    }
+
     /// Ends the instance with its connections. Returns once its address is free.
     pub async fn stop(mut self) {
         self.task.abort();
@@ -118,17 +161,16 @@
     }
 }
 
-async fn serve(
-    mut stream: TcpStream,
-    script: Script,
-    seen: Arc<Mutex<Vec<Request>>>,
-    abandoned: Arc<Mutex<u32>>,
-) {
+async fn serve(mut stream: TcpStream, server: Arc<Server>) {
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buffer).await {
-        seen.lock().unwrap().push(request.clone());
-        for reply in script(&request) {
+        server.seen.lock().unwrap().push(request.clone());
+        for reply in (server.script)(&request) {
             match reply {
+                Reply::Record(label) => {
+                    let mut recorded = server.recorded.lock().unwrap();
+                    recorded.push((label, Instant::now()));
+                }
                 Reply::Bytes(bytes) if stream.write_all(&bytes).await.is_err() => return,
                 Reply::Bytes(_) => {}
                 Reply::Pause(pause) => sleep(pause).await,
@@ -137,12 +179,12 @@
                     while stream.write_all(&bytes).await.is_ok() {
                         sleep(pause).await;
                     }
-                    *abandoned.lock().unwrap() += 1;
+                    *server.abandoned.lock().unwrap() += 1;
                     return;
                 }
                 Reply::AwaitClose => {
                     if matches!(stream.read(&mut [0; 64]).await, Ok(0) | Err(_)) {
-                        *abandoned.lock().unwrap() += 1;
+                        *server.abandoned.lock().unwrap() += 1;
                     }
                     return;
                 }
