Let the soak's instances begin what a stall has held back

The stand-in noticed the close of a connection while it was silent, and never ran the request. A process that is held up does not: it begins what lies in its socket. A silent instance now notices nothing, begins what has arrived when it goes on, and notices a close with its next event, as one that is at work does.

The checker compares when instances have begun, by their first event, and all pairs of runs in place of neighbours. A dropped attempt counts if it made an event. The silence of the instance before is an excuse only if it began after the other one was asked: one that was silent before may go on at any time, and the users' rule excuses only what cannot be reached. Links that are held excuse as before. a_resumed_stream_has_stopped_at_the_instance_before expected the earlier excuse; the cases that take its place also cover the order of begins and third instances.

--- a/src/soak/checker/executions.rs
+++ b/src/soak/checker/executions.rs
@@ -7,7 +7,7 @@
 use super::documents::{Handling, Known};
 use super::facts::{Facts, runs_once};
 use super::touch::overlaps;
-use crate::soak::history::{Call, CallEnd, Execution, ExecutionEnd, FaultKind};
+use crate::soak::history::{Call, CallEnd, Execution, ExecutionEnd, Fault, FaultKind};
 
 /// Time for which the instance before a resumption may work on.
 const HANDOVER_MS: u64 = 400;
@@ -24,63 +24,77 @@
 /// Number of arrivals with too much time from which the rule is broken.
 const MAX_OVER_DEADLINE: usize = 20;
 
-/// TWICE: a request that may run once runs again, unless a stream is resumed; or it is resumed
-/// while the instance before works on.
+/// TWICE: a request that may run once runs again, unless a stream is resumed; or an instance begins
+/// to go on with it while another one that had begun before works on.
 pub(super) fn repeated(facts: &Facts) -> Vec<Violation> {
     let calls = facts.history.calls.iter().filter(|call| runs_once(call));
     calls
         .flat_map(|call| {
             let runs: Vec<&Execution> = facts.runs(&call.id).collect();
-            let pairs = runs.windows(2);
+            let pairs = runs.iter().enumerate();
+            let pairs =
+                pairs.flat_map(|(at, run)| runs[..at].iter().map(move |before| (*before, *run)));
             let faults: Vec<Violation> = pairs
-                .filter_map(|pair| repeat_fault(facts, call, pair[0], pair[1]))
+                .filter_map(|(before, run)| repeat_fault(facts, call, before, run))
                 .collect();
             faults
         })
         .collect()
 }
 
+/// Compares two runs of a request; `run` arrived after the one before.
 fn repeat_fault(
     facts: &Facts,
     call: &Call,
-    first: &Execution,
-    second: &Execution,
+    before: &Execution,
+    run: &Execution,
 ) -> Option<Violation> {
-    let until_ms = second.arrived_ms + HANDOVER_MS;
-    let is_reached = facts.is_in_touch(&call.process, until_ms)
-        && !facts.history.faults.iter().any(|fault| {
-            matches!(fault.kind, FaultKind::InstanceSilent | FaultKind::LinkHeld)
-                && fault.target == first.instance
-                && overlaps(fault, second.arrived_ms, until_ms)
-        });
-    let reason = match second.resumed_after {
-        None => "ran again",
-        Some(_)
+    // What arrived first may begin last.
+    let (first, second) = match run.began_ms < before.began_ms {
+        true => (run, before),
+        false => (before, run),
+    };
+    let (reason, at_ms) = match (first.began_ms, second.began_ms) {
+        _ if run.resumed_after.is_none() => ("ran again", run.arrived_ms),
+        (Some(_), Some(began_ms))
             if first.instance != second.instance
-                && first.ended_ms > until_ms
-                && is_reached
-                && has_run(second) =>
+                && first.ended_ms > began_ms + HANDOVER_MS
+                && !is_excused(facts, call, first, second) =>
         {
-            "went on while the instance before worked on"
+            ("went on while the instance before worked on", began_ms)
         }
-        Some(_) => return None,
+        _ => return None,
     };
     let detail = format!(
-        "request {} {reason}: at {} from {} to {} ms, at {} from {} ms",
+        "request {} {reason}: at {} from {} to {} ms, at {} asked at {}, from {:?} ms",
         call.id,
         first.instance,
         first.arrived_ms,
         first.ended_ms,
         second.instance,
-        second.arrived_ms
+        second.arrived_ms,
+        second.began_ms,
     );
-    Some(Violation::new("TWICE", second.arrived_ms, detail))
+    Some(Violation::new("TWICE", at_ms, detail))
 }
 
-/// Returns true unless an attempt to resume a generation was dropped before its first event: a
-/// request starts to run with its first token.
-fn has_run(resumed: &Execution) -> bool {
-    resumed.end != ExecutionEnd::Dropped || Some(resumed.last_event) > resumed.resumed_after
+/// Returns true if the entry could not have ended the first run in time: it was not in touch, the
+/// link to the first instance was held, or that instance fell silent after the second one had been
+/// asked.
+fn is_excused(facts: &Facts, call: &Call, first: &Execution, second: &Execution) -> bool {
+    let began_ms = second.began_ms.unwrap_or(second.arrived_ms);
+    let until_ms = began_ms + HANDOVER_MS;
+    let hinders = |fault: &&Fault| {
+        fault.target == first.instance
+            && overlaps(fault, began_ms, until_ms)
+            && match fault.kind {
+                FaultKind::LinkHeld => true,
+                FaultKind::InstanceSilent => fault.at_ms >= second.arrived_ms,
+                _ => false,
+            }
+    };
+    !facts.is_in_touch(&call.process, until_ms)
+        || facts.history.faults.iter().any(|fault| hinders(&fault))
 }
 
 /// UNASKED: an instance runs a request that no caller sent, or with another path or workspace.
--- a/src/soak/history.rs
+++ b/src/soak/history.rs
@@ -188,6 +188,10 @@
     /// The workspace that the entry named.
     pub workspace: Option<Arc<str>>,
     pub arrived_ms: u64,
+    /// When the instance began to work on it: when it made the first event of a generation. `None`
+    /// if it never did.
+    #[serde(default)]
+    pub began_ms: Option<u64>,
     pub ended_ms: u64,
     pub end: ExecutionEnd,
     /// The last event that the caller had, if the generation was resumed here.
--- a/src/soak/upstreams.rs
+++ b/src/soak/upstreams.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use serde_json::Value;
@@ -30,10 +30,13 @@
 const COPY_MS: u64 = 40;
 const BACKUP_INTERVAL_MS: u64 = 250;
 const SILENCE_POLL_MS: u64 = 10;
+const CLOSE_POLL_MS: u64 = 5;
 
 /// A generation that runs at an engine.
 struct Run {
     made: AtomicU64,
+    /// When the first event was made; unset before that.
+    began_ms: OnceLock<u64>,
     total: u64,
     stopped: CancellationToken,
 }
@@ -160,6 +163,7 @@
         }
         if let Some((upstream, run)) = &self.run {
             self.execution.last_event = run.made.load(Ordering::Relaxed);
+            self.execution.began_ms = run.began_ms.get().copied();
             let mut runs = lock(&upstream.runs);
             let is_own = |own: &Arc<Run>| Arc::ptr_eq(own, run);
             // A run that was stopped for a copy keeps its memory until it is resumed.
@@ -191,7 +195,8 @@
 type Reader<'a> = Input<ReadHalf<'a>>;
 
 impl Upstream {
-    /// Makes no progress and answers nothing until `until_ms`.
+    /// Makes no progress, answers nothing and notices no close until `until_ms`. What has arrived
+    /// meanwhile is begun then.
     pub(super) fn silence(&self, until_ms: u64) {
         self.silent_until_ms.fetch_max(until_ms, Ordering::Relaxed);
     }
@@ -211,11 +216,27 @@
     }
 
     async fn wait_unless_silent(&self) {
-        while self.fleet.recorder.now_ms() < self.silent_until_ms.load(Ordering::Relaxed) {
+        while self.is_silent() {
             sleep(Duration::from_millis(SILENCE_POLL_MS)).await;
         }
     }
 
+    /// Waits until the caller closes its connection and this instance notices: with its next event
+    /// if it runs a generation, and not while it is silent.
+    async fn closed(&self, input: &mut Reader<'_>, run: Option<&Run>) -> io::Result<()> {
+        let made = || run.map(|run| run.made.load(Ordering::Relaxed));
+        let ended = input.fill().await;
+        let made_before = made();
+        while self.is_silent() || (run.is_some() && made() == made_before) {
+            sleep(Duration::from_millis(CLOSE_POLL_MS)).await;
+        }
+        ended
+    }
+
+    fn is_silent(&self) -> bool {
+        self.fleet.recorder.now_ms() < self.silent_until_ms.load(Ordering::Relaxed)
+    }
+
     async fn serve(self: &Arc<Self>, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let (reader, mut writer) = stream.split();
@@ -344,6 +365,7 @@
                 path,
                 workspace: request.workspace,
                 arrived_ms,
+                began_ms: None,
                 ended_ms: arrived_ms,
                 end: ExecutionEnd::Open,
                 resumed_after,
@@ -352,11 +374,7 @@
                 deadline_ms: request.deadline_ms,
             },
         };
-        tokio::select! {
-            () = self.wait_unless_silent() => {}
-            // The entry has closed the connection.
-            ended = input.fill() => return ended.and(Err(io::ErrorKind::InvalidData.into())),
-        }
+        self.wait_unless_silent().await;
         let active = self.active.load(Ordering::Relaxed);
         let refusal = match &request.expected_instance {
             Some(expected) if *expected != self.identity => Some("421 Misdirected Request"),
@@ -378,9 +396,10 @@
         let _active = Active::begin(self);
         let headers = standin::encode_execution(&id, standin::Execution::Executed);
         if total == 0 || !self.is_engine {
+            recorded.execution.began_ms = Some(self.fleet.recorder.now_ms());
             let takes = Duration::from_millis(ask["takes_ms"].as_u64().unwrap_or(0));
             // The caller that closes its connection drops the request.
-            if timeout(takes, input.fill()).await.is_ok() {
+            if timeout(takes, self.closed(input, None)).await.is_ok() {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
             self.wait_unless_silent().await;
@@ -392,6 +411,7 @@
         }
         let run = Arc::new(Run {
             made: AtomicU64::new(resumed_after.unwrap_or(0)),
+            began_ms: OnceLock::new(),
             total,
             stopped: CancellationToken::new(),
         });
@@ -410,7 +430,7 @@
             tokio::select! {
                 made = self.make_events(&run, &id, step_ms, writer) => made,
                 // Only the end of the connection is expected here.
-                ended = input.fill() => ended.and(Err(io::ErrorKind::InvalidData.into())),
+                ended = self.closed(input, Some(&run)) => ended.and(Err(io::ErrorKind::InvalidData.into())),
             }
         });
         match made.await {
@@ -437,6 +457,7 @@
         while run.made.load(Ordering::Relaxed) < run.total {
             sleep(Duration::from_millis(step_ms)).await;
             self.wait_unless_silent().await;
+            run.began_ms.get_or_init(|| self.fleet.recorder.now_ms());
             let event = run.made.fetch_add(1, Ordering::Relaxed) + 1;
             let text = format!("id: {event}\ndata: {id} {event}\n\n");
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
--- a/tests/soak_checker_requests.rs
+++ b/tests/soak_checker_requests.rs
@@ -65,41 +65,58 @@
     repeated(&|_, run| run.resumed_after = Some(0)).is_clean();
 }
 
+/// Returns a stream that `old-2`, asked at 10.1 s, has begun to go on with at 10.2 s, and that `old-1`
+/// worked on until `ended_ms`.
+fn resumed(ended_ms: u64) -> Record {
+    let mut record = stream(|call, run| {
+        (call.ended_ms, run.ended_ms) = (12_000, ended_ms);
+    });
+    let run = record.run("old");
+    (run.arrived_ms, run.began_ms, run.resumed_after) = (10_100, Some(10_200), Some(1));
+    (run.instance, run.total_events) = ("old-2".into(), 3);
+    record
+}
+
 #[test]
 fn a_resumed_stream_has_stopped_at_the_instance_before() {
+    let cases = [(10_600, true), (10_601, false), (13_000, false)];
+    for (ended_ms, clean) in cases {
+        let mut record = resumed(ended_ms);
+        record.fault(FaultKind::Link, "old-1", 10_250, 10_300);
+        match clean {
+            true => record.is_clean(),
+            false => record.breaks("TWICE", "the instance before worked on"),
+        }
+    }
+}
+
+/// An entry can know neither that a link is held nor that an instance falls silent once another one
+/// has been asked. An instance that was silent before may go on at any time.
+#[test]
+fn only_what_comes_after_the_request_excuses_an_instance_that_works_on() {
     let cases = [
-        (10_500, FaultKind::InstanceSilent, true),
-        (10_501, FaultKind::InstanceSilent, false),
-        (10_501, FaultKind::LinkHeld, false),
+        (FaultKind::LinkHeld, 10_000, true),
+        (FaultKind::InstanceSilent, 10_100, true),
+        (FaultKind::InstanceSilent, 10_099, false),
+        (FaultKind::InstanceLeaves, 10_100, false),
     ];
-    for (ended_ms, excuse, clean) in cases {
-        let mut record = stream(|call, run| {
-            (call.ended_ms, run.ended_ms) = (12_000, ended_ms);
-        });
-        record.fault(FaultKind::Link, "old-1", 10_200, 10_300);
-        let run = record.run("old");
-        (run.arrived_ms, run.resumed_after) = (10_100, Some(1));
-        (run.instance, run.total_events) = ("old-2".into(), 3);
+    for (kind, at_ms, clean) in cases {
+        let mut record = resumed(10_601);
+        record.fault(kind, "old-1", at_ms, 10_300);
         match clean {
             true => record.is_clean(),
             false => record.breaks("TWICE", "the instance before worked on"),
         }
-        record.fault(excuse, "old-1", 10_200, 10_300);
-        record.is_clean();
     }
 }
 
-/// A request starts to run with its first token, so an attempt that is dropped before has not run.
+/// A request starts to run with its first token, however late an instance makes it.
 #[test]
-fn an_attempt_that_is_dropped_before_its_first_event_has_not_run() {
-    for (last_event, clean) in [(1, true), (2, false)] {
-        let mut record = stream(|call, run| {
-            (call.ended_ms, run.ended_ms) = (12_000, 10_501);
-        });
-        let run = record.run("old");
-        (run.arrived_ms, run.resumed_after) = (10_100, Some(1));
-        (run.instance, run.total_events) = ("old-2".into(), 3);
-        (run.end, run.last_event) = (ExecutionEnd::Dropped, last_event);
+fn an_attempt_that_is_dropped_has_run_if_it_made_an_event() {
+    for (began_ms, clean) in [(None, true), (Some(10_200), false)] {
+        let mut record = resumed(10_601);
+        let run = record.0.executions.last_mut().unwrap();
+        (run.end, run.began_ms) = (ExecutionEnd::Dropped, began_ms);
         match clean {
             true => record.is_clean(),
             false => record.breaks("TWICE", "the instance before worked on"),
@@ -107,6 +124,29 @@
     }
 }
 
+/// Guards against a check that compares a run only with the one right before it.
+#[test]
+fn an_instance_that_works_on_is_found_behind_a_third_one() {
+    let mut record = resumed(11_500);
+    record.fault(FaultKind::LinkHeld, "old-1", 10_300, 10_700);
+    let run = record.0.executions.last_mut().unwrap();
+    (run.end, run.ended_ms) = (ExecutionEnd::BrokenOff, 10_210);
+    let run = record.run("old");
+    (run.arrived_ms, run.began_ms, run.resumed_after) = (10_900, Some(10_900), Some(2));
+    (run.instance, run.total_events) = ("old-3".into(), 3);
+    record.breaks("TWICE", "at old-3 asked at 10900");
+}
+
+/// Guards against a check that takes the order of arrivals for that of the runs: an instance that is
+/// held up begins last what reached it first.
+#[test]
+fn an_instance_that_begins_late_is_found() {
+    let mut record = resumed(13_000);
+    record.0.executions[0].began_ms = Some(11_000);
+    record.0.executions[1].ended_ms = 11_401;
+    record.breaks("TWICE", "at old-1 asked at");
+}
+
 #[test]
 fn refusals_are_true_also_later() {
     for status in [408, 421, 429, 503] {
--- a/tests/soak_support/mod.rs
+++ b/tests/soak_support/mod.rs
@@ -122,6 +122,7 @@
             path: call.path,
             workspace: Some("w".into()),
             arrived_ms: call.sent_ms + 2,
+            began_ms: Some(call.sent_ms + 2),
             ended_ms: call.ended_ms,
             end: ExecutionEnd::Complete,
             resumed_after: None,
