Keep an engine that was asked to go on until it answers

Cause: an attempt to resume a generation was dropped 300 ms or 1 s after its request was sent, and the engine before went on. Closing the connection revokes nothing: an engine that is held up finds the request in its socket and begins it.

Change: an attempt is no longer dropped while another engine goes on. It ends with an answer, with its connection, or with the stream; when the second engine answers, the first one is left in a round trip. An engine is asked only if it has just responded to a check of its own, so that one that is held up is passed over, and an engine that leaves is left only right after one of its events, so that it notices the close.

--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -31,6 +31,10 @@
 /// Bounds of the backoff after a page was rejected; the platform limits the calls per second.
 const PAGE_BACKOFF_MIN: Duration = Duration::from_millis(20);
 const PAGE_BACKOFF_MAX: Duration = Duration::from_millis(320);
+/// Timeout for opening the connection of a liveness check, and the number of attempts: one lost
+/// packet must not make a replica count as unreachable.
+const LIVENESS_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+const MAX_LIVENESS_CONNECTS: usize = 2;
 
 /// Why a call failed.
 #[derive(Debug)]
@@ -55,6 +59,16 @@
     }
 }
 
+/// Whether a replica responds to calls now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Liveness {
+    Responds,
+    /// Its machine accepts connections, but there is no response in time: the process may be held up.
+    Late,
+    /// Its machine refuses or ignores connections: the process has ended, or cannot be reached.
+    Unreachable,
+}
+
 /// Why a generation could not be copied to another replica.
 #[derive(Debug)]
 pub struct MoveFailure {
@@ -208,6 +222,28 @@
     }
 }
 
+/// Checks over a new connection whether a replica responds within `limit`.
+pub async fn check_liveness(address: SocketAddr, limit: Duration) -> Liveness {
+    for _ in 0..MAX_LIVENESS_CONNECTS {
+        let mut connection =
+            match timeout(LIVENESS_CONNECT_TIMEOUT, Connection::open(address)).await {
+                Ok(Ok(connection)) => connection,
+                Ok(Err(_)) => return Liveness::Unreachable,
+                Err(_) => continue,
+            };
+        let Ok(request) = request(address, Method::GET, paths::REPORT, String::new()) else {
+            return Liveness::Late;
+        };
+        let response = connection.exchange(request, MAX_REPLICA_RESPONSE_BYTES);
+        return match timeout(limit, response).await {
+            Ok(Ok(_)) => Liveness::Responds,
+            // A connection that is closed without a response may be one too many.
+            Ok(Err(_)) | Err(_) => Liveness::Late,
+        };
+    }
+    Liveness::Unreachable
+}
+
 /// Copies the key-value cache of a running generation from its replica to `target`. With `stop`,
 /// the generation stops first and its stream ends there. Returns the handle of the copy, which
 /// identifies it at `source`. The failure names one too if the generation has stopped but could not
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,7 +9,8 @@
 pub(crate) mod standin;
 
 pub use calls::{
-    CallFailure, MoveFailure, ReportReader, move_generation, read_identity, read_list,
+    CallFailure, Liveness, MoveFailure, ReportReader, check_liveness, move_generation,
+    read_identity, read_list,
 };
 pub use configuration::decode_document;
 pub use instances::decode_instances;
--- a/src/roles/gateway/relay/departure.rs
+++ b/src/roles/gateway/relay/departure.rs
@@ -25,13 +25,9 @@
 /// the timer expires before the events are read that have arrived meanwhile.
 const SILENCE_RECHECK_TIME: Duration = Duration::from_millis(50);
 
-/// Time limit for another engine to take over from one that works: the two must not work on the
-/// generation together for 400 ms.
-const HANDOVER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time limit for another engine to take over from one that stays silent.
-const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time between checks whether the other engine has been asked.
-const ASKED_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// A leaving engine that has sent an event within this time counts as prompt: it notices soon that
+/// its stream is closed, so that it does not work on beside the engine that has taken over.
+const PROMPT_EVENT_TIME: Duration = Duration::from_millis(150);
 
 impl Relay {
     /// If the engine is leaving, prepares to resume the generation elsewhere: from the backup if
@@ -65,7 +61,9 @@
                 .saturating_sub(BACKUP_SWITCH_MARGIN_MS);
             let switch_at_ms = (first_event_ms + BACKUP_COPY_MS).min(latest_ms);
             self.switch_at_ms = Some(switch_at_ms);
-            if now_ms >= switch_at_ms {
+            // Otherwise it is left after its next event, or once it counts as silent.
+            let is_prompt = self.last_event_at.elapsed() <= PROMPT_EVENT_TIME;
+            if now_ms >= switch_at_ms && is_prompt {
                 self.begin_resumption(Reason::Leaving);
             }
             return;
@@ -94,28 +92,9 @@
         self.migration = Some(Migration::begin(Arc::clone(&self.gateway), plan));
     }
 
-    /// Returns when an attempt to resume the generation is dropped because the other engine has not
-    /// answered; `None` if it has not been asked yet, or if no engine is left that could go on.
-    pub(super) fn attempt_ends_at(&self) -> Option<Instant> {
-        let (Some(_), Some(resumption)) = (&self.source, &self.resumption) else {
-            return None;
-        };
-        let asked_at = resumption.asked_at()?;
-        let limit = match resumption.reason {
-            Reason::Leaving => HANDOVER_TIMEOUT,
-            _ if self.last_event_at > asked_at => HANDOVER_TIMEOUT,
-            _ => RESUME_TIMEOUT,
-        };
-        Some(asked_at + limit)
-    }
-
     /// Returns when the state has to be checked even if nothing is received.
     pub(super) fn next_check_at(&self) -> Instant {
         let stalled_at = match (&self.backup, &self.resumption) {
-            (_, Some(_)) if self.source.is_some() => {
-                let unasked = || Instant::now() + ASKED_CHECK_INTERVAL;
-                return self.attempt_ends_at().unwrap_or_else(unasked);
-            }
             (_, Some(_)) => return self.job.deadline,
             (Some(_), None) if self.first_event_ms.is_some() => {
                 let expires_at = self.last_event_at + self.silence_limit();
@@ -123,12 +102,12 @@
             }
             _ => self.job.deadline,
         };
+        let now_ms = monotonic_ms();
         match self.switch_at_ms {
-            Some(at_ms) => {
-                let wait_ms = at_ms.saturating_sub(monotonic_ms()).max(1);
-                stalled_at.min(Instant::now() + Duration::from_millis(wait_ms))
+            Some(at_ms) if at_ms > now_ms => {
+                stalled_at.min(Instant::now() + Duration::from_millis(at_ms - now_ms))
             }
-            None => stalled_at,
+            _ => stalled_at,
         }
     }
 
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -150,13 +150,6 @@
             if Instant::now() >= self.job.deadline {
                 return Err("out of time".to_owned());
             }
-            let attempt_ends_at = self.attempt_ends_at();
-            if attempt_ends_at.is_some_and(|at| Instant::now() >= at) {
-                let failure = ResumeFailure::timed_out();
-                failure.log(&self.gateway, &self.job);
-                self.finish_resumption(Err(failure))?;
-                continue;
-            }
             if self.source.is_none() && self.resumption.is_none() {
                 return Err("no engine holds a copy of the KV cache".to_owned());
             }
@@ -309,7 +302,8 @@
             last_event = self.last_event,
             "asking the engine with the backup copy"
         );
-        let resumption = Resumption::from_backup(reason, self.resumer(), backup);
+        let may_run_on = self.source.is_some();
+        let resumption = Resumption::from_backup(reason, self.resumer(), backup, may_run_on);
         self.resumption = Some(resumption);
     }
 
@@ -393,17 +387,15 @@
     /// Applies the result of an attempt to resume the generation. Fails if no engine is left that
     /// runs it.
     fn finish_resumption(&mut self, result: Result<Resumed, ResumeFailure>) -> Result<(), String> {
-        let Some(resumption) = self.resumption.take() else {
+        let Some(Resumption { reason, .. }) = self.resumption.take() else {
             return Ok(());
         };
-        let reason = resumption.reason;
         if let (Err(failure), Some(source)) = (&result, &self.source) {
             tracing::info!(
                 request = &*self.job.id,
                 instance = &*source.ticket.identity,
                 reason = reason.label(),
                 not_run = failure.not_run,
-                asked_for_ms = resumption.asked_at().map(elapsed_ms),
                 silent_ms = elapsed_ms(self.last_event_at),
                 last_event = self.last_event,
                 "generation goes on at its engine after another one was asked"
--- a/src/roles/gateway/resume.rs
+++ b/src/roles/gateway/resume.rs
@@ -2,13 +2,13 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 use super::Gateway;
 use super::generation::with_backup;
@@ -19,10 +19,12 @@
 use super::upstream::SendFailure;
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::EngineSpec;
-use crate::platform::headers;
+use crate::platform::{Liveness, check_liveness, headers};
 
 /// Time limit for a migration to complete after the stream from the source engine has ended.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time in which an engine that is not held up answers a liveness check.
+const LIVENESS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit for permission to ask an engine while another one may be asked instead.
 const PERMISSION_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -83,11 +85,6 @@
         }
     }
 
-    /// Returns the failure of an attempt that is dropped because its engine does not answer.
-    pub(super) fn timed_out() -> Self {
-        Self::unknown("timed_out", "the engine does not answer".to_owned())
-    }
-
     /// Logs and counts the failure.
     pub(super) fn log(&self, gateway: &Gateway, job: &Job) {
         gateway.metrics.count_resumption(self.label);
@@ -103,25 +100,32 @@
 
 type ResumeResult = Result<Resumed, ResumeFailure>;
 
-/// An attempt in progress. Dropping it cancels the attempt and closes its connection.
+/// An attempt in progress. Dropping it cancels the attempt and closes its connection, but does not
+/// keep an engine that was asked from beginning the generation: an attempt is dropped only if no
+/// other engine works on that.
 pub(super) struct Resumption {
     pub(super) reason: Reason,
-    /// When the request was sent; unset before that.
-    asked_at: Arc<OnceLock<Instant>>,
     attempt: Pin<Box<dyn Future<Output = ResumeResult> + Send>>,
 }
 
 impl Resumption {
-    /// Starts an attempt at the engine that keeps the backup copy.
-    pub(super) fn from_backup(reason: Reason, resumer: Resumer, backup: &Ticket) -> Self {
+    /// Starts an attempt at the engine that keeps the backup copy. `may_run_on` is true if the engine
+    /// before may still work on the generation.
+    pub(super) fn from_backup(
+        reason: Reason,
+        resumer: Resumer,
+        backup: &Ticket,
+        may_run_on: bool,
+    ) -> Self {
         let ticket = backup.another();
-        let copy = format!("{}/{}", ticket.address, resumer.job.id);
         Self {
             reason,
-            asked_at: Arc::clone(&resumer.asked_at),
-            attempt: Box::pin(
-                async move { resumer.resume_at(ticket, &copy, PERMISSION_TIMEOUT).await },
-            ),
+            attempt: Box::pin(async move {
+                match may_run_on {
+                    true => resumer.resume_at_prompt_backup(ticket).await,
+                    false => resumer.resume_at_backup(ticket).await,
+                }
+            }),
         }
     }
 
@@ -135,16 +139,10 @@
     ) -> Self {
         Self {
             reason,
-            asked_at: Arc::clone(&resumer.asked_at),
             attempt: Box::pin(resumer.resume_migrated(migration, source)),
         }
     }
 
-    /// Returns when the other engine was asked; `None` if it has not been yet.
-    pub(super) fn asked_at(&self) -> Option<Instant> {
-        self.asked_at.get().copied()
-    }
-
     /// Returns the result of an attempt, which must not be used again after that. Never returns if
     /// there is no attempt.
     pub(super) async fn finish(attempt: &mut Option<Self>) -> ResumeResult {
@@ -160,7 +158,6 @@
     pub(super) gateway: Arc<Gateway>,
     pub(super) job: Arc<Job>,
     pub(super) engine: EngineSpec,
-    asked_at: Arc<OnceLock<Instant>>,
 }
 
 impl Resumer {
@@ -169,7 +166,32 @@
             gateway,
             job,
             engine,
-            asked_at: Arc::default(),
+        }
+    }
+
+    async fn resume_at_backup(&self, ticket: Ticket) -> ResumeResult {
+        let copy = format!("{}/{}", ticket.address, self.job.id);
+        self.resume_at(ticket, &copy, PERMISSION_TIMEOUT).await
+    }
+
+    /// Resumes the generation at the engine with the backup copy if that engine is not held up. An
+    /// engine that is, would begin the request at an unknown time.
+    async fn resume_at_prompt_backup(&self, ticket: Ticket) -> ResumeResult {
+        let identity = &ticket.identity;
+        if !self
+            .gateway
+            .wait_until_unpaused(identity, PERMISSION_TIMEOUT)
+            .await
+        {
+            let cause = format!("requests to {identity} are paused");
+            return Err(self.failed(ResumeFailure::not_run("paused", cause)));
+        }
+        match check_liveness(ticket.address, LIVENESS_TIMEOUT).await {
+            Liveness::Responds => self.resume_at_backup(ticket).await,
+            Liveness::Late | Liveness::Unreachable => {
+                let cause = format!("{} does not respond in time", ticket.identity);
+                Err(self.failed(ResumeFailure::not_run("late", cause)))
+            }
         }
     }
 
@@ -232,10 +254,8 @@
             return Err(ResumeFailure::not_run("limited", cause));
         }
         let request = with_backup(self.request(&ticket, copy), backup.as_ref());
-        // Only the first of several engines is asked while the one before may still run.
-        self.asked_at.get_or_init(Instant::now);
-        // Without a time limit, as silence does not show that the engine has failed: the relay drops
-        // an attempt that it can do without.
+        // Without a time limit: silence does not show that the engine has failed, and an attempt that
+        // is dropped may still be begun.
         match gateway.send(&ticket, request, &self.job.id).await {
             Ok(exchange) if exchange.head.status.is_success() => Ok(Resumed {
                 source: EngineStream { exchange, ticket },
