Ask another engine only once a silent one is proved to have stopped

Cause: an engine that sent no event for 0.55 s was taken for lost, and the engine with the backup was asked. Silence proves nothing: the process may be held up. It went on once it could, beside the other one, until it read that its connection had been closed.

Change: a silent engine is checked over a new connection. If it responds, its connection is dead, and it is told to stop the generation, which it confirms; if its machine refuses or ignores connections, it has ended or cannot be reached; else it keeps its stream and is checked again. Only then another engine is asked.

--- a/src/roles/gateway/metrics.rs
+++ b/src/roles/gateway/metrics.rs
@@ -18,6 +18,7 @@
     streams: IntCounterVec,
     detached: IntCounterVec,
     resumptions: IntCounterVec,
+    releases: IntCounterVec,
     instance_signals: IntCounterVec,
     permits: IntCounterVec,
     first_event_ms: Histogram,
@@ -63,6 +64,11 @@
                 "Attempts to resume a generation at another engine, by outcome.",
                 "outcome",
             ),
+            releases: counters(
+                "lilac_gateway_silent_engines_total",
+                "Checks of engines that sent no event, by outcome.",
+                "outcome",
+            ),
             instance_signals: counters(
                 "lilac_gateway_heeded_total",
                 "What instances said of themselves in answers, by reason.",
@@ -94,13 +100,14 @@
             )
             .expect("constant options are valid"),
         };
-        let all: [Box<dyn prometheus::core::Collector>; 12] = [
+        let all: [Box<dyn prometheus::core::Collector>; 13] = [
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
             Box::new(metrics.moves.clone()),
             Box::new(metrics.streams.clone()),
             Box::new(metrics.detached.clone()),
             Box::new(metrics.resumptions.clone()),
+            Box::new(metrics.releases.clone()),
             Box::new(metrics.instance_signals.clone()),
             Box::new(metrics.permits.clone()),
             Box::new(metrics.first_event_ms.clone()),
@@ -151,6 +158,10 @@
         self.resumptions.with_label_values(&[outcome]).inc();
     }
 
+    pub(super) fn count_release(&self, outcome: &str) {
+        self.releases.with_label_values(&[outcome]).inc();
+    }
+
     pub(super) fn count_stream(&self, outcome: &str) {
         self.streams.with_label_values(&[outcome]).inc();
     }
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -171,7 +171,10 @@
 
 /// Stops the generation and copies the rest of its KV cache. A call without a response is repeated,
 /// since the engine may have stopped the generation and then names the handle again.
-async fn stop_and_copy(plan: &MigrationPlan, target: SocketAddr) -> Result<Arc<str>, MoveFailure> {
+pub(super) async fn stop_and_copy(
+    plan: &MigrationPlan,
+    target: SocketAddr,
+) -> Result<Arc<str>, MoveFailure> {
     let mut repeats = 0;
     loop {
         match request_copy(plan, target, true).await {
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod permits;
 mod plain;
 mod relay;
+mod release;
 mod request;
 mod response;
 mod resume;
--- a/src/roles/gateway/relay/departure.rs
+++ b/src/roles/gateway/relay/departure.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use super::super::migrate::{Migration, MigrationPlan};
+use super::super::migrate::Migration;
 use super::super::resume::Reason;
 use super::Relay;
 use crate::adapters::clock::monotonic_ms;
@@ -16,8 +16,8 @@
 const BACKUP_COPY_MS: u64 = 1_200;
 /// A generation is resumed from its backup at the latest this long before its engine is gone.
 const BACKUP_SWITCH_MARGIN_MS: u64 = 200;
-/// If an engine sends no event for this long, its generation is resumed from the backup, if there
-/// is one. Engines produce an event every 30 to 100 ms, and pauses of more than 180 ms count as
+/// If an engine sends no event for this long, and there is a backup, it is checked whether the engine
+/// may still work on the generation. Engines produce an event every 30 to 100 ms, and pauses of more than 180 ms count as
 /// stalls.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -33,7 +33,12 @@
     /// If the engine is leaving, prepares to resume the generation elsewhere: from the backup if
     /// there is one, else by a migration.
     pub(super) fn check_departure(&mut self) {
-        let (None, None, Some(source)) = (&self.migration, &self.resumption, &self.source) else {
+        let (None, None, None, Some(source)) = (
+            &self.migration,
+            &self.release,
+            &self.resumption,
+            &self.source,
+        ) else {
             return;
         };
         // A generation can be migrated only after its first token.
@@ -78,25 +83,15 @@
             last_event = self.last_event,
             "engine is shutting down; migrating the generation"
         );
-        let from = source.ticket.address;
-        let plan = MigrationPlan {
-            request_id: Arc::clone(&self.job.id),
-            service: Arc::clone(&self.job.service),
-            from,
-            from_identity: identity,
-            demand: self.job.demand,
-            held_tokens: self.held_tokens(),
-            engine: self.engine,
-            gone_at_ms: leaving.gone_at_ms,
-        };
+        let plan = self.migration_plan(&source.ticket, leaving.gone_at_ms);
         self.migration = Some(Migration::begin(Arc::clone(&self.gateway), plan));
     }
 
     /// Returns when the state has to be checked even if nothing is received.
     pub(super) fn next_check_at(&self) -> Instant {
-        let stalled_at = match (&self.backup, &self.resumption) {
-            (_, Some(_)) => return self.job.deadline,
-            (Some(_), None) if self.first_event_ms.is_some() => {
+        let stalled_at = match (&self.backup, &self.resumption, &self.release) {
+            (_, Some(_), _) | (_, _, Some(_)) => return self.job.deadline,
+            (Some(_), None, None) if self.first_event_ms.is_some() => {
                 let expires_at = self.last_event_at + self.silence_limit();
                 self.silence_recheck_at.unwrap_or(expires_at)
             }
@@ -115,6 +110,7 @@
     pub(super) fn has_stalled(&mut self) -> bool {
         let is_silent = self.backup.is_some()
             && self.resumption.is_none()
+            && self.release.is_none()
             && self.first_event_ms.is_some()
             && self.last_event_at.elapsed() >= self.silence_limit();
         let now = Instant::now();
@@ -127,8 +123,8 @@
         }
     }
 
-    /// Returns the time without an event after which the backup is asked. It doubles with each
-    /// refusal.
+    /// Returns the time without an event after which the engine is checked. It doubles with each
+    /// check that proves nothing, and with each refusal of the backup.
     fn silence_limit(&self) -> Duration {
         EVENT_TIMEOUT.saturating_mul(2_u32.saturating_pow(self.silent_attempts))
     }
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -3,6 +3,7 @@
 
 mod departure;
 
+use std::future::Future;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -16,8 +17,9 @@
 use super::Gateway;
 use super::events::EventBuffer;
 use super::generation::response_lost;
-use super::migrate::Migration;
+use super::migrate::{Migration, MigrationPlan, StoppedGeneration};
 use super::plain::end_to_end_headers;
+use super::release::{Release, Released};
 use super::request::Job;
 use super::response::{Body, IncompleteBody, Refusal};
 use super::resume::{Reason, ResumeFailure, Resumed, Resumer, Resumption};
@@ -46,9 +48,11 @@
     /// True from a resumption until its first new event, whose id has to be `last_event` + 1.
     is_resuming: bool,
     migration: Option<Migration>,
+    /// Check of a silent engine, before another one is asked.
+    release: Option<Release>,
     /// Attempt to resume the generation at another engine.
     resumption: Option<Resumption>,
-    /// Number of attempts that were refused since the last event.
+    /// Number of checks and attempts since the last event that have failed.
     silent_attempts: u32,
     /// Engine that keeps a backup copy of the KV cache.
     backup: Option<Ticket>,
@@ -86,6 +90,7 @@
             last_event: None,
             is_resuming: false,
             migration: None,
+            release: None,
             resumption: None,
             silent_attempts: 0,
             backup,
@@ -157,6 +162,7 @@
             tokio::select! {
                 biased;
                 result = Resumption::finish(&mut self.resumption) => self.finish_resumption(result)?,
+                released = Release::finish(&mut self.release) => self.finish_release(released),
                 frame = next_frame(&mut self.source) => {
                     if self.receive(frame) {
                         return Ok(self.end());
@@ -165,7 +171,7 @@
                 _ = self.departure_changes.changed() => {}
                 () = sleep_until(next_check_at), if next_check_at < self.job.deadline => {
                     if self.has_stalled() {
-                        self.begin_resumption(Reason::Silent);
+                        self.begin_release();
                     }
                 }
                 () = sleep_until(self.job.deadline) => return Err("out of time".to_owned()),
@@ -197,9 +203,7 @@
             }
             // An engine closes the stream of a generation that it has stopped early. A stream that
             // reaches its explicit end is complete, whatever the state of a migration.
-            None if source.exchange.has_explicit_end()
-                || !stop_was_requested(self.migration.as_ref()) =>
-            {
+            None if source.exchange.has_explicit_end() || !self.stop_was_requested() => {
                 return true;
             }
             None => self.lose_source(Reason::Stopped, "generation stopped for its migration"),
@@ -219,6 +223,8 @@
             // Events that are skipped show too that the engine is not silent.
             self.last_event_at = Instant::now();
             self.silence_recheck_at = None;
+            // An engine that was told to stop may have made this event before.
+            self.release = self.release.take().filter(Release::stop_was_requested);
             if let (true, Some(last), Some(id)) = (self.is_resuming, self.last_event, event.id) {
                 match id {
                     _ if id <= last => continue,
@@ -307,6 +313,69 @@
         self.resumption = Some(resumption);
     }
 
+    /// Starts to find out whether a silent engine may still work on the generation.
+    fn begin_release(&mut self) {
+        let (Some(backup), Some(source)) = (&self.backup, &self.source) else {
+            return;
+        };
+        let plan = self.migration_plan(&source.ticket, None);
+        let release = Release::begin(Arc::clone(&self.gateway), plan, backup.another());
+        self.release = Some(release);
+    }
+
+    /// Asks another engine if the silent one does not work on the generation any more.
+    fn finish_release(&mut self, released: Released) {
+        self.release = None;
+        match released {
+            Released::Gone(_) => self.begin_resumption(Reason::Silent),
+            Released::Stopped(stopped) => {
+                let cause = "the engine was silent and has stopped the generation";
+                let Some(source) = self.detach_source(Reason::Silent, cause, true) else {
+                    return;
+                };
+                self.resume_stopped(Reason::Silent, async { Some(stopped) }, source);
+            }
+            Released::Unproved(_) => {
+                self.silent_attempts += 1;
+                self.silence_recheck_at = None;
+            }
+        }
+    }
+
+    /// Starts to resume a generation that its engine was told to stop.
+    fn resume_stopped(
+        &mut self,
+        reason: Reason,
+        stopping: impl Future<Output = Option<StoppedGeneration>> + Send + 'static,
+        source: Ticket,
+    ) {
+        let resumer = self.resumer();
+        let backup = self.backup.as_ref();
+        let resumption = Resumption::from_stopped(reason, resumer, stopping, source, backup);
+        self.resumption = Some(resumption);
+    }
+
+    fn migration_plan(&self, source: &Ticket, gone_at_ms: Option<u64>) -> MigrationPlan {
+        MigrationPlan {
+            request_id: Arc::clone(&self.job.id),
+            service: Arc::clone(&self.job.service),
+            from: source.address,
+            from_identity: Arc::clone(&source.identity),
+            demand: self.job.demand,
+            held_tokens: self.held_tokens(),
+            engine: self.engine,
+            gone_at_ms,
+        }
+    }
+
+    /// Returns true if the engine may have stopped the generation because it was told to.
+    fn stop_was_requested(&self) -> bool {
+        let migration = self.migration.as_ref();
+        let release = self.release.as_ref();
+        migration.is_some_and(Migration::stop_was_requested)
+            || release.is_some_and(Release::stop_was_requested)
+    }
+
     /// Returns the engine that runs the generation.
     fn source_identity(&self) -> Option<Arc<str>> {
         let source = self.source.as_ref()?;
@@ -328,13 +397,12 @@
         if self.resumption.is_some() {
             return;
         }
-        match self.migration.take() {
-            Some(migration) => {
-                let resumer = self.resumer();
-                let resumption = Resumption::from_migration(reason, resumer, migration, ticket);
-                self.resumption = Some(resumption);
+        match (self.migration.take(), self.release.take()) {
+            (Some(migration), _) => self.resume_stopped(reason, migration.finish(), ticket),
+            (None, Some(release)) if release.stop_was_requested() => {
+                self.resume_stopped(reason, release.stopped(), ticket);
             }
-            None => self.begin_resumption(reason),
+            (None, _) => self.begin_resumption(reason),
         }
     }
 
@@ -343,7 +411,7 @@
         let Some(source) = &self.source else {
             return;
         };
-        let is_stopped = stop_was_requested(self.migration.as_ref());
+        let is_stopped = self.stop_was_requested();
         if self.last_event.is_none() && !is_stopped {
             self.gateway
                 .record_crash(&self.job, &source.ticket.identity);
@@ -457,8 +525,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Returns true if the source engine may have stopped the generation for its migration.
-fn stop_was_requested(migration: Option<&Migration>) -> bool {
-    migration.is_some_and(Migration::stop_was_requested)
-}
--- a/src/roles/gateway/resume.rs
+++ b/src/roles/gateway/resume.rs
@@ -12,8 +12,9 @@
 
 use super::Gateway;
 use super::generation::with_backup;
-use super::migrate::{Migration, StoppedGeneration};
+use super::migrate::StoppedGeneration;
 use super::relay::EngineStream;
+use super::release::LIVENESS_TIMEOUT;
 use super::request::Job;
 use super::ticket::Ticket;
 use super::upstream::SendFailure;
@@ -23,8 +24,6 @@
 
 /// Time limit for a migration to complete after the stream from the source engine has ended.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time in which an engine that is not held up answers a liveness check.
-const LIVENESS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit for permission to ask an engine while another one may be asked instead.
 const PERMISSION_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -129,17 +128,20 @@
         }
     }
 
-    /// Starts an attempt at the target of a migration, once that has completed, and then at the
-    /// source engine, which keeps the memory of a generation that it has stopped.
-    pub(super) fn from_migration(
+    /// Starts an attempt with a generation that its engine was told to stop: at the target of its
+    /// copy, at the engine with the backup copy, and then at the source engine, which keeps the
+    /// memory of a generation that it has stopped.
+    pub(super) fn from_stopped(
         reason: Reason,
         resumer: Resumer,
-        migration: Migration,
+        stopping: impl Future<Output = Option<StoppedGeneration>> + Send + 'static,
         source: Ticket,
+        backup: Option<&Ticket>,
     ) -> Self {
+        let backup = backup.map(Ticket::another);
         Self {
             reason,
-            attempt: Box::pin(resumer.resume_migrated(migration, source)),
+            attempt: Box::pin(resumer.resume_stopped(stopping, source, backup)),
         }
     }
 
@@ -195,21 +197,46 @@
         }
     }
 
-    async fn resume_migrated(self, migration: Migration, source: Ticket) -> ResumeResult {
-        let stopped = match timeout(MOVE_TIMEOUT, migration.finish()).await {
-            Ok(Some(stopped)) => Ok(stopped),
-            Ok(None) => Err(("migration_failed", "the migration failed")),
-            Err(_) => Err(("migration_timed_out", "the migration timed out")),
+    async fn resume_stopped(
+        self,
+        stopping: impl Future<Output = Option<StoppedGeneration>>,
+        source: Ticket,
+        backup: Option<Ticket>,
+    ) -> ResumeResult {
+        let failure = match timeout(MOVE_TIMEOUT, stopping).await {
+            Ok(Some(stopped)) => return self.resume_from_source(stopped, source, backup).await,
+            Ok(None) => ResumeFailure::unknown("migration_failed", "the migration failed".into()),
+            Err(_) => {
+                ResumeFailure::unknown("migration_timed_out", "the migration timed out".into())
+            }
         };
-        let StoppedGeneration { target, handle } = stopped
-            .map_err(|(label, cause)| self.failed(ResumeFailure::unknown(label, cause.into())))?;
-        let copy = format!("{}/{handle}", source.address);
-        if let Some(target) = target {
+        let failure = self.failed(failure);
+        match backup {
+            Some(backup) => self.resume_at_backup(backup).await,
+            None => Err(failure),
+        }
+    }
+
+    /// Resumes a generation that its engine has stopped, at the first engine that does not refuse.
+    async fn resume_from_source(
+        &self,
+        stopped: StoppedGeneration,
+        source: Ticket,
+        backup: Option<Ticket>,
+    ) -> ResumeResult {
+        let copy = format!("{}/{}", source.address, stopped.handle);
+        if let Some(target) = stopped.target {
             match self.resume_at(target, &copy, PERMISSION_TIMEOUT).await {
                 Err(failure) if failure.not_run => {}
                 result => return result,
             }
         }
+        if let Some(backup) = backup {
+            match self.resume_at_backup(backup).await {
+                Err(failure) if failure.not_run => {}
+                result => return result,
+            }
+        }
         // No other engine is left, so a pause that it asks for is waited out.
         let pause_limit = Duration::from_millis(self.job.left_ms());
         self.resume_at(source, &copy, pause_limit).await
