--- a/src/roles/gateway/relay/departure.rs
+++ b/src/roles/gateway/relay/departure.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use super::super::migrate::{Migration, MigrationPlan};
+use super::super::migrate::Migration;
 use super::super::resume::Reason;
 use super::Relay;
 use crate::adapters::clock::monotonic_ms;
@@ -16,8 +16,8 @@
 const BACKUP_COPY_MS: u64 = 1_200;
 /// A generation is resumed from its backup at the latest this long before its engine is gone.
 const BACKUP_SWITCH_MARGIN_MS: u64 = 200;
-/// If an engine sends no event for this long, its generation is resumed from the backup, if there
-/// is one. Engines produce an event every 30 to 100 ms, and pauses of more than 180 ms count as
+/// If an engine sends no event for this long, and there is a backup, it is checked whether the engine
+/// may still work on the generation. Engines produce an event every 30 to 100 ms, and pauses of more than 180 ms count as
 /// stalls.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -25,19 +25,20 @@
 /// the timer expires before the events are read that have arrived meanwhile.
 const SILENCE_RECHECK_TIME: Duration = Duration::from_millis(50);
 
-/// Time limit for another engine to take over from one that works: the two must not work on the
-/// generation together for 400 ms.
-const HANDOVER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time limit for another engine to take over from one that stays silent.
-const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time between checks whether the other engine has been asked.
-const ASKED_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// A leaving engine that has sent an event within this time counts as prompt: it notices soon that
+/// its stream is closed, so that it does not work on beside the engine that has taken over.
+const PROMPT_EVENT_TIME: Duration = Duration::from_millis(150);
 
 impl Relay {
     /// If the engine is leaving, prepares to resume the generation elsewhere: from the backup if
     /// there is one, else by a migration.
     pub(super) fn check_departure(&mut self) {
-        let (None, None, Some(source)) = (&self.migration, &self.resumption, &self.source) else {
+        let (None, None, None, Some(source)) = (
+            &self.migration,
+            &self.release,
+            &self.resumption,
+            &self.source,
+        ) else {
             return;
         };
         // A generation can be migrated only after its first token.
@@ -65,7 +66,9 @@
                 .saturating_sub(BACKUP_SWITCH_MARGIN_MS);
             let switch_at_ms = (first_event_ms + BACKUP_COPY_MS).min(latest_ms);
             self.switch_at_ms = Some(switch_at_ms);
-            if now_ms >= switch_at_ms {
+            // Otherwise it is left after its next event, or once it counts as silent.
+            let is_prompt = self.last_event_at.elapsed() <= PROMPT_EVENT_TIME;
+            if now_ms >= switch_at_ms && is_prompt {
                 self.begin_resumption(Reason::Leaving);
             }
             return;
@@ -80,55 +83,26 @@
             last_event = self.last_event,
             "engine is shutting down; migrating the generation"
         );
-        let from = source.ticket.address;
-        let plan = MigrationPlan {
-            request_id: Arc::clone(&self.job.id),
-            service: Arc::clone(&self.job.service),
-            from,
-            from_identity: identity,
-            demand: self.job.demand,
-            held_tokens: self.held_tokens(),
-            engine: self.engine,
-            gone_at_ms: leaving.gone_at_ms,
-        };
+        let plan = self.migration_plan(&source.ticket, leaving.gone_at_ms);
         self.migration = Some(Migration::begin(Arc::clone(&self.gateway), plan));
     }
 
-    /// Returns when an attempt to resume the generation is dropped because the other engine has not
-    /// answered; `None` if it has not been asked yet, or if no engine is left that could go on.
-    pub(super) fn attempt_ends_at(&self) -> Option<Instant> {
-        let (Some(_), Some(resumption)) = (&self.source, &self.resumption) else {
-            return None;
-        };
-        let asked_at = resumption.asked_at()?;
-        let limit = match resumption.reason {
-            Reason::Leaving => HANDOVER_TIMEOUT,
-            _ if self.last_event_at > asked_at => HANDOVER_TIMEOUT,
-            _ => RESUME_TIMEOUT,
-        };
-        Some(asked_at + limit)
-    }
-
     /// Returns when the state has to be checked even if nothing is received.
     pub(super) fn next_check_at(&self) -> Instant {
-        let stalled_at = match (&self.backup, &self.resumption) {
-            (_, Some(_)) if self.source.is_some() => {
-                let unasked = || Instant::now() + ASKED_CHECK_INTERVAL;
-                return self.attempt_ends_at().unwrap_or_else(unasked);
-            }
-            (_, Some(_)) => return self.job.deadline,
-            (Some(_), None) if self.first_event_ms.is_some() => {
+        let stalled_at = match (&self.backup, &self.resumption, &self.release) {
+            (_, Some(_), _) | (_, _, Some(_)) => return self.job.deadline,
+            (Some(_), None, None) if self.first_event_ms.is_some() => {
                 let expires_at = self.last_event_at + self.silence_limit();
                 self.silence_recheck_at.unwrap_or(expires_at)
             }
             _ => self.job.deadline,
         };
+        let now_ms = monotonic_ms();
         match self.switch_at_ms {
-            Some(at_ms) => {
-                let wait_ms = at_ms.saturating_sub(monotonic_ms()).max(1);
-                stalled_at.min(Instant::now() + Duration::from_millis(wait_ms))
+            Some(at_ms) if at_ms > now_ms => {
+                stalled_at.min(Instant::now() + Duration::from_millis(at_ms - now_ms))
             }
-            None => stalled_at,
+            _ => stalled_at,
         }
     }
 
@@ -136,6 +110,7 @@
     pub(super) fn has_stalled(&mut self) -> bool {
         let is_silent = self.backup.is_some()
             && self.resumption.is_none()
+            && self.release.is_none()
             && self.first_event_ms.is_some()
             && self.last_event_at.elapsed() >= self.silence_limit();
         let now = Instant::now();
@@ -148,8 +123,8 @@
         }
     }
 
-    /// Returns the time without an event after which the backup is asked. It doubles with each
-    /// refusal.
+    /// Returns the time without an event after which the engine is checked. It doubles with each
+    /// check that proves nothing, and with each refusal of the backup.
     fn silence_limit(&self) -> Duration {
         EVENT_TIMEOUT.saturating_mul(2_u32.saturating_pow(self.silent_attempts))
     }
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -3,6 +3,7 @@
 
 mod departure;
 
+use std::future::Future;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -16,8 +17,9 @@
 use super::Gateway;
 use super::events::EventBuffer;
 use super::generation::response_lost;
-use super::migrate::Migration;
+use super::migrate::{Migration, MigrationPlan, StoppedGeneration};
 use super::plain::end_to_end_headers;
+use super::release::{Release, Released};
 use super::request::Job;
 use super::response::{Body, IncompleteBody, Refusal};
 use super::resume::{Reason, ResumeFailure, Resumed, Resumer, Resumption};
@@ -46,9 +48,11 @@
     /// True from a resumption until its first new event, whose id has to be `last_event` + 1.
     is_resuming: bool,
     migration: Option<Migration>,
+    /// Check of a silent engine, before another one is asked.
+    release: Option<Release>,
     /// Attempt to resume the generation at another engine.
     resumption: Option<Resumption>,
-    /// Number of attempts that were refused since the last event.
+    /// Number of checks and attempts since the last event that have failed.
     silent_attempts: u32,
     /// Engine that keeps a backup copy of the KV cache.
     backup: Option<Ticket>,
@@ -86,6 +90,7 @@
             last_event: None,
             is_resuming: false,
             migration: None,
+            release: None,
             resumption: None,
             silent_attempts: 0,
             backup,
@@ -150,13 +155,6 @@
             if Instant::now() >= self.job.deadline {
                 return Err("out of time".to_owned());
             }
-            let attempt_ends_at = self.attempt_ends_at();
-            if attempt_ends_at.is_some_and(|at| Instant::now() >= at) {
-                let failure = ResumeFailure::timed_out();
-                failure.log(&self.gateway, &self.job);
-                self.finish_resumption(Err(failure))?;
-                continue;
-            }
             if self.source.is_none() && self.resumption.is_none() {
                 return Err("no engine holds a copy of the KV cache".to_owned());
             }
@@ -164,6 +162,7 @@
             tokio::select! {
                 biased;
                 result = Resumption::finish(&mut self.resumption) => self.finish_resumption(result)?,
+                released = Release::finish(&mut self.release) => self.finish_release(released),
                 frame = next_frame(&mut self.source) => {
                     if self.receive(frame) {
                         return Ok(self.end());
@@ -172,7 +171,7 @@
                 _ = self.departure_changes.changed() => {}
                 () = sleep_until(next_check_at), if next_check_at < self.job.deadline => {
                     if self.has_stalled() {
-                        self.begin_resumption(Reason::Silent);
+                        self.begin_release();
                     }
                 }
                 () = sleep_until(self.job.deadline) => return Err("out of time".to_owned()),
@@ -204,9 +203,7 @@
             }
             // An engine closes the stream of a generation that it has stopped early. A stream that
             // reaches its explicit end is complete, whatever the state of a migration.
-            None if source.exchange.has_explicit_end()
-                || !stop_was_requested(self.migration.as_ref()) =>
-            {
+            None if source.exchange.has_explicit_end() || !self.stop_was_requested() => {
                 return true;
             }
             None => self.lose_source(Reason::Stopped, "generation stopped for its migration"),
@@ -226,6 +223,8 @@
             // Events that are skipped show too that the engine is not silent.
             self.last_event_at = Instant::now();
             self.silence_recheck_at = None;
+            // An engine that was told to stop may have made this event before.
+            self.release = self.release.take().filter(Release::stop_was_requested);
             if let (true, Some(last), Some(id)) = (self.is_resuming, self.last_event, event.id) {
                 match id {
                     _ if id <= last => continue,
@@ -300,10 +299,89 @@
         if self.last_event.is_none() && is_suspected {
             return;
         }
-        let resumption = Resumption::from_backup(reason, self.resumer(), backup);
+        tracing::info!(
+            request = &*self.job.id,
+            instance = self.source_identity().as_deref(),
+            backup = &*backup.identity,
+            reason = reason.label(),
+            silent_ms = elapsed_ms(self.last_event_at),
+            last_event = self.last_event,
+            "asking the engine with the backup copy"
+        );
+        let may_run_on = self.source.is_some();
+        let resumption = Resumption::from_backup(reason, self.resumer(), backup, may_run_on);
+        self.resumption = Some(resumption);
+    }
+
+    /// Starts to find out whether a silent engine may still work on the generation.
+    fn begin_release(&mut self) {
+        let (Some(backup), Some(source)) = (&self.backup, &self.source) else {
+            return;
+        };
+        let plan = self.migration_plan(&source.ticket, None);
+        let release = Release::begin(Arc::clone(&self.gateway), plan, backup.another());
+        self.release = Some(release);
+    }
+
+    /// Asks another engine if the silent one does not work on the generation any more.
+    fn finish_release(&mut self, released: Released) {
+        self.release = None;
+        match released {
+            Released::Gone(_) => self.begin_resumption(Reason::Silent),
+            Released::Stopped(stopped) => {
+                let cause = "the engine was silent and has stopped the generation";
+                let Some(source) = self.detach_source(Reason::Silent, cause, true) else {
+                    return;
+                };
+                self.resume_stopped(Reason::Silent, async { Some(stopped) }, source);
+            }
+            Released::Unproved(_) => {
+                self.silent_attempts += 1;
+                self.silence_recheck_at = None;
+            }
+        }
+    }
+
+    /// Starts to resume a generation that its engine was told to stop.
+    fn resume_stopped(
+        &mut self,
+        reason: Reason,
+        stopping: impl Future<Output = Option<StoppedGeneration>> + Send + 'static,
+        source: Ticket,
+    ) {
+        let resumer = self.resumer();
+        let backup = self.backup.as_ref();
+        let resumption = Resumption::from_stopped(reason, resumer, stopping, source, backup);
         self.resumption = Some(resumption);
     }
 
+    fn migration_plan(&self, source: &Ticket, gone_at_ms: Option<u64>) -> MigrationPlan {
+        MigrationPlan {
+            request_id: Arc::clone(&self.job.id),
+            service: Arc::clone(&self.job.service),
+            from: source.address,
+            from_identity: Arc::clone(&source.identity),
+            demand: self.job.demand,
+            held_tokens: self.held_tokens(),
+            engine: self.engine,
+            gone_at_ms,
+        }
+    }
+
+    /// Returns true if the engine may have stopped the generation because it was told to.
+    fn stop_was_requested(&self) -> bool {
+        let migration = self.migration.as_ref();
+        let release = self.release.as_ref();
+        migration.is_some_and(Migration::stop_was_requested)
+            || release.is_some_and(Release::stop_was_requested)
+    }
+
+    /// Returns the engine that runs the generation.
+    fn source_identity(&self) -> Option<Arc<str>> {
+        let source = self.source.as_ref()?;
+        Some(Arc::clone(&source.ticket.identity))
+    }
+
     fn resumer(&self) -> Resumer {
         let (gateway, job) = (Arc::clone(&self.gateway), Arc::clone(&self.job));
         Resumer::new(gateway, job, self.engine)
@@ -313,19 +391,18 @@
     /// resume it at the engine that holds its KV cache: the target of the migration if there is
     /// one, else the backup.
     fn lose_source(&mut self, reason: Reason, cause: &str) {
-        let Some(ticket) = self.detach_source(reason, cause) else {
+        let Some(ticket) = self.detach_source(reason, cause, true) else {
             return;
         };
         if self.resumption.is_some() {
             return;
         }
-        match self.migration.take() {
-            Some(migration) => {
-                let resumer = self.resumer();
-                let resumption = Resumption::from_migration(reason, resumer, migration, ticket);
-                self.resumption = Some(resumption);
+        match (self.migration.take(), self.release.take()) {
+            (Some(migration), _) => self.resume_stopped(reason, migration.finish(), ticket),
+            (None, Some(release)) if release.stop_was_requested() => {
+                self.resume_stopped(reason, release.stopped(), ticket);
             }
-            None => self.begin_resumption(reason),
+            (None, _) => self.begin_resumption(reason),
         }
     }
 
@@ -334,7 +411,7 @@
         let Some(source) = &self.source else {
             return;
         };
-        let is_stopped = stop_was_requested(self.migration.as_ref());
+        let is_stopped = self.stop_was_requested();
         if self.last_event.is_none() && !is_stopped {
             self.gateway
                 .record_crash(&self.job, &source.ticket.identity);
@@ -350,7 +427,12 @@
     }
 
     /// Closes the stream of the engine. Returns its ticket, which still counts the generation there.
-    fn detach_source(&mut self, reason: Reason, cause: &str) -> Option<Ticket> {
+    fn detach_source(
+        &mut self,
+        reason: Reason,
+        cause: &str,
+        ended_by_engine: bool,
+    ) -> Option<Ticket> {
         let EngineStream { exchange, ticket } = self.source.take()?;
         drop(exchange);
         self.gateway.metrics.count_detached(reason.label());
@@ -359,6 +441,8 @@
             instance = &*ticket.identity,
             reason = reason.label(),
             cause,
+            // False if this entry closes the stream: the engine may not have noticed yet.
+            ended_by_engine,
             silent_ms = elapsed_ms(self.last_event_at),
             last_event = self.last_event,
             "engine stream closed; resuming the generation elsewhere"
@@ -374,9 +458,21 @@
         let Some(Resumption { reason, .. }) = self.resumption.take() else {
             return Ok(());
         };
+        if let (Err(failure), Some(source)) = (&result, &self.source) {
+            tracing::info!(
+                request = &*self.job.id,
+                instance = &*source.ticket.identity,
+                reason = reason.label(),
+                not_run = failure.not_run,
+                silent_ms = elapsed_ms(self.last_event_at),
+                last_event = self.last_event,
+                "generation goes on at its engine after another one was asked"
+            );
+        }
         match result {
             Ok(Resumed { source, backup }) => {
-                self.detach_source(reason, "another engine has taken the generation over");
+                let cause = "another engine has taken the generation over";
+                self.detach_source(reason, cause, false);
                 self.is_resuming = true;
                 self.last_event_at = Instant::now();
                 self.silence_recheck_at = None;
@@ -405,15 +501,11 @@
             "broken"
         };
         self.gateway.metrics.count_stream(label);
-        let instance = self
-            .source
-            .as_ref()
-            .map(|source| Arc::clone(&source.ticket.identity));
         tracing::info!(
             request = &*self.job.id,
             route = &*self.job.route.name,
             outcome,
-            instance = instance.as_deref(),
+            instance = self.source_identity().as_deref(),
             last_event = self.last_event,
             first_event_after_ms = self.time_to_first_event_ms,
             age_ms = self.job.age_ms(),
@@ -433,8 +525,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Returns true if the source engine may have stopped the generation for its migration.
-fn stop_was_requested(migration: Option<&Migration>) -> bool {
-    migration.is_some_and(Migration::stop_was_requested)
-}
