Build the support of the tests for instances that record their work

Clippy names the type of a script too complex, and site_configuration builds executions of its own, which have begun when they arrived. Clippy, the formatter and the check of the docs pass.

--- a/tests/site_configuration.rs
+++ b/tests/site_configuration.rs
@@ -150,6 +150,7 @@
                 path: request.path.as_str().into(),
                 workspace: request.header("x-lilacspindle-tenant").map(Into::into),
                 arrived_ms,
+                began_ms: Some(arrived_ms),
                 ended_ms: arrived_ms,
                 end: ExecutionEnd::Complete,
                 resumed_after: None,
--- a/tests/site_support/replica.rs
+++ b/tests/site_support/replica.rs
@@ -74,9 +74,11 @@
     }
 }
 
+type Script = Box<dyn Fn(&Request) -> Vec<Reply> + Send + Sync>;
+
 /// What the connections of an instance share.
 struct Server {
-    script: Box<dyn Fn(&Request) -> Vec<Reply> + Send + Sync>,
+    script: Script,
     seen: Arc<Mutex<Vec<Request>>>,
     abandoned: Arc<Mutex<u32>>,
     recorded: Recorded,
