Do not take the refusal of a resume for proof that a generation has not run

A sidecar whose engine does not answer the request for a generation abandons it and asks for the stream. If the engine refuses that (503), nothing shown, the outcome was not_run, and the generation was not cancelled: an engine that is held up begins the first request later, after its caller was told otherwise, or beside a second attempt.

After a resume no answer counts as proof, and the generation is cancelled at the engine. a_refused_resume_does_not_show_that_the_generation_has_not_run passes with the change; it was not run without it.

--- a/src/roles/sidecar/run.rs
+++ b/src/roles/sidecar/run.rs
@@ -52,6 +52,9 @@
     offset: u32,
     /// True if this is the first run of the generation, so that no engine has seen it before.
     is_first: bool,
+    /// True once the engine was asked to resume the stream: the request before may still be waiting
+    /// in its socket, so that nothing it says of the resume proves that it has not run.
+    was_resumed: bool,
     /// Notified once the engine has confirmed that it holds a generation to adopt.
     found: Option<oneshot::Sender<()>>,
 }
@@ -75,6 +78,7 @@
                 number: 0,
                 offset: 0,
                 is_first: true,
+                was_resumed: false,
                 found: None,
             };
             match run.mark_sent() {
@@ -105,6 +109,7 @@
                 engine_stream,
                 offset: 0,
                 is_first: false,
+                was_resumed: false,
                 found: Some(found),
             };
             run.adopt().await;
@@ -207,7 +212,7 @@
                 error,
                 UpstreamError::Refused { .. } | UpstreamError::Missing
             );
-            let not_sent = self.is_first && self.offset == 0 && error.proves_not_run();
+            let not_sent = self.proves_not_run(&error);
             if is_final
                 || not_sent
                 || reached_at.elapsed() > UNREACHABLE_TIMEOUT
@@ -218,6 +223,7 @@
             self.record_stall(&error);
             sleep(delay).await;
             delay = (delay * 2).min(MAX_RESUME_DELAY);
+            self.was_resumed = true;
             let engine = &self.upstream.engine;
             source = match engine
                 .resume(&self.engine_stream, self.offset, OPEN_TIMEOUT)
@@ -317,7 +323,8 @@
             }
             Some(Err(error)) => {
                 self.fail(&error);
-                if !matches!(error, UpstreamError::Missing) && !error.proves_not_run() {
+                let is_refused = error.proves_not_run() && !self.was_resumed;
+                if !matches!(error, UpstreamError::Missing) && !is_refused {
                     self.cancel_at_engine().await;
                 }
                 self.report_end(Ended::Incomplete);
@@ -350,15 +357,18 @@
         self.core.dispatch(&self.upstream);
     }
 
+    /// Returns true if an error shows that no engine has run the generation or will.
+    fn proves_not_run(&self, error: &UpstreamError) -> bool {
+        self.is_first && self.offset == 0 && !self.was_resumed && error.proves_not_run()
+    }
+
     fn fail(&self, error: &UpstreamError) {
         let generation = self.generation();
         let progress = self.core.shard(generation).generations.progress(generation);
         let shown = progress.is_some_and(|(_, given)| given > 0);
         let (outcome, message) = match shown {
             true => (Outcome::Interrupted, error.to_string()),
-            false if self.is_first && self.offset == 0 && error.proves_not_run() => {
-                (Outcome::NotRun, error.to_string())
-            }
+            false if self.proves_not_run(error) => (Outcome::NotRun, error.to_string()),
             false => (
                 Outcome::Unknown,
                 format!("{error}; nothing was shown, so a repeatable request may run again"),
--- a/tests/sidecar_faults.rs
+++ b/tests/sidecar_faults.rs
@@ -80,6 +80,21 @@
     assert_eq!(sidecar.engine.state.started.lock().unwrap().len(), 2);
 }
 
+/// Guards against taking the refusal of a resume for proof that the request before, which an engine
+/// that is held up may still begin, has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_resume_does_not_show_that_the_generation_has_not_run() {
+    let sidecar = start_sidecar("").await;
+    let script = r#"{"tokens": 40, "break_after": 0, "refuse_resume": true}"#;
+    accepted(&sidecar, start_request(1, script)).await;
+    assert_eq!(outcome(&sidecar.read(1, 0).await), Outcome::Unknown);
+    let cancelled = &sidecar.engine.state.cancelled;
+    until("cancel of the generation at the engine", || {
+        !cancelled.lock().unwrap().is_empty()
+    })
+    .await;
+}
+
 /// Guards against generations that keep running without a reader.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unread_generation_is_cancelled() {
--- a/tests/sidecar_support/engine.rs
+++ b/tests/sidecar_support/engine.rs
@@ -30,6 +30,9 @@
     /// Every resume of the generation is answered with 404.
     #[serde(default)]
     forget: bool,
+    /// Every resume of the generation is answered with 503.
+    #[serde(default)]
+    refuse_resume: bool,
 }
 
 struct Run {
@@ -101,6 +104,7 @@
 fn resume(state: &State<Arc<EngineState>>, id: &str, from: u32) -> Result<Sse, Status> {
     let runs = state.runs.lock().unwrap();
     match runs.get(id) {
+        Some(run) if run.script.refuse_resume => Err(Status::ServiceUnavailable),
         Some(run) if !run.cancelled && !run.script.forget => {
             Ok(stream(Arc::clone(state), id.to_owned(), from, None, None))
         }
