Stop a silent engine only if its connection is dead, and check its promptness last

- An engine that responds was told to stop, also if its generation only paused, as after a preemption; if all engines refused then, the stream was lost.
It is told to stop only if its report names events that the entry has not received, and if the other engine responds. generation_that_pauses_is_not_stopped
- An order to stop without a response was forgotten, so that a stream without an explicit end looked complete. stream_that_was_stopped_without_a_response_is_not_complete
- An engine that closed a stream because it was told to counted as unreachable. engine_that_obeys_a_stop_is_not_excluded
- A stream that broke off while its late backup was checked was lost. stream_that_breaks_during_the_check_of_a_late_backup_goes_on
- Faults of the entry itself counted as a proof that an engine is unreachable, and the checks of many streams filled the queue of an engine that accepts nothing.
All streams of an entry share one check.

--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -2,6 +2,7 @@
 //! callers.
 
 use std::fmt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use tokio::time::error::Elapsed;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::reports::{RunningGenerations, decode_running};
 use super::{HEAD_LIMIT_BYTES, decode_instances, decode_report, headers, paths};
 use crate::domain::fleet::{AskedPause, Listed, NamedLimit, Report};
 
@@ -60,9 +62,10 @@
 }
 
 /// Whether a replica responds to calls now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Liveness {
-    Responds,
+    /// It responds, and names the generations that it runs.
+    Responds(RunningGenerations),
     /// Its machine accepts connections, but there is no response in time: the process may be held up.
     Late,
     /// Its machine refuses or ignores connections: the process has ended, or cannot be reached.
@@ -228,7 +231,9 @@
         let mut connection =
             match timeout(LIVENESS_CONNECT_TIMEOUT, Connection::open(address)).await {
                 Ok(Ok(connection)) => connection,
-                Ok(Err(_)) => return Liveness::Unreachable,
+                Ok(Err(error)) if is_refusal(&*error) => return Liveness::Unreachable,
+                // A fault of this process, such as a lack of descriptors, says nothing of the replica.
+                Ok(Err(_)) => return Liveness::Late,
                 Err(_) => continue,
             };
         let Ok(request) = request(address, Method::GET, paths::REPORT, String::new()) else {
@@ -236,7 +241,7 @@
         };
         let response = connection.exchange(request, MAX_REPLICA_RESPONSE_BYTES);
         return match timeout(limit, response).await {
-            Ok(Ok(_)) => Liveness::Responds,
+            Ok(Ok(response)) => Liveness::Responds(decode_running(response.body())),
             // A connection that is closed without a response may be one too many.
             Ok(Err(_)) | Err(_) => Liveness::Late,
         };
@@ -244,6 +249,21 @@
     Liveness::Unreachable
 }
 
+/// Returns true if a machine, or the way to it, refused a connection.
+fn is_refusal(error: &(dyn std::error::Error + 'static)) -> bool {
+    let kind = error
+        .downcast_ref::<std::io::Error>()
+        .map(std::io::Error::kind);
+    matches!(
+        kind,
+        Some(
+            ErrorKind::ConnectionRefused
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+        )
+    )
+}
+
 /// Copies the key-value cache of a running generation from its replica to `target`. With `stop`,
 /// the generation stops first and its stream ends there. Returns the handle of the copy, which
 /// identifies it at `source`. The failure names one too if the generation has stopped but could not
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,7 +14,7 @@
 };
 pub use configuration::decode_document;
 pub use instances::decode_instances;
-pub use reports::decode_report;
+pub use reports::{RunningGenerations, decode_report};
 
 /// Upper bound on the head of a response, and on the part of its body that is read at once. The
 /// heads that the users' replicas send have less than 1 KB.
--- a/src/platform/reports.rs
+++ b/src/platform/reports.rs
@@ -1,5 +1,8 @@
 //! Decodes the status report of a replica.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use serde::Deserialize;
 
 use crate::domain::fleet::Report;
@@ -35,3 +38,22 @@
         born_ms: wire.born,
     })
 }
+
+/// The events made so far by the generations that a replica runs, by request id; `None` if its report
+/// does not name them. The figures are some hundred milliseconds old.
+pub type RunningGenerations = Option<Arc<BTreeMap<Arc<str>, u64>>>;
+
+#[derive(Deserialize)]
+struct WireRuns {
+    /// Request id, tokens in memory, events made and priority of each generation.
+    runs: Vec<(Arc<str>, f64, f64, f64)>,
+}
+
+/// Returns the generations that a report names.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub(super) fn decode_running(body: &[u8]) -> RunningGenerations {
+    let wire: WireRuns = serde_json::from_slice(body).ok()?;
+    let runs = wire.runs.into_iter();
+    let made = runs.map(|(id, _, events, _)| (id, events.max(0.0) as u64));
+    Some(Arc::new(made.collect()))
+}
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -52,6 +52,7 @@
 
 use metrics::Metrics;
 use open_requests::OpenRequests;
+use release::LivenessChecks;
 use upstream::ConnectionPool;
 
 /// Delay after a failed accept; the usual cause is a lack of file descriptors.
@@ -104,6 +105,7 @@
     /// Number of entries, whose gateways share the retry slack.
     entry_count: AtomicU32,
     pool: ConnectionPool,
+    liveness_checks: LivenessChecks,
     /// Link to the control instance that answered last.
     control: Mutex<Option<Arc<Link<DirectoryClient>>>>,
     /// Control is not asked for permits before this monotonic time.
@@ -151,6 +153,7 @@
             lengths: Mutex::default(),
             entry_count: AtomicU32::new(1),
             pool: ConnectionPool::default(),
+            liveness_checks: LivenessChecks::default(),
             control: Mutex::default(),
             hub_retry_at_ms: AtomicU64::new(0),
             admission_queue: Mutex::default(),
--- a/src/roles/gateway/relay/departure.rs
+++ b/src/roles/gateway/relay/departure.rs
@@ -25,10 +25,6 @@
 /// the timer expires before the events are read that have arrived meanwhile.
 const SILENCE_RECHECK_TIME: Duration = Duration::from_millis(50);
 
-/// A leaving engine that has sent an event within this time counts as prompt: it notices soon that
-/// its stream is closed, so that it does not work on beside the engine that has taken over.
-const PROMPT_EVENT_TIME: Duration = Duration::from_millis(150);
-
 impl Relay {
     /// If the engine is leaving, prepares to resume the generation elsewhere: from the backup if
     /// there is one, else by a migration.
@@ -67,8 +63,7 @@
             let switch_at_ms = (first_event_ms + BACKUP_COPY_MS).min(latest_ms);
             self.switch_at_ms = Some(switch_at_ms);
             // Otherwise it is left after its next event, or once it counts as silent.
-            let is_prompt = self.last_event_at.elapsed() <= PROMPT_EVENT_TIME;
-            if now_ms >= switch_at_ms && is_prompt {
+            if now_ms >= switch_at_ms && self.source_state.is_prompt(now_ms) {
                 self.begin_resumption(Reason::Leaving);
             }
             return;
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -22,7 +22,7 @@
 use super::release::{Release, Released};
 use super::request::Job;
 use super::response::{Body, IncompleteBody, Refusal};
-use super::resume::{Reason, ResumeFailure, Resumed, Resumer, Resumption};
+use super::resume::{Reason, ResumeFailure, Resumed, Resumer, Resumption, SourceState};
 use super::ticket::Ticket;
 use super::upstream::Exchange;
 use crate::adapters::clock::monotonic_ms;
@@ -50,6 +50,8 @@
     migration: Option<Migration>,
     /// Check of a silent engine, before another one is asked.
     release: Option<Release>,
+    /// True if the engine was told to stop the generation and has not responded: it may yet do so.
+    has_open_stop: bool,
     /// Attempt to resume the generation at another engine.
     resumption: Option<Resumption>,
     /// Number of checks and attempts since the last event that have failed.
@@ -62,6 +64,8 @@
     time_to_first_event_ms: Option<u64>,
     /// Time at which the last event was received.
     last_event_at: Instant,
+    /// What an attempt at another engine has to know of the engine before.
+    source_state: Arc<SourceState>,
     /// When to check again whether the engine is silent; set once it seems to be.
     silence_recheck_at: Option<Instant>,
     /// Monotonic time at which the generation is to be resumed from its backup; set once its engine
@@ -91,12 +95,14 @@
             is_resuming: false,
             migration: None,
             release: None,
+            has_open_stop: false,
             resumption: None,
             silent_attempts: 0,
             backup,
             first_event_ms: None,
             time_to_first_event_ms: None,
             last_event_at: Instant::now(),
+            source_state: Arc::new(SourceState::new(monotonic_ms())),
             silence_recheck_at: None,
             switch_at_ms: None,
             done: false,
@@ -222,6 +228,7 @@
         while let Some(event) = self.events.next_event()? {
             // Events that are skipped show too that the engine is not silent.
             self.last_event_at = Instant::now();
+            self.source_state.hear(monotonic_ms());
             self.silence_recheck_at = None;
             // An engine that was told to stop may have made this event before.
             self.release = self.release.take().filter(Release::stop_was_requested);
@@ -308,8 +315,8 @@
             last_event = self.last_event,
             "asking the engine with the backup copy"
         );
-        let may_run_on = self.source.is_some();
-        let resumption = Resumption::from_backup(reason, self.resumer(), backup, may_run_on);
+        let before = self.source.as_ref().map(|_| Arc::clone(&self.source_state));
+        let resumption = Resumption::from_backup(reason, self.resumer(), backup, before);
         self.resumption = Some(resumption);
     }
 
@@ -319,15 +326,21 @@
             return;
         };
         let plan = self.migration_plan(&source.ticket, None);
-        let release = Release::begin(Arc::clone(&self.gateway), plan, backup.another());
+        let last_event = self.last_event.unwrap_or_default();
+        let gateway = Arc::clone(&self.gateway);
+        let release = Release::begin(gateway, plan, backup.another(), last_event);
         self.release = Some(release);
     }
 
     /// Asks another engine if the silent one does not work on the generation any more.
     fn finish_release(&mut self, released: Released) {
-        self.release = None;
+        let release = self.release.take();
+        self.has_open_stop |= release.is_some_and(|release| release.stop_was_requested());
         match released {
-            Released::Gone(_) => self.begin_resumption(Reason::Silent),
+            Released::Gone(_) => {
+                self.begin_resumption(Reason::Silent);
+                self.silent_attempts += 1;
+            }
             Released::Stopped(stopped) => {
                 let cause = "the engine was silent and has stopped the generation";
                 let Some(source) = self.detach_source(Reason::Silent, cause, true) else {
@@ -372,7 +385,8 @@
     fn stop_was_requested(&self) -> bool {
         let migration = self.migration.as_ref();
         let release = self.release.as_ref();
-        migration.is_some_and(Migration::stop_was_requested)
+        self.has_open_stop
+            || migration.is_some_and(Migration::stop_was_requested)
             || release.is_some_and(Release::stop_was_requested)
     }
 
@@ -416,7 +430,7 @@
             self.gateway
                 .record_crash(&self.job, &source.ticket.identity);
         }
-        if self.migration.is_none() {
+        if self.migration.is_none() && !is_stopped {
             source.ticket.record_outcome(Outcome::Unreachable);
         }
         let reason = match is_stopped {
@@ -435,6 +449,7 @@
     ) -> Option<Ticket> {
         let EngineStream { exchange, ticket } = self.source.take()?;
         drop(exchange);
+        self.source_state.close();
         self.gateway.metrics.count_detached(reason.label());
         tracing::info!(
             request = &*self.job.id,
@@ -474,6 +489,8 @@
                 let cause = "another engine has taken the generation over";
                 self.detach_source(reason, cause, false);
                 self.is_resuming = true;
+                self.has_open_stop = false;
+                self.source_state = Arc::new(SourceState::new(monotonic_ms()));
                 self.last_event_at = Instant::now();
                 self.silence_recheck_at = None;
                 self.first_event_ms = Some(monotonic_ms());
@@ -482,8 +499,10 @@
                 self.source = Some(source);
             }
             Err(failure) if self.source.is_none() => return Err(failure.cause),
-            // The copy may not be complete yet.
-            Err(failure) if failure.not_run && reason == Reason::Silent => {
+            // The copy may not be complete yet, or the engine before is held up.
+            Err(failure)
+                if failure.not_run && (reason == Reason::Silent || failure.is_of_source) =>
+            {
                 self.silent_attempts += 1;
             }
             Err(_) => {
--- a/src/roles/gateway/release.rs
+++ b/src/roles/gateway/release.rs
@@ -3,19 +3,50 @@
 //! An engine that sends nothing may still be at work: it may be held up, or only its connection may
 //! be dead. Closing the connection does not stop it before it reads the close.
 
-use std::sync::Arc;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use futures::FutureExt;
+use futures::future::{BoxFuture, Shared};
+use http::StatusCode;
 use tokio::task::JoinHandle;
 
 use super::Gateway;
 use super::migrate::{MigrationPlan, StoppedGeneration, stop_and_copy};
 use super::ticket::Ticket;
+use crate::adapters::mutex::lock;
 use crate::platform::{CallFailure, Liveness, MoveFailure, check_liveness};
 
 /// Time in which an engine that is not held up answers a liveness check.
-pub(super) const LIVENESS_TIMEOUT: Duration = Duration::from_millis(300);
+const LIVENESS_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A liveness check in progress, whose result all that wait for it share.
+type SharedCheck = Shared<BoxFuture<'static, Liveness>>;
+
+/// The liveness checks in progress, by engine. An engine that is held up accepts no connections, and
+/// a check for each of its streams would fill its queue of new ones, so that it seems unreachable.
+#[derive(Default)]
+pub(super) struct LivenessChecks(Mutex<BTreeMap<SocketAddr, SharedCheck>>);
+
+impl Gateway {
+    /// Checks over a new connection whether an engine responds.
+    pub(super) async fn check_liveness(&self, address: SocketAddr) -> Liveness {
+        let check = {
+            let mut checks = lock(&self.liveness_checks.0);
+            let begin = || check_liveness(address, LIVENESS_TIMEOUT).boxed().shared();
+            checks.entry(address).or_insert_with(begin).clone()
+        };
+        let liveness = check.clone().await;
+        let mut checks = lock(&self.liveness_checks.0);
+        if checks.get(&address).is_some_and(|own| own.ptr_eq(&check)) {
+            checks.remove(&address);
+        }
+        liveness
+    }
+}
 
 /// What is known of the work of a silent engine on a generation.
 pub(super) enum Released {
@@ -49,13 +80,18 @@
 }
 
 impl Release {
-    /// Starts a release in a background task. If the engine responds, it is told to stop the
-    /// generation and to copy it to the engine of `target`.
-    pub(super) fn begin(gateway: Arc<Gateway>, plan: MigrationPlan, target: Ticket) -> Self {
+    /// Starts a release in a background task. If the engine has made events after `last_event`, its
+    /// connection is dead: it is told to stop the generation and to copy it to the engine of `target`.
+    pub(super) fn begin(
+        gateway: Arc<Gateway>,
+        plan: MigrationPlan,
+        target: Ticket,
+        last_event: u64,
+    ) -> Self {
         let stop_requested = Arc::new(AtomicBool::new(false));
         let asked = Arc::clone(&stop_requested);
         let task = tokio::spawn(async move {
-            let released = release(&gateway, &plan, target, &asked).await;
+            let released = release(&gateway, &plan, target, last_event, &asked).await;
             gateway.metrics.count_release(released.label());
             tracing::info!(
                 request = &*plan.request_id,
@@ -100,6 +136,7 @@
     gateway: &Gateway,
     plan: &MigrationPlan,
     target: Ticket,
+    last_event: u64,
     stop_requested: &AtomicBool,
 ) -> Released {
     if !gateway
@@ -108,11 +145,22 @@
     {
         return Released::Unproved("paused");
     }
-    match check_liveness(plan.from, LIVENESS_TIMEOUT).await {
+    match gateway.check_liveness(plan.from).await {
         Liveness::Unreachable => return Released::Gone("unreachable"),
         Liveness::Late => return Released::Unproved("late"),
-        Liveness::Responds if !plan.engine.moves => return Released::Unproved("cannot_stop"),
-        Liveness::Responds => {}
+        Liveness::Responds(_) if !plan.engine.moves => return Released::Unproved("cannot_stop"),
+        Liveness::Responds(None) => return Released::Unproved("unknown"),
+        Liveness::Responds(Some(running)) => match running.get(&plan.request_id) {
+            // The generation itself pauses, as after a preemption, or the report is older.
+            Some(made) if *made <= last_event => return Released::Unproved("paused_run"),
+            Some(_) => {}
+            None => return Released::Gone("not_running"),
+        },
+    }
+    // Once stopped, the generation needs an engine that goes on with it.
+    match gateway.check_liveness(target.address).await {
+        Liveness::Responds(_) => {}
+        Liveness::Late | Liveness::Unreachable => return Released::Unproved("backup_late"),
     }
     stop_requested.store(true, Ordering::Relaxed);
     match stop_and_copy(plan, target.address).await {
@@ -128,9 +176,9 @@
             handle,
         }),
         Err(MoveFailure {
-            cause: CallFailure::Status(status),
+            cause: CallFailure::Status(StatusCode::NOT_FOUND),
             ..
-        }) if status == http::StatusCode::NOT_FOUND => Released::Gone("not_running"),
+        }) => Released::Gone("not_running"),
         Err(MoveFailure { cause, .. }) => {
             if let CallFailure::AskedForTime(asked) = cause {
                 gateway.pause_instance(&plan.from_identity, asked);
--- a/src/roles/gateway/resume.rs
+++ b/src/roles/gateway/resume.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,13 +15,12 @@
 use super::generation::with_backup;
 use super::migrate::StoppedGeneration;
 use super::relay::EngineStream;
-use super::release::LIVENESS_TIMEOUT;
 use super::request::Job;
 use super::ticket::Ticket;
 use super::upstream::SendFailure;
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::EngineSpec;
-use crate::platform::{Liveness, check_liveness, headers};
+use crate::platform::{Liveness, headers};
 
 /// Time limit for a migration to complete after the stream from the source engine has ended.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -52,6 +52,46 @@
     }
 }
 
+/// A leaving engine that has sent an event within this time counts as prompt: it notices soon that
+/// its stream is closed, so that it does not work on beside the engine that has taken over.
+const PROMPT_EVENT_MS: u64 = 150;
+
+/// What is known of the engine that runs a generation while another one is to take it over.
+pub(super) struct SourceState {
+    /// Monotonic time of its last event.
+    last_event_ms: AtomicU64,
+    is_open: AtomicBool,
+}
+
+impl SourceState {
+    pub(super) fn new(now_ms: u64) -> Self {
+        Self {
+            last_event_ms: AtomicU64::new(now_ms),
+            is_open: AtomicBool::new(true),
+        }
+    }
+
+    /// Records an event.
+    pub(super) fn hear(&self, now_ms: u64) {
+        self.last_event_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// Records that the stream of the engine has ended.
+    pub(super) fn close(&self) {
+        self.is_open.store(false, Ordering::Relaxed);
+    }
+
+    fn is_open(&self) -> bool {
+        self.is_open.load(Ordering::Relaxed)
+    }
+
+    /// Returns true if the engine has sent an event just now.
+    pub(super) fn is_prompt(&self, now_ms: u64) -> bool {
+        let last_ms = self.last_event_ms.load(Ordering::Relaxed);
+        now_ms.saturating_sub(last_ms) <= PROMPT_EVENT_MS
+    }
+}
+
 /// A generation that another engine has taken over.
 pub(super) struct Resumed {
     pub(super) source: EngineStream,
@@ -65,6 +105,8 @@
     pub(super) cause: String,
     /// True if the engine certainly did not execute the request, so that the copy is unused.
     pub(super) not_run: bool,
+    /// True if the engine was not asked because of the engine before.
+    pub(super) is_of_source: bool,
 }
 
 impl ResumeFailure {
@@ -73,6 +115,7 @@
             label,
             cause,
             not_run: true,
+            is_of_source: false,
         }
     }
 
@@ -81,6 +124,7 @@
             label,
             cause,
             not_run: false,
+            is_of_source: false,
         }
     }
 
@@ -108,21 +152,21 @@
 }
 
 impl Resumption {
-    /// Starts an attempt at the engine that keeps the backup copy. `may_run_on` is true if the engine
-    /// before may still work on the generation.
+    /// Starts an attempt at the engine that keeps the backup copy. `before` is the state of the
+    /// engine that may still work on the generation.
     pub(super) fn from_backup(
         reason: Reason,
         resumer: Resumer,
         backup: &Ticket,
-        may_run_on: bool,
+        before: Option<Arc<SourceState>>,
     ) -> Self {
         let ticket = backup.another();
         Self {
             reason,
             attempt: Box::pin(async move {
-                match may_run_on {
-                    true => resumer.resume_at_prompt_backup(ticket).await,
-                    false => resumer.resume_at_backup(ticket).await,
+                match before {
+                    Some(before) => resumer.take_over(reason, ticket, &before).await,
+                    None => resumer.resume_at_backup(ticket).await,
                 }
             }),
         }
@@ -176,25 +220,42 @@
         self.resume_at(ticket, &copy, PERMISSION_TIMEOUT).await
     }
 
-    /// Resumes the generation at the engine with the backup copy if that engine is not held up. An
-    /// engine that is, would begin the request at an unknown time.
-    async fn resume_at_prompt_backup(&self, ticket: Ticket) -> ResumeResult {
+    /// Resumes the generation at the engine with the backup copy while another engine may work on it.
+    /// An engine that is held up is not asked, as it would begin the request at an unknown time, and
+    /// a leaving engine has to be prompt, so that it notices that it is left.
+    async fn take_over(
+        &self,
+        reason: Reason,
+        ticket: Ticket,
+        before: &SourceState,
+    ) -> ResumeResult {
         let identity = &ticket.identity;
-        if !self
+        let pause = self
             .gateway
-            .wait_until_unpaused(identity, PERMISSION_TIMEOUT)
-            .await
-        {
+            .wait_until_unpaused(identity, PERMISSION_TIMEOUT);
+        if !pause.await {
             let cause = format!("requests to {identity} are paused");
             return Err(self.failed(ResumeFailure::not_run("paused", cause)));
         }
-        match check_liveness(ticket.address, LIVENESS_TIMEOUT).await {
-            Liveness::Responds => self.resume_at_backup(ticket).await,
+        let liveness = self.gateway.check_liveness(ticket.address).await;
+        let is_left = || !before.is_open() || reason != Reason::Leaving;
+        match liveness {
+            _ if !before.is_open() => {}
             Liveness::Late | Liveness::Unreachable => {
-                let cause = format!("{} does not respond in time", ticket.identity);
-                Err(self.failed(ResumeFailure::not_run("late", cause)))
+                let cause = format!("{identity} does not respond in time");
+                return Err(self.failed(ResumeFailure::not_run("late", cause)));
+            }
+            Liveness::Responds(_) if is_left() || before.is_prompt(monotonic_ms()) => {}
+            Liveness::Responds(_) => {
+                let cause = "the engine before is held up".to_owned();
+                let failure = ResumeFailure::not_run("source_late", cause);
+                return Err(self.failed(ResumeFailure {
+                    is_of_source: true,
+                    ..failure
+                }));
             }
         }
+        self.resume_at_backup(ticket).await
     }
 
     async fn resume_stopped(
--- a/tests/site_resumptions.rs
+++ b/tests/site_resumptions.rs
@@ -69,6 +69,8 @@
     let engine = move |request: &Request| match request.path.as_str() {
         "/stream/x" => script(request),
         "/kv-move" => json_answer("200 OK", &json!({"handle": HANDLE, "made": 3})),
+        // More events than the entry has received: the connection is dead.
+        "/report" => json_answer("200 OK", &json!({"runs": [["id-1", 100, 5, 5]]})),
         _ => vec![Reply::Bytes(sse(request.id(), 1..=1, true, true))],
     };
     let first = site.upstream("model", engine.clone()).await;
