Tell an engine to stop whose response to a resumption was lost

Closing its connection does not stop it at once, and proves nothing.

It is told to stop now (/kv-move with last); a 404 says that it does not run it. engine_whose_response_was_lost_is_told_to_stop passes with the change; it was not run without it.

--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -19,7 +19,7 @@
 use super::generation::response_lost;
 use super::migrate::{Migration, MigrationPlan, StoppedGeneration};
 use super::plain::end_to_end_headers;
-use super::release::{Release, Released};
+use super::release::{Release, Released, revoke};
 use super::request::Job;
 use super::response::{Body, IncompleteBody, Refusal};
 use super::resume::{Reason, ResumeFailure, Resumed, Resumer, Resumption, SourceState};
@@ -505,7 +505,10 @@
             {
                 self.silent_attempts += 1;
             }
-            Err(_) => {
+            Err(failure) => {
+                if !failure.not_run {
+                    self.revoke_backup();
+                }
                 self.backup = None;
                 self.switch_at_ms = None;
             }
@@ -513,6 +516,22 @@
         Ok(())
     }
 
+    /// Tells the engine with the backup copy to stop the generation, which it may have begun, as its
+    /// own engine goes on.
+    fn revoke_backup(&self) {
+        let (Some(backup), Some(source)) = (&self.backup, &self.source) else {
+            return;
+        };
+        if self.engine.moves {
+            let plan = self.migration_plan(backup, None);
+            tokio::spawn(revoke(
+                Arc::clone(&self.gateway),
+                plan,
+                source.ticket.address,
+            ));
+        }
+    }
+
     fn log_end(&self, outcome: &str) {
         let label = if outcome == "complete" {
             "complete"
--- a/src/roles/gateway/release.rs
+++ b/src/roles/gateway/release.rs
@@ -132,6 +132,31 @@
     }
 }
 
+/// Tells an engine whose response to a resumption was lost to stop the generation. Its memory is
+/// copied to the engine at `target`, which runs the generation.
+pub(super) async fn revoke(gateway: Arc<Gateway>, plan: MigrationPlan, target: SocketAddr) {
+    let result = stop_and_copy(&plan, target).await;
+    let outcome = match &result {
+        Ok(_)
+        | Err(MoveFailure {
+            handle: Some(_), ..
+        }) => "revoked",
+        Err(MoveFailure {
+            cause: CallFailure::Status(StatusCode::NOT_FOUND),
+            ..
+        }) => "not_running",
+        Err(_) => "revocation_failed",
+    };
+    gateway.metrics.count_release(outcome);
+    tracing::info!(
+        request = &*plan.request_id,
+        instance = &*plan.from_identity,
+        outcome,
+        error = result.err().map(|failure| failure.to_string()),
+        "engine told to stop a generation that another one runs"
+    );
+}
+
 async fn release(
     gateway: &Gateway,
     plan: &MigrationPlan,
--- a/tests/site_releases.rs
+++ b/tests/site_releases.rs
@@ -278,3 +278,49 @@
     let excluded = site.log_lines("entry-1", "temporarily excluded");
     assert!(excluded.is_empty(), "{excluded:?}");
 }
+
+/// Guards against two engines that work on one generation after the response to its resumption was
+/// lost: the engine that was asked may have begun it.
+#[tokio::test]
+async fn engine_whose_response_was_lost_is_told_to_stop() {
+    let (site, first, second) = engines(|request| match request.path.as_str() {
+        "/stream/x" if is_resumption(request) => {
+            vec![
+                Reply::Bytes(sse("another-id", 2..=2, true, false)),
+                Reply::AwaitClose,
+            ]
+        }
+        "/stream/x" => {
+            let mut replies = vec![Reply::Bytes(sse(request.id(), 1..=1, true, false))];
+            for event in 2..=40 {
+                replies.push(Reply::Pause(STEP));
+                replies.push(Reply::Bytes(sse(
+                    request.id(),
+                    event..=event,
+                    false,
+                    event == 40,
+                )));
+            }
+            replies
+        }
+        "/kv-move" => json_answer("404 Not Found", &json!({})),
+        _ => warm(request),
+    })
+    .await;
+    let text = stream(&site, || {
+        let source = usize::from(first.requests("/stream/x").is_empty());
+        site.list.lock().unwrap()[source]["state"] = json!("draining");
+    })
+    .await;
+    assert_eq!(text, Ok(events(1..=40)));
+    let asked = [&first, &second]
+        .into_iter()
+        .find(|engine| engine.requests("/stream/x").iter().any(is_resumption))
+        .unwrap();
+    let stops = asked.requests("/kv-move");
+    let call: Value = serde_json::from_slice(&stops[0].body).unwrap();
+    assert_eq!(
+        (&call["identifier"], &call["last"]),
+        (&json!("id-1"), &json!(true))
+    );
+}
