--- a/tests/site_releases.rs
+++ b/tests/site_releases.rs
@@ -17,8 +17,10 @@
 const STEP: Duration = Duration::from_millis(50);
 
 fn events(ids: std::ops::RangeInclusive<u64>) -> String {
-    ids.map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
-        .collect()
+    let events: Vec<String> = ids
+        .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
+        .collect();
+    events.concat()
 }
 fn is_resumption(request: &Request) -> bool {
     request.header("kv-from").is_some()
@@ -114,8 +116,8 @@
 /// Guards against losing a stream that breaks off while its backup, which is late, is checked.
 #[tokio::test]
 async fn stream_that_breaks_during_the_check_of_a_late_backup_goes_on() {
-    let held = Arc::new(AtomicBool::new(false));
-    let hold = Arc::clone(&held);
+    let is_late = Arc::new(AtomicBool::new(false));
+    let backup_is_late = Arc::clone(&is_late);
     let (site, first, _second) = engines(move |request| match request.path.as_str() {
         "/stream/x" if is_resumption(request) => {
             let last: u64 = request.header("last-event-id").unwrap().parse().unwrap();
@@ -133,7 +135,7 @@
             replies.push(Reply::Close);
             replies
         }
-        "/report" if hold.load(Ordering::SeqCst) => {
+        "/report" if backup_is_late.load(Ordering::SeqCst) => {
             let mut replies = vec![Reply::Pause(Duration::from_millis(600))];
             replies.extend(json_answer(
                 "200 OK",
@@ -145,7 +147,7 @@
     })
     .await;
     let text = stream(&site, || {
-        held.store(true, Ordering::SeqCst);
+        is_late.store(true, Ordering::SeqCst);
         let source = usize::from(first.requests("/stream/x").is_empty());
         site.list.lock().unwrap()[source]["state"] = json!("draining");
     })
