Let only the response to the order show that a silent engine has no generation

A report that does not name the generation counted as a proof that its engine does not run it. One that waits after a preemption may be left out. Such an engine is told to stop now, and its 404 is the proof. Found in the read-through; there is no test that shows it. The condition on a leaving engine is one arm of its match.

--- a/src/roles/gateway/release.rs
+++ b/src/roles/gateway/release.rs
@@ -178,8 +178,9 @@
         Liveness::Responds(Some(running)) => match running.get(&plan.request_id) {
             // The generation itself pauses, as after a preemption, or the report is older.
             Some(made) if *made <= last_event => return Released::Unproved("paused_run"),
-            Some(_) => {}
-            None => return Released::Gone("not_running"),
+            // Reports may leave out generations that wait after a preemption, so that only the
+            // response to the order shows that there is none.
+            Some(_) | None => {}
         },
     }
     // Once stopped, the generation needs an engine that goes on with it.
--- a/src/roles/gateway/resume.rs
+++ b/src/roles/gateway/resume.rs
@@ -143,9 +143,8 @@
 
 type ResumeResult = Result<Resumed, ResumeFailure>;
 
-/// An attempt in progress. Dropping it cancels the attempt and closes its connection, but does not
-/// keep an engine that was asked from beginning the generation: an attempt is dropped only if no
-/// other engine works on that.
+/// An attempt in progress. Dropping it closes its connection, but does not keep an engine that was
+/// asked from beginning the generation: it is dropped only with the whole stream.
 pub(super) struct Resumption {
     pub(super) reason: Reason,
     attempt: Pin<Box<dyn Future<Output = ResumeResult> + Send>>,
@@ -238,15 +237,15 @@
             return Err(self.failed(ResumeFailure::not_run("paused", cause)));
         }
         let liveness = self.gateway.check_liveness(ticket.address).await;
-        let is_left = || !before.is_open() || reason != Reason::Leaving;
         match liveness {
             _ if !before.is_open() => {}
             Liveness::Late | Liveness::Unreachable => {
                 let cause = format!("{identity} does not respond in time");
                 return Err(self.failed(ResumeFailure::not_run("late", cause)));
             }
-            Liveness::Responds(_) if is_left() || before.is_prompt(monotonic_ms()) => {}
-            Liveness::Responds(_) => {
+            Liveness::Responds(_)
+                if reason == Reason::Leaving && !before.is_prompt(monotonic_ms()) =>
+            {
                 let cause = "the engine before is held up".to_owned();
                 let failure = ResumeFailure::not_run("source_late", cause);
                 return Err(self.failed(ResumeFailure {
@@ -254,6 +253,7 @@
                     ..failure
                 }));
             }
+            Liveness::Responds(_) => {}
         }
         self.resume_at_backup(ticket).await
     }
