Log what shows that a plain call was not run, and each connection that hands one back

Of a call with the outcome not_run the log said neither the status with which its instance had refused it nor the address that was asked, and a request that a kept connection had handed back was sent again without a line.

--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -30,12 +30,21 @@
     /// The instance sent a complete response.
     Response(response::Parts, Bytes),
     /// The request was certainly not executed.
-    NotRun,
+    NotRun(NotRunProof),
     /// The request may have been executed.
     Unknown,
     OutOfTime,
 }
 
+/// What shows that a request was not executed.
+#[derive(Debug, Clone, Copy)]
+enum NotRunProof {
+    /// The instance said so, in a response with this status.
+    Stated(StatusCode),
+    /// Nothing of the request was sent.
+    NotSent,
+}
+
 impl Gateway {
     /// Forwards a plain call and returns its response. An instance's error response is returned
     /// only if no further attempt is allowed or succeeds.
@@ -80,7 +89,7 @@
             let ticket = Ticket::begin(self, chosen, None);
             job.open.set_instance(&ticket.identity);
             let result = self.send_plain(job, &ticket).await;
-            log_attempt(job, &ticket.identity, tried.len(), &summary, &result);
+            log_attempt(job, &ticket, tried.len(), &summary, &result);
             let attempts_left = tried.len() < MAX_ATTEMPTS;
             let may_rerun =
                 job.route.repeat == Repeat::Safe && possible_runs + 1 < job.route.max_attempts;
@@ -92,8 +101,8 @@
                     possible_runs += 1;
                 }
                 AttemptResult::Response(head, body) => return Ok(to_response(&head, body)),
-                AttemptResult::NotRun if attempts_left => {}
-                AttemptResult::NotRun => return Err(self.no_instance_left(job, possible_runs)),
+                AttemptResult::NotRun(_) if attempts_left => {}
+                AttemptResult::NotRun(_) => return Err(self.no_instance_left(job, possible_runs)),
                 AttemptResult::Unknown if may_rerun => possible_runs += 1,
                 AttemptResult::Unknown => {
                     return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, "answer_lost"));
@@ -124,7 +133,8 @@
                 if head.status == StatusCode::MISDIRECTED_REQUEST {
                     self.with_view(|view| view.misdirected(&ticket.identity, monotonic_ms()));
                 }
-                (AttemptResult::NotRun, Outcome::Refused)
+                let proof = NotRunProof::Stated(head.status);
+                (AttemptResult::NotRun(proof), Outcome::Refused)
             }
             // To callers these statuses guarantee that the request was not executed, which the
             // instance did not state.
@@ -145,7 +155,7 @@
                 tracing::info!(request = &*job.id, instance = &*ticket.identity, %failure,
                     age_ms = job.age_ms(), "no complete response from the instance");
                 let result = match failure {
-                    SendFailure::NotSent(_) => AttemptResult::NotRun,
+                    SendFailure::NotSent(_) => AttemptResult::NotRun(NotRunProof::NotSent),
                     SendFailure::Lost(_) => AttemptResult::Unknown,
                 };
                 (result, Outcome::Unreachable)
@@ -161,7 +171,7 @@
 /// Logs the result of an attempt, and what was known about the instance when it was chosen.
 fn log_attempt(
     job: &Job,
-    instance: &str,
+    ticket: &Ticket,
     attempt: usize,
     summary: &InstanceSummary,
     result: &AttemptResult,
@@ -170,6 +180,10 @@
         AttemptResult::Response(head, _) => Some(head.status.as_u16()),
         _ => None,
     };
+    let refused_with = match result {
+        AttemptResult::NotRun(NotRunProof::Stated(status)) => Some(status.as_u16()),
+        _ => None,
+    };
     let is_routine = status.is_some_and(|status| status < 300) && attempt == 1;
     if is_routine && !keeps_routine(&job.id) {
         return;
@@ -181,10 +195,12 @@
                 target: $target,
                 request = &*job.id,
                 route = &*job.route.name,
-                instance,
+                instance = &*ticket.identity,
+                address = %ticket.address,
                 attempt,
                 status,
                 outcome = attempt_label(result),
+                refused_with,
                 running = summary.running,
                 average_ms = summary.average_ms,
                 failed_percent = summary.failed_percent,
@@ -206,7 +222,7 @@
 fn attempt_label(result: &AttemptResult) -> &'static str {
     match result {
         AttemptResult::Response(..) => "answer",
-        AttemptResult::NotRun => "not_run",
+        AttemptResult::NotRun(_) => "not_run",
         AttemptResult::Unknown => "unknown",
         AttemptResult::OutOfTime => "out_of_time",
     }
--- a/src/roles/gateway/upstream.rs
+++ b/src/roles/gateway/upstream.rs
@@ -107,7 +107,15 @@
             match send_on(&mut connection, request, request_id, true).await {
                 Ok(response) => return Ok(into_exchange(response, connection)),
                 // The instance had closed the idle connection before anything was sent.
-                Err((_, Some(unsent))) => request = unsent,
+                Err((failure, Some(unsent))) => {
+                    tracing::info!(
+                        request = request_id,
+                        %address,
+                        %failure,
+                        "another connection is used"
+                    );
+                    request = unsent;
+                }
                 Err((failure, None)) => return Err(failure),
             }
         }
