Show a request that runs twice after a refusal that was written twice

An instance that has taken the address of another one answers a request to the old one with 421, and writes that refusal once more where the response to the next attempt is due, as the protocol says faulty instances may. The next attempt of the same request goes to the same address on the same connection and has the same id, so the second copy counts as its response: the request runs there, and at the second instance as well.

--- a/tests/site_faulty_responses.rs
+++ b/tests/site_faulty_responses.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use site_support::{
-    Reply, Request, Site, answer, call, document, proper, sse, wait_for, with_header,
+    Reply, Request, Site, Upstream, answer, call, document, listed, proper, sse, wait_for,
+    with_header,
 };
 
 fn refusal(id: Option<&str>) -> Vec<u8> {
@@ -274,3 +275,76 @@
         .await;
     }
 }
+
+/// Guards against the refusal of one attempt that is taken for the response to the next attempt of
+/// the same request: an instance that has taken the address of another one refuses a request to the
+/// old one, writes that refusal once more in place of the response to the second attempt, and runs it.
+#[tokio::test]
+async fn repeated_refusal_is_not_the_answer_to_the_next_attempt_at_its_address() {
+    let mut site = Site::serving(&document(1)).await;
+    // The last refusal, with the connection and the id of its request.
+    let refused: Mutex<Option<(usize, String, Vec<u8>)>> = Mutex::default();
+    let own = Arc::new(Mutex::new(String::from("i-own-0")));
+    let identity = Arc::clone(&own);
+    let upstream = site
+        .unlisted_upstream(move |request: &Request| {
+            let expected = request.header("X-Lilacspindle-Expected-Instance");
+            let mut refused = refused.lock().unwrap();
+            if expected != Some(&*identity.lock().unwrap()) {
+                let headers = [
+                    ("X-Lilacspindle-Not-Executed", "1"),
+                    ("X-Lilacspindle-Request-Id", request.id()),
+                ];
+                let bytes = answer("421 Misdirected Request", &headers, b"");
+                *refused = Some((request.connection, request.id().to_owned(), bytes.clone()));
+                return vec![Reply::Bytes(bytes)];
+            }
+            let repeat = refused.take_if(|(connection, _, _)| *connection == request.connection);
+            let mut replies: Vec<Reply> = repeat
+                .map(|(_, _, bytes)| Reply::Bytes(bytes))
+                .into_iter()
+                .collect();
+            replies.push(Reply::Pause(Duration::from_millis(50)));
+            replies.extend(proper(request));
+            replies
+        })
+        .await;
+    let other = site.unlisted_upstream(proper).await;
+    for round in 1..=3 {
+        let (before, after) = (format!("i-before-{round}"), format!("i-own-{round}"));
+        own.lock().unwrap().clone_from(&after);
+        let entry = |identity: &str, zone: &str, address: &Upstream| {
+            let mut entry = listed("plain", address, "ready");
+            entry["identifier"] = identity.into();
+            entry["zone"] = zone.into();
+            entry
+        };
+        // Instances in the zone of the entry are preferred, here the one that has gone.
+        *site.list.lock().unwrap() = vec![
+            entry(&before, "z1", &upstream),
+            entry(&after, "z2", &upstream),
+            entry(&format!("i-other-{round}"), "z3", &other),
+        ];
+        wait_for("control has read the list", || async {
+            !site
+                .log_lines("control-1", &format!("i-other-{round}"))
+                .is_empty()
+        })
+        .await;
+        // The entry hears of it within its interval of some hundred milliseconds.
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        let id = format!("id-{round}");
+        let status = call(&site, "/once/run", &id).await.status();
+        let attempts = |upstream: &Upstream| {
+            let requests = upstream.requests("/once/run").into_iter();
+            requests.filter(|request| request.id() == id).count()
+        };
+        assert_eq!(attempts(&upstream), 2, "round {round}");
+        assert_eq!(
+            attempts(&other),
+            0,
+            "round {round}: sent again although it has run"
+        );
+        assert_eq!(status, 200, "round {round}");
+    }
+}
--- a/tests/site_support/replica.rs
+++ b/tests/site_support/replica.rs
@@ -17,6 +17,8 @@
     pub path: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// Number of the connection on which it arrived.
+    pub connection: usize,
     /// When it had been received as a whole.
     pub received_at: Instant,
 }
@@ -112,10 +114,12 @@
         let closed = Arc::clone(&closing);
         let task = tokio::spawn(async move {
             let mut connections = JoinSet::new();
-            loop {
+            for number in 0.. {
                 tokio::select! {
                     accepted = listener.accept() => match accepted {
-                        Ok((stream, _)) => connections.spawn(serve(stream, Arc::clone(&server))),
+                        Ok((stream, _)) => {
+                            connections.spawn(serve(stream, number, Arc::clone(&server)))
+                        }
                         Err(_) => break,
                     },
                     () = closed.notified() => break,
@@ -163,9 +167,10 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, server: Arc<Server>) {
+async fn serve(mut stream: TcpStream, connection: usize, server: Arc<Server>) {
     let mut buffer = Vec::new();
-    while let Some(request) = read_request(&mut stream, &mut buffer).await {
+    while let Some(mut request) = read_request(&mut stream, &mut buffer).await {
+        request.connection = connection;
         server.seen.lock().unwrap().push(request.clone());
         for reply in (server.script)(&request) {
             match reply {
@@ -224,6 +229,7 @@
         path,
         headers,
         body,
+        connection: 0,
         received_at: Instant::now(),
     })
 }
