Send a second attempt at an address only on a new connection

Callers saw a request run at two instances, or got 503 for one that ran. Cause: an id names a request, not an attempt. If an instance had refused the first attempt and the second one went to the same address (the instance that has taken it over), it was sent on the kept connection, where a second copy of the refusal counted as its response.

An address that was asked before for the same request is now asked on a new connection, which carries no response to an earlier attempt. Generations and resumptions close the connection of a refusal, so theirs were safe.

--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -15,7 +15,7 @@
 use super::request::Job;
 use super::response::{Body, Refusal};
 use super::ticket::Ticket;
-use super::upstream::{Exchange, SendFailure};
+use super::upstream::{Connections, Exchange, SendFailure};
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::admission::AdmissionQueue;
 use crate::domain::document::EngineSpec;
@@ -82,7 +82,7 @@
                 left_ms = job.left_ms(),
                 "generation sent"
             );
-            let sending = self.send(&ticket, request, &job.id);
+            let sending = self.send(&ticket, request, &job.id, Connections::Any);
             let exchange = match timeout_at(job.deadline, sending).await {
                 Ok(Ok(exchange)) => exchange,
                 Ok(Err(failure)) => {
--- a/src/roles/gateway/instance_signals.rs
+++ b/src/roles/gateway/instance_signals.rs
@@ -11,7 +11,7 @@
 use super::Gateway;
 use super::response::Refusal;
 use super::ticket::Ticket;
-use super::upstream::{Exchange, SendFailure};
+use super::upstream::{Connections, Exchange, SendFailure};
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::fleet::{AskedPause, LimitChange, NamedLimit};
 use crate::platform::headers;
@@ -28,9 +28,13 @@
         ticket: &Ticket,
         request: Request<Full<Bytes>>,
         request_id: &str,
+        connections: Connections,
     ) -> Result<Exchange, SendFailure> {
         let sent_ms = monotonic_ms();
-        let sent = self.pool.send(ticket.address, request, request_id).await;
+        let sending = self
+            .pool
+            .send(ticket.address, request, request_id, connections);
+        let sent = sending.await;
         if let Ok(exchange) = &sent {
             self.apply_instance_headers(&ticket.identity, &exchange.head, sent_ms);
         }
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -12,7 +12,7 @@
 use super::request::Job;
 use super::response::{Body, Refusal, full};
 use super::ticket::Ticket;
-use super::upstream::SendFailure;
+use super::upstream::{Connections, SendFailure};
 use crate::adapters::clock::monotonic_ms;
 use crate::adapters::telemetry::{ROUTINE, keeps_routine};
 use crate::domain::document::Repeat;
@@ -68,6 +68,7 @@
         failure: &mut Option<(response::Parts, Bytes)>,
     ) -> Result<Response<Body>, Refusal> {
         let mut tried = Vec::new();
+        let mut asked = Vec::new();
         // Attempts in which the request may have been executed.
         let mut possible_runs = 0;
         loop {
@@ -88,7 +89,9 @@
             let summary = self.with_view(|view| view.summary(&chosen.identity, monotonic_ms()));
             let ticket = Ticket::begin(self, chosen, None);
             job.open.set_instance(&ticket.identity);
-            let result = self.send_plain(job, &ticket).await;
+            let connections = Connections::for_attempt(ticket.address, &asked);
+            asked.push(ticket.address);
+            let result = self.send_plain(job, &ticket, connections).await;
             log_attempt(job, &ticket, tried.len(), &summary, &result);
             let attempts_left = tried.len() < MAX_ATTEMPTS;
             let may_rerun =
@@ -121,11 +124,16 @@
         }
     }
 
-    async fn send_plain(&self, job: &Job, ticket: &Ticket) -> AttemptResult {
+    async fn send_plain(
+        &self,
+        job: &Job,
+        ticket: &Ticket,
+        connections: Connections,
+    ) -> AttemptResult {
         let begun_ms = monotonic_ms();
         let request = job.upstream_request(&ticket.identity);
         let sending = async {
-            let exchange = self.send(ticket, request, &job.id).await?;
+            let exchange = self.send(ticket, request, &job.id, connections).await?;
             self.pool.collect(exchange).await.map_err(SendFailure::Lost)
         };
         let (result, outcome) = match timeout_at(job.deadline, sending).await {
--- a/src/roles/gateway/resume.rs
+++ b/src/roles/gateway/resume.rs
@@ -17,7 +17,7 @@
 use super::relay::EngineStream;
 use super::request::Job;
 use super::ticket::Ticket;
-use super::upstream::SendFailure;
+use super::upstream::{Connections, SendFailure};
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::EngineSpec;
 use crate::platform::{Liveness, headers};
@@ -344,7 +344,8 @@
         let request = with_backup(self.request(&ticket, copy), backup.as_ref());
         // Without a time limit: silence does not show that the engine has failed, and an attempt that
         // is dropped may still be begun.
-        match gateway.send(&ticket, request, &self.job.id).await {
+        let sending = gateway.send(&ticket, request, &self.job.id, Connections::Any);
+        match sending.await {
             Ok(exchange) if exchange.head.status.is_success() => Ok(Resumed {
                 source: EngineStream { exchange, ticket },
                 backup,
--- a/src/roles/gateway/upstream.rs
+++ b/src/roles/gateway/upstream.rs
@@ -50,6 +50,27 @@
     }
 }
 
+/// The connections on which a request may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Connections {
+    /// Kept ones first.
+    Any,
+    /// Only a new one. A kept one may carry a repeated response to an earlier attempt of the same
+    /// request, which has the same id.
+    New,
+}
+
+impl Connections {
+    /// Returns the connections for an attempt at `address`, after attempts of the same request at
+    /// `asked` addresses that left their connections open.
+    pub(super) fn for_attempt(address: SocketAddr, asked: &[SocketAddr]) -> Self {
+        match asked.contains(&address) {
+            true => Self::New,
+            false => Self::Any,
+        }
+    }
+}
+
 /// A connection, which is closed when it is dropped.
 struct Connection {
     address: SocketAddr,
@@ -102,8 +123,13 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         request_id: &str,
+        connections: Connections,
     ) -> Result<Exchange, SendFailure> {
-        while let Some(mut connection) = self.take_idle(address) {
+        let take_idle = || match connections {
+            Connections::Any => self.take_idle(address),
+            Connections::New => None,
+        };
+        while let Some(mut connection) = take_idle() {
             match send_on(&mut connection, request, request_id, true).await {
                 Ok(response) => return Ok(into_exchange(response, connection)),
                 // The instance had closed the idle connection before anything was sent.
--- a/tests/site_faulty_responses.rs
+++ b/tests/site_faulty_responses.rs
@@ -308,7 +308,9 @@
                 *refused = Some((request.connection, request.id().to_owned(), bytes.clone()));
                 return vec![Reply::Bytes(bytes)];
             }
-            let repeat = refused.take_if(|(connection, _, _)| *connection == request.connection);
+            let repeat = refused.take_if(|(connection, id, _)| {
+                *connection == request.connection && *id == request.id()
+            });
             let mut replies: Vec<Reply> = repeat
                 .map(|(_, _, bytes)| Reply::Bytes(bytes))
                 .into_iter()
