Let the soak's plain services queue, refuse, fall ill, crash and be replaced

Its plain services were never ill, so a soak could not show what an entry concludes from their responses. A new kind, illnesses, has mostly plain calls, in quick succession and in chunks or large bodies too. Services queue requests up to their deadlines, refuse them early or late, hang, reset connections, lose, garble and repeat responses, close idle connections, are held up, crash and come back under their identity or beside a stale list entry, and are replaced. Half of them are reached without a proxy. Illnesses belong to the place and outlast a crash.

--- a/src/platform/standin/callers.rs
+++ b/src/platform/standin/callers.rs
@@ -15,7 +15,8 @@
     pub(crate) key: Option<&'a str>,
     /// `None` for plain calls.
     pub(crate) generation: Option<GenerationSize>,
-    pub(crate) body_bytes: usize,
+    /// `None` if the body is sent in chunks.
+    pub(crate) body_bytes: Option<usize>,
 }
 
 /// Size of a generation. Its whole prompt belongs to the session.
@@ -41,9 +42,13 @@
             prompt = size.prompt_tokens,
         )
     });
+    let framing = match call.body_bytes {
+        Some(bytes) => format!("{}: {bytes}", header::CONTENT_LENGTH),
+        None => format!("{}: chunked", header::TRANSFER_ENCODING),
+    };
     format!(
         "POST {} HTTP/1.1\r\n{}: {}\r\n{}: {}\r\n{}: {}\r\n{key}{}\
-         {}: application/json\r\n{}: {}\r\n\r\n",
+         {}: application/json\r\n{framing}\r\n\r\n",
         call.path,
         header::HOST,
         call.host,
@@ -53,7 +58,5 @@
         call.deadline_ms,
         generation.unwrap_or_default(),
         header::CONTENT_TYPE,
-        header::CONTENT_LENGTH,
-        call.body_bytes
     )
 }
--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -12,8 +12,8 @@
 pub(crate) use faults::{DOCUMENT_FAULTS, encode_faulty_document};
 pub(crate) use list::{encode_page, first_of_page};
 pub(crate) use replicas::{
-    Execution, decode_move_call, decode_request, encode_copy, encode_execution, encode_identity,
-    encode_no_copy, encode_report, parse_copy,
+    Execution, ReplicaRequest, decode_move_call, decode_request, encode_copy, encode_execution,
+    encode_identity, encode_no_copy, encode_report, parse_copy,
 };
 
 /// The model of every engine.
--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -30,6 +30,10 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 const STEP_MS: u64 = 30;
 const PLAIN_DEADLINE_MS: u64 = 3_000;
+/// Deadline of plain calls in runs that have mostly such calls.
+const SHORT_DEADLINE_MS: u64 = 1_000;
+/// Size of the bodies of a few calls, which take several reads.
+const LARGE_BODY_BYTES: usize = 200_000;
 /// Pause between reads of a caller that reads slowly.
 const SLOW_READ_PAUSE: Duration = Duration::from_millis(40);
 const PROMPT_TOKENS: u64 = 400;
@@ -47,6 +51,8 @@
     /// Callers begin no more requests once this is set.
     pub(super) ending: CancellationToken,
     pub(super) seed: u64,
+    /// True for callers of which nine in ten requests are plain calls, in quick succession.
+    pub(super) prefers_plain: bool,
     pub(super) next_connection: AtomicU64,
 }
 
@@ -56,6 +62,9 @@
     takes_ms: u64,
     /// Pauses between reads of a stream.
     reads_slowly: bool,
+    /// Bytes that the body has beside what the instance reads.
+    padding_bytes: usize,
+    sends_in_chunks: bool,
     /// `None` if the body follows the head of the request at once.
     sends_body_at: Option<Instant>,
     gives_up_at: Instant,
@@ -95,10 +104,11 @@
         let most = random.random_range(1..=8);
         while connection.requests < most && !self.ending.is_cancelled() {
             let news = self.news.borrow().clone();
-            let Some((route, key)) = draw_target(&news, random) else {
+            let Some((route, key)) = draw_target(&news, self.prefers_plain, random) else {
                 return;
             };
-            let behaviour = draw_behaviour(&route, random);
+            let deadline_ms = self.deadline_ms(&route);
+            let behaviour = draw_behaviour(&route, deadline_ms, random);
             let mut call = self.begin(&connection, entry, &route, key, random);
             let may_go_on = self
                 .exchange(&mut connection, &mut call, &route, &behaviour)
@@ -109,7 +119,16 @@
             if !may_go_on {
                 return;
             }
-            sleep(Duration::from_millis(random.random_range(0..300))).await;
+            let most_ms = if self.prefers_plain { 60 } else { 300 };
+            sleep(Duration::from_millis(random.random_range(0..most_ms))).await;
+        }
+    }
+
+    fn deadline_ms(&self, route: &SentRoute) -> u64 {
+        match route.is_stream {
+            true => route.timeout_ms,
+            false if self.prefers_plain => SHORT_DEADLINE_MS.min(route.timeout_ms),
+            false => PLAIN_DEADLINE_MS.min(route.timeout_ms),
         }
     }
 
@@ -133,7 +152,7 @@
             key,
             is_stream: route.is_stream,
             may_repeat: route.is_safe,
-            deadline_ms: deadline_ms(route),
+            deadline_ms: self.deadline_ms(route),
             sent_ms: now_ms,
             sent_whole_ms: None,
             head_ms: None,
@@ -156,6 +175,7 @@
     ) -> bool {
         let body = json!({
             "events": behaviour.events, "step_ms": STEP_MS, "takes_ms": behaviour.takes_ms,
+            "padding": " ".repeat(behaviour.padding_bytes),
         })
         .to_string();
         let head = encode_call_head(&CallHead {
@@ -169,8 +189,12 @@
                 max_output_tokens: behaviour.events * TOKENS_PER_EVENT,
                 session: connection.number + 1,
             }),
-            body_bytes: body.len(),
+            body_bytes: (!behaviour.sends_in_chunks).then_some(body.len()),
         });
+        let body = match behaviour.sends_in_chunks {
+            true => encode_chunks(&body),
+            false => body,
+        };
         call.sent_ms = self.recorder.now_ms();
         let sent = async {
             connection.writer.write_all(head.as_bytes()).await?;
@@ -248,8 +272,19 @@
 
 /// Draws a route and a key: usually those of the newest document, sometimes a route that it has added
 /// or removed, or a key that it has revoked.
-fn draw_target(news: &News, random: &mut StdRng) -> Option<(SentRoute, Option<Arc<str>>)> {
+fn draw_target(
+    news: &News,
+    prefers_plain: bool,
+    random: &mut StdRng,
+) -> Option<(SentRoute, Option<Arc<str>>)> {
     let document = news.document.as_ref()?;
+    if prefers_plain && random.random_range(0..10) > 0 {
+        let plain = document.routes.iter().filter(|route| !route.is_stream);
+        let route = pick(&plain.collect::<Vec<_>>(), random).copied()?.clone();
+        let keys: Vec<&Arc<str>> = document.keys.keys().collect();
+        let key = pick(&keys, random).filter(|_| !route.is_anonymous);
+        return Some((route, key.map(|key| Arc::clone(key))));
+    }
     let routes = match random.random_range(0..20) {
         0 if !news.added.is_empty() => &news.added,
         1 if !news.removed.is_empty() => &news.removed,
@@ -271,14 +306,14 @@
     }
 }
 
-fn deadline_ms(route: &SentRoute) -> u64 {
-    match route.is_stream {
-        true => route.timeout_ms,
-        false => PLAIN_DEADLINE_MS.min(route.timeout_ms),
-    }
+/// Encodes a body in two chunks.
+fn encode_chunks(body: &str) -> String {
+    let (first, second) = body.split_at(body.len() / 2);
+    let chunk = |part: &str| format!("{:x}\r\n{part}\r\n", part.len());
+    format!("{}{}0\r\n\r\n", chunk(first), chunk(second))
 }
 
-fn draw_behaviour(route: &SentRoute, random: &mut StdRng) -> Behaviour {
+fn draw_behaviour(route: &SentRoute, deadline_ms: u64, random: &mut StdRng) -> Behaviour {
     let events = match route.is_stream {
         true => random.random_range(100..=280),
         false => 0,
@@ -297,12 +332,18 @@
     };
     let patience = match abandons {
         true => Duration::from_millis(random.random_range(5..longest_ms)),
-        false => Duration::from_millis(deadline_ms(route)) + PATIENCE,
+        false => Duration::from_millis(deadline_ms) + PATIENCE,
+    };
+    let padding_bytes = match random.random_range(0..20) {
+        0 if !route.is_stream => LARGE_BODY_BYTES,
+        _ => random.random_range(0..2_000),
     };
     Behaviour {
         events,
         takes_ms,
         reads_slowly,
+        padding_bytes,
+        sends_in_chunks: random.random_range(0..4) == 0,
         sends_body_at,
         gives_up_at: sends_body_at.unwrap_or(now) + patience,
     }
--- a/src/soak/checker/touch.rs
+++ b/src/soak/checker/touch.rs
@@ -38,7 +38,11 @@
             | FaultKind::DiskLost
             | FaultKind::Link
             | FaultKind::LinkHeld => true,
-            FaultKind::Reload | FaultKind::InstanceSilent | FaultKind::InstanceLeaves => false,
+            FaultKind::Reload
+            | FaultKind::InstanceSilent
+            | FaultKind::InstanceLeaves
+            | FaultKind::InstanceIll
+            | FaultKind::InstanceCrashes => false,
         };
         disturbs && &*fault.target == process && overlaps(fault, since_ms, until_ms)
     })
@@ -66,7 +70,9 @@
             FaultKind::Reload
             | FaultKind::DiskFull
             | FaultKind::InstanceSilent
-            | FaultKind::InstanceLeaves => {}
+            | FaultKind::InstanceLeaves
+            | FaultKind::InstanceIll
+            | FaultKind::InstanceCrashes => {}
         }
     }
     controls.is_empty() || (controls.len() - absent.len()) * 2 > controls.len()
--- a/src/soak/history.rs
+++ b/src/soak/history.rs
@@ -225,6 +225,10 @@
     InstanceSilent,
     /// An upstream instance announces that it leaves, and is gone at `until_ms`.
     InstanceLeaves,
+    /// An upstream instance is ill until `until_ms`.
+    InstanceIll,
+    /// An upstream instance crashes; it is back, maybe under its identity, at `until_ms`.
+    InstanceCrashes,
 }
 
 /// One fault or planned step of the run.
--- a/src/soak/mod.rs
+++ b/src/soak/mod.rs
@@ -12,6 +12,7 @@
 mod recorder;
 mod report;
 mod run;
+mod services;
 mod steps;
 mod upstreams;
 mod wire;
@@ -22,6 +23,7 @@
     Publication, SentDocument, SentRoute, UnexpectedExit,
 };
 pub use operator::{Catalog, Draft, Drafts, News, Operator, OperatorRecord, OperatorSettings};
-pub use plan::{Action, Plan, PlanKind, Size, Step};
+pub use plan::{Action, Plan, PlanKind, ServiceStep, Size, Step};
 pub use report::{summary, write};
 pub use run::{Environment, run};
+pub use services::Illness;
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -4,6 +4,8 @@
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
 
+use super::services::Illness;
+
 /// Time that processes have to form the site before the first step.
 const FIRST_STEP_MS: u64 = 5_000;
 /// Time at the end of a run without steps.
@@ -15,6 +17,8 @@
 /// Longest outage of a control process that is stopped by a signal.
 const CONTROL_STOP_MS: u64 = 9_000;
 const ZONES: usize = 3;
+/// Instances of plain services in a run with illnesses.
+const ILL_SERVICES: usize = 6;
 
 /// What a run consists of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, clap::ValueEnum)]
@@ -25,6 +29,8 @@
     Stops,
     /// As `Stops`, with entries that are frozen in half of the rounds.
     Freezes,
+    /// Plain calls to services that fall ill, are held up, crash and are replaced, beside freezes.
+    Illnesses,
 }
 
 /// Number of processes and length of a run.
@@ -84,6 +90,22 @@
     },
     /// The links of an engine hold back all bytes for `for_ms`.
     HoldLink { engine: usize, for_ms: u64 },
+    /// What happens to an instance of a plain service.
+    Service { service: usize, step: ServiceStep },
+}
+
+/// What happens to an instance of a plain service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ServiceStep {
+    /// It is ill for `for_ms`.
+    Sicken { illness: Illness, for_ms: u64 },
+    /// It makes no progress and does not answer for `for_ms`.
+    Silence { for_ms: u64 },
+    /// It crashes and is back after `down_ms`, under its identity or with that one still listed for a
+    /// while.
+    Crash { down_ms: u64, keeps_identity: bool },
+    /// It drains for `notice_ms`; another one takes its address.
+    Replace { notice_ms: u64 },
 }
 
 /// One step of a plan.
@@ -105,6 +127,14 @@
 impl Plan {
     /// Draws a plan.
     pub fn draw(seed: u64, kind: PlanKind, size: Size) -> Self {
+        let size = match kind {
+            // Each service has further instances, to which a request may be sent again.
+            PlanKind::Illnesses => Size {
+                services: ILL_SERVICES,
+                ..size
+            },
+            _ => size,
+        };
         let mut drawing = Drawing {
             random: StdRng::seed_from_u64(seed),
             size,
@@ -113,6 +143,9 @@
         };
         drawing.entries(kind);
         drawing.engines(kind);
+        if kind == PlanKind::Illnesses {
+            drawing.services();
+        }
         if kind == PlanKind::Mixed {
             drawing.controls();
         }
@@ -154,7 +187,8 @@
         let most = (self.size.entries / 3).max(1);
         while at_ms < self.end_ms {
             let reloads = kind == PlanKind::Mixed && self.random.random_ratio(1, 5);
-            let freezes = kind == PlanKind::Freezes && self.random.random_ratio(1, 2);
+            let freezes = matches!(kind, PlanKind::Freezes | PlanKind::Illnesses);
+            let freezes = freezes && self.random.random_ratio(1, 2);
             let (count, gap_ms) = match self.random.random_range(0..5) {
                 0 => (1, 0),
                 1 => (most, self.random.random_range(200..1_500)),
@@ -193,7 +227,7 @@
         let mut at_ms = FIRST_STEP_MS;
         let mut next_leaving = 0;
         let (pause_ms, kinds) = match kind {
-            PlanKind::Stops | PlanKind::Freezes => (400..1_500, 7),
+            PlanKind::Stops | PlanKind::Freezes | PlanKind::Illnesses => (400..1_500, 7),
             PlanKind::Mixed => (1_000..4_000, 10),
         };
         while at_ms < self.end_ms {
@@ -223,6 +257,32 @@
         }
     }
 
+    /// Lets instances of plain services fall ill, often with several illnesses at once, and be held up,
+    /// crash and be replaced.
+    fn services(&mut self) {
+        let mut at_ms = FIRST_STEP_MS;
+        while at_ms < self.end_ms {
+            let service = self.random.random_range(0..self.size.services);
+            let for_ms = self.random.random_range(300..3_000);
+            let step = match self.random.random_range(0..10) {
+                0 => ServiceStep::Silence { for_ms },
+                1 => ServiceStep::Crash {
+                    down_ms: for_ms / 2,
+                    keeps_identity: self.random.random_ratio(1, 2),
+                },
+                2 => ServiceStep::Replace {
+                    notice_ms: 1_500 + for_ms,
+                },
+                _ => {
+                    let illness = Illness::ALL[self.random.random_range(0..Illness::ALL.len())];
+                    ServiceStep::Sicken { illness, for_ms }
+                }
+            };
+            self.push(at_ms, Action::Service { service, step });
+            at_ms += self.random.random_range(50..600);
+        }
+    }
+
     /// Fills the disk of each control process once, one after the other. Returns the time at which
     /// the next process may be lost.
     fn disks(&mut self, mut at_ms: u64) -> u64 {
--- a/src/soak/run.rs
+++ b/src/soak/run.rs
@@ -17,7 +17,7 @@
 use super::callers::Callers;
 use super::document::{catalog, operator_settings};
 use super::operator::{Drafts, Operator};
-use super::plan::Plan;
+use super::plan::{Plan, PlanKind};
 use super::processes::{Layout, control_name, entry_name, sidecar_name};
 use super::recorder::Recorder;
 use super::steps::{Place, Site};
@@ -76,7 +76,10 @@
     for index in 0..plan.size.engines + plan.size.services {
         let machine = u8::try_from(FIRST_UPSTREAM + index).map_err(io::Error::other)?;
         let ip = Ipv4Addr::new(127, network[0], network[1], machine);
-        places.push(Place::new(index, SocketAddr::from((ip, UPSTREAM_PORT)), plan.seed).await?);
+        let address = SocketAddr::from((ip, UPSTREAM_PORT));
+        let is_direct =
+            plan.kind == PlanKind::Illnesses && index >= plan.size.engines && index % 2 == 0;
+        places.push(Place::new(index, address, plan.seed, is_direct).await?);
     }
     let site = Arc::new(Site::new(
         Arc::clone(&layout),
@@ -89,7 +92,7 @@
     for entry in 0..plan.size.entries {
         tasks.spawn(Arc::clone(&site.platform).probe(Arc::clone(&layout), entry));
     }
-    start_site(&site, plan).await?;
+    start_site(&site, plan)?;
     let settings = operator_settings(&layout, &recorder, plan.seed);
     let controls = settings.controls.iter().map(|(name, _)| Arc::clone(name));
     recorder.history().controls = Some(controls.collect());
@@ -112,10 +115,15 @@
         news: operator.news(),
         ending: CancellationToken::new(),
         seed: plan.seed,
+        prefers_plain: plan.kind == PlanKind::Illnesses,
         next_connection: AtomicU64::new(0),
     });
     let mut calling = JoinSet::new();
-    for caller in 0..plan.size.callers as u64 {
+    let count = match plan.kind {
+        PlanKind::Illnesses => plan.size.callers * 2,
+        _ => plan.size.callers,
+    };
+    for caller in 0..count as u64 {
         calling.spawn(Arc::clone(&callers).run(caller));
     }
     let (stop_publishing, publishing_stop) = watch::channel(false);
@@ -168,9 +176,9 @@
 }
 
 /// Starts the instances, control processes, entries and sidecars.
-async fn start_site(site: &Site, plan: &Plan) -> io::Result<()> {
+fn start_site(site: &Site, plan: &Plan) -> io::Result<()> {
     for place in &site.places {
-        site.start_instance(place).await?;
+        site.start_instance(place)?;
     }
     let (processes, layout) = (&site.processes, &site.layout);
     for control in 0..plan.size.controls {
--- a/src/soak/steps.rs
+++ b/src/soak/steps.rs
@@ -7,14 +7,15 @@
 use std::time::Duration;
 
 use rustix::process::Signal;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::{Instant, sleep};
 
 use super::document::{ENGINE_SERVICE, PLAIN_SERVICES};
-use super::plan::Action;
+use super::plan::{Action, ServiceStep};
 use super::platform::Platform;
 use super::processes::{Layout, Processes, control_name, entry_name};
 use super::recorder::Recorder;
+use super::services::Health;
 use super::upstreams::{Fleet, SLOTS, Upstream};
 use crate::adapters::mutex::lock;
 use crate::proxy::{Direction, Proxy};
@@ -22,6 +23,10 @@
 
 /// Time after which the address of an instance that is gone is used again.
 const REUSE_DELAY: Duration = Duration::from_millis(2_500);
+/// Time for which an instance that has crashed is listed beside the one that has taken its address.
+const STALE_ENTRY_TIME: Duration = Duration::from_millis(2_500);
+/// Connections that an instance without a proxy has not accepted yet.
+const BACKLOG: u32 = 32;
 /// Time between SIGHUP and the process having read its settings again.
 const RELOAD_TIME: Duration = Duration::from_millis(500);
 
@@ -30,6 +35,10 @@
     index: usize,
     own_address: SocketAddr,
     proxy: Proxy,
+    /// True if the instance is listed under its own address, not that of the proxy.
+    is_direct: bool,
+    /// Illnesses outlast a crash.
+    health: Arc<Health>,
     starts: Mutex<u32>,
     current: Mutex<Option<Arc<Upstream>>>,
 }
@@ -48,11 +57,18 @@
 }
 
 impl Place {
-    pub(super) async fn new(index: usize, own_address: SocketAddr, seed: u64) -> io::Result<Self> {
+    pub(super) async fn new(
+        index: usize,
+        own_address: SocketAddr,
+        seed: u64,
+        is_direct: bool,
+    ) -> io::Result<Self> {
         Ok(Self {
             index,
             own_address,
+            is_direct,
             proxy: Proxy::start_seeded(own_address, seed ^ index as u64).await?,
+            health: Arc::new(Health::new(seed ^ index as u64)),
             starts: Mutex::new(0),
             current: Mutex::new(None),
         })
@@ -60,7 +76,10 @@
 
     /// Returns the address under which the instance is listed.
     pub(super) fn address(&self) -> SocketAddr {
-        self.proxy.address()
+        match self.is_direct {
+            true => self.own_address,
+            false => self.proxy.address(),
+        }
     }
 
     fn current(&self) -> Option<Arc<Upstream>> {
@@ -95,22 +114,33 @@
     }
 
     /// Starts a new instance at a place.
-    pub(super) async fn start_instance(&self, place: &Place) -> io::Result<()> {
-        let listener = TcpListener::bind(place.own_address).await?;
+    pub(super) fn start_instance(&self, place: &Place) -> io::Result<()> {
         let number = {
             let mut starts = lock(&place.starts);
             *starts += 1;
             *starts
         };
         let identity: Arc<str> = format!("i-{}-{number}", place.index).into();
-        let service = self.service_of(place.index);
-        let address = place.address();
+        let (service, address) = (self.service_of(place.index), place.address());
+        self.start_as(place, Arc::clone(&identity))?;
         self.platform
             .add(&identity, service, address, place.index, SLOTS);
+        Ok(())
+    }
+
+    /// Starts an instance with an identity, without listing it.
+    fn start_as(&self, place: &Place, identity: Arc<str>) -> io::Result<()> {
+        let listener = listen(place)?;
+        let (service, address) = (self.service_of(place.index), place.address());
         let is_engine = place.index < self.engines;
-        let upstream = self
-            .fleet
-            .start(identity, service.into(), address, is_engine, listener);
+        let upstream = self.fleet.start(
+            identity,
+            service.into(),
+            address,
+            is_engine,
+            Arc::clone(&place.health),
+            listener,
+        );
         *lock(&place.current) = Some(upstream);
         Ok(())
     }
@@ -131,6 +161,12 @@
             Action::DelayLink { engine, .. } | Action::HoldLink { engine, .. } => {
                 (format!("engine-{engine}"), true)
             }
+            // An instance may have several illnesses at once.
+            Action::Service {
+                service,
+                step: ServiceStep::Sicken { illness, .. },
+            } => (format!("service-{service}-{illness:?}"), false),
+            Action::Service { service, .. } => (format!("service-{service}"), false),
         };
         let name = if links {
             format!("{target}-links")
@@ -209,6 +245,9 @@
                 processes.fill_disk(target, false)?;
                 FaultKind::DiskFull
             }
+            Action::Service { service, step } => {
+                return self.act_on_service(service, step, at_ms).await;
+            }
             Action::SilenceEngine { for_ms, .. } => {
                 if let Some(upstream) = &instance {
                     upstream.silence(at_ms + for_ms);
@@ -217,9 +256,9 @@
                 FaultKind::InstanceSilent
             }
             Action::LeaveEngine { engine, notice_ms } => {
-                self.replace_engine(&self.places[engine], at_ms, notice_ms)
-                    .await?;
-                return Ok(());
+                return self
+                    .replace_instance(&self.places[engine], at_ms, notice_ms)
+                    .await;
             }
             Action::DelayLink {
                 engine,
@@ -244,7 +283,54 @@
         Ok(())
     }
 
-    async fn replace_engine(&self, place: &Place, at_ms: u64, notice_ms: u64) -> io::Result<()> {
+    async fn act_on_service(
+        &self,
+        service: usize,
+        step: ServiceStep,
+        at_ms: u64,
+    ) -> io::Result<()> {
+        let place = &self.places[self.engines + service];
+        let Some(upstream) = place.current() else {
+            return Ok(());
+        };
+        let millis = Duration::from_millis;
+        let record = |kind| self.recorder.fault(kind, &upstream.identity, at_ms);
+        match step {
+            ServiceStep::Sicken { illness, for_ms } => {
+                upstream.health.sicken(illness, at_ms + for_ms);
+                sleep(millis(for_ms)).await;
+                record(FaultKind::InstanceIll);
+            }
+            ServiceStep::Silence { for_ms } => {
+                upstream.silence(at_ms + for_ms);
+                sleep(millis(for_ms)).await;
+                record(FaultKind::InstanceSilent);
+            }
+            ServiceStep::Replace { notice_ms } => {
+                self.replace_instance(place, at_ms, notice_ms).await?;
+            }
+            ServiceStep::Crash {
+                down_ms,
+                keeps_identity: true,
+            } => {
+                upstream.leave();
+                sleep(millis(down_ms)).await;
+                self.start_as(place, Arc::clone(&upstream.identity))?;
+                record(FaultKind::InstanceCrashes);
+            }
+            ServiceStep::Crash { down_ms, .. } => {
+                upstream.leave();
+                sleep(millis(down_ms)).await;
+                self.start_instance(place)?;
+                record(FaultKind::InstanceCrashes);
+                sleep(STALE_ENTRY_TIME).await;
+                self.platform.end(&upstream.identity);
+            }
+        }
+        Ok(())
+    }
+
+    async fn replace_instance(&self, place: &Place, at_ms: u64, notice_ms: u64) -> io::Result<()> {
         let Some(upstream) = place.current() else {
             return Ok(());
         };
@@ -256,6 +342,13 @@
         self.recorder
             .fault(FaultKind::InstanceLeaves, &upstream.identity, at_ms);
         sleep(REUSE_DELAY).await;
-        self.start_instance(place).await
+        self.start_instance(place)
     }
 }
+
+fn listen(place: &Place) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(place.own_address)?;
+    socket.listen(BACKLOG)
+}
--- a/src/soak/upstreams.rs
+++ b/src/soak/upstreams.rs
@@ -12,13 +12,15 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use super::recorder::Recorder;
+use super::services::{self, Health};
 use super::wire::{Head, Input, json_response, response};
 use crate::adapters::mutex::lock;
 use crate::domain::fleet::Report;
+use crate::platform::standin::ReplicaRequest;
 use crate::platform::{paths, standin};
 use crate::soak::history::{Execution, ExecutionEnd};
 
@@ -66,6 +68,8 @@
     runs: Mutex<BTreeMap<Arc<str>, Arc<Run>>>,
     /// Events covered by the backups that are kept here, by request.
     backups: Mutex<BTreeMap<Arc<str>, u64>>,
+    /// How an instance of a plain service treats its requests.
+    pub(super) health: Arc<Health>,
 }
 
 /// All instances of a run, by their listed address.
@@ -100,9 +104,11 @@
         service: Arc<str>,
         address: SocketAddr,
         is_engine: bool,
+        health: Arc<Health>,
         listener: TcpListener,
     ) -> Arc<Upstream> {
         let upstream = Arc::new(Upstream {
+            health,
             identity,
             service,
             address,
@@ -137,7 +143,7 @@
 }
 
 /// Records an execution when it ends, also if its task is cancelled.
-struct Recorded {
+pub(super) struct Recorded {
     recorder: Arc<Recorder>,
     gone: CancellationToken,
     run: Option<(Arc<Upstream>, Arc<Run>)>,
@@ -146,7 +152,15 @@
 }
 
 impl Recorded {
-    fn end(&mut self, end: ExecutionEnd) {
+    pub(super) fn id(&self) -> &str {
+        &self.execution.id
+    }
+
+    pub(super) fn begin(&mut self, now_ms: u64) {
+        self.execution.began_ms = Some(now_ms);
+    }
+
+    pub(super) fn end(&mut self, end: ExecutionEnd) {
         self.execution.end = end;
         self.execution.ended_ms = self.recorder.now_ms();
         self.is_decided = true;
@@ -192,7 +206,7 @@
     }
 }
 
-type Reader<'a> = Input<ReadHalf<'a>>;
+pub(super) type Reader<'a> = Input<ReadHalf<'a>>;
 
 impl Upstream {
     /// Makes no progress, answers nothing and notices no close until `until_ms`. What has arrived
@@ -215,19 +229,23 @@
         self.gone.cancel();
     }
 
-    async fn wait_unless_silent(&self) {
+    pub(super) fn now_ms(&self) -> u64 {
+        self.fleet.recorder.now_ms()
+    }
+
+    pub(super) async fn wait_unless_silent(&self) {
         while self.is_silent() {
             sleep(Duration::from_millis(SILENCE_POLL_MS)).await;
         }
     }
 
-    /// Waits until the caller closes its connection and this instance notices: with its next event
-    /// if it runs a generation, and not while it is silent.
-    async fn closed(&self, input: &mut Reader<'_>, run: Option<&Run>) -> io::Result<()> {
-        let made = || run.map(|run| run.made.load(Ordering::Relaxed));
+    /// Waits until the caller closes its connection and this instance notices: with its next event,
+    /// and not while it is silent.
+    async fn closed(&self, input: &mut Reader<'_>, run: &Run) -> io::Result<()> {
+        let made = || run.made.load(Ordering::Relaxed);
         let ended = input.fill().await;
         let made_before = made();
-        while self.is_silent() || (run.is_some() && made() == made_before) {
+        while self.is_silent() || made() == made_before {
             sleep(Duration::from_millis(CLOSE_POLL_MS)).await;
         }
         ended
@@ -239,25 +257,27 @@
 
     async fn serve(self: &Arc<Self>, mut stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        if !self.is_engine {
+            return services::serve(self, stream).await;
+        }
         let (reader, mut writer) = stream.split();
         let mut input = Input::new(reader);
         loop {
             let head = input.head().await?;
             let body = input.body(&head).await?;
-            let answer = match head.word(1) {
-                paths::REPORT | HEALTH_PATH | paths::MOVE => {
+            let path = head.word(1);
+            let answer = match self.page(path) {
+                Some(page) => {
                     self.wait_unless_silent().await;
-                    match head.word(1) {
-                        paths::REPORT => self.report(),
-                        HEALTH_PATH => self.health(),
-                        _ => self.copy_memory(&body).await,
-                    }
+                    page
                 }
-                path if path.starts_with(paths::MEMORY_PREFIX) => response("200 OK", "", b""),
-                path => {
-                    let path = Arc::from(path);
-                    self.run(&head, path, &body, &mut input, &mut writer)
-                        .await?;
+                None if path == paths::MOVE => {
+                    self.wait_unless_silent().await;
+                    self.copy_memory(&body).await
+                }
+                None if path.starts_with(paths::MEMORY_PREFIX) => response("200 OK", "", b""),
+                None => {
+                    self.run(&head, &body, &mut input, &mut writer).await?;
                     continue;
                 }
             };
@@ -265,6 +285,46 @@
         }
     }
 
+    /// Returns what the instance says of itself at a path; `None` for other paths.
+    pub(super) fn page(&self, path: &str) -> Option<Vec<u8>> {
+        match path {
+            paths::REPORT => Some(self.report()),
+            HEALTH_PATH => Some(self.health()),
+            _ => None,
+        }
+    }
+
+    /// Begins to record a request that has arrived.
+    pub(super) fn record_arrival(
+        &self,
+        request: &ReplicaRequest,
+        path: &str,
+        total_events: u64,
+    ) -> Recorded {
+        let arrived_ms = self.now_ms();
+        Recorded {
+            recorder: Arc::clone(&self.fleet.recorder),
+            gone: self.gone.clone(),
+            run: None,
+            is_decided: false,
+            execution: Execution {
+                id: Arc::clone(&request.id),
+                instance: Arc::clone(&self.identity),
+                service: Arc::clone(&self.service),
+                path: path.into(),
+                workspace: request.workspace.clone(),
+                arrived_ms,
+                began_ms: None,
+                ended_ms: arrived_ms,
+                end: ExecutionEnd::Open,
+                resumed_after: request.last_event,
+                last_event: 0,
+                total_events,
+                deadline_ms: request.deadline_ms,
+            },
+        }
+    }
+
     fn report(&self) -> Vec<u8> {
         let now_ms = self.fleet.recorder.now_ms();
         let gone_at_ms = self.gone_at_ms.load(Ordering::Relaxed);
@@ -342,38 +402,16 @@
     async fn run(
         self: &Arc<Self>,
         head: &Head,
-        path: Arc<str>,
         body: &[u8],
         input: &mut Reader<'_>,
         writer: &mut WriteHalf<'_>,
     ) -> io::Result<()> {
         let request = standin::decode_request(|name| head.header(name.as_str()));
-        let id = request.id;
+        let id = Arc::clone(&request.id);
         let ask: Value = serde_json::from_slice(body).unwrap_or_default();
         let total = ask["events"].as_u64().unwrap_or(0);
         let resumed_after = request.last_event;
-        let arrived_ms = self.fleet.recorder.now_ms();
-        let mut recorded = Recorded {
-            recorder: Arc::clone(&self.fleet.recorder),
-            gone: self.gone.clone(),
-            run: None,
-            is_decided: false,
-            execution: Execution {
-                id: Arc::clone(&id),
-                instance: Arc::clone(&self.identity),
-                service: Arc::clone(&self.service),
-                path,
-                workspace: request.workspace,
-                arrived_ms,
-                began_ms: None,
-                ended_ms: arrived_ms,
-                end: ExecutionEnd::Open,
-                resumed_after,
-                last_event: 0,
-                total_events: total,
-                deadline_ms: request.deadline_ms,
-            },
-        };
+        let mut recorded = self.record_arrival(&request, head.word(1), total);
         self.wait_unless_silent().await;
         let active = self.active.load(Ordering::Relaxed);
         let refusal = match &request.expected_instance {
@@ -395,20 +433,6 @@
         }
         let _active = Active::begin(self);
         let headers = standin::encode_execution(&id, standin::Execution::Executed);
-        if total == 0 || !self.is_engine {
-            recorded.execution.began_ms = Some(self.fleet.recorder.now_ms());
-            let takes = Duration::from_millis(ask["takes_ms"].as_u64().unwrap_or(0));
-            // The caller that closes its connection drops the request.
-            if timeout(takes, self.closed(input, None)).await.is_ok() {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-            self.wait_unless_silent().await;
-            let text = format!("answer to {id}");
-            let bytes = response("200 OK", &headers, text.as_bytes());
-            writer.write_all(&bytes).await?;
-            recorded.end(ExecutionEnd::Complete);
-            return Ok(());
-        }
         let run = Arc::new(Run {
             made: AtomicU64::new(resumed_after.unwrap_or(0)),
             began_ms: OnceLock::new(),
@@ -430,7 +454,7 @@
             tokio::select! {
                 made = self.make_events(&run, &id, step_ms, writer) => made,
                 // Only the end of the connection is expected here.
-                ended = self.closed(input, Some(&run)) => ended.and(Err(io::ErrorKind::InvalidData.into())),
+                ended = self.closed(input, &run) => ended.and(Err(io::ErrorKind::InvalidData.into())),
             }
         });
         match made.await {
--- a/tests/soak_plan.rs
+++ b/tests/soak_plan.rs
@@ -7,8 +7,13 @@
 fn plans() -> impl Iterator<Item = Plan> {
     (0..SEEDS).flat_map(|seed| {
         let size = Size::draw(seed, 120, None, None);
-        [PlanKind::Mixed, PlanKind::Stops, PlanKind::Freezes]
-            .map(|kind| Plan::draw(seed, kind, size))
+        [
+            PlanKind::Mixed,
+            PlanKind::Stops,
+            PlanKind::Freezes,
+            PlanKind::Illnesses,
+        ]
+        .map(|kind| Plan::draw(seed, kind, size))
     })
 }
 
@@ -111,6 +116,7 @@
                 | Action::LeaveEngine { engine, .. }
                 | Action::DelayLink { engine, .. }
                 | Action::HoldLink { engine, .. } => engine < size.engines,
+                Action::Service { service, .. } => service < size.services,
                 action => lost_control(action).is_some_and(|(control, _)| control < size.controls),
             };
             assert!(exists, "{step:?}");
--- a/tests/soak_run.rs
+++ b/tests/soak_run.rs
@@ -1,6 +1,6 @@
 //! A short soak run with real processes.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 
 use lilacspindle::soak::{self, CallEnd, Environment, FaultKind, History, Plan, PlanKind, Size};
@@ -69,3 +69,18 @@
     assert_exercised(&history, &summary);
     assert!(count(&history, FaultKind::DiskFull) >= 1, "{summary}");
 }
+
+/// Guards against plain calls that run twice, or although they were refused, at instances that fall
+/// ill, are held up, crash and are replaced.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn ill_services_keep_all_promises() {
+    let (history, summary) = run_and_check(PlanKind::Illnesses).await;
+    assert_exercised(&history, &summary);
+    assert!(count(&history, FaultKind::InstanceIll) >= 10, "{summary}");
+    let mut arrivals: BTreeMap<&str, usize> = BTreeMap::new();
+    for execution in &history.executions {
+        *arrivals.entry(&execution.id).or_default() += 1;
+    }
+    let sent_again = arrivals.values().filter(|count| **count > 1).count();
+    assert!(sent_again >= 10, "{summary}");
+}
