Record what arrives at a held-up service when it arrives

The trace shows five requests that had reached instances in time which were held up then; the stand-in recorded their arrival when it went on. The rule is about when requests reach an instance, so the arrival is now recorded before the wait.

--- a/src/soak/services.rs
+++ b/src/soak/services.rs
@@ -159,9 +159,9 @@
             Ok(head) => head?,
             Err(_) => return Err(io::ErrorKind::TimedOut.into()),
         };
-        self.upstream.wait_unless_silent().await;
         match self.upstream.page(head.word(1)) {
             Some(page) => {
+                self.upstream.wait_unless_silent().await;
                 self.input.body(&head).await?;
                 self.writer.write_all(&page).await
             }
@@ -175,6 +175,7 @@
         let (health, now_ms) = (&upstream.health, upstream.now_ms());
         let request = standin::decode_request(|name| head.header(name.as_str()));
         let mut recorded = upstream.record_arrival(&request, head.word(1), 0);
+        upstream.wait_unless_silent().await;
         let refusal = match &request.expected_instance {
             Some(expected) if *expected != upstream.identity => Some("421 Misdirected Request"),
             _ if request.id.is_empty() => Some("400 Bad Request"),
