--- a/src/domain/quarantine/mod.rs
+++ b/src/domain/quarantine/mod.rs
@@ -9,6 +9,7 @@
 mod evidence;
 mod watch;
 
+use std::fmt;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -16,6 +17,17 @@
 pub use evidence::{CrashEvidence, PartChange};
 pub use watch::PartWatch;
 
+/// Identifies a request by its method, host, path, workspace and body. It is the same whenever a
+/// caller sends the request again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Fingerprint(pub u64);
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// Identifies a part that the prompts of several requests may share.
 pub type PartId = Arc<str>;
 
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -153,6 +153,7 @@
             request = &*job.id,
             instance = &**instance,
             shared_parts = job.shared_parts.join(","),
+            fingerprint = %job.fingerprint(),
             "engine lost before its first event"
         );
         self.with_part_watch(|watch| watch.record_crash(instance, &job.shared_parts));
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -161,7 +161,7 @@
             }
             Ok(Err(failure)) => {
                 tracing::info!(request = &*job.id, instance = &*ticket.identity, %failure,
-                    age_ms = job.age_ms(), "no complete response from the instance");
+                    fingerprint = %job.fingerprint(), age_ms = job.age_ms(), "no complete response from the instance");
                 let result = match failure {
                     SendFailure::NotSent(_) => AttemptResult::NotRun(NotRunProof::NotSent),
                     SendFailure::Lost(_) => AttemptResult::Unknown,
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -16,7 +16,7 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::{Access, EngineSpec, Index, Repeat, Route};
 use crate::domain::fleet::Demand;
-use crate::domain::quarantine::PartId;
+use crate::domain::quarantine::{Fingerprint, PartId};
 use crate::platform::headers;
 
 /// Time after which a caller should retry if the gateway has no document yet, or the route has no
@@ -43,6 +43,7 @@
 /// An admitted request with its body, ready to be forwarded.
 pub(super) struct Job {
     pub(super) id: Arc<str>,
+    pub(super) host: Arc<str>,
     pub(super) method: Method,
     pub(super) uri: Uri,
     /// Headers that are forwarded to every instance.
@@ -106,6 +107,24 @@
         hash.digest()
     }
 
+    /// Returns the fingerprint of the request, which is the same whenever its caller sends it again.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        let mut hash = Xxh3::new();
+        let workspace = self.headers.get(headers::WORKSPACE);
+        for part in [
+            self.method.as_str().as_bytes(),
+            self.host.as_bytes(),
+            self.uri.to_string().as_bytes(),
+            workspace.map_or(&[], HeaderValue::as_bytes),
+        ] {
+            // The length separates adjacent values.
+            hash.update(&part.len().to_le_bytes());
+            hash.update(part);
+        }
+        hash.update(&self.body);
+        Fingerprint(hash.digest())
+    }
+
     /// Returns the request to send to the instance with this identity.
     pub(super) fn upstream_request(&self, identity: &str) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -305,6 +324,8 @@
     expected_tokens: impl Fn(&str, u64, u64) -> u64,
 ) -> Result<Job, Refusal> {
     let (head, body) = request.into_parts();
+    let host = headers::text(&head.headers, &header::HOST).or_else(|| head.uri.host());
+    let host: Arc<str> = host.unwrap_or_default().to_ascii_lowercase().into();
     let route = admitted.route;
     let arrived = open.arrived();
     let wanted_ms = headers::number(&head.headers, &headers::DEADLINE).unwrap_or(u64::MAX);
@@ -328,6 +349,7 @@
     let output_tokens = expected_tokens(&route.name, hint_tokens, most_output);
     Ok(Job {
         id,
+        host,
         method: head.method,
         uri: path_only(&head.uri),
         headers: admitted.headers,
