Keep requests that crash instance after instance away from the instances

Cause: each entry saw a crash or two as a lost response like any other; nothing connected them, and a safe call was sent to a second instance at once. The quarantine of prompt parts knows no plain calls, and no stream whose parts are all its own.

Now a request has a fingerprint of method, host, path, workspace and body. An entry whose attempt loses its response checks whether the instance still listens; if not, it has crashed (a reset, a lost or garbled response, a cut link and a planned stop are no crashes). Entries report crashes to the leader's hub, which quarantines a request after three, five if it has been run to its end before, and tells all entries; they refuse it at once, with 500 and the code request_quarantined. A complete run clears it. Entries keep what they have reported and a copy of what the hub knows of requests with several crashes, and tell a new hub; they also count alone while no hub answers. A quarantine lasts ten minutes, and one more crash is enough after that. All lists are bounded. A suspected safe call gets no second attempt.

New fields: SyncRequest.requests, SyncReply.requests. Stop and start all daemons together.

--- a/src/domain/quarantine/evidence.rs
+++ b/src/domain/quarantine/evidence.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use super::episodes::{Marks, SAME_CRASH_MS};
 use super::{CrashNotice, KnownParts, PartId, PartNotices};
 
 /// Crashes without an answer in between from which a part is quarantined. Two would quarantine sound
@@ -11,14 +12,6 @@
 /// Requests of one kind share their first part, so it is implicated with each of several deadly ones
 /// behind it. It is quarantined only if this many of its crashes concern no later part of as many.
 const LATER_PART_CRASHES: usize = 2;
-/// Reports on one instance within this time concern the same crash. Engines need longer to restart.
-const SAME_CRASH_MS: u64 = 1_000;
-/// Crashes within this time count as one against a part: a rack that fails takes several engines at
-/// once, and its crashes are reported within one report interval of the entries.
-const EPISODE_MS: u64 = 500;
-/// This many crashes count as one more than their episodes: requests that come in quick succession
-/// may have taken most engines within two.
-const MANY_CRASHES: usize = 5;
 /// Crashes count for this long.
 const CRASH_TTL_MS: u64 = 60_000;
 /// Upper bound on the crashes that are kept.
@@ -53,31 +46,6 @@
     }
 }
 
-/// The crashes that concern a part.
-#[derive(Debug, Default)]
-struct Marks {
-    crashes: usize,
-    episodes: usize,
-    episode_began_ms: u64,
-}
-
-impl Marks {
-    fn add(&mut self, at_ms: u64) {
-        if self.crashes == 0 || at_ms >= self.episode_began_ms + EPISODE_MS {
-            self.episodes += 1;
-            self.episode_began_ms = at_ms;
-        }
-        self.crashes += 1;
-    }
-
-    fn count(&self) -> usize {
-        match self.episodes > 1 && self.crashes >= MANY_CRASHES {
-            true => self.episodes + 1,
-            false => self.episodes,
-        }
-    }
-}
-
 /// Suspected and quarantined prompt parts.
 #[derive(Debug)]
 pub struct CrashEvidence {
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -6,6 +6,7 @@
 mod observer;
 mod operators;
 mod placement;
+mod quarantine;
 mod service;
 mod turns;
 
@@ -24,7 +25,7 @@
     CopySchedule, Departure, Hub, ListChange, Listed, ListedState, Position, WakeLimiter,
 };
 use crate::domain::log::{Options, RoleName};
-use crate::domain::quarantine::{CrashEvidence, KnownParts, PartChange, PartNotices};
+use crate::domain::quarantine::{CrashEvidence, RequestEvidence};
 use crate::model::InstanceName;
 use crate::platform;
 use crate::rpc::directory::{Directory, ReportRequest};
@@ -74,6 +75,7 @@
     copy_schedule: Mutex<CopySchedule>,
     pending_turns: Mutex<Vec<turns::PendingTurn>>,
     crash_evidence: Mutex<CrashEvidence>,
+    request_evidence: Mutex<RequestEvidence>,
     /// `None` while the log is closed.
     replica: Mutex<Option<Replica>>,
     peers: watch::Sender<Peers>,
@@ -124,6 +126,7 @@
             copy_schedule: Mutex::default(),
             pending_turns: Mutex::default(),
             crash_evidence: Mutex::new(CrashEvidence::new(rand::random())),
+            request_evidence: Mutex::new(RequestEvidence::new(rand::random())),
             replica: Mutex::new(None),
             peers,
             updates,
@@ -300,37 +303,6 @@
         }
     }
 
-    /// Records crashes that entries have observed, and notifies the entries of what is quarantined.
-    fn record_part_notices(self: &Arc<Self>, notices: PartNotices) {
-        let changes = self
-            .crash_evidence
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .record(notices, monotonic_ms());
-        for change in &changes {
-            match change {
-                PartChange::Quarantined { part, crashes } => tracing::warn!(
-                    part = &**part,
-                    crashes,
-                    "prompt part quarantined: engines crash on it"
-                ),
-                PartChange::Released(part) => {
-                    tracing::info!(part = &**part, "prompt part released from quarantine");
-                }
-            }
-        }
-        if !changes.is_empty() {
-            self.wake_entries();
-        }
-    }
-
-    fn known_parts(&self) -> KnownParts {
-        self.crash_evidence
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .known(monotonic_ms())
-    }
-
     /// Logs list changes, and wakes the entries that wait for updates.
     fn publish_changes(self: &Arc<Self>, changes: &[ListChange]) {
         match changes.len() <= MAX_LOGGED_CHANGES {
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -46,6 +46,7 @@
         role.record_departures(departures);
         role.record_limits(&std::mem::take(&mut request.limits));
         role.record_part_notices(std::mem::take(&mut request.parts));
+        role.record_request_notices(&request.requests);
         let mut updates = role.updates.subscribe();
         if !self.has_update(&request) {
             let hold = Duration::from_millis(request.hold_ms).min(MAX_HOLD);
@@ -67,6 +68,7 @@
             entries: u32::try_from(hub.entries()).unwrap_or(u32::MAX),
             leader: role.other_leader(),
             parts: role.known_parts(),
+            requests: role.known_requests(request.requests.told_by, request.requests.revision),
         })
     }
 
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -94,6 +94,7 @@
                         SendFailure::NotSent(_) => return Err(self.no_capacity(&job)),
                         SendFailure::Lost(_) => {
                             self.record_crash(&job, &ticket.identity);
+                            self.check_for_crash(&job, &ticket);
                             return Err(response_lost());
                         }
                     }
@@ -128,9 +129,10 @@
         }
     }
 
-    /// Fails if a part of the prompt is quarantined: the request would crash its engine. The status
-    /// is final for callers, since no attempt can succeed.
+    /// Fails if the request or a part of its prompt is quarantined: it would crash its engine. The
+    /// status is final for callers, since no attempt can succeed.
     fn check_quarantine(&self, job: &Job) -> Result<(), Refusal> {
+        self.check_fingerprint(job)?;
         match self.with_part_watch(|watch| watch.quarantined(&job.shared_parts).cloned()) {
             None => Ok(()),
             Some(part) => {
@@ -341,7 +343,10 @@
             "engine failed"
         );
         match timeout_at(job.deadline, self.pool.collect(exchange)).await {
-            Ok(Ok((head, body))) => Ok(to_response(&head, body)),
+            Ok(Ok((head, body))) => {
+                self.record_completion(job);
+                Ok(to_response(&head, body))
+            }
             _ => Err(response_lost()),
         }
     }
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! forwards each request to an upstream instance.
 
 mod collect;
+mod crashes;
 mod events;
 mod generation;
 mod instance_signals;
@@ -42,7 +43,7 @@
 use crate::domain::document::Index;
 use crate::domain::fleet::{ListReads, View};
 use crate::domain::length::HintedLengths;
-use crate::domain::quarantine::PartWatch;
+use crate::domain::quarantine::{PartWatch, RequestWatch};
 use crate::domain::retry::WindowBudget;
 use crate::model::{InstanceName, ZoneName};
 use crate::platform::paths;
@@ -118,6 +119,8 @@
     capacity_changes: Notify,
     /// Prompt parts on which engines crash.
     part_watch: Mutex<PartWatch>,
+    /// Requests on which instances crash.
+    request_watch: Mutex<RequestWatch>,
     metrics: Metrics,
     /// True once a planned stop has begun.
     stopping: watch::Sender<bool>,
@@ -160,6 +163,7 @@
             control_without_log: AtomicBool::new(false),
             capacity_changes: Notify::new(),
             part_watch: Mutex::default(),
+            request_watch: Mutex::default(),
             metrics: Metrics::new(),
             stopping: watch::Sender::new(false),
             grace_ends_at: watch::Sender::new(None),
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -72,6 +72,9 @@
         // Attempts in which the request may have been executed.
         let mut possible_runs = 0;
         loop {
+            if possible_runs == 0 {
+                self.check_fingerprint(job)?;
+            }
             let chosen = match self.choose_plain(&job.id, &job.service, &tried).await {
                 Ok(chosen) => chosen,
                 Err(NoInstance::AtLimit { return_in_ms }) if possible_runs == 0 => {
@@ -94,8 +97,11 @@
             let result = self.send_plain(job, &ticket, connections).await;
             log_attempt(job, &ticket, tried.len(), &summary, &result);
             let attempts_left = tried.len() < MAX_ATTEMPTS;
-            let may_rerun =
-                job.route.repeat == Repeat::Safe && possible_runs + 1 < job.route.max_attempts;
+            // It may be this request that has crashed the instance.
+            let may_crash = matches!(result, AttemptResult::Unknown) && self.is_suspected(job);
+            let may_rerun = job.route.repeat == Repeat::Safe
+                && possible_runs + 1 < job.route.max_attempts
+                && !may_crash;
             match result {
                 AttemptResult::Response(head, body)
                     if head.status.is_server_error() && may_rerun && attempts_left =>
@@ -125,7 +131,7 @@
     }
 
     async fn send_plain(
-        &self,
+        self: &Arc<Self>,
         job: &Job,
         ticket: &Ticket,
         connections: Connections,
@@ -150,9 +156,11 @@
                 (AttemptResult::Unknown, Outcome::Failed)
             }
             Ok(Ok((head, body))) if head.status.is_server_error() => {
+                self.record_completion(job);
                 (AttemptResult::Response(head, body), Outcome::Failed)
             }
             Ok(Ok((head, body))) => {
+                self.record_completion(job);
                 let took_ms = monotonic_ms().saturating_sub(begun_ms);
                 (
                     AttemptResult::Response(head, body),
@@ -164,7 +172,10 @@
                     fingerprint = %job.fingerprint(), age_ms = job.age_ms(), "no complete response from the instance");
                 let result = match failure {
                     SendFailure::NotSent(_) => AttemptResult::NotRun(NotRunProof::NotSent),
-                    SendFailure::Lost(_) => AttemptResult::Unknown,
+                    SendFailure::Lost(_) => {
+                        self.check_for_crash(job, ticket);
+                        AttemptResult::Unknown
+                    }
                 };
                 (result, Outcome::Unreachable)
             }
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -271,6 +271,7 @@
     fn end(&mut self) -> Option<Bytes> {
         if let Some(EngineStream { exchange, ticket }) = self.source.take() {
             let took_ms = self.job.age_ms();
+            self.gateway.record_completion(&self.job);
             ticket.record_outcome(Outcome::Answered { took_ms });
             self.gateway.pool.finish(exchange);
             let length = self.produced_tokens();
@@ -430,6 +431,9 @@
             self.gateway
                 .record_crash(&self.job, &source.ticket.identity);
         }
+        if !is_stopped {
+            self.gateway.check_for_crash(&self.job, &source.ticket);
+        }
         if self.migration.is_none() && !is_stopped {
             source.ticket.record_outcome(Outcome::Unreachable);
         }
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -14,7 +14,7 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::Index;
 use crate::domain::fleet::ListReads;
-use crate::domain::quarantine::{PartNotices, PartWatch};
+use crate::domain::quarantine::{PartNotices, PartWatch, RequestNotices};
 use crate::platform::{self, decode_document};
 use crate::roles::site::ControlSelector;
 use crate::rpc::directory::{DirectoryClient, Published, SyncReply, SyncRequest};
@@ -64,8 +64,11 @@
                 continue;
             };
             let notices = self.with_part_watch(PartWatch::take_notices);
+            let request_notices =
+                self.with_request_watch(|watch| watch.take_notices(monotonic_ms()));
             let request = SyncRequest {
                 parts: notices.clone(),
+                requests: request_notices.clone(),
                 ..self.sync_request()
             };
             let asked_ms = monotonic_ms();
@@ -73,7 +76,7 @@
                 Ok(reply) => {
                     selector.follow(reply.leader);
                     if !is_from_leader(&reply) {
-                        self.with_part_watch(|watch| watch.restore(notices));
+                        self.restore_notices(notices, request_notices);
                     }
                     if let Some(age_ms) = reply.list_age_ms {
                         listed_ms = listed_ms.max(monotonic_ms().saturating_sub(age_ms));
@@ -92,7 +95,7 @@
                     self.apply_reply(reply, asked_ms);
                 }
                 Err(error) => {
-                    self.with_part_watch(|watch| watch.restore(notices));
+                    self.restore_notices(notices, request_notices);
                     self.metrics.sync_failures.inc();
                     selector.failed(&error.to_string());
                     sleep(RETRY_DELAY).await;
@@ -165,6 +168,12 @@
         }
     }
 
+    /// Keeps notices whose report did not reach the leader's hub.
+    fn restore_notices(&self, parts: PartNotices, requests: RequestNotices) {
+        self.with_part_watch(|watch| watch.restore(parts));
+        self.with_request_watch(|watch| watch.restore(requests));
+    }
+
     fn sync_request(&self) -> SyncRequest {
         let version = self
             .index
@@ -180,6 +189,7 @@
             departures: view.departures(),
             limits: view.limit_notices(monotonic_ms()),
             parts: PartNotices::default(),
+            requests: RequestNotices::default(),
             hold_ms: SYNC_HOLD_MS,
         })
     }
@@ -205,6 +215,7 @@
         }
         if is_from_leader(&reply) {
             self.with_part_watch(|watch| watch.apply(reply.parts));
+            self.with_request_watch(|watch| watch.apply(reply.requests, monotonic_ms()));
         }
         self.entry_count
             .store(reply.entries.max(1), Ordering::Relaxed);
--- a/src/roles/gateway/upstream.rs
+++ b/src/roles/gateway/upstream.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -238,12 +239,18 @@
     }
 }
 
+/// Returns true if nothing listens at an address.
+pub(super) async fn refuses_connections(address: SocketAddr) -> bool {
+    let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(opened, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, String> {
     let opening = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UPSTREAM_TCP_USER_TIMEOUT))?;
-        Ok::<_, std::io::Error>(stream)
+        Ok::<_, io::Error>(stream)
     };
     let stream = match timeout(CONNECT_TIMEOUT, opening).await {
         Ok(stream) => stream.map_err(|error| format!("cannot connect to {address}: {error}"))?,
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -10,7 +10,7 @@
     Demand, Departure, FleetUpdate, LimitNotice, LimitStatement, LimitsReached, Load, Outlook,
     PlacementRequest, Position, Report,
 };
-use crate::domain::quarantine::{KnownParts, PartNotices};
+use crate::domain::quarantine::{KnownParts, KnownRequests, PartNotices, RequestNotices};
 use crate::model::ZoneName;
 use crate::rpc::Packed;
 
@@ -39,6 +39,8 @@
     pub limits: Vec<LimitNotice>,
     /// Crashes of engines and the prompt parts concerned.
     pub parts: PartNotices,
+    /// Crashes of instances and the requests concerned.
+    pub requests: RequestNotices,
     /// How long the answer may wait for an update.
     pub hold_ms: u64,
 }
@@ -63,6 +65,8 @@
     pub leader: Option<SocketAddr>,
     /// Suspected and quarantined prompt parts.
     pub parts: KnownParts,
+    /// Suspected and quarantined requests.
+    pub requests: KnownRequests,
 }
 
 /// A sidecar's report on its engine.
--- a/tests/site_controls.rs
+++ b/tests/site_controls.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use lilacspindle::call_handler;
-use lilacspindle::domain::quarantine::KnownParts;
+use lilacspindle::domain::quarantine::{KnownParts, KnownRequests};
 use lilacspindle::rpc::directory::{
     Directory, PermitReply, PermitRequest, PlaceReply, PlaceRequest, Published, ReportReply,
     ReportRequest, SyncReply, SyncRequest, TurnReply, TurnRequest,
@@ -51,6 +51,7 @@
             entries: 1,
             leader: self.leader,
             parts: KnownParts::default(),
+            requests: KnownRequests::default(),
         }
     }
 
