Do not count a repeated request twice against the parts of its prompt

Cause: a request that crashes engine after engine is sent again by its caller; each crash counted against the prompt parts that it shares with sound requests, so a part was quarantined and sound requests were refused. Change: a crash notice names the request, and a request counts once against its parts.

--- a/src/domain/quarantine/evidence.rs
+++ b/src/domain/quarantine/evidence.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::episodes::{Marks, SAME_CRASH_MS};
-use super::{CrashNotice, KnownParts, PartId, PartNotices};
+use super::{CrashNotice, Fingerprint, KnownParts, PartId, PartNotices};
 
 /// Crashes without an answer in between from which a part is quarantined. Two would quarantine sound
 /// parts that happen to be queued at engines that crash.
@@ -37,12 +37,12 @@
     instance: Arc<str>,
     at_ms: u64,
     /// The parts of each generation that had not begun there.
-    lost: BTreeSet<Vec<PartId>>,
+    lost: BTreeMap<Fingerprint, Vec<PartId>>,
 }
 
 impl Crash {
     fn concerns(&self, part: &PartId) -> bool {
-        self.lost.iter().any(|parts| parts.contains(part))
+        self.lost.values().any(|parts| parts.contains(part))
     }
 }
 
@@ -122,22 +122,34 @@
     }
 
     fn add_crash(&mut self, notice: CrashNotice, now_ms: u64) {
-        let CrashNotice { instance, parts } = notice;
+        let CrashNotice {
+            instance,
+            request,
+            parts,
+        } = notice;
         let is_same =
             |crash: &&mut Crash| crash.instance == instance && now_ms < crash.at_ms + SAME_CRASH_MS;
         if let Some(crash) = self.crashes.iter_mut().find(is_same) {
             if crash.lost.len() < MAX_LOST {
-                crash.lost.insert(parts);
+                crash.lost.insert(request, parts);
             }
             return;
         }
+        // A request that comes again says no more of its parts, which others may share.
+        if self
+            .crashes
+            .iter()
+            .any(|crash| crash.lost.contains_key(&request))
+        {
+            return;
+        }
         if self.crashes.len() >= MAX_CRASHES {
             self.crashes.pop_front();
         }
         self.crashes.push_back(Crash {
             instance,
             at_ms: now_ms,
-            lost: BTreeSet::from([parts]),
+            lost: BTreeMap::from([(request, parts)]),
         });
     }
 
@@ -146,7 +158,7 @@
     fn counts(&self, crashes: &[&Crash]) -> BTreeMap<PartId, usize> {
         let mut marks: BTreeMap<PartId, Marks> = BTreeMap::new();
         for crash in crashes {
-            let parts: BTreeSet<&PartId> = crash.lost.iter().flatten().collect();
+            let parts: BTreeSet<&PartId> = crash.lost.values().flatten().collect();
             for part in parts {
                 let cleared_ms = self.cleared_ms.get(part);
                 if cleared_ms.is_none_or(|cleared_ms| *cleared_ms < crash.at_ms) {
@@ -214,7 +226,7 @@
 /// Returns the part to quarantine first, if there is enough evidence against one.
 fn most_implicated(crashes: &[&Crash], counts: &BTreeMap<PartId, usize>) -> Option<PartId> {
     let count = |part: &PartId| counts.get(part).copied().unwrap_or(0);
-    let requests = || crashes.iter().flat_map(|crash| &crash.lost);
+    let requests = || crashes.iter().flat_map(|crash| crash.lost.values());
     let position = |part: &PartId| {
         let positions = requests().filter_map(|parts| parts.iter().position(|p| p == part));
         positions.max()
@@ -235,12 +247,12 @@
     };
     let of_most = crashes.iter().filter(|crash| crash.concerns(most));
     let (with_later, alone): (Vec<&Crash>, Vec<&Crash>) =
-        of_most.partition(|crash| crash.lost.iter().any(|parts| behind(parts).is_some()));
+        of_most.partition(|crash| crash.lost.values().any(|parts| behind(parts).is_some()));
     if alone.len() >= LATER_PART_CRASHES {
         return Some(Arc::clone(most));
     }
     let later = with_later
         .iter()
-        .flat_map(|crash| crash.lost.iter().filter_map(behind));
+        .flat_map(|crash| crash.lost.values().filter_map(behind));
     Some(later.max_by_key(count).unwrap_or_else(|| Arc::clone(most)))
 }
--- a/src/domain/quarantine/mod.rs
+++ b/src/domain/quarantine/mod.rs
@@ -45,6 +45,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashNotice {
     pub instance: Arc<str>,
+    pub request: Fingerprint,
     /// The parts of its prompt that other requests may share, in order.
     pub parts: Vec<PartId>,
 }
--- a/src/domain/quarantine/watch.rs
+++ b/src/domain/quarantine/watch.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use super::{CrashNotice, KnownParts, PartId, PartNotices};
+use super::{CrashNotice, Fingerprint, KnownParts, PartId, PartNotices};
 
 /// Upper bound on the crashes to report; further ones are dropped, as an engine's crash is reported
 /// by several generations.
@@ -31,10 +31,11 @@
     }
 
     /// Records that an engine crashed before it had begun to answer a generation.
-    pub fn record_crash(&mut self, instance: &Arc<str>, parts: &[PartId]) {
+    pub fn record_crash(&mut self, instance: &Arc<str>, request: Fingerprint, parts: &[PartId]) {
         if !parts.is_empty() && self.crashes.len() < MAX_NOTICES {
             self.crashes.push(CrashNotice {
                 instance: Arc::clone(instance),
+                request,
                 parts: parts.to_vec(),
             });
         }
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -20,6 +20,7 @@
 use crate::domain::admission::AdmissionQueue;
 use crate::domain::document::EngineSpec;
 use crate::domain::fleet::{ChosenInstance, EngineQuery, Outcome, Outlook};
+use crate::domain::quarantine::Fingerprint;
 use crate::platform::headers;
 use crate::rpc::directory::{PlaceReply, PlaceRequest};
 
@@ -158,7 +159,9 @@
             fingerprint = %job.fingerprint(),
             "engine lost before its first event"
         );
-        self.with_part_watch(|watch| watch.record_crash(instance, &job.shared_parts));
+        // Requests with one path and body may still differ in their prompts.
+        let (request, parts) = (Fingerprint(job.call_hash()), &job.shared_parts);
+        self.with_part_watch(|watch| watch.record_crash(instance, request, parts));
     }
 
     /// Returns an engine with free capacity. If there is none, waits in the queue that control
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -110,12 +110,21 @@
     /// Returns the fingerprint of the request, which is the same whenever its caller sends it again.
     pub(super) fn fingerprint(&self) -> Fingerprint {
         let mut hash = Xxh3::new();
-        let workspace = self.headers.get(headers::WORKSPACE);
+        let header = |name| {
+            let value = self.headers.get(name);
+            value.map_or(&[][..], HeaderValue::as_bytes)
+        };
+        // Without a body, only its parts tell one prompt from another.
+        let prompt = match self.body.is_empty() {
+            true => header(headers::PROMPT_PARTS),
+            false => &[],
+        };
         for part in [
             self.method.as_str().as_bytes(),
             self.host.as_bytes(),
             self.uri.to_string().as_bytes(),
-            workspace.map_or(&[], HeaderValue::as_bytes),
+            header(headers::WORKSPACE),
+            prompt,
         ] {
             // The length separates adjacent values.
             hash.update(&part.len().to_le_bytes());
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -3,18 +3,26 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use lilacspindle::domain::quarantine::{
-    CrashEvidence, CrashNotice, PartChange, PartId, PartNotices, PartWatch,
+    CrashEvidence, CrashNotice, Fingerprint, PartChange, PartId, PartNotices, PartWatch,
 };
 
 fn parts(names: &[&str]) -> Vec<PartId> {
     names.iter().map(|name| Arc::from(*name)).collect()
 }
 
+/// Returns the fingerprint of a request that is like no other.
+fn next_request() -> Fingerprint {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    Fingerprint(NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 fn crash(instance: &str, names: &[&str]) -> CrashNotice {
     CrashNotice {
         instance: Arc::from(instance),
+        request: next_request(),
         parts: parts(names),
     }
 }
@@ -98,6 +106,25 @@
     assert_eq!(evidence.known(8_000).quarantined, parts(&["x", "y"]));
 }
 
+/// Guards against sound requests that are refused because a deadly one with the same part, which is
+/// quarantined by itself, comes again and again.
+#[test]
+fn request_that_comes_again_does_not_quarantine_its_parts() {
+    let mut evidence = CrashEvidence::new(1);
+    let again = crash("a", &["shared", "x"]);
+    for now_ms in (0..10).map(|n| 2_000 * n) {
+        assert_eq!(evidence.record(crashes(&[again.clone()]), now_ms), []);
+    }
+    // Others with the part count, each once.
+    let _ = evidence.record(crashes(&[crash("b", &["shared", "y"])]), 22_000);
+    let found = evidence.record(crashes(&[crash("c", &["shared", "z"])]), 24_000);
+    let shared = PartChange::Quarantined {
+        part: Arc::from("shared"),
+        crashes: 3,
+    };
+    assert_eq!(found, [shared]);
+}
+
 /// Guards against a first part that is deadly and never found, since the parts behind it vary.
 #[test]
 fn deadly_first_part_is_quarantined() {
@@ -114,7 +141,7 @@
     let mut evidence = CrashEvidence::new(1);
     let mut watch = PartWatch::default();
     for now_ms in [0, 2_000, 4_000] {
-        watch.record_crash(&Arc::from("a"), &parts(&["x"]));
+        watch.record_crash(&Arc::from("a"), next_request(), &parts(&["x"]));
         let _ = evidence.record(watch.take_notices(), now_ms);
     }
     watch.apply(evidence.known(4_000));
@@ -151,7 +178,7 @@
 #[test]
 fn notices_are_kept_until_they_have_reached_the_hub() {
     let mut watch = PartWatch::default();
-    watch.record_crash(&Arc::from("a"), &parts(&["x"]));
+    watch.record_crash(&Arc::from("a"), next_request(), &parts(&["x"]));
     let lost = watch.take_notices();
     assert_eq!(watch.take_notices().crashes, []);
     watch.restore(lost.clone());
@@ -222,7 +249,7 @@
                 }
                 let instance: Arc<str> = Arc::from(format!("{engine}-{now_ms}"));
                 for lost in std::iter::once(request).chain(running.drain(..)) {
-                    watches[lost.entry].record_crash(&instance, &lost.parts);
+                    watches[lost.entry].record_crash(&instance, next_request(), &lost.parts);
                 }
                 down_until_ms.insert(engine, now_ms + 3_000);
             }
