Evacuate availability zones

Operators need to order that nothing more is sent to the instances of a zone, and to withdraw the order, so that both survive the loss of the leader, of disks and of power.

The set of evacuated zones is kept in the replicated log of the directory beside the document, with the log index of its last change as revision. Entries receive the set with the confirmed replies that carry the document, never apply a lower revision, and are woken at once. The hub's placement, the entries' own choices, moves, backups and resumptions leave the zone out; a last check before each request covers choices made earlier. With all zones evacuated, callers get 503 zone_evacuated.

--- a/src/bin/lilacspindle/cli.rs
+++ b/src/bin/lilacspindle/cli.rs
@@ -49,6 +49,10 @@
     Status,
     /// Let an instance finish its work and leave the system
     Drain { instance: String },
+    /// Stop sending new work to the instances of an availability zone; `--control` names the
+    /// operators' addresses
+    #[command(subcommand)]
+    Evacuation(EvacuationCommand),
     /// Check settings files and report every error
     Check {
         #[arg(required = true)]
@@ -148,6 +152,16 @@
     pub rows: Vec<u32>,
 }
 
+#[derive(Debug, Subcommand)]
+pub enum EvacuationCommand {
+    /// Send nothing new to the instances of a zone
+    Start { zone: String },
+    /// Use the instances of a zone again
+    Finish { zone: String },
+    /// Show the evacuated zones and the known ones
+    List,
+}
+
 #[derive(Debug, Subcommand)]
 pub enum TableCommand {
     /// Show all rows, one row such as kind/*/hint, or all rows of a type such as workspace
--- a/src/bin/lilacspindle/cmd/mod.rs
+++ b/src/bin/lilacspindle/cmd/mod.rs
@@ -20,6 +20,7 @@
 mod bench;
 mod check;
 mod drain;
+mod evacuation;
 mod explain;
 mod soak;
 mod status;
@@ -70,6 +71,7 @@
 async fn call_control(options: &Options, command: &Command) -> Exit {
     match command {
         Command::Table(command) => table::run(options, command).await,
+        Command::Evacuation(command) => evacuation::run(options, command).await,
         Command::Drain { instance } => drain::run(options, instance).await,
         _ => status::run(options).await,
     }
@@ -78,15 +80,7 @@
 /// Returns a client for the configured control instances; on a missing or wrong setting prints the
 /// error and returns the exit code.
 fn client(options: &Options) -> Result<Client, Exit> {
-    let from_env = env::var("LILAC_CONTROL").unwrap_or_default();
-    let addresses: Vec<String> = match options.control.as_slice() {
-        [] => from_env.split(',').map(str::to_owned).collect(),
-        given => given.to_vec(),
-    };
-    let addresses: Vec<String> = addresses
-        .into_iter()
-        .filter(|address| !address.trim().is_empty())
-        .collect();
+    let addresses = control_addresses(options);
     let token = options
         .token
         .clone()
@@ -96,6 +90,19 @@
         .map_err(|error| print_error(options, &error))
 }
 
+/// Returns the addresses of control instances that the options or the environment name.
+fn control_addresses(options: &Options) -> Vec<String> {
+    let from_env = env::var("LILAC_CONTROL").unwrap_or_default();
+    let addresses: Vec<String> = match options.control.as_slice() {
+        [] => from_env.split(',').map(str::to_owned).collect(),
+        given => given.to_vec(),
+    };
+    addresses
+        .into_iter()
+        .filter(|address| !address.trim().is_empty())
+        .collect()
+}
+
 /// Prints the error of a request and returns the exit code.
 fn print_error(options: &Options, error: &ClientError) -> Exit {
     let (exit, name) = match error {
--- a/src/domain/fleet/hub/limits.rs
+++ b/src/domain/fleet/hub/limits.rs
@@ -71,6 +71,7 @@
         let is_alternative = |listed: &Listed| {
             listed.service == *service
                 && listed.state == ListedState::Ready
+                && !self.evacuated.contains(&listed.zone)
                 && self.limiters.milli_per_s(&listed.identity).is_none()
         };
         (!self.listed.iter().any(is_alternative)).then(|| self.limiters.refuse(candidates, now_ms))
--- a/src/domain/fleet/hub/mod.rs
+++ b/src/domain/fleet/hub/mod.rs
@@ -1,6 +1,7 @@
 //! Aggregates the platform's list, the reports of sidecars and the loads of entries. The leader of
 //! the control instances holds the hub.
 
+mod evacuation;
 mod limits;
 mod placement;
 
@@ -72,6 +73,8 @@
     reservations: Reservations,
     load_history: LoadHistory,
     entries: Entries,
+    /// Zones whose instances get nothing new.
+    evacuated: BTreeSet<ZoneName>,
     next_expiry_check_ms: u64,
 }
 
--- a/src/domain/fleet/hub/placement.rs
+++ b/src/domain/fleet/hub/placement.rs
@@ -59,8 +59,10 @@
             let takes_work = report.is_none_or(|(report, _)| {
                 !report.leaves() && report.holds(request.demand.prompt_tokens)
             });
-            let takes_work =
-                takes_work && condition(identity) && !self.starts.is_unverified(listed, now_ms);
+            let takes_work = takes_work
+                && condition(identity)
+                && !self.evacuated.contains(&listed.zone)
+                && !self.starts.is_unverified(listed, now_ms);
             takes_work.then(|| self.usage(identity))
         };
         Reservations::with_room(request, usage)
--- a/src/domain/fleet/view/mod.rs
+++ b/src/domain/fleet/view/mod.rs
@@ -1,5 +1,6 @@
 //! An entry's view of the fleet.
 
+mod evacuation;
 mod limits;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,6 +34,8 @@
     position: Option<Position>,
     /// When the newest list was read from the platform.
     listed_ms: Option<u64>,
+    /// Zones whose instances get nothing new.
+    evacuated: BTreeSet<ZoneName>,
     /// The part of request limits that this entry uses without the hub.
     pub(super) share: EntryShare,
 }
@@ -49,6 +52,7 @@
             departures: Departures::default(),
             position: None,
             listed_ms: None,
+            evacuated: BTreeSet::new(),
             share: EntryShare {
                 entries: 1,
                 seed: 0,
@@ -333,7 +337,15 @@
         })
     }
 
+    /// Returns the listed instances of a service that may be sent requests as far as their zone is
+    /// concerned. Every choice of an instance starts from these.
     pub(super) fn members(&self, service: &str) -> impl Iterator<Item = &Instance> {
+        let listed = self.listed_members(service);
+        listed.filter(|instance| !self.evacuated.contains(&instance.listed.zone))
+    }
+
+    /// Returns the listed instances of a service, also those in evacuated zones.
+    fn listed_members(&self, service: &str) -> impl Iterator<Item = &Instance> {
         let members = self.by_service.get(service).into_iter().flatten();
         members.filter_map(|identity| self.instances.get(identity))
     }
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod document;
+pub mod evacuation;
 pub mod fleet;
 pub mod ledger;
 pub mod length;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -26,6 +26,10 @@
     pub const PUBLISH: &str = "/Configuration.Replace";
     /// Returns the newest document.
     pub const READ: &str = "/Configuration.Read";
+    /// Orders that nothing more is sent to the zone whose name follows.
+    pub const EVACUATION_START: &str = "/Evacuation.Start/";
+    /// Withdraws that order.
+    pub const EVACUATION_FINISH: &str = "/Evacuation.Finish/";
     /// Readiness check: returns whether an entry accepts new connections.
     pub const READINESS: &str = "/readiness";
     /// List of instances, of the platform.
--- a/src/roles/directory/machine.rs
+++ b/src/roles/directory/machine.rs
@@ -1,22 +1,19 @@
-//! The replicated state machine of the directory: it holds the newest published document.
+//! The replicated state machine of the directory: it holds the newest published document and the
+//! evacuated zones.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+use super::command::{Command, PutDocument, Snapshot};
+use super::metrics::Metrics;
 use crate::domain::document::Document;
+use crate::domain::evacuation::{Evacuations, ZoneOrder};
 use crate::platform::decode_document;
 use crate::roles::control::replica::StateMachine;
 use crate::rpc::directory::Published;
-use crate::rpc::{Packed, decode, encode};
-
-/// The only command of the replicated log: publishes a document.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct PutDocument {
-    pub version: u64,
-    pub body: Vec<u8>,
-}
+use crate::rpc::{Packed, encode};
 
 /// The result of [`PutDocument`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,15 +24,26 @@
     pub changed: bool,
 }
 
-/// The newest document that the log has applied, in the forms in which it is read.
-#[derive(Debug)]
+/// The result of an order for a zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderAnswer {
+    /// The revision of the evacuated zones after the order was applied.
+    pub revision: u64,
+    /// False if the order was already in force.
+    pub changed: bool,
+}
+
+/// The state that the log has applied: the newest document, in the forms in which it is read, and
+/// the evacuated zones.
 pub(crate) struct Machine {
     published: Mutex<Option<Published>>,
     /// The same document, compressed for sending to entries.
     packed: Mutex<Option<Packed>>,
     /// The version that was last decoded, and the result: `None` if it cannot be decoded.
     decoded: Mutex<(u64, Option<Arc<Document>>)>,
-    /// Incremented with every new document.
+    evacuations: watch::Sender<Evacuations>,
+    metrics: Metrics,
+    /// Incremented with every new document and every change of the evacuated zones.
     updates: watch::Sender<u64>,
 }
 
@@ -45,6 +53,8 @@
             published: Mutex::new(None),
             packed: Mutex::new(None),
             decoded: Mutex::default(),
+            evacuations: watch::Sender::default(),
+            metrics: Metrics::new(),
             updates,
         }
     }
@@ -63,6 +73,22 @@
         packed.clone().filter(|packed| packed.version > version)
     }
 
+    /// Returns the evacuated zones, and wakes the receiver when they change.
+    pub(crate) fn watch_evacuations(&self) -> watch::Receiver<Evacuations> {
+        self.evacuations.subscribe()
+    }
+
+    /// Returns the evacuated zones.
+    pub(crate) fn evacuations(&self) -> Evacuations {
+        self.evacuations.borrow().clone()
+    }
+
+    /// Returns the evacuated zones for an entry that holds `revision`; `None` if it is up to date.
+    pub(crate) fn evacuations_after(&self, revision: u64) -> Option<Evacuations> {
+        let evacuations = self.evacuations.borrow();
+        (evacuations.revision() > revision).then(|| evacuations.clone())
+    }
+
     /// Returns the newest document, decoded. `None` if none has been published, or if this version
     /// of the program cannot decode it.
     pub(crate) fn document(&self) -> Option<Arc<Document>> {
@@ -88,21 +114,31 @@
         );
         StateMachine {
             apply: Box::new(move |index, command| applied.apply(index, command)),
-            snapshot: Box::new(move || encode(&saved.published()).unwrap_or_default()),
+            snapshot: Box::new(move || saved.snapshot().encode().unwrap_or_default()),
             restore: Box::new(move |snapshot| restored.restore(snapshot)),
         }
     }
 
     fn apply(&self, index: u64, command: &[u8]) -> Vec<u8> {
-        let Ok(put) = decode::<PutDocument>(command) else {
-            tracing::error!(
-                index,
-                "skipping a log entry: this version cannot decode its command"
-            );
-            return Vec::new();
-        };
+        match Command::decode(command) {
+            Ok(Command::Put(put)) => encode(&self.put(index, put)).unwrap_or_default(),
+            Ok(Command::Evacuation(order)) => {
+                encode(&self.order(index, &order)).unwrap_or_default()
+            }
+            Err(_) => {
+                tracing::error!(
+                    index,
+                    "skipping a log entry: this version cannot decode its command"
+                );
+                Vec::new()
+            }
+        }
+    }
+
+    fn put(&self, index: u64, put: PutDocument) -> PutAnswer {
         let current = self.published().map_or(0, |published| published.version);
         let changed = put.version > current;
+        let version = current.max(put.version);
         if changed {
             tracing::info!(
                 index,
@@ -115,28 +151,66 @@
                 body: put.body.into(),
             });
         }
-        let answer = PutAnswer {
-            version: current.max(put.version),
+        PutAnswer { version, changed }
+    }
+
+    fn order(&self, index: u64, order: &ZoneOrder) -> OrderAnswer {
+        let changed = self
+            .evacuations
+            .send_if_modified(|evacuations| evacuations.apply(order, index));
+        tracing::info!(
+            index,
+            zone = &*order.zone.0,
+            action = order.action.label(),
             changed,
-        };
-        encode(&answer).unwrap_or_default()
+            "order for a zone applied"
+        );
+        if changed {
+            self.evacuations_changed();
+        }
+        OrderAnswer {
+            revision: self.evacuations.borrow().revision(),
+            changed,
+        }
     }
 
+    fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            published: self.published(),
+            evacuations: self.evacuations(),
+        }
+    }
+
+    /// Restores a snapshot. A log that is reopened restores an older one first; readers keep the
+    /// newer document and set of zones.
     fn restore(&self, snapshot: &[u8]) {
-        match decode::<Option<Published>>(snapshot) {
-            Ok(Some(published)) => {
-                let current = self.published().map_or(0, |published| published.version);
-                // A log that is reopened restores an older snapshot first; readers keep the newer
-                // document.
-                if published.version >= current {
-                    self.set(published);
-                }
+        let snapshot = match Snapshot::decode(snapshot) {
+            Ok(snapshot) => snapshot,
+            Err(error) => {
+                tracing::error!(%error, "cannot decode the snapshot of the directory");
+                return;
             }
-            Ok(None) => {}
-            Err(error) => tracing::error!(%error, "cannot decode the snapshot of the document"),
+        };
+        let current = self.published().map_or(0, |published| published.version);
+        if let Some(published) = snapshot.published
+            && published.version >= current
+        {
+            self.set(published);
+        }
+        let restored = snapshot.evacuations;
+        if self
+            .evacuations
+            .send_if_modified(|evacuations| evacuations.adopt(restored))
+        {
+            self.evacuations_changed();
         }
     }
 
+    fn evacuations_changed(&self) {
+        self.metrics.set_evacuations(&self.evacuations.borrow());
+        self.updates.send_modify(|count| *count += 1);
+    }
+
     fn set(&self, published: Published) {
         match Packed::new(&published) {
             Ok(packed) => {
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -1,8 +1,11 @@
 //! The directory role: stores the shared document in a replicated log and, on the leader, collects
 //! the state of all instances and distributes it to entries.
 
+mod command;
+mod evacuation;
 mod limits;
 mod machine;
+mod metrics;
 mod observer;
 mod operators;
 mod placement;
@@ -36,8 +39,9 @@
 use machine::Machine;
 use observer::{Observer, ObserverServer};
 
-pub use machine::{PutAnswer, PutDocument};
-pub use operators::serve_operators;
+pub use command::{Command, PutDocument, Snapshot};
+pub use machine::{OrderAnswer, PutAnswer};
+pub use operators::{EVACUATIONS, serve_operators};
 
 /// A voter that has not been heard for this long is removed even if that lowers the number of losses
 /// that the others tolerate. The platform counts a machine as lost for 4 s after its return; a
@@ -146,6 +150,7 @@
             }
         }
         tokio::spawn(Arc::clone(&role).poll_list());
+        tokio::spawn(Arc::clone(&role).follow_evacuations());
         role
     }
 
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -24,10 +24,17 @@
 impl Server {
     /// Returns true if there is an update for which the entry is answered without delay.
     fn has_update(&self, request: &SyncRequest) -> bool {
-        let has_document = self.0.machine.packed_after(request.version).is_some();
+        let machine = &self.0.machine;
+        let has_document = machine.packed_after(request.version).is_some();
+        let has_evacuations = machine
+            .evacuations_after(request.evacuation_revision)
+            .is_some();
         // An entry that has just started needs the instance list, which only the leader has.
         let names_leader = request.position.is_none() && self.0.other_leader().is_some();
-        has_document || names_leader || self.0.has_urgent_update(request.position, monotonic_ms())
+        has_document
+            || has_evacuations
+            || names_leader
+            || self.0.has_urgent_update(request.position, monotonic_ms())
     }
 }
 
@@ -58,11 +65,13 @@
             None => false,
         };
         let document = role.machine.packed_after(request.version);
+        let evacuations = role.machine.evacuations_after(request.evacuation_revision);
         let now_ms = monotonic_ms();
         role.with_hub(|hub| SyncReply {
             confirmed,
             keeps_log: role.observer.is_none(),
             document,
+            evacuations,
             fleet: hub.updates_since(&request.entry, &request.zone, request.position, now_ms),
             list_age_ms: hub.list_age_ms(now_ms),
             entries: u32::try_from(hub.entries()).unwrap_or(u32::MAX),
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -52,6 +52,10 @@
             let chosen = self.place(&job, engine, &tried).await?;
             // A part may have been quarantined while the generation waited.
             self.check_quarantine(&job)?;
+            // The same holds for the zone of the engine. The view does not offer it again.
+            if self.is_evacuated(&chosen.identity) {
+                continue;
+            }
             if !tried.is_empty() && !self.may_retry(&job.service) {
                 return Err(self.no_capacity(&job));
             }
@@ -285,7 +289,8 @@
                 log_chosen_engine(job, &chosen);
                 return Ok(chosen);
             }
-            if timeout_at(deadline, changed).await.is_err() {
+            let is_hopeless = self.with_view(|view| view.all_evacuated(&job.service));
+            if is_hopeless || timeout_at(deadline, changed).await.is_err() {
                 return Err(self.no_capacity(job));
             }
             // Random delay, as every waiting generation is woken by the same change of capacity.
--- a/src/roles/gateway/instance_signals.rs
+++ b/src/roles/gateway/instance_signals.rs
@@ -16,6 +16,9 @@
 use crate::domain::fleet::{AskedPause, LimitChange, NamedLimit};
 use crate::platform::headers;
 
+/// Time after which a caller should retry while all zones with instances are evacuated. Operators
+/// withdraw an evacuation after minutes rather than seconds, but nobody announces when.
+const EVACUATED_RETRY_MS: u64 = 2_000;
 /// Jitter added to `Retry-After`, in percent, so that callers refused at the same time do not all
 /// retry at the same time.
 const RETRY_JITTER_PERCENT: u64 = 40;
@@ -30,6 +33,10 @@
         request_id: &str,
         connections: Connections,
     ) -> Result<Exchange, SendFailure> {
+        // The last check: the instance may have been chosen before its zone was evacuated.
+        if self.is_evacuated(&ticket.identity) {
+            return Err(SendFailure::NotSent("its zone is evacuated".to_owned()));
+        }
         let sent_ms = monotonic_ms();
         let sending = self
             .pool
@@ -108,6 +115,11 @@
         }
     }
 
+    /// Returns true if nothing new may be sent to an instance because its zone is evacuated.
+    pub(super) fn is_evacuated(&self, identity: &str) -> bool {
+        self.with_view(|view| view.is_evacuated(identity))
+    }
+
     /// Returns the refusal of a request for which no instance is available. Callers should retry
     /// after `expected_ms` or, if all instances are paused, when the first pause ends.
     pub(super) fn no_instance_refusal(
@@ -116,6 +128,9 @@
         code: &'static str,
         expected_ms: u64,
     ) -> Refusal {
+        if self.with_view(|view| view.all_evacuated(service)) {
+            return retry_after("zone_evacuated", EVACUATED_RETRY_MS);
+        }
         let paused_ms = self.with_view(|view| view.all_paused_for_ms(service, monotonic_ms()));
         match paused_ms {
             Some(paused_ms) => retry_after("all_asked_for_time", paused_ms),
--- a/src/roles/gateway/metrics.rs
+++ b/src/roles/gateway/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of the gateway.
 
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts};
 
 use crate::adapters::telemetry::registry;
 
@@ -22,7 +22,9 @@
     instance_signals: IntCounterVec,
     permits: IntCounterVec,
     first_event_ms: Histogram,
-    pub(super) document_version: prometheus::IntGauge,
+    pub(super) document_version: IntGauge,
+    evacuated_zones: IntGauge,
+    evacuation_revision: IntGauge,
     pub(super) sync_failures: IntCounter,
     pub(super) local_placements: IntCounter,
 }
@@ -84,11 +86,18 @@
             .expect("constant options are valid"),
             first_event_ms: Histogram::with_opts(first.buckets(LATENCY_MS.to_vec()))
                 .expect("constant options are valid"),
-            document_version: prometheus::IntGauge::new(
+            document_version: gauge(
                 "lilac_gateway_document_version",
                 "Version of the document in force.",
-            )
-            .expect("constant options are valid"),
+            ),
+            evacuated_zones: gauge(
+                "lilac_gateway_evacuated_zones",
+                "Zones whose instances get nothing new.",
+            ),
+            evacuation_revision: gauge(
+                "lilac_gateway_evacuation_revision",
+                "Log index of the last order that changed the evacuated zones.",
+            ),
             sync_failures: IntCounter::new(
                 "lilac_gateway_sync_failures_total",
                 "Calls to control that failed.",
@@ -100,7 +109,7 @@
             )
             .expect("constant options are valid"),
         };
-        let all: [Box<dyn prometheus::core::Collector>; 13] = [
+        let all: [Box<dyn prometheus::core::Collector>; 15] = [
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
             Box::new(metrics.moves.clone()),
@@ -112,6 +121,8 @@
             Box::new(metrics.permits.clone()),
             Box::new(metrics.first_event_ms.clone()),
             Box::new(metrics.document_version.clone()),
+            Box::new(metrics.evacuated_zones.clone()),
+            Box::new(metrics.evacuation_revision.clone()),
             Box::new(metrics.sync_failures.clone()),
             Box::new(metrics.local_placements.clone()),
         ];
@@ -129,6 +140,13 @@
         self.first_event_ms.observe(age_ms as f64);
     }
 
+    pub(super) fn set_evacuations(&self, zones: usize, revision: u64) {
+        self.evacuated_zones
+            .set(i64::try_from(zones).unwrap_or(i64::MAX));
+        self.evacuation_revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn count_refusal(&self, code: &str) {
         self.refusals.with_label_values(&[code]).inc();
     }
@@ -167,6 +185,10 @@
     }
 }
 
+fn gauge(name: &str, help: &str) -> IntGauge {
+    IntGauge::new(name, help).expect("constant options are valid")
+}
+
 fn counters(name: &str, help: &str, label: &str) -> IntCounterVec {
     IntCounterVec::new(Opts::new(name, help), &[label]).expect("constant options are valid")
 }
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -133,9 +133,23 @@
     stop_requested: &AtomicBool,
 ) -> Option<StoppedGeneration> {
     let begun_ms = monotonic_ms();
-    let (ticket, stop_at_ms) = pre_copy(gateway, plan).await?;
-    let copied_ms = monotonic_ms();
-    sleep(Duration::from_millis(stop_at_ms.saturating_sub(copied_ms))).await;
+    let (ticket, copied_ms) = loop {
+        let (ticket, stop_at_ms) = pre_copy(gateway, plan).await?;
+        let copied_ms = monotonic_ms();
+        // Nothing may resume in an evacuated zone, so the generation is copied to another target.
+        if !gateway
+            .is_evacuated_before(&ticket.identity, stop_at_ms)
+            .await
+        {
+            break (ticket, copied_ms);
+        }
+        tracing::info!(
+            request = &*plan.request_id,
+            from = &*plan.from_identity,
+            to = &*ticket.identity,
+            "the zone of the target is evacuated; the generation needs another one"
+        );
+    };
     if !gateway
         .wait_until_unpaused(&plan.from_identity, COPY_TIMEOUT)
         .await
@@ -291,13 +305,15 @@
 }
 
 impl Gateway {
-    /// Waits until `at_ms`. Returns true as soon as the engine is known to be leaving, else false
-    /// at that time. The platform reclaims several engines at once, and their notices arrive at
+    /// Waits until `at_ms`. Returns true as soon as the engine is known to be leaving or its zone is
+    /// evacuated, else false at that time. The platform reclaims several engines at once, and their notices arrive at
     /// different times.
     async fn departs_before(&self, identity: &Arc<str>, at_ms: u64) -> bool {
         let mut changes = self.departure_changes.subscribe();
         loop {
-            if self.with_view(|view| view.leaving(identity).is_some()) {
+            let takes_nothing = self
+                .with_view(|view| view.leaving(identity).is_some() || view.is_evacuated(identity));
+            if takes_nothing {
                 return true;
             }
             let wait_ms = at_ms.saturating_sub(monotonic_ms());
@@ -310,6 +326,20 @@
         }
     }
 
+    /// Waits until `at_ms`. Returns true as soon as the zone of the engine is evacuated, else false
+    /// at that time.
+    async fn is_evacuated_before(&self, identity: &Arc<str>, at_ms: u64) -> bool {
+        let mut evacuations = self.evacuations.subscribe();
+        let evacuated = async {
+            // Cannot fail: the gateway keeps the sender.
+            while !self.is_evacuated(identity) && evacuations.changed().await.is_ok() {}
+        };
+        let wait_ms = at_ms.saturating_sub(monotonic_ms());
+        // An order that is known already counts also if there is no time left.
+        let _ = timeout(Duration::from_millis(wait_ms), evacuated).await;
+        self.is_evacuated(identity)
+    }
+
     /// Asks control for a turn to copy to one of the targets. Turns serialize copies that share the
     /// network link of an engine.
     async fn request_turn(
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -41,6 +41,7 @@
 use crate::adapters::web::{self, ConnectionState, GuardedStream};
 use crate::domain::admission::AdmissionQueue;
 use crate::domain::document::Index;
+use crate::domain::evacuation::Evacuations;
 use crate::domain::fleet::{ListReads, View};
 use crate::domain::length::HintedLengths;
 use crate::domain::quarantine::{PartWatch, RequestWatch};
@@ -93,6 +94,8 @@
     /// Monotonic time of the last answer of a control instance with a log that could not confirm the
     /// document; 0 for never.
     unconfirmed_reply_ms: AtomicU64,
+    /// The evacuated zones of the newest confirmed reply.
+    evacuations: watch::Sender<Evacuations>,
     /// Instances and their loads as known to this entry.
     view: Mutex<View>,
     /// Schedule of this entry's own reads of the platform's instance list.
@@ -149,6 +152,7 @@
             index: watch::Sender::new(None),
             confirmed_ms: AtomicU64::new(0),
             unconfirmed_reply_ms: AtomicU64::new(0),
+            evacuations: watch::Sender::default(),
             view: Mutex::new(View::new(zone)),
             list_reads: Mutex::default(),
             departure_changes: watch::Sender::new(0),
--- a/src/roles/gateway/relay/departure.rs
+++ b/src/roles/gateway/relay/departure.rs
@@ -7,6 +7,7 @@
 
 use super::super::migrate::Migration;
 use super::super::resume::Reason;
+use super::super::ticket::Ticket;
 use super::Relay;
 use crate::adapters::clock::monotonic_ms;
 
@@ -43,12 +44,16 @@
         };
         let identity = Arc::clone(&source.ticket.identity);
         let now_ms = monotonic_ms();
-        let (leaving, backup_leaving) = self.gateway.with_view(|view| {
-            let backup = self.backup.as_ref();
-            let backup_leaving = backup.is_some_and(|b| view.leaving(&b.identity).is_some());
-            (view.leaving(&identity), backup_leaving)
+        let (leaving, is_backup_lost) = self.gateway.with_view(|view| {
+            let is_lost = |backup: &Ticket| {
+                view.leaving(&backup.identity).is_some() || view.is_evacuated(&backup.identity)
+            };
+            (
+                view.leaving(&identity),
+                self.backup.as_ref().is_some_and(is_lost),
+            )
         });
-        if backup_leaving {
+        if is_backup_lost {
             self.backup = None;
             self.switch_at_ms = None;
         }
--- a/src/roles/gateway/release.rs
+++ b/src/roles/gateway/release.rs
@@ -184,6 +184,9 @@
         },
     }
     // Once stopped, the generation needs an engine that goes on with it.
+    if gateway.is_evacuated(&target.identity) {
+        return Released::Unproved("backup_evacuated");
+    }
     match gateway.check_liveness(target.address).await {
         Liveness::Responds(_) => {}
         Liveness::Late | Liveness::Unreachable => return Released::Unproved("backup_late"),
--- a/src/roles/gateway/resume.rs
+++ b/src/roles/gateway/resume.rs
@@ -229,6 +229,10 @@
         before: &SourceState,
     ) -> ResumeResult {
         let identity = &ticket.identity;
+        if self.gateway.is_evacuated(identity) {
+            let cause = format!("the zone of {identity} is evacuated");
+            return Err(self.failed(ResumeFailure::not_run("evacuated", cause)));
+        }
         let pause = self
             .gateway
             .wait_until_unpaused(identity, PERMISSION_TIMEOUT);
@@ -331,6 +335,13 @@
 
     async fn try_resume(&self, ticket: Ticket, copy: &str, pause_limit: Duration) -> ResumeResult {
         let (gateway, identity) = (&self.gateway, &ticket.identity);
+        let evacuated = || {
+            let cause = format!("the zone of {identity} is evacuated");
+            ResumeFailure::not_run("evacuated", cause)
+        };
+        if gateway.is_evacuated(identity) {
+            return Err(evacuated());
+        }
         let backup = gateway.choose_backup(&self.job, self.engine, &ticket);
         if !gateway.wait_until_unpaused(identity, pause_limit).await {
             let cause = format!("requests to {identity} are paused");
@@ -341,6 +352,10 @@
             let cause = format!("{identity} has reached its request limit");
             return Err(ResumeFailure::not_run("limited", cause));
         }
+        // An order may have come in while a pause was waited out.
+        if gateway.is_evacuated(identity) {
+            return Err(evacuated());
+        }
         let request = with_backup(self.request(&ticket, copy), backup.as_ref());
         // Without a time limit: silence does not show that the engine has failed, and an attempt that
         // is dropped may still be begun.
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -13,6 +13,7 @@
 use super::Gateway;
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::Index;
+use crate::domain::evacuation::Evacuations;
 use crate::domain::fleet::ListReads;
 use crate::domain::quarantine::{PartNotices, PartWatch, RequestNotices};
 use crate::platform::{self, decode_document};
@@ -180,10 +181,12 @@
             .borrow()
             .as_ref()
             .map_or(0, |index| index.version());
+        let evacuation_revision = self.evacuations.borrow().revision();
         self.with_view(|view| SyncRequest {
             entry: Arc::clone(&self.name),
             zone: view.zone().clone(),
             version,
+            evacuation_revision,
             position: view.position(),
             loads: view.loads(),
             departures: view.departures(),
@@ -194,9 +197,13 @@
         })
     }
 
-    fn apply_reply(&self, reply: SyncReply, asked_ms: u64) {
-        // An unconfirmed document may be older than one whose publication was acknowledged.
+    fn apply_reply(&self, mut reply: SyncReply, asked_ms: u64) {
+        // An unconfirmed document may be older than one whose publication was acknowledged; the same
+        // holds for evacuated zones. These come first: the first document lets requests in.
         if reply.confirmed {
+            if let Some(evacuations) = reply.evacuations.take() {
+                self.apply_evacuations(evacuations);
+            }
             match reply.document.as_ref().map(Packed::unpack) {
                 Some(Ok(published)) => self.apply_document(&published),
                 Some(Err(error)) => {
@@ -231,6 +238,28 @@
         }
     }
 
+    fn apply_evacuations(&self, evacuations: Evacuations) {
+        let revision = evacuations.revision();
+        let zones = evacuations.zones().clone();
+        let is_newer = self.evacuations.send_if_modified(|held| {
+            let is_newer = held.adopt(evacuations);
+            // Before waiters are woken, which look at the view.
+            if is_newer {
+                self.with_view(|view| view.set_evacuated(zones.clone()));
+            }
+            is_newer
+        });
+        if !is_newer {
+            return;
+        }
+        self.metrics.set_evacuations(zones.len(), revision);
+        let names: Vec<&str> = zones.iter().map(|zone| &*zone.0).collect();
+        tracing::info!(revision, zones = names.join(","), "evacuated zones applied");
+        self.capacity_changes.notify_waiters();
+        // Streams check whether their backup, or the target of their move, is evacuated.
+        self.departure_changes.send_modify(|count| *count += 1);
+    }
+
     fn apply_document(&self, published: &Published) {
         let document = match decode_document(&published.body) {
             Ok(document) => document,
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::domain::evacuation::Evacuations;
 use crate::domain::fleet::{
     Demand, Departure, FleetUpdate, LimitNotice, LimitStatement, LimitsReached, Load, Outlook,
     PlacementRequest, Position, Report,
@@ -29,6 +30,8 @@
     pub zone: ZoneName,
     /// The version of the document that the entry has applied; 0 if it has none.
     pub version: u64,
+    /// The revision of the evacuated zones that the entry has applied; 0 if it has none.
+    pub evacuation_revision: u64,
     /// How much of the updates on the fleet the entry has received.
     pub position: Option<Position>,
     pub loads: Vec<Load>,
@@ -48,13 +51,15 @@
 /// The answer to a sync.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct SyncReply {
-    /// True if, before the call, no document was acknowledged that is newer than the one in
-    /// `document` or, if that is `None`, than the caller's.
+    /// True if, before the call, nothing was acknowledged that is newer than what is in `document`
+    /// and `evacuations` or, if they are `None`, than what the caller has.
     pub confirmed: bool,
     /// False if the instance has no data folder and can only name the leader.
     pub keeps_log: bool,
     /// A document newer than the caller's, if there is one.
     pub document: Option<Packed>,
+    /// The evacuated zones, if they have changed since the caller's revision.
+    pub evacuations: Option<Evacuations>,
     /// The changes of the fleet since the caller's position; `None` if the platform's list was
     /// never read.
     pub fleet: Option<FleetUpdate>,
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use super::reader::Reader;
+use crate::model::ZoneName;
 
 /// The gateway role, which accepts callers' requests.
 #[derive(Debug, Clone)]
@@ -63,6 +64,9 @@
     pub data_folder: Option<PathBuf>,
     /// Address of the platform's list of instances.
     pub list_address: Option<SocketAddr>,
+    /// The availability zones of the site, which orders of operators may name. Zones of listed
+    /// instances count too.
+    pub zones: Vec<ZoneName>,
     /// True at the first start of the whole system, when the configured control instances may form
     /// a new cluster.
     pub may_form: bool,
@@ -89,6 +93,7 @@
                 .optional(section, "data_folder")
                 .filter(|folder: &PathBuf| !folder.as_os_str().is_empty()),
             list_address: reader.optional(section, "list_address"),
+            zones: read_zones(reader, section),
             may_form: reader.or_default(section, "may_form", false),
             tolerated_losses: reader.bounded(section, "tolerated_losses", 1, 0..=4),
             grace_ms: reader.bounded(section, "grace_ms", 8_000, 500..=600_000),
@@ -98,6 +103,12 @@
     }
 }
 
+fn read_zones(reader: &mut Reader, section: &str) -> Vec<ZoneName> {
+    let names: Vec<String> = reader.list(section, "zones");
+    let names = names.iter().map(String::as_str);
+    names.map(ZoneName::from).collect()
+}
+
 /// The reporter role, which reports the state of the engine on its machine to the directory.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReporterSettings {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -90,6 +90,7 @@
         let text = [
             ("{{nodeName}}", "frontend-a-1"),
             ("{{zone}}", "a"),
+            ("{{#zones}}{{@}}{{,}}{{/zones}}", "a,b,c"),
             ("{{ipAddress}}", "10.1.0.24"),
             ("{{internalPortRange.0}}", "7200"),
             ("{{seedNodes}}", "10.1.0.24:8748,10.2.0.20:8748"),
--- a/tests/site_controls.rs
+++ b/tests/site_controls.rs
@@ -46,6 +46,7 @@
             keeps_log: true,
             document: (!self.partitioned && request.version == 0)
                 .then(|| Packed::new(&published).unwrap()),
+            evacuations: None,
             fleet: None,
             list_age_ms: None,
             entries: 1,
