--- a/tests/site_resumptions.rs
+++ b/tests/site_resumptions.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 
 use site_support::{
-    Reply, Request, Site, Upstream, answer, call, document, patient_caller, sse, wait_for,
+    Reply, Request, Site, Upstream, answer, call, client, document, patient_caller, sse, wait_for,
     wait_routable, with_header,
 };
 
@@ -395,6 +395,18 @@
     on_stop: impl Fn(u32) -> Vec<Reply> + Send + Sync + 'static,
     on_resumption: impl Fn(&Request) -> Vec<Reply> + Send + Sync + 'static,
     at_target: impl Fn(&Request) -> Vec<Reply> + Send + Sync + 'static,
+) -> (Result<String, String>, Upstream, Upstream) {
+    stream_of_stopped_engine_in("z1", None, on_stop, on_resumption, at_target).await
+}
+
+/// Does the same with a target in a zone. `evacuated` is evacuated before the engine announces its
+/// shutdown.
+async fn stream_of_stopped_engine_in(
+    target_zone: &str,
+    evacuated: Option<&str>,
+    on_stop: impl Fn(u32) -> Vec<Reply> + Send + Sync + 'static,
+    on_resumption: impl Fn(&Request) -> Vec<Reply> + Send + Sync + 'static,
+    at_target: impl Fn(&Request) -> Vec<Reply> + Send + Sync + 'static,
 ) -> (Result<String, String>, Upstream, Upstream) {
     let mut without_copies = document(1);
     without_copies["services"][1]["engine"]["backups"] = json!(false);
@@ -440,6 +452,13 @@
             }
         })
         .await;
+    if let Some(entry) = site.list.lock().unwrap().last_mut() {
+        entry["zone"] = json!(target_zone);
+    }
+    if let Some(zone) = evacuated {
+        let url = site.operator_url(1, &format!("/Evacuation.Start/{zone}"));
+        assert_eq!(client().post(url).send().await.unwrap().status(), 200);
+    }
     leaving.store(true, Ordering::SeqCst);
     let result = loop {
         match stream.chunk().await {
@@ -510,6 +529,40 @@
     assert_eq!(target.requests("/stream/x").len(), 1);
 }
 
+/// Guards against a generation that returns to its engine although the zone was evacuated. It ends
+/// without its end, as no other engine is left.
+#[tokio::test]
+async fn stopped_generation_does_not_return_to_an_evacuated_zone() {
+    let (stream, source, target) = stream_of_stopped_engine_in(
+        "z2",
+        Some("z1"),
+        |_| json_answer("200 OK", &json!({"handle": "h7", "made": 3})),
+        rest_of_stream,
+        not_executed,
+    )
+    .await;
+    assert!(stream.is_err(), "{stream:?}");
+    assert_eq!(target.requests("/stream/x").len(), 1);
+    let requests = source.requests("/stream/x");
+    assert!(!requests.iter().any(is_resumption));
+}
+
+/// Guards against a generation that cannot be moved out of an evacuated zone.
+#[tokio::test]
+async fn generation_moves_out_of_an_evacuated_zone() {
+    let (stream, source, target) = stream_of_stopped_engine_in(
+        "z2",
+        Some("z1"),
+        |_| json_answer("200 OK", &json!({"handle": "h7", "made": 3})),
+        not_executed,
+        rest_of_stream,
+    )
+    .await;
+    assert_eq!(stream.unwrap(), events(1..=5));
+    assert_eq!(target.requests("/stream/x").len(), 1);
+    assert_eq!(source.requests("/stream/x").len(), 1);
+}
+
 /// Guards against losing a generation with the response to the call that stopped it.
 #[tokio::test]
 async fn lost_response_to_the_last_copy_is_asked_for_again() {
