Record an entry's own changes when its load expires

Cause: Hub::expire recorded changes of an entry's own usage when its reservations expired, but not when its load did. An entry whose load had expired was then not told what others run on those engines.

Change: Loads::expire returns the entries together with their engines, and the hub records the change for each entry that it still knows. An entry that has expired as well is sent a complete update anyway.

--- a/src/domain/fleet/hub/mod.rs
+++ b/src/domain/fleet/hub/mod.rs
@@ -269,7 +269,13 @@
         if now_ms >= self.next_expiry_check_ms {
             self.next_expiry_check_ms = now_ms + EXPIRY_CHECK_INTERVAL_MS;
             self.entries.expire(now_ms);
-            affected.extend(self.loads.expire(now_ms));
+            for (entry, engines) in self.loads.expire(now_ms) {
+                // An entry that has expired as well is sent a complete update.
+                if self.entries.contains(&entry) {
+                    self.record_own_changes(&entry, &engines, now_ms);
+                }
+                affected.extend(engines);
+            }
             let expired = self
                 .reports
                 .extract_if(.., |_, (_, received_ms)| {
--- a/src/domain/fleet/usage.rs
+++ b/src/domain/fleet/usage.rs
@@ -107,18 +107,20 @@
         changed
     }
 
-    /// Removes the loads that have expired. Returns the engines whose usage changes.
-    pub(super) fn expire(&mut self, now_ms: u64) -> Vec<Arc<str>> {
+    /// Removes the loads that have expired. Returns their entries and the engines whose usage
+    /// changes.
+    pub(super) fn expire(&mut self, now_ms: u64) -> Vec<(Arc<str>, Vec<Arc<str>>)> {
         let expired: Vec<Arc<str>> = self
             .by_entry
             .iter()
             .filter(|(_, loads)| now_ms >= loads.expires_ms)
             .map(|(entry, _)| Arc::clone(entry))
             .collect();
-        expired
-            .iter()
-            .flat_map(|entry| self.remove(entry).into_keys())
-            .collect()
+        let engines = |entry: Arc<str>| {
+            let engines = self.remove(&entry).into_keys().collect();
+            (entry, engines)
+        };
+        expired.into_iter().map(engines).collect()
     }
 
     /// Removes the load of an entry and returns it.
