Limit the requests of all entries to cold instances

Cause: a cold instance bears only coldPerS requests a second from all entries together and crashes well above that; entries only added a penalty of 150 ms.

Entries ask for permits, use a share without the hub, and raise their load in steps afterwards. A hub without the platform's list answers no permits. Where coldPerS is 0, only the penalty remains.

--- a/src/domain/document/mod.rs
+++ b/src/domain/document/mod.rs
@@ -80,6 +80,11 @@
     /// Path at which an instance reports that it is healthy, and its instance id.
     pub health_path: Option<Arc<str>>,
     pub engine: Option<EngineSpec>,
+    /// How long an instance is cold after its start.
+    pub cold_start_ms: u64,
+    /// Requests per second that a cold instance bears from all machines together, in thousandths;
+    /// `None` means no limit.
+    pub cold_limit_milli_per_s: Option<u64>,
 }
 
 /// A workspace with its API keys.
--- a/src/domain/fleet/choice.rs
+++ b/src/domain/fleet/choice.rs
@@ -134,12 +134,12 @@
     }
 
     /// Returns the penalty of an engine, its load aside.
-    fn penalty_ms(&self, instance: &Instance, random: u64) -> u64 {
+    fn penalty_ms(&self, instance: &Instance, now_ms: u64, random: u64) -> u64 {
         let zone_ms = match instance.listed.zone == *self.near {
             true => 0,
             false => self.zone_penalty_ms,
         };
-        zone_ms + fixed_penalty_ms(instance, random)
+        zone_ms + fixed_penalty_ms(instance, now_ms, random)
     }
 }
 
@@ -157,8 +157,8 @@
 /// The instances that a plain call may be sent to.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PlainCandidates {
-    /// Instances with request limits that are preferred to `unlimited`, best first. They need the
-    /// hub's permit.
+    /// Instances with request limits, named or of a cold time, that are preferred to `unlimited`,
+    /// best first. They need the hub's permit.
     pub limited: Vec<ChosenInstance>,
     /// The best instance without a limit.
     pub unlimited: Option<ChosenInstance>,
@@ -177,7 +177,7 @@
     ) -> PlainCandidates {
         let scored = self.scored_plain(service, excluded, now_ms, random);
         let (mut limited, unlimited): (Vec<_>, Vec<_>) =
-            scored.partition(|(_, instance)| instance.is_limited());
+            scored.partition(|(_, instance)| instance.needs_permit(now_ms));
         let by_score = |(a, _): &(f64, _), (b, _): &(f64, _)| a.total_cmp(b);
         let unlimited = unlimited.into_iter().min_by(by_score);
         if let Some((best, _)) = unlimited {
@@ -228,7 +228,7 @@
             };
             let away = instance.listed.zone != self.zone;
             let zone_ms = if away { PLAIN_ZONE_PENALTY_MS } else { 0 };
-            time_ms + penalty_ms + (zone_ms + fixed_penalty_ms(instance, random)) as f64
+            time_ms + penalty_ms + (zone_ms + fixed_penalty_ms(instance, now_ms, random)) as f64
         };
         let open = self.members(service).filter(open);
         open.map(move |instance| (score(instance), instance))
@@ -427,7 +427,8 @@
     let planned = required.planned_tokens(query.engine);
     engines.sort_by_cached_key(|instance| {
         let (prefill, committed) = (prefill_tokens(instance), instance.total_committed());
-        waiting_ms(prefill, committed, planned) + required.penalty_ms(instance, query.random)
+        waiting_ms(prefill, committed, planned)
+            + required.penalty_ms(instance, query.now_ms, query.random)
     });
     engines.truncate(most);
     engines
@@ -441,7 +442,7 @@
 ) -> PlacementRequest {
     let candidate = |instance: &&Instance| Candidate {
         identity: Arc::clone(&instance.listed.identity),
-        penalty_ms: required.penalty_ms(instance, query.random),
+        penalty_ms: required.penalty_ms(instance, query.now_ms, query.random),
     };
     PlacementRequest {
         entry: Arc::clone(entry),
@@ -462,8 +463,8 @@
     }
 }
 
-fn fixed_penalty_ms(instance: &Instance, random: u64) -> u64 {
-    let cold_ms = if instance.listed.cold {
+fn fixed_penalty_ms(instance: &Instance, now_ms: u64, random: u64) -> u64 {
+    let cold_ms = if instance.cold.is_cold(now_ms) {
         COLD_PENALTY_MS
     } else {
         0
--- a/src/domain/fleet/hub/mod.rs
+++ b/src/domain/fleet/hub/mod.rs
@@ -1,6 +1,7 @@
 //! Aggregates the platform's list, the reports of sidecars and the loads of entries. The leader of
 //! the control instances holds the hub.
 
+mod cold;
 mod limits;
 mod placement;
 
@@ -9,6 +10,7 @@
 use std::sync::Arc;
 
 use super::announced::Announcements;
+use super::cold::ColdInstances;
 use super::departures::{Departure, Departures};
 use super::entries::{Entries, SentSubset};
 use super::limiters::Limiters;
@@ -55,7 +57,8 @@
     announcements: Announcements,
     /// Instances that have announced their shutdown, whatever the platform lists.
     departures: Departures,
-    /// Limits on the requests of all entries to instances that name one.
+    cold: ColdInstances,
+    /// Limits on the requests of all entries to instances that name one or are cold.
     limiters: Limiters,
     starts: SidecarStarts,
     /// The list that entries are sent: the platform's list and the engines that it does not show
@@ -88,7 +91,8 @@
     }
 
     /// Replaces the platform's list. Returns the changes to the list that entries are sent.
-    pub fn list(&mut self, listed: Vec<Listed>, now_ms: u64) -> Vec<ListChange> {
+    pub fn list(&mut self, mut listed: Vec<Listed>, now_ms: u64) -> Vec<ListChange> {
+        self.cold.take_from_list(&mut listed, now_ms);
         self.listed_ms = Some(now_ms);
         self.platform = listed;
         self.merge(now_ms)
@@ -112,9 +116,17 @@
     }
 
     /// Adds an engine that its sidecar has identified. Returns the resulting changes.
-    pub fn announce(&mut self, engine: Listed, now_ms: u64) -> Vec<ListChange> {
+    pub fn announce(&mut self, mut engine: Listed, now_ms: u64) -> Vec<ListChange> {
+        let cold = (Arc::clone(&engine.identity), Arc::clone(&engine.service));
+        let remaining_ms = std::mem::take(&mut engine.cold_remaining_ms);
+        // Each report repeats the announcement, so only the first one tells of the start.
         match self.announcements.announce(engine, &self.platform, now_ms) {
-            true => self.merge(now_ms),
+            true => {
+                let (identity, service) = cold;
+                let until_ms = self.cold.rules.until_ms(&service, remaining_ms, now_ms);
+                self.cold.extend(&identity, until_ms, now_ms);
+                self.merge(now_ms)
+            }
             false => Vec::new(),
         }
     }
@@ -165,9 +177,13 @@
         listed.sort_by(|a, b| a.identity.cmp(&b.identity));
         listed.dedup_by(|a, b| a.identity == b.identity);
         let before = std::mem::replace(&mut self.listed, listed);
+        let newly_cold = self.update_cold_limits(now_ms);
         let previous = |new: &Listed| find(&before, &new.identity);
-        let updated = self.listed.iter().filter(|new| previous(new) != Some(*new));
-        let mut changes: Vec<ListChange> = updated.cloned().map(ListChange::Listed).collect();
+        let is_updated =
+            |new: &&Listed| previous(new) != Some(*new) || newly_cold.contains(&new.identity);
+        let updated = self.listed.iter().filter(is_updated);
+        let updated = updated.map(|new| self.cold.with_remaining(new, now_ms));
+        let mut changes: Vec<ListChange> = updated.map(ListChange::Listed).collect();
         let gone = before
             .iter()
             .filter(|old| find(&self.listed, &old.identity).is_none());
@@ -178,7 +194,7 @@
             }
             if let ListChange::Listed(new) = change {
                 self.limiters
-                    .forget_earlier_starts(&new.identity, new.born_ms);
+                    .forget_earlier_starts(&new.identity, new.born_ms, now_ms);
                 self.rings.insert(new);
             }
         }
@@ -348,7 +364,8 @@
         match changes {
             Some(changes) => {
                 let listed = changes.listed.iter().filter_map(|id| self.find(id));
-                update.listed = listed.cloned().collect();
+                let listed = listed.map(|listed| self.cold.with_remaining(listed, now_ms));
+                update.listed = listed.collect();
                 let updates = changes.loads.iter();
                 let updates =
                     updates.filter_map(|identity| self.instance_update(entry, identity, now_ms));
@@ -362,7 +379,8 @@
                     .listed
                     .iter()
                     .filter(|listed| is_sent(&listed.identity));
-                update.listed = listed.cloned().collect();
+                let listed = listed.map(|listed| self.cold.with_remaining(listed, now_ms));
+                update.listed = listed.collect();
                 update.pulses = self.instance_updates_of(entry, &update.listed, now_ms);
                 if update.is_subset {
                     update.gone = self.own_gone(entry);
--- a/src/domain/fleet/instance.rs
+++ b/src/domain/fleet/instance.rs
@@ -4,7 +4,8 @@
 // exactly.
 #![allow(clippy::cast_precision_loss)]
 
-use super::local_share::{EntryShare, LocalUse};
+use super::cold::ColdState;
+use super::local_share::{EntryShare, LocalUse, NAMED_LIMIT_PERCENT};
 use super::pause::Pause;
 use super::request_limit::{KnownLimit, LimitChange};
 use super::{Listed, ListedState, Report};
@@ -104,6 +105,8 @@
     pub(super) pause: Pause,
     /// The request rate that the instance names for all machines together.
     pub(super) limit: KnownLimit,
+    /// The cold time of the instance.
+    pub(super) cold: ColdState,
     /// The hub grants no request to the instance before this time, because of its limit.
     pub(super) at_limit_until_ms: u64,
     /// Requests that were sent within the limit without the hub.
@@ -130,6 +133,7 @@
             avoid_until_ms: 0,
             pause: Pause::default(),
             limit: KnownLimit::default(),
+            cold: ColdState::default(),
             at_limit_until_ms: 0,
             local_use: LocalUse::default(),
             failures_in_row: 0,
@@ -205,6 +209,7 @@
             prefill_tokens: self.prefill_tokens,
             pause: self.pause,
             limit: self.limit,
+            cold: self.cold,
             at_limit_until_ms: self.at_limit_until_ms,
             local_use: self.local_use,
             ..Self::new(self.listed.clone())
@@ -233,12 +238,28 @@
         self.limit.milli_per_s().is_some()
     }
 
+    /// Returns true if the instance has a limit or is cold, and the entry should ask the hub before
+    /// it sends a request.
+    pub(super) fn needs_permit(&self, now_ms: u64) -> bool {
+        self.is_limited() || self.cold.is_limited(now_ms)
+    }
+
     /// Returns true if this entry may send a request without the hub.
     pub(super) fn allows_without_hub(&self, share: EntryShare, now_ms: u64) -> bool {
-        self.limit.milli_per_s().is_none_or(|limit| {
-            let identity = &self.listed.identity;
-            self.local_use.allows(identity, limit, share, now_ms)
-        })
+        let identity = &self.listed.identity;
+        let is_within_limit = self.limit.milli_per_s().is_none_or(|limit| {
+            self.local_use
+                .allows(identity, limit, NAMED_LIMIT_PERCENT, share, now_ms)
+        });
+        is_within_limit && self.cold.allows_without_hub(identity, share, now_ms)
+    }
+
+    /// Counts a request that was sent without the hub.
+    pub(super) fn count_local(&mut self, now_ms: u64) {
+        if self.is_limited() {
+            self.local_use.count(now_ms);
+        }
+        self.cold.count_local(now_ms);
     }
 
     /// Returns a summary of what is known, for the log.
@@ -270,10 +291,11 @@
         self.is_open(now_ms) && self.avoid_until_ms <= now_ms
     }
 
-    /// Returns true if this entry sends no further request for now. After a pause its load rises in
-    /// steps.
+    /// Returns true if this entry sends no further request for now. After a pause or a cold time its
+    /// load rises in steps.
     pub(super) fn at_concurrency_limit(&self, now_ms: u64) -> bool {
         self.pause.at_concurrency_limit(self.running, now_ms)
+            || self.cold.at_concurrency_limit(self.running, now_ms)
     }
 
     pub(super) fn total_running(&self) -> u32 {
--- a/src/domain/fleet/limiters.rs
+++ b/src/domain/fleet/limiters.rs
@@ -3,13 +3,15 @@
 //! Limits are often below one request per second and entry, so a fixed share of each entry would
 //! leave most of a limit unused. Entries ask the hub before each request to such an instance
 //! instead. The load is low: a limit bounds the requests that are granted, and an entry that was
-//! refused considers other instances until the next one is possible.
+//! refused considers other instances until the next one is possible. Cold instances are limited in
+//! the same way.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use super::cold::ColdLimit;
 use super::request_limit::{KnownLimit, LimitChange, LimitNotice, LimitStatement};
 
 /// One request, in the unit of a bucket: a limit in thousandths of a request per second adds this
@@ -33,38 +35,46 @@
 /// Token bucket, which starts empty: the instance may just have received the requests of a full one
 /// from a previous hub.
 #[derive(Debug, Clone, Copy)]
-struct Bucket {
+pub(super) struct Bucket {
     level_micro: i64,
     filled_ms: u64,
+    /// The bucket holds the requests of this time at most, or one request.
+    burst_ms: u64,
 }
 
 impl Bucket {
-    fn empty(now_ms: u64) -> Self {
+    pub(super) fn empty(burst_ms: u64, now_ms: u64) -> Self {
         Self {
             level_micro: 0,
             filled_ms: now_ms,
+            burst_ms,
         }
     }
 
     fn level_micro(&self, limit_milli_per_s: u64, now_ms: u64) -> i64 {
         let elapsed_ms = now_ms.saturating_sub(self.filled_ms).min(MAX_FILL_MS);
         let added_micro = (limit_milli_per_s * elapsed_ms).cast_signed();
-        let capacity_micro = (limit_milli_per_s * BURST_MS).cast_signed();
+        let capacity_micro = (limit_milli_per_s * self.burst_ms).cast_signed();
         (self.level_micro + added_micro).min(capacity_micro.max(REQUEST_MICRO))
     }
 
-    fn take(&mut self, limit_milli_per_s: u64, now_ms: u64) {
+    pub(super) fn take(&mut self, limit_milli_per_s: u64, now_ms: u64) {
         self.fill(limit_milli_per_s, now_ms);
         self.level_micro -= REQUEST_MICRO;
     }
 
-    fn fill(&mut self, limit_milli_per_s: u64, now_ms: u64) {
+    pub(super) fn fill(&mut self, limit_milli_per_s: u64, now_ms: u64) {
         self.level_micro = self.level_micro(limit_milli_per_s, now_ms);
         self.filled_ms = now_ms;
     }
 
     /// Returns the time until a request is possible that may take `credit_micro` in advance.
-    fn ready_in_ms(&self, credit_micro: i64, limit_milli_per_s: u64, now_ms: u64) -> u64 {
+    pub(super) fn ready_in_ms(
+        &self,
+        credit_micro: i64,
+        limit_milli_per_s: u64,
+        now_ms: u64,
+    ) -> u64 {
         let level_micro = self.level_micro(limit_milli_per_s, now_ms);
         (REQUEST_MICRO - credit_micro - level_micro)
             .max(0)
@@ -79,6 +89,8 @@
     born_ms: Option<u64>,
     known: KnownLimit,
     bucket: Bucket,
+    /// The limit while the instance is cold; `None` if it was never cold.
+    cold: Option<ColdLimit>,
     /// The latest time at which a refused caller was told to return.
     promised_ms: u64,
     expires_ms: u64,
@@ -89,7 +101,8 @@
         Self {
             born_ms,
             known: KnownLimit::default(),
-            bucket: Bucket::empty(now_ms),
+            bucket: Bucket::empty(BURST_MS, now_ms),
+            cold: None,
             promised_ms: 0,
             expires_ms: now_ms + UNLISTED_TTL_MS,
         }
@@ -102,26 +115,51 @@
         if let LimitChange::Named { .. } = change {
             match before {
                 Some(before_milli_per_s) => self.bucket.fill(before_milli_per_s, now_ms),
-                None => self.bucket = Bucket::empty(now_ms),
+                None => self.bucket = Bucket::empty(BURST_MS, now_ms),
             }
         }
         change
     }
 
+    /// Replaces this limiter by one for a later start. The limit of a cold instance remains: its
+    /// requests of the last second still count.
+    fn restart(&mut self, born_ms: Option<u64>, now_ms: u64) {
+        let cold = self.cold;
+        *self = Self {
+            cold,
+            ..Self::new(born_ms, now_ms)
+        };
+    }
+
     /// Returns the time until a request is possible that may take `credit_micro` in advance; 0
     /// without a limit.
     fn ready_in_ms(&self, credit_micro: i64, now_ms: u64) -> u64 {
-        let limit = self.known.milli_per_s();
-        limit.map_or(0, |limit| {
+        let named_ms = self.known.milli_per_s().map_or(0, |limit| {
             self.bucket.ready_in_ms(credit_micro, limit, now_ms)
-        })
+        });
+        let cold_ms = self
+            .cold
+            .map_or(0, |cold| cold.ready_in_ms(credit_micro, now_ms));
+        named_ms.max(cold_ms)
+    }
+
+    /// Counts a request within all limits in force.
+    fn take(&mut self, now_ms: u64) {
+        if let Some(limit) = self.known.milli_per_s() {
+            self.bucket.take(limit, now_ms);
+        }
+        if let Some(cold) = &mut self.cold {
+            cold.take(now_ms);
+        }
     }
 
     /// Returns when the next refused caller should return: one after the other, at the rate of the
     /// limit.
     fn next_return_ms(&self, now_ms: u64) -> u64 {
         let ready_ms = now_ms + self.ready_in_ms(0, now_ms);
-        let step_ms = match self.known.milli_per_s() {
+        let cold = self.cold.and_then(|cold| cold.milli_per_s(now_ms));
+        let lowest = self.known.milli_per_s().into_iter().chain(cold).min();
+        let step_ms = match lowest {
             Some(limit) => REQUEST_MICRO.unsigned_abs().div_ceil(limit),
             None => 0,
         };
@@ -149,7 +187,7 @@
     pub return_in_ms: u64,
 }
 
-/// The limits of all instances that have named one.
+/// The limits of all instances that have named one or are cold.
 #[derive(Debug, Default)]
 pub(super) struct Limiters(BTreeMap<Arc<str>, Limiter>);
 
@@ -168,20 +206,55 @@
             return LimitChange::Unchanged;
         }
         if limiter.born_ms.is_some() && limiter.born_ms < notice.born_ms {
-            *limiter = Limiter::new(notice.born_ms, now_ms);
+            limiter.restart(notice.born_ms, now_ms);
         }
         limiter.born_ms = notice.born_ms.or(limiter.born_ms);
         limiter.hear(statement, now_ms)
     }
 
     /// Discards the statements of starts before `born_ms`.
-    pub(super) fn forget_earlier_starts(&mut self, identity: &str, born_ms: Option<u64>) {
-        let known = self.0.get(identity);
-        if known.is_some_and(|limiter| limiter.born_ms.is_some() && limiter.born_ms < born_ms) {
-            self.0.remove(identity);
+    pub(super) fn forget_earlier_starts(
+        &mut self,
+        identity: &str,
+        born_ms: Option<u64>,
+        now_ms: u64,
+    ) {
+        if let Some(limiter) = self.0.get_mut(identity)
+            && limiter.born_ms.is_some()
+            && limiter.born_ms < born_ms
+        {
+            limiter.restart(born_ms, now_ms);
         }
     }
 
+    /// Limits the requests to an instance that is cold until `until_ms`. `None` for
+    /// `limit_milli_per_s` ends the limit.
+    pub(super) fn set_cold(
+        &mut self,
+        identity: &Arc<str>,
+        until_ms: u64,
+        limit_milli_per_s: Option<u64>,
+        now_ms: u64,
+    ) {
+        let limiter = self.0.entry(Arc::clone(identity));
+        let Some(limit_milli_per_s) = limit_milli_per_s else {
+            limiter.and_modify(|limiter| limiter.cold = None);
+            return;
+        };
+        let limiter = limiter.or_insert_with(|| Limiter::new(None, now_ms));
+        limiter.expires_ms = limiter.expires_ms.max(until_ms);
+        match &mut limiter.cold {
+            Some(cold) => cold.update(until_ms, limit_milli_per_s, now_ms),
+            None => limiter.cold = Some(ColdLimit::new(until_ms, limit_milli_per_s, now_ms)),
+        }
+    }
+
+    /// Returns true if an instance takes no request now because it is cold.
+    pub(super) fn is_at_cold_limit(&self, identity: &str, now_ms: u64) -> bool {
+        let cold = self.0.get(identity).and_then(|limiter| limiter.cold);
+        cold.is_some_and(|cold| cold.ready_in_ms(0, now_ms) > 0)
+    }
+
     /// Discards expired statements of instances that are not listed.
     pub(super) fn expire(&mut self, is_listed: impl Fn(&str) -> bool, now_ms: u64) {
         self.0
@@ -205,10 +278,8 @@
 
     /// Counts a request to an instance.
     pub(super) fn take(&mut self, identity: &str, now_ms: u64) {
-        if let Some(limiter) = self.0.get_mut(identity)
-            && let Some(limit) = limiter.known.milli_per_s()
-        {
-            limiter.bucket.take(limit, now_ms);
+        if let Some(limiter) = self.0.get_mut(identity) {
+            limiter.take(now_ms);
         }
     }
 
--- a/src/domain/fleet/local_share.rs
+++ b/src/domain/fleet/local_share.rs
@@ -10,8 +10,8 @@
 
 /// Requests are allotted for periods of this length.
 const PERIOD_MS: u64 = 1_000;
-/// Percentage of the limit that entries use without the hub.
-const USED_PERCENT: u64 = 50;
+/// Percentage of a named limit that all entries together use without the hub.
+pub(super) const NAMED_LIMIT_PERCENT: u64 = 50;
 const REQUEST_MICRO: u64 = 1_000_000;
 
 /// This entry's place among the entries.
@@ -31,11 +31,13 @@
 }
 
 impl LocalUse {
-    /// Returns true if the entry may send another request to an instance in this period.
+    /// Returns true if the entry may send another request to an instance in this period, if all
+    /// entries together use `used_percent` of the limit.
     pub(super) fn allows(
         &self,
         identity: &str,
         limit_milli_per_s: u64,
+        used_percent: u64,
         share: EntryShare,
         now_ms: u64,
     ) -> bool {
@@ -45,7 +47,7 @@
             false => 0,
         };
         let part_micro =
-            limit_milli_per_s * PERIOD_MS * USED_PERCENT / 100 / u64::from(share.entries.max(1));
+            limit_milli_per_s * PERIOD_MS * used_percent / 100 / u64::from(share.entries.max(1));
         let lot = xxh3_64_with_seed(identity.as_bytes(), share.seed.wrapping_add(period));
         let is_drawn = lot % REQUEST_MICRO < part_micro % REQUEST_MICRO;
         sent < part_micro / REQUEST_MICRO + u64::from(is_drawn)
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod address_owner;
 mod announced;
 mod choice;
+mod cold;
 mod copy_schedule;
 mod departures;
 mod entries;
@@ -33,6 +34,7 @@
 
 pub use address_owner::AddressOwner;
 pub use choice::{ChosenInstance, Demand, EngineQuery, PlainCandidates};
+pub use cold::{ColdRule, ColdRules};
 pub use copy_schedule::{CopyPlan, CopySchedule, Target, Turn, sort_by_worth};
 pub use departures::Departure;
 pub use hub::{Hub, ListChange};
@@ -65,8 +67,9 @@
     pub zone: ZoneName,
     pub slots: u32,
     pub state: ListedState,
-    /// True while the instance is slow after its start.
-    pub cold: bool,
+    /// How long the instance stays cold: slow and easily overloaded, after its start. 0 if it is not
+    /// cold.
+    pub cold_remaining_ms: u64,
     /// When the instance started, in Unix time; `None` if it does not report that. Distinguishes
     /// starts that keep the identity.
     pub born_ms: Option<u64>,
--- a/src/domain/fleet/pause.rs
+++ b/src/domain/fleet/pause.rs
@@ -63,10 +63,14 @@
         };
         match now_ms.checked_sub(until_ms) {
             None => true,
-            Some(elapsed_ms) => {
-                let steps = elapsed_ms / RAMP_STEP_MS;
-                steps < RAMP_STEPS && running >= 1 << steps
-            }
+            Some(elapsed_ms) => is_over_ramp(elapsed_ms, running),
         }
     }
 }
+
+/// Returns true if an entry with `running` open requests at an instance must not send another one
+/// `elapsed_ms` after the instance has become available again.
+pub(super) fn is_over_ramp(elapsed_ms: u64, running: u32) -> bool {
+    let steps = elapsed_ms / RAMP_STEP_MS;
+    steps < RAMP_STEPS && running >= 1 << steps
+}
--- a/src/domain/fleet/view/limits.rs
+++ b/src/domain/fleet/view/limits.rs
@@ -76,6 +76,13 @@
         instance.is_some_and(Instance::is_limited)
     }
 
+    /// Returns true if requests to an instance need the hub's permit: it has a request limit or is
+    /// cold.
+    pub fn needs_permit(&self, identity: &str, now_ms: u64) -> bool {
+        let instance = self.instances.get(identity);
+        instance.is_some_and(|instance| instance.needs_permit(now_ms))
+    }
+
     /// Grants a request to the first of some instances whose limit allows one without the hub.
     /// Returns its index.
     pub fn take_local_permit(&mut self, instances: &[Arc<str>], now_ms: u64) -> Option<usize> {
@@ -84,8 +91,8 @@
             let instance = self.instances.get_mut(identity);
             instance.is_some_and(|instance| {
                 let is_granted = instance.allows_without_hub(share, now_ms);
-                if is_granted && instance.is_limited() {
-                    instance.local_use.count(now_ms);
+                if is_granted {
+                    instance.count_local(now_ms);
                 }
                 is_granted
             })
@@ -93,7 +100,7 @@
     }
 
     /// Chooses an engine without the hub, like [`View::choose_engine`], and counts the request if the
-    /// engine has a limit.
+    /// engine has a limit or is cold.
     pub fn take_engine(&mut self, query: &EngineQuery<'_>) -> Option<ChosenInstance> {
         let chosen = self.choose_engine(query)?;
         self.take_local_permit(std::slice::from_ref(&chosen.identity), query.now_ms)?;
--- a/src/domain/fleet/view/mod.rs
+++ b/src/domain/fleet/view/mod.rs
@@ -1,10 +1,12 @@
 //! An entry's view of the fleet.
 
+mod cold;
 mod limits;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use super::cold::ColdRules;
 use super::departures::{Departure, Departures};
 use super::instance::{HubUpdate, Instance, InstanceSummary, Leaving, Outcome, Reachability};
 use super::local_share::EntryShare;
@@ -33,6 +35,7 @@
     position: Option<Position>,
     /// When the newest list was read from the platform.
     listed_ms: Option<u64>,
+    cold_rules: ColdRules,
     /// The part of request limits that this entry uses without the hub.
     pub(super) share: EntryShare,
 }
@@ -49,6 +52,7 @@
             departures: Departures::default(),
             position: None,
             listed_ms: None,
+            cold_rules: ColdRules::default(),
             share: EntryShare {
                 entries: 1,
                 seed: 0,
@@ -69,7 +73,7 @@
     /// Applies an update from a hub whose list was read at `read_ms`. Returns true if the list has
     /// changed or an instance has begun to leave. An outdated list from a different hub is ignored:
     /// a hub that has not led for a while still has its list from that time.
-    pub fn apply_update(&mut self, update: FleetUpdate, read_ms: u64, now_ms: u64) -> bool {
+    pub fn apply_update(&mut self, mut update: FleetUpdate, read_ms: u64, now_ms: u64) -> bool {
         let is_same_hub = self
             .position
             .is_some_and(|position| position.hub == update.position.hub);
@@ -87,6 +91,7 @@
                 self.dropped.extend(self.instances.keys().cloned());
             }
         }
+        let cold_ends = self.take_cold_ends(&mut update.listed, now_ms);
         let has_removals = !update.gone.is_empty() || !update.dropped.is_empty();
         let list_changed = update.whole || !update.listed.is_empty() || has_removals;
         for identity in update.gone.iter().chain(&update.dropped) {
@@ -104,17 +109,20 @@
             let listed = self.received.values().cloned().collect();
             self.apply_list(listed, read_ms, now_ms);
         }
+        self.apply_cold_ends(cold_ends);
         self.position = Some(update.position);
         self.apply_instance_updates(update.pulses, now_ms) || list_changed
     }
 
     /// Replaces the list by one that was read from the platform at `read_ms`. An outdated one is
     /// ignored.
-    pub fn apply_platform_list(&mut self, listed: Vec<Listed>, read_ms: u64, now_ms: u64) {
+    pub fn apply_platform_list(&mut self, mut listed: Vec<Listed>, read_ms: u64, now_ms: u64) {
         if !self.is_outdated(read_ms) {
             self.position = None;
             self.dropped.clear();
+            let cold_ends = self.take_cold_ends(&mut listed, now_ms);
             self.apply_list(listed, read_ms, now_ms);
+            self.apply_cold_ends(cold_ends);
         }
     }
 
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -205,20 +205,31 @@
     }
 }
 
+/// What a replica states about itself in a health check.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    pub identity: Arc<str>,
+    /// How long the replica stays cold; `None` if it does not say.
+    pub cold_remaining_ms: Option<u64>,
+}
+
 /// Returns the identity of the replica at `address`, from its health check. Fails if the replica is
 /// unhealthy or about to leave.
 pub async fn read_identity(
     address: SocketAddr,
     health_path: &str,
     limit: Duration,
-) -> Result<Arc<str>, CallFailure> {
+) -> Result<Identity, CallFailure> {
     let response = call(address, Method::GET, health_path, String::new(), limit).await?;
     if headers::announces_shutdown(response.headers()) {
         return Err(CallFailure::Failed(format!("{address} is leaving")));
     }
     let identity = response.headers().get(headers::INSTANCE_ID);
     match identity.map(|value| value.to_str()) {
-        Some(Ok(identity)) if !identity.is_empty() => Ok(identity.into()),
+        Some(Ok(identity)) if !identity.is_empty() => Ok(Identity {
+            identity: identity.into(),
+            cold_remaining_ms: headers::cold_remaining_ms(response.headers()),
+        }),
         _ => Err(CallFailure::Failed(format!(
             "{address}{health_path}: the response names no instance"
         ))),
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -11,6 +11,12 @@
 use crate::findings::Findings;
 use crate::model::WorkspaceName;
 
+/// Bounds on what the document states about cold instances, so that times and rates can be added and
+/// multiplied.
+const MAX_COLD_START_MS: u64 = 3_600_000;
+const MIN_COLD_LIMIT_MILLI_PER_S: u64 = 100;
+const MAX_COLD_LIMIT_MILLI_PER_S: u64 = 1_000_000_000;
+
 /// The document as it is sent. Error messages to operators contain the names of these types.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -66,6 +72,11 @@
     health_check_path: Option<Arc<str>>,
     #[serde(default)]
     engine: Option<WireEngine>,
+    #[serde(default)]
+    cold_start_s: f64,
+    /// 0 means no limit.
+    #[serde(default)]
+    cold_per_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -192,7 +203,12 @@
 }
 
 fn decode_service(wire: WireService) -> Service {
+    let cold_limit = to_integer(wire.cold_per_s * 1_000.0).min(MAX_COLD_LIMIT_MILLI_PER_S);
     Service {
+        cold_start_ms: to_integer(wire.cold_start_s * 1_000.0).min(MAX_COLD_START_MS),
+        // A limit below a request in ten seconds would take an instance out of service.
+        cold_limit_milli_per_s: (wire.cold_per_s > 0.0)
+            .then_some(cold_limit.max(MIN_COLD_LIMIT_MILLI_PER_S)),
         name: wire.name,
         max_connections: wire.max_connections.unwrap_or(u32::MAX),
         health_path: wire.health_check_path,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -46,6 +46,8 @@
 /// Requests per second that the replica takes from all machines together; it may be set on any
 /// response.
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// Milliseconds for which the replica stays cold, in its health responses.
+const COLD: HeaderName = HeaderName::from_static("x-lilacspindle-cold-milliseconds");
 const HOLD: HeaderName = HeaderName::from_static("x-lilacspindle-hold");
 const PIN: HeaderName = HeaderName::from_static("x-lilacspindle-pin-milliseconds");
 const FETCH: HeaderName = HeaderName::from_static("kv-fetch");
@@ -226,6 +228,18 @@
     }
 }
 
+/// Returns for how many milliseconds the replica stays cold; `None` if it does not say or the value
+/// cannot be parsed. The highest of several values counts.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub fn cold_remaining_ms(response: &HeaderMap) -> Option<u64> {
+    let values = response.get_all(COLD).iter();
+    let parsed = values.filter_map(|value| {
+        let remaining_ms: f64 = value.to_str().ok()?.trim().parse().ok()?;
+        (remaining_ms >= 0.0).then(|| remaining_ms.ceil() as u64)
+    });
+    parsed.max()
+}
+
 /// Converts a decimal number of requests per second to thousandths of a request per second, rounded
 /// down.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/src/platform/instances.rs
+++ b/src/platform/instances.rs
@@ -106,7 +106,13 @@
         zone: ZoneName(entry.zone),
         slots: entry.slots,
         state,
-        cold: entry.cold_remaining_ms > 0.0,
+        cold_remaining_ms: rounded_up(entry.cold_remaining_ms),
         born_ms: entry.born,
     })
 }
+
+/// Rounds a time up to milliseconds; negative numbers give 0. The conversion bounds large numbers.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn rounded_up(ms: f64) -> u64 {
+    ms.max(0.0).ceil() as u64
+}
--- a/src/platform/standin/list.rs
+++ b/src/platform/standin/list.rs
@@ -33,6 +33,6 @@
         "identifier": instance.identity, "service": instance.service,
         "address": instance.address.to_string(), "zone": instance.zone.as_str(),
         "version": VERSION, "slots": instance.slots, "state": state,
-        "coldRemainingMs": u32::from(instance.cold),
+        "coldRemainingMs": instance.cold_remaining_ms,
     })
 }
--- a/src/roles/directory/limits.rs
+++ b/src/roles/directory/limits.rs
@@ -45,7 +45,8 @@
 
     /// Decides whether a request may be sent to an instance with a limit.
     pub(super) fn permit(self: &Arc<Self>, request: &PermitRequest) -> PermitReply {
-        if !self.leads() {
+        // A hub without the platform's list does not know which instances are cold.
+        if !self.leads() || self.with_hub(|hub| hub.position().is_none()) {
             return PermitReply::NotLeader;
         }
         self.record_limits(&request.candidates);
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -22,7 +22,7 @@
 use crate::adapters::disk::{DiskError, FileOps};
 use crate::call_handler;
 use crate::domain::fleet::{
-    CopySchedule, Departure, Hub, ListChange, Listed, ListedState, Position, WakeLimiter,
+    ColdRules, CopySchedule, Departure, Hub, ListChange, Listed, ListedState, Position, WakeLimiter,
 };
 use crate::domain::log::{Options, RoleName};
 use crate::domain::quarantine::{CrashEvidence, RequestEvidence};
@@ -57,6 +57,9 @@
 const LIST_READ_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between checks whether to read the list, until it has been read once.
 const FIRST_LIST_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// An engine whose cold time is not known counts as cold for this long after it was announced. The
+/// list then shows it.
+const UNLISTED_COLD_MS: u64 = 1_000;
 /// List changes are logged one by one up to this number: the first list of a large fleet has
 /// thousands of them.
 const MAX_LOGGED_CHANGES: usize = 256;
@@ -277,6 +280,10 @@
         let service = document.services.iter().find(|known| known.name == name)?;
         let (address, is_identifying) = (request.address, request.is_identifying);
         self.with_hub(|hub| hub.hear_sidecar(address, is_identifying, monotonic_ms()));
+        let assumed_cold_ms = match service.cold_start_ms {
+            0 => UNLISTED_COLD_MS,
+            start_ms => start_ms,
+        };
         if let (Some(identity), Some(engine)) = (request.identity, service.engine) {
             let engine = Listed {
                 identity,
@@ -286,7 +293,7 @@
                 slots: engine.slots,
                 state: ListedState::Ready,
                 // An engine that the list does not show yet has just started.
-                cold: true,
+                cold_remaining_ms: request.cold_remaining_ms.unwrap_or(assumed_cold_ms),
                 born_ms: request.report.born_ms,
             };
             let changes = self.with_hub(|hub| hub.announce(engine, monotonic_ms()));
@@ -413,8 +420,11 @@
                     if std::mem::take(&mut is_failing) {
                         tracing::info!(%address, "the platform's list is reachable again");
                     }
+                    let document = self.machine.document();
+                    let rules = document.map(|document| ColdRules::from(&*document));
                     let changes = self.with_hub(|hub| {
                         let now_ms = monotonic_ms();
+                        hub.set_cold_rules(rules.unwrap_or_default(), now_ms);
                         if hub.position().is_none() {
                             hub.expect_reports(now_ms);
                         }
@@ -446,7 +456,7 @@
             address = %listed.address,
             zone = &*listed.zone.0,
             state = ?listed.state,
-            cold = listed.cold,
+            cold_remaining_ms = listed.cold_remaining_ms,
             born_ms = listed.born_ms,
             "instance added to the list, or changed"
         ),
--- a/src/roles/gateway/metrics.rs
+++ b/src/roles/gateway/metrics.rs
@@ -25,6 +25,8 @@
     pub(super) document_version: prometheus::IntGauge,
     pub(super) sync_failures: IntCounter,
     pub(super) local_placements: IntCounter,
+    pub(super) cold_instances: prometheus::IntGauge,
+    pub(super) cold_held_back: IntCounter,
 }
 
 impl Metrics {
@@ -99,8 +101,18 @@
                 "Generations placed by the entry's own view, without control.",
             )
             .expect("constant options are valid"),
+            cold_instances: prometheus::IntGauge::new(
+                "lilac_gateway_cold_instances",
+                "Instances that are cold, as this entry knows them.",
+            )
+            .expect("constant options are valid"),
+            cold_held_back: IntCounter::new(
+                "lilac_gateway_cold_held_back_total",
+                "Requests that were not sent to a cold instance because of its limit.",
+            )
+            .expect("constant options are valid"),
         };
-        let all: [Box<dyn prometheus::core::Collector>; 13] = [
+        let all: [Box<dyn prometheus::core::Collector>; 15] = [
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
             Box::new(metrics.moves.clone()),
@@ -114,6 +126,8 @@
             Box::new(metrics.document_version.clone()),
             Box::new(metrics.sync_failures.clone()),
             Box::new(metrics.local_placements.clone()),
+            Box::new(metrics.cold_instances.clone()),
+            Box::new(metrics.cold_held_back.clone()),
         ];
         for collector in all {
             // Fails if a test starts a second gateway in the process; the metrics of the first one
--- a/src/roles/gateway/permits.rs
+++ b/src/roles/gateway/permits.rs
@@ -52,6 +52,13 @@
             .map(|instance| Arc::clone(&instance.identity))
             .collect();
         let result = self.request_permit(request_id, &identities, false).await;
+        if matches!(result, PermitResult::Refused { .. }) {
+            let now_ms = monotonic_ms();
+            let is_cold = |identity| self.with_view(|view| view.is_cold_limited(identity, now_ms));
+            if identities.iter().any(|identity| is_cold(identity)) {
+                self.metrics.cold_held_back.inc();
+            }
+        }
         match (result, candidates.unlimited) {
             (PermitResult::Granted(at), _) => Ok(limited.swap_remove(at)),
             (PermitResult::Refused { .. }, Some(unlimited)) => Ok(unlimited),
@@ -70,7 +77,7 @@
         limit: Duration,
     ) -> bool {
         let deadline = Instant::now() + limit;
-        while self.with_view(|view| view.is_limited(&engine.identity)) {
+        while self.with_view(|view| view.needs_permit(&engine.identity, monotonic_ms())) {
             let engine = std::slice::from_ref(&engine.identity);
             match self.request_permit(request_id, engine, true).await {
                 PermitResult::Granted(_) => return true,
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -13,7 +13,7 @@
 use super::Gateway;
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::document::Index;
-use crate::domain::fleet::ListReads;
+use crate::domain::fleet::{ColdRules, ListReads};
 use crate::domain::quarantine::{PartNotices, PartWatch, RequestNotices};
 use crate::platform::{self, decode_document};
 use crate::roles::site::ControlSelector;
@@ -225,6 +225,10 @@
         let fleet_changed = reply.fleet.is_some_and(|update| {
             self.with_view(|view| view.apply_update(update, read_ms, now_ms))
         });
+        let cold = self.with_view(|view| view.cold_instances(now_ms));
+        self.metrics
+            .cold_instances
+            .set(i64::try_from(cold).unwrap_or(i64::MAX));
         self.capacity_changes.notify_waiters();
         if fleet_changed {
             self.departure_changes.send_modify(|count| *count += 1);
@@ -240,6 +244,7 @@
                 return;
             }
         };
+        let cold_rules = ColdRules::from(&document);
         let index = Arc::new(Index::new(document));
         let changed = self.index.send_if_modified(|held| {
             let newer = held
@@ -251,6 +256,7 @@
             newer
         });
         if changed {
+            self.with_view(|view| view.set_cold_rules(cold_rules));
             let version = index.version();
             self.metrics
                 .document_version
--- a/src/roles/reporter/mod.rs
+++ b/src/roles/reporter/mod.rs
@@ -49,6 +49,8 @@
     may_be_owned: bool,
     /// The request limit that the engine names in its reports.
     limit: KnownLimit,
+    /// The end of the engine's cold time; `None` if its health check does not state it.
+    cold_until_ms: Option<u64>,
 }
 
 impl EngineRun {
@@ -62,6 +64,7 @@
             identity: None,
             identify_attempts: 0,
             limit: KnownLimit::default(),
+            cold_until_ms: None,
         }
     }
 
@@ -94,9 +97,11 @@
         }
         self.identify_attempts += 1;
         match read_identity(engine, health_path, IDENTIFY_TIMEOUT).await {
-            Ok(identity) => {
-                self.is_owned |= owner.owns(&identity);
-                self.identity = Some(identity);
+            Ok(read) => {
+                self.is_owned |= owner.owns(&read.identity);
+                self.identity = Some(read.identity);
+                let remaining_ms = read.cold_remaining_ms;
+                self.cold_until_ms = remaining_ms.map(|ms| monotonic_ms().saturating_add(ms));
             }
             Err(error) => {
                 tracing::info!(%engine, %error, "cannot read the identity of the engine");
@@ -108,6 +113,12 @@
         !self.is_identifying()
     }
 
+    /// Returns how long the engine stays cold; `None` if it does not say.
+    fn cold_remaining_ms(&self) -> Option<u64> {
+        let until_ms = self.cold_until_ms?;
+        Some(until_ms.saturating_sub(monotonic_ms()))
+    }
+
     /// Returns the identity to announce.
     fn announced(&self) -> Option<&Arc<str>> {
         self.identity.as_ref().filter(|_| self.is_owned)
@@ -162,7 +173,8 @@
                     && run.identify(engine, path, &owner).await
                 {
                     tracing::info!(%engine, identity = run.identity.as_deref(),
-                        is_owned = run.is_owned, after_ms = run.first_seen.elapsed().as_millis(),
+                        is_owned = run.is_owned, cold_remaining_ms = run.cold_remaining_ms(),
+                        after_ms = run.first_seen.elapsed().as_millis(),
                         "engine identified, or no further attempts to identify it");
                     last_sent = None;
                 }
@@ -187,6 +199,7 @@
                     identity: run.announced().cloned(),
                     is_identifying: run.is_identifying(),
                     limit: run.limit.statement(monotonic_ms()),
+                    cold_remaining_ms: run.cold_remaining_ms(),
                 };
                 let knew_path = health_path.is_some();
                 if is_due && send_report(&mut selector, request, &mut health_path).await {
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -84,6 +84,9 @@
     /// What the engine has stated about its request limit in reports; `None` if it never named one
     /// there.
     pub limit: Option<LimitStatement>,
+    /// How long the engine stays cold, from its health check; `None` if it was not read or does not
+    /// say.
+    pub cold_remaining_ms: Option<u64>,
 }
 
 /// The answer to a report.
--- a/src/soak/operator/drafts.rs
+++ b/src/soak/operator/drafts.rs
@@ -265,6 +265,8 @@
                 .engines
                 .contains(name)
                 .then_some(self.catalog.engine),
+            cold_start_ms: 0,
+            cold_limit_milli_per_s: None,
         });
         let workspaces = self.workspaces.iter().map(|(name, keys)| Workspace {
             name: WorkspaceName(Arc::clone(name)),
--- a/src/soak/platform.rs
+++ b/src/soak/platform.rs
@@ -78,7 +78,7 @@
             zone: ZoneName(format!("z{}", Plan::zone(machine)).into()),
             slots,
             state: ListedState::Ready,
-            cold: false,
+            cold_remaining_ms: 0,
             born_ms: None,
         };
         lock(&self.listed).push(ListEntry {
--- a/tests/fleet_hub.rs
+++ b/tests/fleet_hub.rs
@@ -63,7 +63,7 @@
 fn announced(number: u8, identity: &str) -> Listed {
     Listed {
         identity: identity.into(),
-        cold: true,
+        cold_remaining_ms: 1_000,
         ..listed(number, "a")
     }
 }
@@ -97,7 +97,7 @@
     // From then on only the list counts, also when it no longer shows the engine.
     hub.list(vec![listed(1, "a"), listed(2, "a")], 900);
     assert_eq!(identities(&hub), ["i-1", "i-2"]);
-    assert!(!hub.listed()[1].cold);
+    assert_eq!(hub.cold_instances(900), 0);
     hub.announce(engine, 1_000);
     hub.list(vec![listed(1, "a")], 1_100);
     assert_eq!(identities(&hub), ["i-1"]);
--- a/tests/fleet_subset.rs
+++ b/tests/fleet_subset.rs
@@ -29,7 +29,7 @@
         zone: zone(number),
         slots: 24,
         state: ListedState::Ready,
-        cold: false,
+        cold_remaining_ms: 0,
         born_ms: None,
     }
 }
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -40,7 +40,7 @@
         zone: ZoneName::from(zone),
         slots: 24,
         state: ListedState::Ready,
-        cold: false,
+        cold_remaining_ms: 0,
         born_ms: None,
     }
 }
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -124,8 +124,8 @@
     assert_eq!(next.as_deref(), Some("p-50"));
     assert_eq!(listed.len(), 1);
     assert_eq!(
-        (listed[0].state, listed[0].cold),
-        (ListedState::Draining, true)
+        (listed[0].state, listed[0].cold_remaining_ms),
+        (ListedState::Draining, 13)
     );
     assert!(decode_instances(b"{\"instances\": 4}").is_err());
     let damaged = page.replace("nowhere", "10.0.0.9:80").into_bytes();
