Count cold instances and the requests that their limits hold back

Change: gauges of cold instances and counters of held back requests at the entries and at the hub. Generations that wait without the hub retry every 250 ms while instances of their service are cold, because the share of a cold limit is renewed without a change of capacity. coldStartS and coldPerS may be null, and a limit is at least one request in ten seconds.

--- a/src/domain/fleet/view/cold.rs
+++ b/src/domain/fleet/view/cold.rs
@@ -22,6 +22,12 @@
         instance.is_some_and(|instance| instance.cold.is_limited(now_ms))
     }
 
+    /// Returns true while requests to an instance of a service are limited because it is cold.
+    pub fn has_cold_limited(&self, service: &str, now_ms: u64) -> bool {
+        let mut members = self.members(service);
+        members.any(|instance| instance.cold.is_limited(now_ms))
+    }
+
     /// Returns the number of instances that are cold.
     pub fn cold_instances(&self, now_ms: u64) -> usize {
         let instances = self.instances.values();
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -73,10 +73,10 @@
     #[serde(default)]
     engine: Option<WireEngine>,
     #[serde(default)]
-    cold_start_s: f64,
+    cold_start_s: Option<f64>,
     /// 0 means no limit.
     #[serde(default)]
-    cold_per_s: f64,
+    cold_per_s: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -203,12 +203,15 @@
 }
 
 fn decode_service(wire: WireService) -> Service {
-    let cold_limit = to_integer(wire.cold_per_s * 1_000.0).min(MAX_COLD_LIMIT_MILLI_PER_S);
+    let cold_per_s = wire.cold_per_s.filter(|per_s| *per_s > 0.0);
+    let cold_start_s = wire.cold_start_s.unwrap_or_default();
     Service {
-        cold_start_ms: to_integer(wire.cold_start_s * 1_000.0).min(MAX_COLD_START_MS),
+        cold_start_ms: to_integer(cold_start_s * 1_000.0).min(MAX_COLD_START_MS),
         // A limit below a request in ten seconds would take an instance out of service.
-        cold_limit_milli_per_s: (wire.cold_per_s > 0.0)
-            .then_some(cold_limit.max(MIN_COLD_LIMIT_MILLI_PER_S)),
+        cold_limit_milli_per_s: cold_per_s.map(|per_s| {
+            to_integer(per_s * 1_000.0)
+                .clamp(MIN_COLD_LIMIT_MILLI_PER_S, MAX_COLD_LIMIT_MILLI_PER_S)
+        }),
         name: wire.name,
         max_connections: wire.max_connections.unwrap_or(u32::MAX),
         health_path: wire.health_check_path,
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -1,6 +1,7 @@
 //! The directory role: stores the shared document in a replicated log and, on the leader, collects
 //! the state of all instances and distributes it to entries.
 
+mod cold;
 mod limits;
 mod machine;
 mod observer;
@@ -75,6 +76,7 @@
     machine: Arc<Machine>,
     hub: Mutex<Hub>,
     waiting: Mutex<placement::WaitingPlacements>,
+    cold_metrics: cold::ColdMetrics,
     copy_schedule: Mutex<CopySchedule>,
     pending_turns: Mutex<Vec<turns::PendingTurn>>,
     crash_evidence: Mutex<CrashEvidence>,
@@ -126,6 +128,7 @@
             machine,
             hub: Mutex::new(Hub::new(rand::random())),
             waiting: Mutex::default(),
+            cold_metrics: cold::ColdMetrics::new(),
             copy_schedule: Mutex::default(),
             pending_turns: Mutex::default(),
             crash_evidence: Mutex::new(CrashEvidence::new(rand::random())),
@@ -431,6 +434,7 @@
                         hub.list(listed, now_ms)
                     });
                     self.publish_changes(&changes);
+                    self.count_cold_instances();
                 }
                 Err(error) => {
                     if !std::mem::replace(&mut is_failing, true) {
--- a/src/roles/directory/placement.rs
+++ b/src/roles/directory/placement.rs
@@ -105,6 +105,10 @@
         {
             return Err(PlaceReply::At(at));
         }
+        if request.hold_ms == 0 {
+            // An entry asks once without waiting, and then repeatedly.
+            self.count_held_back(&placement, now_ms);
+        }
         let at_limit = self.with_hub(|hub| hub.limits_reached(&placement, now_ms));
         if let Some(reached) = at_limit {
             return Err(PlaceReply::AtLimit {
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -99,9 +99,7 @@
             role.record_engine_limit(&request, statement);
         }
         if let Some(remaining_ms) = request.cold_remaining_ms {
-            let now_ms = monotonic_ms();
-            let changes = role.with_hub(|hub| hub.hear_cold(address, remaining_ms, now_ms));
-            role.publish_changes(&changes);
+            role.record_cold(address, remaining_ms);
         }
         let health_path = role.register_engine(request);
         ReportReply {
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use tokio::time::{sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::Gateway;
 use super::instance_signals::retry_after;
@@ -32,6 +32,9 @@
 /// Time for which control may hold a placement call until an engine has capacity. Each call offers
 /// a new selection of engines, and waiting generations lose this much time when a leader is lost.
 const PLACEMENT_HOLD_MS: u64 = 200;
+/// Generations that wait without control retry at this interval while instances are cold: the share
+/// of a cold limit is renewed each second, without a change of capacity.
+const COLD_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Generations that wait without control retry within this random time after a capacity change.
 const LOCAL_RETRY_JITTER_MS: u64 = 40;
 
@@ -285,7 +288,13 @@
                 log_chosen_engine(job, &chosen);
                 return Ok(chosen);
             }
-            if timeout_at(deadline, changed).await.is_err() {
+            let now_ms = monotonic_ms();
+            let has_cold = self.with_view(|view| view.has_cold_limited(&job.service, now_ms));
+            let retry_at = match has_cold {
+                true => deadline.min(Instant::now() + COLD_RETRY_INTERVAL),
+                false => deadline,
+            };
+            if timeout_at(retry_at, changed).await.is_err() && Instant::now() >= deadline {
                 return Err(self.no_capacity(job));
             }
             // Random delay, as every waiting generation is woken by the same change of capacity.
--- a/src/roles/gateway/metrics.rs
+++ b/src/roles/gateway/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of the gateway.
 
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts};
 
 use crate::adapters::telemetry::registry;
 
@@ -22,11 +22,10 @@
     instance_signals: IntCounterVec,
     permits: IntCounterVec,
     first_event_ms: Histogram,
-    pub(super) document_version: prometheus::IntGauge,
+    pub(super) document_version: IntGauge,
     pub(super) sync_failures: IntCounter,
     pub(super) local_placements: IntCounter,
-    pub(super) cold_instances: prometheus::IntGauge,
-    pub(super) cold_held_back: IntCounter,
+    pub(super) cold: ColdMetrics,
 }
 
 impl Metrics {
@@ -86,7 +85,7 @@
             .expect("constant options are valid"),
             first_event_ms: Histogram::with_opts(first.buckets(LATENCY_MS.to_vec()))
                 .expect("constant options are valid"),
-            document_version: prometheus::IntGauge::new(
+            document_version: IntGauge::new(
                 "lilac_gateway_document_version",
                 "Version of the document in force.",
             )
@@ -101,16 +100,7 @@
                 "Generations placed by the entry's own view, without control.",
             )
             .expect("constant options are valid"),
-            cold_instances: prometheus::IntGauge::new(
-                "lilac_gateway_cold_instances",
-                "Instances that are cold, as this entry knows them.",
-            )
-            .expect("constant options are valid"),
-            cold_held_back: IntCounter::new(
-                "lilac_gateway_cold_held_back_total",
-                "Requests that were not sent to a cold instance because of its limit.",
-            )
-            .expect("constant options are valid"),
+            cold: ColdMetrics::new(),
         };
         let all: [Box<dyn prometheus::core::Collector>; 15] = [
             Box::new(metrics.refusals.clone()),
@@ -126,8 +116,8 @@
             Box::new(metrics.document_version.clone()),
             Box::new(metrics.sync_failures.clone()),
             Box::new(metrics.local_placements.clone()),
-            Box::new(metrics.cold_instances.clone()),
-            Box::new(metrics.cold_held_back.clone()),
+            Box::new(metrics.cold.instances.clone()),
+            Box::new(metrics.cold.held_back.clone()),
         ];
         for collector in all {
             // Fails if a test starts a second gateway in the process; the metrics of the first one
@@ -181,6 +171,29 @@
     }
 }
 
+/// Metrics of cold instances.
+pub(super) struct ColdMetrics {
+    pub(super) instances: IntGauge,
+    pub(super) held_back: IntCounter,
+}
+
+impl ColdMetrics {
+    fn new() -> Self {
+        let instances = IntGauge::new(
+            "lilac_gateway_cold_instances",
+            "Instances that are cold, as this entry knows them.",
+        );
+        let held_back = IntCounter::new(
+            "lilac_gateway_cold_held_back_total",
+            "Plain calls that were not sent to a cold instance because of its limit.",
+        );
+        Self {
+            instances: instances.expect("constant options are valid"),
+            held_back: held_back.expect("constant options are valid"),
+        }
+    }
+}
+
 fn counters(name: &str, help: &str, label: &str) -> IntCounterVec {
     IntCounterVec::new(Opts::new(name, help), &[label]).expect("constant options are valid")
 }
--- a/src/roles/gateway/permits.rs
+++ b/src/roles/gateway/permits.rs
@@ -56,7 +56,7 @@
             let now_ms = monotonic_ms();
             let is_cold = |identity| self.with_view(|view| view.is_cold_limited(identity, now_ms));
             if identities.iter().any(|identity| is_cold(identity)) {
-                self.metrics.cold_held_back.inc();
+                self.metrics.cold.held_back.inc();
             }
         }
         match (result, candidates.unlimited) {
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -227,7 +227,8 @@
         });
         let cold = self.with_view(|view| view.cold_instances(now_ms));
         self.metrics
-            .cold_instances
+            .cold
+            .instances
             .set(i64::try_from(cold).unwrap_or(i64::MAX));
         self.capacity_changes.notify_waiters();
         if fleet_changed {
--- a/tests/fleet_cold.rs
+++ b/tests/fleet_cold.rs
@@ -46,7 +46,7 @@
     started_ms: u64,
     /// Beginning and end of its cold times, and the time from which the hub's updates and the
     /// platform's list show them.
-    cold_ms: Vec<(u64, u64, u64)>,
+    cold_times: Vec<(u64, u64, u64)>,
     received_ms: Vec<u64>,
     /// For each of them, when its entry last received an update or a list.
     informed_ms: Vec<u64>,
@@ -54,7 +54,7 @@
 
 impl Server {
     fn remaining_ms(&self, at_ms: u64) -> u64 {
-        let cold = self.cold_ms.iter().rev();
+        let cold = self.cold_times.iter().rev();
         let mut cold = cold.filter(|(from_ms, until_ms, _)| (*from_ms..*until_ms).contains(&at_ms));
         cold.next().map_or(0, |(_, until_ms, _)| until_ms - at_ms)
     }
@@ -69,7 +69,7 @@
             let is_known_cold = |(from_ms, until_ms, shown_ms): &(u64, u64, u64)| {
                 (*from_ms..*until_ms).contains(at_ms) && informed_ms >= shown_ms
             };
-            if !self.cold_ms.iter().any(is_known_cold) {
+            if !self.cold_times.iter().any(is_known_cold) {
                 continue;
             }
             window.push_back(*at_ms);
@@ -157,7 +157,7 @@
         }
         let now_ms = self.now_ms;
         let cold_ms = (now_ms, now_ms + START_MS, now_ms + delay_ms);
-        self.servers[at].cold_ms.push(cold_ms);
+        self.servers[at].cold_times.push(cold_ms);
     }
 
     /// Makes all instances start now, cold. Nothing is sent to them before the list shows them.
@@ -165,7 +165,7 @@
         for server in &mut self.servers {
             server.started_ms = self.now_ms;
             let until_ms = self.now_ms + START_MS;
-            server.cold_ms.push((self.now_ms, until_ms, 0));
+            server.cold_times.push((self.now_ms, until_ms, 0));
         }
     }
 
--- a/tests/platform_wire.rs
+++ b/tests/platform_wire.rs
@@ -40,6 +40,34 @@
     assert_eq!(decoded.workspaces[1].keys.len(), 1);
 }
 
+/// Guards against a cold limit that is lost in decoding, or taken for one where 0 means none.
+#[test]
+fn cold_times_and_limits_are_decoded() {
+    let mut wire = document(1);
+    wire["services"][0]["coldStartS"] = json!(12.5);
+    wire["services"][0]["coldPerS"] = json!(2.5);
+    wire["services"][1]["coldStartS"] = json!(8);
+    wire["services"][1]["coldPerS"] = json!(0);
+    let decoded = decode_document(wire.to_string().as_bytes()).unwrap();
+    let cold = |at: usize| {
+        let service = &decoded.services[at];
+        (service.cold_start_ms, service.cold_limit_milli_per_s)
+    };
+    assert_eq!([cold(0), cold(1)], [(12_500, Some(2_500)), (8_000, None)]);
+    let mut health = HeaderMap::new();
+    for (value, expected) in [
+        ("", None),
+        ("soon", None),
+        ("-1", None),
+        ("1500.2", Some(1_501)),
+    ] {
+        let name = "x-lilacspindle-cold-milliseconds";
+        health.insert(name, HeaderValue::from_static(value));
+        assert_eq!(headers::cold_remaining_ms(&health), expected, "{value:?}");
+    }
+    assert_eq!(headers::cold_remaining_ms(&HeaderMap::new()), None);
+}
+
 /// Guards against an error that names only the first fault of a document.
 #[test]
 fn every_fault_of_a_document_is_named() {
