--- a/src/roles/directory/evacuation.rs
+++ b/src/roles/directory/evacuation.rs
@@ -29,17 +29,16 @@
         let mut applied = Evacuations::default();
         loop {
             let evacuations = changes.borrow_and_update().clone();
-            self.with_hub(|hub| {
-                hub.set_evacuated(evacuations.zones().clone());
-                for zone in applied.zones().difference(evacuations.zones()) {
-                    let restored = hub.zone_restored(zone, monotonic_ms()).len();
-                    tracing::info!(
-                        zone = &*zone.0,
-                        restored,
-                        "instances of a zone are used again"
-                    );
-                }
-            });
+            self.with_hub(|hub| hub.set_evacuated(evacuations.zones().clone()));
+            for zone in applied.zones().difference(evacuations.zones()) {
+                let changes = self.with_hub(|hub| hub.zone_restored(zone, monotonic_ms()));
+                tracing::info!(
+                    zone = &*zone.0,
+                    cold = changes.len(),
+                    "instances of a zone are used again"
+                );
+                self.publish_changes(&changes);
+            }
             applied = evacuations;
             if changes.changed().await.is_err() {
                 return;
--- a/src/roles/directory/service.rs
+++ b/src/roles/directory/service.rs
@@ -107,6 +107,9 @@
         if let Some(statement) = request.limit {
             role.record_engine_limit(&request, statement);
         }
+        if let Some(remaining_ms) = request.cold_remaining_ms {
+            role.record_cold(address, remaining_ms);
+        }
         let health_path = role.register_engine(request);
         ReportReply {
             leads: role.leads(),
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use tokio::time::{sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::Gateway;
 use super::instance_signals::retry_after;
@@ -33,6 +33,9 @@
 /// Time for which control may hold a placement call until an engine has capacity. Each call offers
 /// a new selection of engines, and waiting generations lose this much time when a leader is lost.
 const PLACEMENT_HOLD_MS: u64 = 200;
+/// Generations that wait without control retry at this interval while instances are cold: the share
+/// of a cold limit is renewed each second, without a change of capacity.
+const COLD_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Generations that wait without control retry within this random time after a capacity change.
 const LOCAL_RETRY_JITTER_MS: u64 = 40;
 
@@ -292,8 +295,21 @@
                 log_chosen_engine(job, &chosen);
                 return Ok(chosen);
             }
-            let is_hopeless = self.with_view(|view| view.all_evacuated(&job.service));
-            if is_hopeless || timeout_at(deadline, changed).await.is_err() {
+            let now_ms = monotonic_ms();
+            let (is_hopeless, has_cold) = self.with_view(|view| {
+                let service = &job.service;
+                (
+                    view.all_evacuated(service),
+                    view.has_cold_limited(service, now_ms),
+                )
+            });
+            let retry_at = match has_cold {
+                true => deadline.min(Instant::now() + COLD_RETRY_INTERVAL),
+                false => deadline,
+            };
+            let is_over =
+                timeout_at(retry_at, changed).await.is_err() && Instant::now() >= deadline;
+            if is_hopeless || is_over {
                 return Err(self.no_capacity(job));
             }
             // Random delay, as every waiting generation is woken by the same change of capacity.
--- a/src/roles/gateway/metrics.rs
+++ b/src/roles/gateway/metrics.rs
@@ -27,6 +27,7 @@
     evacuation_revision: IntGauge,
     pub(super) sync_failures: IntCounter,
     pub(super) local_placements: IntCounter,
+    pub(super) cold: ColdMetrics,
 }
 
 impl Metrics {
@@ -108,8 +109,9 @@
                 "Generations placed by the entry's own view, without control.",
             )
             .expect("constant options are valid"),
+            cold: ColdMetrics::new(),
         };
-        let all: [Box<dyn prometheus::core::Collector>; 15] = [
+        let all: [Box<dyn prometheus::core::Collector>; 17] = [
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
             Box::new(metrics.moves.clone()),
@@ -125,6 +127,8 @@
             Box::new(metrics.evacuation_revision.clone()),
             Box::new(metrics.sync_failures.clone()),
             Box::new(metrics.local_placements.clone()),
+            Box::new(metrics.cold.instances.clone()),
+            Box::new(metrics.cold.held_back.clone()),
         ];
         for collector in all {
             // Fails if a test starts a second gateway in the process; the metrics of the first one
@@ -189,6 +193,28 @@
     IntGauge::new(name, help).expect("constant options are valid")
 }
 
+/// Metrics of cold instances.
+pub(super) struct ColdMetrics {
+    pub(super) instances: IntGauge,
+    pub(super) held_back: IntCounter,
+}
+
+impl ColdMetrics {
+    fn new() -> Self {
+        let held_back = IntCounter::new(
+            "lilac_gateway_cold_held_back_total",
+            "Plain calls that were not sent to a cold instance because of its limit.",
+        );
+        Self {
+            instances: gauge(
+                "lilac_gateway_cold_instances",
+                "Instances that are cold, as this entry knows them.",
+            ),
+            held_back: held_back.expect("constant options are valid"),
+        }
+    }
+}
+
 fn counters(name: &str, help: &str, label: &str) -> IntCounterVec {
     IntCounterVec::new(Opts::new(name, help), &[label]).expect("constant options are valid")
 }
