Close the connection of a refusal, whose copy may meet a caller that returns

An instance that writes a refusal a second time, where the response to a later request on its connection is due, was believed if both requests had the same id: the caller was told with 503 that nothing had run, or a second instance ran it. Ids tell requests apart, and within one request an address asked before gets a new connection, but a caller that returns under its id was given the kept connection of its own refusal.

Now a connection that has carried a refusal is not kept, for plain calls as it already was for streams. The price is a new connection to an instance after each refusal of its own.

repeated_refusal_is_not_the_answer_to_a_caller_that_returns failed before (503 for a call that ran) and passes; the other five of site_faulty_responses pass. Whether callers of the users return under the same id, and so whether this is what they saw, is not shown.

--- a/src/roles/gateway/upstream.rs
+++ b/src/roles/gateway/upstream.rs
@@ -165,13 +165,13 @@
             connection,
         } = exchange;
         let body = self.large_bodies.collect(body).await?;
-        self.return_idle(connection, &head.headers);
+        self.return_idle(connection, &head);
         Ok((head, body))
     }
 
     /// Returns the connection of a response to the pool, after its body was read to its end.
     pub(super) fn finish(&self, exchange: Exchange) {
-        self.return_idle(exchange.connection, &exchange.head.headers);
+        self.return_idle(exchange.connection, &exchange.head);
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
@@ -194,9 +194,11 @@
         None
     }
 
-    fn return_idle(&self, connection: Connection, response: &HeaderMap) {
-        let limit = max_idle_time(response);
-        if limit.is_zero() {
+    fn return_idle(&self, connection: Connection, response: &response::Parts) {
+        let limit = max_idle_time(&response.headers);
+        // A copy of a refusal that arrives late would prove that a later attempt has not run if the
+        // caller returns with the same id.
+        if limit.is_zero() || headers::states_not_run(response.status, &response.headers) {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
--- a/tests/site_faulty_responses.rs
+++ b/tests/site_faulty_responses.rs
@@ -371,3 +371,53 @@
         assert!(round < 50, "asked twice in {asked_twice} rounds");
     }
 }
+
+/// Guards against the refusal of a caller's first attempt that is taken for the response to its next
+/// one under the same id: the instance runs that one, and the caller would be told that it has not.
+#[tokio::test]
+async fn repeated_refusal_is_not_the_answer_to_a_caller_that_returns() {
+    let mut site = Site::serving(&document(1)).await;
+    let script = |respond: fn(&Request) -> Vec<Reply>| {
+        // Connection of the refusal that is to be repeated.
+        let refused = Mutex::new(None);
+        move |request: &Request| {
+            if !request.path.ends_with("/returns") {
+                return respond(request);
+            }
+            let mut refused = refused.lock().unwrap();
+            let refusal = Reply::Bytes(refusal(Some(request.id())));
+            match refused.replace(request.connection) {
+                None => vec![refusal],
+                Some(connection) => {
+                    let is_same = connection == request.connection;
+                    let mut replies: Vec<Reply> = is_same.then_some(refusal).into_iter().collect();
+                    replies.push(Reply::Pause(Duration::from_millis(100)));
+                    replies.extend(respond(request));
+                    replies
+                }
+            }
+        }
+    };
+    let plain = site.upstream("plain", script(proper)).await;
+    let model = site.upstream("model", script(stream)).await;
+    for (upstream, prefix) in [(&plain, "/once"), (&model, "/stream")] {
+        wait_for("the instance is used", || async {
+            call(&site, &format!("{prefix}/warm-up"), "id-0")
+                .await
+                .status()
+                == 200
+        })
+        .await;
+        let path = format!("{prefix}/returns");
+        assert_eq!(call(&site, &path, "id-1").await.status(), 503, "{prefix}");
+        let answered = loop {
+            let answered = call(&site, &path, "id-1").await.status();
+            if upstream.requests(&path).len() > 1 {
+                break answered;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        };
+        assert_eq!(answered, 200, "{prefix}");
+        assert_eq!(upstream.requests(&path).len(), 2, "{prefix}");
+    }
+}
