Take a response without a final status for a lost one

Statuses 101, 600, 700 and 999 were passed on to callers as the answer, with the instance's seal or without, on plain calls and on [entry]; with the mark for "not run" they counted as a proof, and the handle in such a response to /kv-move counted too. The HTTP library rejects 000, 099, signs, spaces, other lengths and a missing status, and waits for the response after other 1xx.

adapters::status::is_final decides now, for the gateway's plain calls, streams and resumptions (headers::check_origin), for calls of moves, reports and lists (platform::calls), and for the clients of [entry] (adapters::upstream). Such a response is lost: 502 and not sent again where the request may not be repeated, its instance avoided like one that broke off. Its connection carries no further request; reqwest would use it again, so the client is replaced there.

--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -5,6 +5,7 @@
 pub mod disk;
 pub mod http;
 pub(crate) mod mutex;
+pub(crate) mod status;
 pub mod telemetry;
 pub mod upstream;
 pub mod web;
--- a/src/adapters/upstream/engine.rs
+++ b/src/adapters/upstream/engine.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 use tokio::time::timeout;
 
+use super::connections::Connections;
 use super::{SseParser, UpstreamError};
 use crate::model::{Fence, ModelName};
 use crate::rpc::sidecar::Api;
@@ -95,23 +96,17 @@
 }
 
 /// An HTTP client for one engine.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct EngineClient {
-    http: Client,
+    connections: Connections,
     base: String,
 }
 
 impl EngineClient {
     /// Returns a client for the engine at a base URL.
     pub fn new(base: &str) -> Self {
-        let http = Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
-            .no_proxy()
-            .build()
-            .unwrap_or_default();
         Self {
-            http,
+            connections: Connections::new(build),
             base: base.trim_end_matches('/').to_owned(),
         }
     }
@@ -127,7 +122,8 @@
             Api::ChatCompletions => "/v1/chat/completions",
         };
         let body = engine_body(request)?;
-        open(self.request(Method::POST, path).json(&body), limit).await
+        let request = self.request(Method::POST, path).json(&body);
+        self.open(request, limit).await
     }
 
     /// Returns the token stream of a generation from a token offset; fails with `Missing` if the
@@ -139,7 +135,7 @@
         limit: Duration,
     ) -> Result<TokenStream, UpstreamError> {
         let path = format!("/v1/streams/{stream}?from={from_offset}");
-        match open(self.request(Method::GET, &path), limit).await {
+        match self.open(self.request(Method::GET, &path), limit).await {
             Err(UpstreamError::Refused {
                 status: 404 | 410, ..
             }) => Err(UpstreamError::Missing),
@@ -151,7 +147,7 @@
     pub async fn cancel(&self, stream: &str) -> Result<bool, UpstreamError> {
         let path = format!("/v1/streams/{stream}");
         let request = self.request(Method::DELETE, &path).timeout(CONTROL_TIMEOUT);
-        match check_status(request.send().await?).await {
+        match self.answer(request).await {
             Ok(_) => Ok(true),
             Err(UpstreamError::Refused {
                 status: 404 | 410, ..
@@ -163,7 +159,7 @@
     /// Reads the engine's current load.
     pub async fn load(&self) -> Result<EngineLoad, UpstreamError> {
         let request = self.request(Method::GET, "/load").timeout(CONTROL_TIMEOUT);
-        read_json(check_status(request.send().await?).await?).await
+        read_json(self.answer(request).await?).await
     }
 
     /// Returns the versions of a model that are loaded and ready.
@@ -171,7 +167,7 @@
         let request = self
             .request(Method::GET, "/v1/models")
             .timeout(CONTROL_TIMEOUT);
-        let list: ModelList = read_json(check_status(request.send().await?).await?).await?;
+        let list: ModelList = read_json(self.answer(request).await?).await?;
         let ready = |item: &ModelItem| item.ready && item.id == model.as_str();
         let items = list.data.into_iter().filter(ready);
         Ok(items.map(|item| item.version).collect())
@@ -185,7 +181,7 @@
         limit: Duration,
     ) -> Result<OrderAnswer, UpstreamError> {
         let request = self.request(Method::POST, "/orders").timeout(limit);
-        match check_status(request.json(order).send().await?).await {
+        match self.answer(request.json(order)).await {
             Ok(_) => Ok(OrderAnswer::Done),
             Err(UpstreamError::Refused {
                 status: 409 | 412, ..
@@ -196,10 +192,41 @@
     }
 
     fn request(&self, method: Method, path: &str) -> RequestBuilder {
-        self.http.request(method, format!("{}{path}", self.base))
+        let http = self.connections.client();
+        http.request(method, format!("{}{path}", self.base))
+    }
+
+    /// Sends a request and returns its response if the status is a success.
+    async fn answer(&self, request: RequestBuilder) -> Result<Response, UpstreamError> {
+        let response = request.send().await?;
+        self.connections.check_final(&response)?;
+        check_status(response).await
+    }
+
+    async fn open(
+        &self,
+        request: RequestBuilder,
+        limit: Duration,
+    ) -> Result<TokenStream, UpstreamError> {
+        match timeout(limit, self.answer(request)).await {
+            Ok(response) => Ok(TokenStream {
+                response: response?,
+                parser: SseParser::default(),
+                events: VecDeque::new(),
+            }),
+            Err(_) => Err(timeout_error(limit)),
+        }
     }
 }
 
+fn build() -> Client {
+    let builder = Client::builder()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .no_proxy();
+    builder.build().unwrap_or_default()
+}
+
 /// Returns the caller's body with the fields that the sidecar sets: model, limits and stream id.
 fn engine_body(request: &EngineRequest) -> Result<Value, UpstreamError> {
     let invalid = |message: String| UpstreamError::Refused {
@@ -222,18 +249,6 @@
     Ok(body)
 }
 
-async fn open(request: RequestBuilder, limit: Duration) -> Result<TokenStream, UpstreamError> {
-    let opening = async { check_status(request.send().await?).await };
-    match timeout(limit, opening).await {
-        Ok(response) => Ok(TokenStream {
-            response: response?,
-            parser: SseParser::default(),
-            events: VecDeque::new(),
-        }),
-        Err(_) => Err(timeout_error(limit)),
-    }
-}
-
 fn timeout_error(limit: Duration) -> UpstreamError {
     UpstreamError::Silent {
         limit_ms: u64::try_from(limit.as_millis()).unwrap_or(u64::MAX),
@@ -242,7 +257,7 @@
 
 /// Returns the response if its status is a success. Statuses that prove that the request was not
 /// run become `Refused`; after any other failure the request may have run.
-pub(super) async fn check_status(response: Response) -> Result<Response, UpstreamError> {
+async fn check_status(response: Response) -> Result<Response, UpstreamError> {
     let status = response.status();
     if status.is_success() {
         return Ok(response);
--- a/src/adapters/upstream/mod.rs
+++ b/src/adapters/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! Clients for upstreams: model engines, which stream server-sent events, and plain HTTP services.
 
+mod connections;
 mod engine;
 mod error;
 mod service;
--- a/src/adapters/upstream/service.rs
+++ b/src/adapters/upstream/service.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use reqwest::{Client, Method};
+use reqwest::{Client, ClientBuilder, Method};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use super::UpstreamError;
+use super::connections::Connections;
 use crate::rpc::sidecar::ServiceResponse;
 
 /// Timeout for opening a connection to a service.
@@ -25,6 +26,17 @@
     "upgrade",
 ];
 
+fn builder() -> ClientBuilder {
+    Client::builder()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .redirect(reqwest::redirect::Policy::none())
+        // By default reqwest resends a request after some connection errors, which could run it
+        // twice.
+        .retry(reqwest::retry::never())
+        .no_proxy()
+}
+
 /// An HTTP call to forward to a service.
 #[derive(Debug, Clone)]
 pub struct PlainCall {
@@ -35,9 +47,9 @@
 }
 
 /// An HTTP client for one service instance.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct ServiceClient {
-    http: Client,
+    connections: Connections,
     base: String,
 }
 
@@ -45,20 +57,15 @@
     /// Returns a client for the service at a base URL. If `reuse` is false, every call opens its
     /// own connection.
     pub fn new(base: &str, reuse: bool) -> Self {
-        let builder = Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
-            .redirect(reqwest::redirect::Policy::none())
-            // By default reqwest resends a request after some connection errors, which could run it
-            // twice.
-            .retry(reqwest::retry::never())
-            .no_proxy();
-        let builder = match reuse {
-            true => builder,
-            false => builder.pool_max_idle_per_host(0),
+        let build: fn() -> Client = match reuse {
+            true => || builder().build().unwrap_or_default(),
+            false => || {
+                let builder = builder().pool_max_idle_per_host(0);
+                builder.build().unwrap_or_default()
+            },
         };
         Self {
-            http: builder.build().unwrap_or_default(),
+            connections: Connections::new(build),
             base: base.trim_end_matches('/').to_owned(),
         }
     }
@@ -92,13 +99,15 @@
             false => "/",
         };
         let url = format!("{}{separator}{}", self.base, call.path_and_query);
-        let mut request = self.http.request(method, url).timeout(limit);
+        let http = self.connections.client();
+        let mut request = http.request(method, url).timeout(limit);
         for (name, value) in &call.headers {
             if !HOP_BY_HOP_HEADERS.contains(&name.to_ascii_lowercase().as_str()) {
                 request = request.header(name, value);
             }
         }
         let mut response = request.body(call.body.clone()).send().await?;
+        self.connections.check_final(&response)?;
         let headers = response.headers().iter().filter_map(|(name, value)| {
             let forwarded = !HOP_BY_HOP_HEADERS.contains(&name.as_str());
             let value = value.to_str().ok().filter(|_| forwarded)?;
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -20,6 +20,7 @@
 
 use super::reports::{RunningGenerations, decode_running};
 use super::{HEAD_LIMIT_BYTES, decode_instances, decode_report, headers, paths};
+use crate::adapters::status;
 use crate::domain::fleet::{AskedPause, Listed, NamedLimit, Report};
 
 /// Upper bound on a page of the list, which has about 15 KB on the sites planned for.
@@ -384,10 +385,14 @@
         Ok(Self { sender, task })
     }
 
-    /// Sends a request and returns the whole response. Fails if its body has over `max_bytes`.
+    /// Sends a request and returns the whole response. Fails if its status is not final, or if its
+    /// body has over `max_bytes`.
     async fn exchange(&mut self, request: Request<Full<Bytes>>, max_bytes: usize) -> CallResult {
         self.sender.ready().await?;
         let (head, body) = self.sender.send_request(request).await?.into_parts();
+        if !status::is_final(head.status) {
+            return Err(format!("{} is no final status", head.status).into());
+        }
         let body = Limited::new(body, max_bytes).collect().await?.to_bytes();
         Ok(Response::from_parts(head, body))
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -5,6 +5,7 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{HeaderName, StatusCode};
 
+use crate::adapters::status;
 use crate::domain::fleet::{AskedPause, NamedLimit};
 use crate::domain::quarantine::PartId;
 
@@ -157,8 +158,8 @@
     timeouts.next()?.parse().ok()
 }
 
-/// Fails unless a response is that of a replica to the request with this id. On a reused connection,
-/// a late response to an earlier request may arrive first, so the id is required there.
+/// Fails unless a response is final and that of a replica to the request with this id. On a reused
+/// connection, a late response to an earlier request may arrive first, so the id is required there.
 pub fn check_origin(
     status: StatusCode,
     response: &HeaderMap,
@@ -167,6 +168,7 @@
 ) -> Result<(), String> {
     let is_sealed = is_executed(response);
     match text(response, &REQUEST_ID) {
+        _ if !status::is_final(status) => Err(format!("{status} is no final status")),
         Some(id) if id != request_id => Err(format!("the response belongs to request {id}")),
         None if is_reused => Err("a response on a reused connection has no request id".to_owned()),
         None if !is_sealed => Err(format!(
--- a/src/soak/checker/calls.rs
+++ b/src/soak/checker/calls.rs
@@ -8,8 +8,15 @@
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
-/// MIXED: a success without the seal or the body of the instance that ran the request.
+/// MIXED: a success without the seal or the body of the instance that ran the request, or an answer
+/// without a final status.
 pub(super) fn mixed(facts: &Facts) -> Vec<Violation> {
+    let calls = facts.history.calls.iter();
+    let no_final = calls.filter_map(|call| {
+        let status = call.status.filter(|status| !(200..=599).contains(status))?;
+        let detail = format!("request {} got the status {status}", call.id);
+        Some(Violation::new("MIXED", call.ended_ms, detail))
+    });
     let served = facts.history.calls.iter().filter(|call| is_served(call));
     served
         .filter_map(|call| {
@@ -22,6 +29,7 @@
             let detail = format!("request {} got a success {reason}", call.id);
             Some(Violation::new("MIXED", call.ended_ms, detail))
         })
+        .chain(no_final)
         .collect()
 }
 
--- a/src/soak/services.rs
+++ b/src/soak/services.rs
@@ -36,6 +36,13 @@
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
 /// Longest time after which an idle connection is closed.
 const MAX_IDLE_MS: u32 = 1_500;
+/// Status lines that are no final status between 200 and 599.
+const NO_FINAL_STATUS: [&str; 10] = [
+    "000 Low", "099 Low", "101 Odd", "103 Odd", "600 High", "700 High", "999 High", "+200 OK",
+    "2000 OK", "",
+];
+/// Number of shapes of a garbled response; each status line is one.
+const GARBLED_SHAPES: u32 = 15;
 /// One response in this many announces that its connection is closed.
 const CLOSE_ONE_IN: u32 = 20;
 
@@ -276,7 +283,7 @@
         if health.strikes(Illness::Garbles, now_ms) {
             recorded.end(ExecutionEnd::BrokenOff);
             self.writer
-                .write_all(&garbled(&bytes, health.draw(5)))
+                .write_all(&garbled(&bytes, health.draw(GARBLED_SHAPES)))
                 .await?;
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
@@ -325,6 +332,11 @@
             "Content-Type: text/html\r\n",
             page,
         ),
-        _ => b"\x16\x03\x01\x02\x00\r\n\r\n".to_vec(),
+        4 => b"\x16\x03\x01\x02\x00\r\n\r\n".to_vec(),
+        _ => {
+            let line = NO_FINAL_STATUS[shape as usize % NO_FINAL_STATUS.len()];
+            let end = bytes.iter().position(|byte| *byte == b'\r').unwrap_or(0);
+            [format!("HTTP/1.1 {line}").as_bytes(), &bytes[end..]].concat()
+        }
     }
 }
--- a/tests/sidecar_faults.rs
+++ b/tests/sidecar_faults.rs
@@ -2,8 +2,11 @@
 
 mod sidecar_support;
 
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use lilacspindle::adapters::upstream::{EngineClient, PlainCall, ServiceClient, UpstreamError};
 use lilacspindle::domain::state::{View, ViewChange, ViewDelta};
 use lilacspindle::domain::table::{ModelRow, Row, RowKey};
 use lilacspindle::model::{Outcome, RefusalCode, TableVersion};
@@ -12,8 +15,10 @@
 };
 use sidecar_support::engine::fake_engine;
 use sidecar_support::{
-    Read, TestSidecar, start_request, start_sidecar, start_sidecar_with_engine, text, until,
+    LIMIT, Read, TestSidecar, start_request, start_sidecar, start_sidecar_with_engine, text, until,
 };
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 fn outcome(read: &Read) -> Outcome {
     match &read.end {
@@ -342,3 +347,53 @@
     accepted(&sidecar, start_request(1, r#"{"tokens": 5}"#)).await;
     assert_eq!(outcome(&sidecar.read(1, 0).await), Outcome::NotRun);
 }
+
+/// Guards against a status outside 200 to 599 that is passed on as the answer, and against further
+/// requests on its connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_that_is_not_final_is_no_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let status = Arc::new(Mutex::new("200"));
+    let connections = Arc::new(AtomicUsize::new(0));
+    let (answered_with, accepted) = (Arc::clone(&status), Arc::clone(&connections));
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            accepted.fetch_add(1, Ordering::SeqCst);
+            let status = Arc::clone(&answered_with);
+            tokio::spawn(async move {
+                let mut head = [0; 4096];
+                while stream.read(&mut head).await.is_ok_and(|read| read > 0) {
+                    let status = *status.lock().unwrap();
+                    let bytes = format!("HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\n{{}}");
+                    let _ = stream.write_all(bytes.as_bytes()).await;
+                }
+            });
+        }
+    });
+    let (service, engine) = (ServiceClient::new(&url, true), EngineClient::new(&url));
+    let call = PlainCall {
+        method: "GET".to_owned(),
+        path_and_query: "/".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+    };
+    for wrong in ["101", "600", "700", "999"] {
+        *status.lock().unwrap() = wrong;
+        let answered = service.call(&call, LIMIT).await;
+        assert!(
+            matches!(answered, Err(UpstreamError::Broken(_))),
+            "{wrong}: {answered:?}"
+        );
+        let loaded = engine.load().await;
+        assert!(
+            matches!(loaded, Err(UpstreamError::Broken(_))),
+            "{wrong}: {loaded:?}"
+        );
+        *status.lock().unwrap() = "200";
+        let before = connections.load(Ordering::SeqCst);
+        assert_eq!(service.call(&call, LIMIT).await.unwrap().status, 200);
+        engine.load().await.unwrap();
+        assert_eq!(connections.load(Ordering::SeqCst), before + 2, "{wrong}");
+    }
+}
--- a/tests/site_faulty_responses.rs
+++ b/tests/site_faulty_responses.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use site_support::{
-    Reply, Request, Site, Upstream, answer, call, document, listed, proper, sse, wait_for,
-    with_header,
+    Reply, Request, Site, Upstream, answer, call, document, listed, patient_caller, proper, sse,
+    wait_for, with_header,
 };
 
 fn refusal(id: Option<&str>) -> Vec<u8> {
@@ -421,3 +421,92 @@
         assert_eq!(upstream.requests(&path).len(), 2, "{prefix}");
     }
 }
+
+/// First lines of responses that are no final status between 200 and 599.
+const NO_FINAL_STATUS: [&str; 16] = [
+    "HTTP/1.1 000 None",
+    "HTTP/1.1 099 Low",
+    "HTTP/1.1 100 Continue",
+    "HTTP/1.1 101 Switching Protocols",
+    "HTTP/1.1 103 Early Hints",
+    "HTTP/1.1 600 High",
+    "HTTP/1.1 700 High",
+    "HTTP/1.1 999 High",
+    "HTTP/1.1 -200 OK",
+    "HTTP/1.1 +200 OK",
+    "HTTP/1.1  200 OK",
+    "HTTP/1.1 2 0 OK",
+    "HTTP/1.1 20 OK",
+    "HTTP/1.1 2000 OK",
+    "HTTP/1.1 OK",
+    "HTTP/1.1",
+];
+
+/// Returns a response with another first line.
+fn with_first_line(mut replies: Vec<Reply>, line: &str) -> Vec<Reply> {
+    let Some(Reply::Bytes(bytes)) = replies.first_mut() else {
+        panic!("the first reply has the head");
+    };
+    let end = bytes.iter().position(|byte| *byte == b'\r').unwrap();
+    bytes.splice(..end, line.bytes());
+    replies
+}
+
+/// Guards against a status line that is no final status and is passed on as the answer, or taken for
+/// proof that a request has not run, and against further requests on its connection.
+#[tokio::test]
+async fn status_line_without_a_final_status_is_no_answer() {
+    let mut site = Site::serving(&document(1)).await;
+    let script = |request: &Request| {
+        let whole = match request.path.starts_with("/stream") {
+            true => stream(request),
+            false => proper(request),
+        };
+        let (kind, line) = match request.path.rsplit_once('-') {
+            Some((kind, number)) => (kind, NO_FINAL_STATUS[number.parse::<usize>().unwrap()]),
+            None => return whole,
+        };
+        match kind.ends_with("refused") {
+            true => with_first_line(vec![Reply::Bytes(refusal(Some(request.id())))], line),
+            false => with_first_line(whole, line),
+        }
+    };
+    let mut upstreams = Vec::new();
+    for service in ["plain", "plain", "model", "model"] {
+        upstreams.push(site.upstream(service, script).await);
+    }
+    for prefix in ["/once", "/stream"] {
+        for kind in ["answered", "refused"] {
+            for (number, line) in NO_FINAL_STATUS.iter().enumerate() {
+                wait_for("an instance is usable after the fault before", || async {
+                    let path = format!("{prefix}/whole");
+                    call(&site, &path, "id-0").await.status() == 200
+                })
+                .await;
+                let path = format!("{prefix}/{kind}-{number}");
+                let id = format!("id-{kind}-{number}");
+                // An instance may wait with the rest of a response after a status of 1xx.
+                let sent = patient_caller(&site, &path, &id, 1_000).send();
+                let answered = sent.await.unwrap();
+                let status = answered.status().as_u16();
+                assert!([502, 504].contains(&status), "{path}, {line}: {status}");
+                assert!(answered.text().await.unwrap().contains("unknown"), "{path}");
+                let sent: usize = upstreams
+                    .iter()
+                    .flat_map(|upstream| upstream.requests(&path))
+                    .filter(|request| request.path == path)
+                    .count();
+                assert_eq!(sent, 1, "{path}, {line}: sent again");
+            }
+        }
+    }
+    for upstream in &upstreams {
+        let seen = upstream.requests("/");
+        let is_faulty = |request: &&Request| request.path.contains('-');
+        for faulty in seen.iter().filter(is_faulty) {
+            let mut on_connection = seen.iter().rev();
+            let last = on_connection.find(|other| other.connection == faulty.connection);
+            assert_eq!(last.unwrap().path, faulty.path, "connection used again");
+        }
+    }
+}
--- a/tests/site_releases.rs
+++ b/tests/site_releases.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use lilacspindle::platform::{Liveness, check_liveness};
+use lilacspindle::platform::{CallFailure, Liveness, check_liveness, move_generation};
 use serde_json::{Value, json};
 
 use site_support::{
@@ -326,3 +326,29 @@
         (&json!("id-1"), &json!(true))
     );
 }
+
+/// Guards against a handle, or a sign of life, that is taken from a response without a final status.
+#[tokio::test]
+async fn call_answered_without_a_final_status_has_failed() {
+    for status in [
+        "101 Switching Protocols",
+        "600 High",
+        "700 High",
+        "999 High",
+    ] {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let handle = json!({"handle": "h7", "made": 3});
+        let engine = Upstream::serving(listener, move |_| json_answer(status, &handle));
+        let (address, limit) = (engine.address, Duration::from_secs(2));
+        let failure = move_generation(address, "id-1", address, true, limit)
+            .await
+            .unwrap_err();
+        assert!(matches!(failure.cause, CallFailure::Failed(_)), "{failure}");
+        assert_eq!(failure.handle, None, "{status}");
+        assert_eq!(
+            check_liveness(address, limit).await,
+            Liveness::Late,
+            "{status}"
+        );
+    }
+}
