Leave an engine that ignores connections only once the platform has ended it

A process that is held up while its queue of new connections is full ignores connections, as a lost machine does.

Ignored connections now count as a late response. Such an engine keeps its generations until its notice is over or the list no longer names it, and it still accepts no connection then; refused connections prove the end as before. Weighed: the silence of the engine's sidecar, which an entry cannot tell from an unchanged report.

Still open: an engine that is held up like that and is taken off the list meanwhile.

--- a/src/domain/fleet/view/mod.rs
+++ b/src/domain/fleet/view/mod.rs
@@ -253,6 +253,20 @@
         }
     }
 
+    /// Returns true if the platform has ended an instance: the list names it no more, or its notice
+    /// is over.
+    pub fn has_ended(&self, identity: &str, now_ms: u64) -> bool {
+        let Some(instance) = self.instances.get(identity) else {
+            return true;
+        };
+        let members = self.by_service.get(&instance.listed.service);
+        let is_listed = members.is_some_and(|members| members.contains(identity));
+        let gone_at_ms = instance.leaving.and_then(|leaving| leaving.gone_at_ms);
+        // Instances that have left the subset may still be listed.
+        gone_at_ms.is_some_and(|gone_at_ms| gone_at_ms <= now_ms)
+            || !(is_listed || self.dropped.contains(identity))
+    }
+
     /// Returns the number of instances of a service that accept requests and can be reached.
     pub fn usable(&self, service: &str, now_ms: u64) -> usize {
         self.members(service).filter(|i| i.usable(now_ms)).count()
--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -35,7 +35,7 @@
 const PAGE_BACKOFF_MIN: Duration = Duration::from_millis(20);
 const PAGE_BACKOFF_MAX: Duration = Duration::from_millis(320);
 /// Timeout for opening the connection of a liveness check, and the number of attempts: one lost
-/// packet must not make a replica count as unreachable.
+/// packet must not make a replica count as late.
 const LIVENESS_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 const MAX_LIVENESS_CONNECTS: usize = 2;
 
@@ -67,9 +67,11 @@
 pub enum Liveness {
     /// It responds, and names the generations that it runs.
     Responds(RunningGenerations),
-    /// Its machine accepts connections, but there is no response in time: the process may be held up.
+    /// There is no response in time: the process may be held up. Connections are ignored once its
+    /// queue of new ones is full, so that a machine which ignores them proves no more than one which
+    /// accepts them.
     Late,
-    /// Its machine refuses or ignores connections: the process has ended, or cannot be reached.
+    /// Its machine refuses connections: the process has ended, or cannot be reached.
     Unreachable,
 }
 
@@ -247,7 +249,7 @@
             Ok(Err(_)) | Err(_) => Liveness::Late,
         };
     }
-    Liveness::Unreachable
+    Liveness::Late
 }
 
 /// Returns true if a machine, or the way to it, refused a connection.
--- a/src/roles/gateway/release.rs
+++ b/src/roles/gateway/release.rs
@@ -17,6 +17,8 @@
 use super::Gateway;
 use super::migrate::{MigrationPlan, StoppedGeneration, stop_and_copy};
 use super::ticket::Ticket;
+use super::upstream::accepts_connections;
+use crate::adapters::clock::monotonic_ms;
 use crate::adapters::mutex::lock;
 use crate::platform::{CallFailure, Liveness, MoveFailure, check_liveness};
 
@@ -46,13 +48,22 @@
         }
         liveness
     }
+
+    /// Returns true if an engine accepts no connections and the platform has ended it. A machine that
+    /// is lost refuses nothing, and neither does a process that is held up with a full queue of new
+    /// connections, which stays listed.
+    async fn is_gone(&self, plan: &MigrationPlan) -> bool {
+        self.with_view(|view| view.has_ended(&plan.from_identity, monotonic_ms()))
+            && !accepts_connections(plan.from).await
+    }
 }
 
 /// What is known of the work of a silent engine on a generation.
 pub(super) enum Released {
     /// The engine has confirmed that it has stopped the generation.
     Stopped(StoppedGeneration),
-    /// The engine cannot be reached, or does not know the generation any more.
+    /// The engine refuses connections, ignores them after the end that the platform has named, or
+    /// does not know the generation any more.
     Gone(&'static str),
     /// The engine may still work on the generation.
     Unproved(&'static str),
@@ -172,6 +183,7 @@
     }
     match gateway.check_liveness(plan.from).await {
         Liveness::Unreachable => return Released::Gone("unreachable"),
+        Liveness::Late if gateway.is_gone(plan).await => return Released::Gone("gone"),
         Liveness::Late => return Released::Unproved("late"),
         Liveness::Responds(_) if !plan.engine.moves => return Released::Unproved("cannot_stop"),
         Liveness::Responds(None) => return Released::Unproved("unknown"),
--- a/src/roles/gateway/upstream.rs
+++ b/src/roles/gateway/upstream.rs
@@ -247,6 +247,12 @@
     matches!(opened, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
+/// Returns true if an address accepts connections.
+pub(super) async fn accepts_connections(address: SocketAddr) -> bool {
+    let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(opened, Ok(Ok(_)))
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, String> {
     let opening = async {
         let stream = TcpStream::connect(address).await?;
--- a/tests/fleet_departures.rs
+++ b/tests/fleet_departures.rs
@@ -135,3 +135,23 @@
     hub.list(vec![born(1, 10)], 300);
     assert_eq!(hub.listed()[0].state, ListedState::Draining);
 }
+
+/// Guards against taking an engine that does not respond for one that the platform has ended: only a
+/// list without it, or the end of its notice, shows that.
+#[test]
+fn instance_has_ended_after_its_notice_or_its_time_on_the_list() {
+    let mut view = View::new(ZoneName::from("a"));
+    list(&mut view, vec![born(1, 10), born(2, 10)], 0);
+    view.mark_leaving("i-1", 100);
+    let notice = Report {
+        born_ms: Some(10),
+        ..report(0, Some(1_600))
+    };
+    view.apply_instance_updates(vec![instance_update(2, Some(notice), 0)], 100);
+    assert!(!view.has_ended("i-1", 1_000) && !view.has_ended("i-2", 1_000));
+    assert!(view.has_ended("i-2", 1_600), "its notice is over");
+    view.begin("i-1", None);
+    list(&mut view, vec![born(2, 10)], 1_700);
+    assert!(view.has_ended("i-1", 1_700), "it is not listed");
+    assert!(view.has_ended("i-3", 1_700));
+}
--- a/tests/site_releases.rs
+++ b/tests/site_releases.rs
@@ -9,6 +9,7 @@
 
 use lilacspindle::platform::{CallFailure, Liveness, check_liveness, move_generation};
 use serde_json::{Value, json};
+use tokio::sync::Notify;
 
 use site_support::{
     Reply, Request, Site, Upstream, answer, call, document, patient_caller, sse, wait_for,
@@ -352,3 +353,45 @@
         );
     }
 }
+
+/// Guards against a generation that is resumed while its engine may be held up with a full queue of
+/// new connections, and against one that waits in vain for an engine whose machine is lost.
+#[tokio::test]
+async fn engine_that_ignores_connections_is_left_once_it_is_not_listed() {
+    let (site, first, second) = engines(|request| match request.path.as_str() {
+        "/stream/x" if is_resumption(request) => {
+            vec![Reply::Bytes(sse(request.id(), 4..=6, true, true))]
+        }
+        "/stream/x" => vec![
+            Reply::Bytes(sse(request.id(), 1..=3, true, false)),
+            Reply::AwaitClose,
+        ],
+        _ => warm(request),
+    })
+    .await;
+    let (began, is_delisted) = (Notify::new(), AtomicBool::new(false));
+    let lose = async {
+        began.notified().await;
+        let is_first = !first.requests("/stream/x").is_empty();
+        let (source, backup) = match is_first {
+            true => (&first, &second),
+            false => (&second, &first),
+        };
+        let _queue = source.ignore_connections().await;
+        tokio::time::sleep(Duration::from_millis(2_600)).await;
+        let asked = backup.requests("/stream/x");
+        assert!(asked.is_empty(), "resumed while the engine is listed");
+        site.list.lock().unwrap().remove(usize::from(!is_first));
+        is_delisted.store(true, Ordering::SeqCst);
+        std::future::pending::<()>().await;
+    };
+    let text = tokio::select! {
+        text = stream(&site, || began.notify_one()) => text,
+        () = lose => unreachable!(),
+    };
+    assert!(
+        is_delisted.load(Ordering::SeqCst),
+        "{text:?} while the engine is listed"
+    );
+    assert_eq!(text, Ok(events(1..=6)));
+}
--- a/tests/site_support/replica.rs
+++ b/tests/site_support/replica.rs
@@ -1,14 +1,16 @@
 //! A scripted upstream instance that records the requests it receives.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// A request that the instance received.
 #[derive(Debug, Clone)]
@@ -64,6 +66,8 @@
     pub recorded: Recorded,
     /// Notified when no further connections are to be accepted.
     closing: Arc<Notify>,
+    /// Notified when no further connections are to be accepted, while the address stays open.
+    ignoring: Arc<Notify>,
     task: JoinHandle<()>,
 }
 
@@ -112,6 +116,8 @@
             recorded: Arc::clone(&recorded),
         });
         let closed = Arc::clone(&closing);
+        let ignoring = Arc::new(Notify::new());
+        let ignored = Arc::clone(&ignoring);
         let task = tokio::spawn(async move {
             let mut connections = JoinSet::new();
             for number in 0.. {
@@ -123,6 +129,10 @@
                         Err(_) => break,
                     },
                     () = closed.notified() => break,
+                    () = ignored.notified() => {
+                        SockRef::from(&listener).listen(0).unwrap();
+                        match std::future::pending::<Infallible>().await {}
+                    }
                 };
             }
             drop(listener);
@@ -135,6 +145,7 @@
             abandoned,
             recorded,
             closing,
+            ignoring,
             task,
         }
     }
@@ -144,6 +155,18 @@
         self.closing.notify_one();
     }
 
+    /// Ignores further connections, as a machine that is lost or a process that is held up with a
+    /// full queue of new connections does. Returns the connections that fill the queue.
+    pub async fn ignore_connections(&self) -> Vec<TcpStream> {
+        self.ignoring.notify_one();
+        let mut queue = Vec::new();
+        let limit = Duration::from_millis(200);
+        while let Ok(opened) = timeout(limit, TcpStream::connect(self.address)).await {
+            queue.push(opened.unwrap());
+        }
+        queue
+    }
+
     /// Returns when a `Record` step with this label was reached, in order.
     pub fn times(&self, label: &str) -> Vec<Instant> {
         let recorded = self.recorded.lock().unwrap();
