--- a/tests/faults_control.rs
+++ b/tests/faults_control.rs
@@ -14,6 +14,8 @@
 
 /// Required limit on the time of a control failover.
 const FAILOVER: Duration = Duration::from_secs(5);
+/// Log lines of each instance that are shown if there is no leader.
+const LAST_LOG_LINES: usize = 40;
 
 fn change(name: &str, room: u32) -> RowChange {
     RowChange {
@@ -51,7 +53,18 @@
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    panic!("no leader within {limit:?}");
+    let mut seen = Vec::new();
+    for name in names.iter().filter(|name| !except.contains(&name.as_str())) {
+        let status = get(fleet, name, "/v1/status").await.unwrap_or_default();
+        let log = std::fs::read_to_string(fleet.log_file(name)).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().rev().take(LAST_LOG_LINES).collect();
+        let lines: Vec<&str> = lines.into_iter().rev().collect();
+        seen.push(format!("{name}: {}\n{}", status["log"], lines.join("\n")));
+    }
+    panic!(
+        "no leader within {limit:?}; without {except:?}:\n{}",
+        seen.join("\n")
+    );
 }
 
 /// Returns the voters (name, identity and address) according to an instance's status.
