Merge checks of status lines, refusals and silent engines

Cause: status lines that are no final answer reached callers, a repeated refusal could be believed, and ignored connections counted as a proof that a process has ended.

--- a/src/platform/calls.rs
+++ b/src/platform/calls.rs
@@ -20,6 +20,7 @@
 
 use super::reports::{RunningGenerations, decode_running};
 use super::{HEAD_LIMIT_BYTES, decode_instances, decode_report, headers, paths};
+use crate::adapters::status;
 use crate::domain::fleet::{AskedPause, Listed, NamedLimit, Report};
 
 /// Upper bound on a page of the list, which has about 15 KB on the sites planned for.
@@ -34,7 +35,7 @@
 const PAGE_BACKOFF_MIN: Duration = Duration::from_millis(20);
 const PAGE_BACKOFF_MAX: Duration = Duration::from_millis(320);
 /// Timeout for opening the connection of a liveness check, and the number of attempts: one lost
-/// packet must not make a replica count as unreachable.
+/// packet must not make a replica count as late.
 const LIVENESS_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 const MAX_LIVENESS_CONNECTS: usize = 2;
 
@@ -66,9 +67,11 @@
 pub enum Liveness {
     /// It responds, and names the generations that it runs.
     Responds(RunningGenerations),
-    /// Its machine accepts connections, but there is no response in time: the process may be held up.
+    /// There is no response in time: the process may be held up. Connections are ignored once its
+    /// queue of new ones is full, so that a machine which ignores them proves no more than one which
+    /// accepts them.
     Late,
-    /// Its machine refuses or ignores connections: the process has ended, or cannot be reached.
+    /// Its machine refuses connections: the process has ended, or cannot be reached.
     Unreachable,
 }
 
@@ -257,7 +260,7 @@
             Ok(Err(_)) | Err(_) => Liveness::Late,
         };
     }
-    Liveness::Unreachable
+    Liveness::Late
 }
 
 /// Returns true if a machine, or the way to it, refused a connection.
@@ -395,10 +398,14 @@
         Ok(Self { sender, task })
     }
 
-    /// Sends a request and returns the whole response. Fails if its body has over `max_bytes`.
+    /// Sends a request and returns the whole response. Fails if its status is not final, or if its
+    /// body has over `max_bytes`.
     async fn exchange(&mut self, request: Request<Full<Bytes>>, max_bytes: usize) -> CallResult {
         self.sender.ready().await?;
         let (head, body) = self.sender.send_request(request).await?.into_parts();
+        if !status::is_final(head.status) {
+            return Err(format!("{} is no final status", head.status).into());
+        }
         let body = Limited::new(body, max_bytes).collect().await?.to_bytes();
         Ok(Response::from_parts(head, body))
     }
--- a/src/roles/gateway/upstream.rs
+++ b/src/roles/gateway/upstream.rs
@@ -165,13 +165,13 @@
             connection,
         } = exchange;
         let body = self.large_bodies.collect(body).await?;
-        self.return_idle(connection, &head.headers);
+        self.return_idle(connection, &head);
         Ok((head, body))
     }
 
     /// Returns the connection of a response to the pool, after its body was read to its end.
     pub(super) fn finish(&self, exchange: Exchange) {
-        self.return_idle(exchange.connection, &exchange.head.headers);
+        self.return_idle(exchange.connection, &exchange.head);
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
@@ -194,9 +194,11 @@
         None
     }
 
-    fn return_idle(&self, connection: Connection, response: &HeaderMap) {
-        let limit = max_idle_time(response);
-        if limit.is_zero() {
+    fn return_idle(&self, connection: Connection, response: &response::Parts) {
+        let limit = max_idle_time(&response.headers);
+        // A copy of a refusal that arrives late would prove that a later attempt has not run if the
+        // caller returns with the same id.
+        if limit.is_zero() || headers::states_not_run(response.status, &response.headers) {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
@@ -245,6 +247,12 @@
     matches!(opened, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
+/// Returns true if an address accepts connections.
+pub(super) async fn accepts_connections(address: SocketAddr) -> bool {
+    let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(opened, Ok(Ok(_)))
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, String> {
     let opening = async {
         let stream = TcpStream::connect(address).await?;
