Decide on insufficient capacity in one module

Generations waited for at most half of their target, in one order by size and arrival, and were refused by the rate of placements of the last 1.5 s. Bursts of long streams were refused although their callers would have waited, and nothing distinguished priorities or workspaces.

The module domain::overload replaces the queue and the refused calls of domain::fleet. Generations are ordered by priority, then by whether they can meet their target, then short before long, by fair share of workspaces and by arrival. A late generation may wait as long as its answer is expected to be complete by the deadline and its caller has not given up. The expected wait comes from the ends of running generations and from the measured rate, by the trust that the forecast has earned. An old long generation keeps one engine. Refused callers are told to return one after the other.

The tests of fleet_queue pass with the same bounds. One order changed by rule: a late short generation no longer precedes a long one that is in time.

--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -6,12 +6,13 @@
 mod observer;
 mod operators;
 mod placement;
+mod placement_metrics;
 mod quarantine;
 mod service;
 mod turns;
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -72,6 +73,7 @@
     machine: Arc<Machine>,
     hub: Mutex<Hub>,
     waiting: Mutex<placement::WaitingPlacements>,
+    placement_metrics: placement_metrics::PlacementMetrics,
     copy_schedule: Mutex<CopySchedule>,
     pending_turns: Mutex<Vec<turns::PendingTurn>>,
     crash_evidence: Mutex<CrashEvidence>,
@@ -123,6 +125,7 @@
             machine,
             hub: Mutex::new(Hub::new(rand::random())),
             waiting: Mutex::default(),
+            placement_metrics: placement_metrics::PlacementMetrics::new(),
             copy_schedule: Mutex::default(),
             pending_turns: Mutex::default(),
             crash_evidence: Mutex::new(CrashEvidence::new(rand::random())),
@@ -221,8 +224,12 @@
         (leader.address != self.endpoint.rpc_address).then_some(leader.address)
     }
 
+    fn hub(&self) -> MutexGuard<'_, Hub> {
+        self.hub.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn with_hub<T>(&self, use_hub: impl FnOnce(&mut Hub) -> T) -> T {
-        use_hub(&mut self.hub.lock().unwrap_or_else(PoisonError::into_inner))
+        use_hub(&mut self.hub())
     }
 
     /// Wakes the entries that wait for updates, once for all updates of a short time.
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -19,7 +19,8 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::admission::AdmissionQueue;
 use crate::domain::document::EngineSpec;
-use crate::domain::fleet::{ChosenInstance, EngineQuery, Outcome, Outlook};
+use crate::domain::fleet::{ChosenInstance, EngineQuery, Outcome};
+use crate::domain::overload::{Outlook, RefusalReason, WaitBounds, usable_retry_ms};
 use crate::platform::headers;
 use crate::rpc::directory::{PlaceReply, PlaceRequest};
 
@@ -32,6 +33,9 @@
 /// Time for which control may hold a placement call until an engine has capacity. Each call offers
 /// a new selection of engines, and waiting generations lose this much time when a leader is lost.
 const PLACEMENT_HOLD_MS: u64 = 200;
+/// The same for a late generation. It may wait for several seconds, and an engine is kept for an old
+/// one only while it is among its candidates.
+const LATE_PLACEMENT_HOLD_MS: u64 = 600;
 /// Generations that wait without control retry within this random time after a capacity change.
 const LOCAL_RETRY_JITTER_MS: u64 = 40;
 
@@ -169,10 +173,16 @@
         engine: EngineSpec,
         tried: &[Arc<str>],
     ) -> Result<ChosenInstance, Refusal> {
-        let limit_ms = AdmissionQueue::limit_ms(job.route.target_ms);
         let mut hold_ms = 0;
         loop {
-            let left_ms = limit_ms.saturating_sub(job.age_ms()).min(job.left_ms());
+            let bounds = WaitBounds {
+                demand: job.demand,
+                target_ms: job.route.target_ms,
+                patience_ms: job.route.patience_ms,
+                age_ms: job.age_ms(),
+                left_ms: job.left_ms(),
+            };
+            let left_ms = bounds.remaining_ms();
             match self
                 .request_placement(job, engine, tried, left_ms, hold_ms)
                 .await
@@ -185,12 +195,16 @@
                 }
                 PlacementResult::Wait(outlook) => {
                     log_outlook(job, outlook, left_ms, "waiting for engine capacity");
-                    hold_ms = PLACEMENT_HOLD_MS;
+                    hold_ms = match outlook.late {
+                        true => LATE_PLACEMENT_HOLD_MS,
+                        false => PLACEMENT_HOLD_MS,
+                    };
                 }
                 PlacementResult::AskAgain => {}
                 PlacementResult::NoCapacity(outlook) => {
                     log_outlook(job, outlook, left_ms, "no engine capacity expected in time");
-                    return Err(retry_after("no_room", outlook.retry_after_ms));
+                    let after_ms = usable_retry_ms(outlook.retry_after_ms, job.left_ms());
+                    return Err(retry_after("no_room", after_ms));
                 }
                 PlacementResult::AtLimit { return_in_ms } => {
                     return Err(Refusal::not_run("all_at_limit", return_in_ms));
@@ -228,9 +242,14 @@
         let request = PlaceRequest {
             placement,
             call: job.call_hash(),
+            priority: job.priority,
+            workspace: headers::text(&job.headers, &headers::WORKSPACE)
+                .unwrap_or_default()
+                .into(),
             waited_ms: job.age_ms(),
             in_time_ms: AdmissionQueue::limit_ms(job.route.target_ms),
             left_ms,
+            is_first: hold_ms == 0 && tried.is_empty(),
             hold_ms,
         };
         let limit = PLACEMENT_TIMEOUT + Duration::from_millis(hold_ms);
@@ -407,6 +426,7 @@
         ahead = outlook.ahead,
         expected_ms = outlook.expected_ms,
         late = outlook.late,
+        reason = outlook.refused.map(RefusalReason::name),
         left_ms,
         age_ms = job.age_ms(),
         "{message}"
