Place generations by the pace of engines

Engines of one service may run at 0.6, 1.0 or 1.6 times the usual step time, and neighbours slow any of them for spells of 600 ms. On slow engines a prompt that is processed beside streams makes them miss the gap target of their route.

Entries report the gaps between events per instance with their loads. The hub estimates the slowness of each instance from them and sends it to the entries. For generations with a gap target, waits are scaled by it; long ones avoid engines where they would miss their gap target, prompts avoid engines where they would make running streams miss theirs, and short generations prefer idle engines that long ones avoid. Without a gap target placements are unchanged.

--- a/src/domain/fleet/choice.rs
+++ b/src/domain/fleet/choice.rs
@@ -13,6 +13,7 @@
 use super::placement::{Candidate, PlacementRequest, is_read_in_time};
 use super::view::View;
 use crate::domain::document::EngineSpec;
+use crate::domain::pace::{self, PacedDemand, PacedEngine, Suitability};
 use crate::model::ZoneName;
 
 /// Prompt tokens that an engine processes per millisecond while it also runs generations. The
@@ -62,6 +63,9 @@
 /// Number of randomly sampled engines that the hub, which knows the newest loads, chooses among.
 /// Eight identities take about 0.2 KB.
 const MAX_CANDIDATES: usize = 8;
+/// How many of them are engines that long generations avoid, for a short one. The others give it a
+/// choice if these have become busy since their loads were reported.
+const PREFERRED_CANDIDATES: usize = 4;
 /// How many of them are in the entry's own zone, if that many there have room. A long answer
 /// streams some 50 KB, which would otherwise cross zones nearly always.
 const SAME_ZONE_CANDIDATES: usize = 5;
@@ -75,11 +79,14 @@
 /// Expected duration of a plain call before any has completed.
 const INITIAL_PLAIN_CALL_MS: f64 = 30.0;
 
-/// The tokens that a generation is expected to need.
+/// The tokens that a generation is expected to need, and how steadily it has to be produced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
     pub prompt_tokens: u64,
     pub output_tokens: u64,
+    /// Maximum gap between two of its events that counts as on time. `None` if its route names none,
+    /// and for copies, which produce no events.
+    pub gap_target_ms: Option<u64>,
 }
 
 impl Demand {
@@ -88,10 +95,29 @@
         self.prompt_tokens + self.output_tokens
     }
 
+    /// Returns the demand of a copy of the generation's memory, which produces no events.
+    pub fn of_copy(self) -> Self {
+        Self {
+            gap_target_ms: None,
+            ..self
+        }
+    }
+
     /// Returns true for a generation that takes longer than about a second.
     pub fn is_long(&self) -> bool {
         self.output_tokens >= MIN_LONG_OUTPUT_TOKENS
     }
+
+    /// Returns what the pace of engines matters for. `unread_limit_tokens` is `None` for a generation
+    /// that is moved together with its memory.
+    fn paced(&self, unread_limit_tokens: Option<u64>) -> PacedDemand {
+        PacedDemand {
+            gap_target_ms: self.gap_target_ms,
+            is_long: self.is_long(),
+            unread_tokens: unread_limit_tokens.map_or(0, |_| self.prompt_tokens),
+            unread_limit_tokens,
+        }
+    }
 }
 
 /// The criteria by which an engine is selected.
@@ -115,6 +141,10 @@
         self.read_within_ms
             .map(|within_ms| within_ms * PREFILL_TOKENS_PER_MS)
     }
+
+    fn paced(&self) -> PacedDemand {
+        self.demand.paced(self.unread_limit_tokens())
+    }
 }
 
 /// Requirements on an engine for a generation or for a copy of one.
@@ -246,8 +276,13 @@
         let own_prefill = |instance: &Instance| instance.prefill_tokens;
         let mut fitting = self.with_room(query, required, own_prefill);
         fitting.retain(|instance| instance.allows_without_hub(self.share, query.now_ms));
-        let sample = sample(fitting, query, SAMPLED_ENGINES);
-        let best = ranked(sample, query, required, own_prefill, 1).pop();
+        let (mut preferred, rest) = self.by_pace(fitting, query, SAMPLED_ENGINES);
+        preferred.truncate(SAMPLED_ENGINES);
+        let most = SAMPLED_ENGINES - preferred.len();
+        preferred.extend(sample(rest, query, most));
+        let best = self
+            .ranked(preferred, query, required, own_prefill, 1)
+            .pop();
         best.map(|instance| chosen(instance, required.near))
     }
 
@@ -265,7 +300,10 @@
             true => sample(self.open(query).collect(), query, MAX_CANDIDATES),
             false => {
                 let fitting = self.with_room(query, required, Instance::total_prefill);
-                sample_near(fitting, query, required.near)
+                let (mut candidates, rest) = self.by_pace(fitting, query, MAX_CANDIDATES);
+                let most = MAX_CANDIDATES - candidates.len();
+                candidates.extend(sample_near(rest, query, required.near, most));
+                candidates
             }
         };
         let request = placement_request(query, required, entry, &sample);
@@ -300,7 +338,7 @@
         };
         let mut fitting = self.with_room(query, required, Instance::total_prefill);
         fitting.retain(|instance| !instance.is_limited());
-        let best = ranked(fitting, query, required, Instance::total_prefill, most);
+        let best = self.ranked(fitting, query, required, Instance::total_prefill, most);
         let request = placement_request(query, required, entry, &best);
         let engines = best.into_iter().map(|i| chosen(i, required.near)).collect();
         (request, engines)
@@ -319,7 +357,9 @@
         };
         let mut fitting = self.with_room(query, required, Instance::total_prefill);
         fitting.retain(|instance| !instance.is_limited());
-        let best = ranked(fitting, query, required, Instance::total_prefill, 1).pop();
+        let best = self
+            .ranked(fitting, query, required, Instance::total_prefill, 1)
+            .pop();
         best.map(|instance| chosen(instance, required.near))
     }
 
@@ -357,6 +397,65 @@
         self.open(query).filter(fits).collect()
     }
 
+    /// Returns the pace of an instance, and the streams that run there.
+    fn paced_engine(&self, instance: &Instance) -> PacedEngine {
+        PacedEngine {
+            pace: self.pace(instance).unwrap_or_default(),
+            paced: instance.total_paced(),
+        }
+    }
+
+    /// Divides engines by how their pace suits a generation that can choose among `most`. Returns
+    /// those that have to be among its candidates, fewer than `most`, and those that the others are
+    /// sampled from.
+    fn by_pace<'a>(
+        &self,
+        engines: Vec<&'a Instance>,
+        query: &EngineQuery<'_>,
+        most: usize,
+    ) -> (Vec<&'a Instance>, Vec<&'a Instance>) {
+        let demand = query.paced();
+        let (mut preferred, mut neutral, mut avoided) = (Vec::new(), Vec::new(), Vec::new());
+        for instance in engines {
+            match pace::suitability(&demand, &self.paced_engine(instance)) {
+                Suitability::Preferred => preferred.push(instance),
+                Suitability::Neutral => neutral.push(instance),
+                Suitability::BreaksOthers | Suitability::BreaksOwn => avoided.push(instance),
+            }
+        }
+        preferred.sort_by_key(|instance| random_order(instance, query.random));
+        let most_preferred = PREFERRED_CANDIDATES.min(most / 2);
+        neutral.extend(preferred.drain(preferred.len().min(most_preferred)..));
+        if preferred.len() + neutral.len() >= most {
+            return (preferred, neutral);
+        }
+        preferred.extend(neutral);
+        (preferred, avoided)
+    }
+
+    /// Returns up to `most` engines, the best one first.
+    fn ranked<'a>(
+        &self,
+        mut engines: Vec<&'a Instance>,
+        query: &EngineQuery<'_>,
+        required: Requirements<'_>,
+        prefill_tokens: fn(&Instance) -> u64,
+        most: usize,
+    ) -> Vec<&'a Instance> {
+        engines.sort_by_cached_key(|instance| {
+            let load = EngineLoad {
+                prefill_tokens: prefill_tokens(instance),
+                committed_tokens: instance.total_committed(),
+                planned_tokens: required.planned_tokens(query.engine),
+                engine: self.paced_engine(instance),
+            };
+            paced_waiting_ms(query.demand, query.unread_limit_tokens(), load)
+                + required.penalty_ms(instance, query.random)
+        });
+        engines.truncate(most);
+        engines
+    }
+
     /// Returns the average time of a plain call over the instances of a service. An instance
     /// without calls so far is assumed to be average: with a fixed assumed time it would never be
     /// used where calls are faster.
@@ -401,38 +500,22 @@
     engines
 }
 
-/// Returns up to `MAX_CANDIDATES` randomly sampled engines, most of them in `zone`.
+/// Returns up to `most` randomly sampled engines, most of them in `zone`.
 fn sample_near<'a>(
     engines: Vec<&'a Instance>,
     query: &EngineQuery<'_>,
     zone: &ZoneName,
+    most: usize,
 ) -> Vec<&'a Instance> {
     let is_near = |instance: &&Instance| instance.listed.zone == *zone;
     let (near, far): (Vec<_>, Vec<_>) = engines.into_iter().partition(is_near);
-    let most_far = MAX_CANDIDATES - near.len().min(SAME_ZONE_CANDIDATES);
+    let most_far = most - near.len().min(SAME_ZONE_CANDIDATES.min(most));
     let mut candidates = sample(far, query, most_far);
-    let most_near = MAX_CANDIDATES - candidates.len();
+    let most_near = most - candidates.len();
     candidates.extend(sample(near, query, most_near));
     candidates
 }
 
-/// Returns up to `most` engines, the best one first.
-fn ranked<'a>(
-    mut engines: Vec<&'a Instance>,
-    query: &EngineQuery<'_>,
-    required: Requirements<'_>,
-    prefill_tokens: fn(&Instance) -> u64,
-    most: usize,
-) -> Vec<&'a Instance> {
-    let planned = required.planned_tokens(query.engine);
-    engines.sort_by_cached_key(|instance| {
-        let (prefill, committed) = (prefill_tokens(instance), instance.total_committed());
-        waiting_ms(prefill, committed, planned) + required.penalty_ms(instance, query.random)
-    });
-    engines.truncate(most);
-    engines
-}
-
 fn placement_request(
     query: &EngineQuery<'_>,
     required: Requirements<'_>,
@@ -471,10 +554,34 @@
     cold_ms + random_order(instance, random) % JITTER_MS
 }
 
-/// Converts an engine's load to the expected time until a new prompt is processed there.
-pub(super) fn waiting_ms(prefill_tokens: u64, committed_tokens: u64, planned_tokens: u64) -> u64 {
-    let memory_ms = MEMORY_WEIGHT_MS * committed_tokens / planned_tokens.max(1);
-    prefill_tokens / PREFILL_TOKENS_PER_MS + memory_ms
+/// The load and the pace of an engine that a generation may be placed on.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EngineLoad {
+    /// Unprocessed prompt tokens.
+    pub(super) prefill_tokens: u64,
+    pub(super) committed_tokens: u64,
+    /// How much of its memory may be committed.
+    pub(super) planned_tokens: u64,
+    pub(super) engine: PacedEngine,
+}
+
+/// Converts an engine's load to the expected time until a new prompt is processed there. For a
+/// generation with a gap target, that time includes its own prompt at the pace of the engine, and
+/// a penalty where gap targets would be missed.
+pub(super) fn paced_waiting_ms(
+    demand: Demand,
+    unread_limit_tokens: Option<u64>,
+    load: EngineLoad,
+) -> u64 {
+    let memory_ms = MEMORY_WEIGHT_MS * load.committed_tokens / load.planned_tokens.max(1);
+    if demand.gap_target_ms.is_none() {
+        return load.prefill_tokens / PREFILL_TOKENS_PER_MS + memory_ms;
+    }
+    let demand = demand.paced(unread_limit_tokens);
+    // Divided separately, so that engines of one speed rank as they do without a gap target.
+    let ahead_ms = load.engine.pace.scale(load.prefill_tokens) / PREFILL_TOKENS_PER_MS;
+    let own_ms = load.engine.pace.scale(demand.unread_tokens) / PREFILL_TOKENS_PER_MS;
+    ahead_ms + own_ms + memory_ms + pace::penalty_ms(&demand, &load.engine)
 }
 
 /// Returns the sort key of an instance in a random order.
--- a/src/domain/fleet/hub/mod.rs
+++ b/src/domain/fleet/hub/mod.rs
@@ -18,6 +18,7 @@
 use super::updates::{FleetUpdate, InstanceState, ListHistory, LoadHistory, Position};
 use super::usage::{Loads, Usage};
 use super::{InstanceUpdate, Listed, ListedState, Load, Report};
+use crate::domain::pace::{Observed, PaceEstimate, PaceSummary, Paces};
 use crate::model::ZoneName;
 
 /// The load of an entry counts for this long after its last sync. Entries sync at intervals of at
@@ -71,6 +72,7 @@
     loads: Loads,
     reservations: Reservations,
     load_history: LoadHistory,
+    paces: Paces,
     entries: Entries,
     next_expiry_check_ms: u64,
 }
@@ -212,6 +214,7 @@
             report,
             usage: self.usage(identity),
             limit_milli_per_s: self.limiters.milli_per_s(identity),
+            pace: self.pace(listed),
         };
         self.load_history.update(identity, state);
     }
@@ -239,12 +242,42 @@
         report.leaves() && !before.is_some_and(|(before, _)| before.leaves())
     }
 
+    /// Returns the pace of an instance; `None` if it is unknown.
+    fn pace(&self, listed: &Listed) -> Option<PaceEstimate> {
+        self.paces.estimate(&listed.identity, listed.born_ms)
+    }
+
+    /// Returns the pace of each service, for metrics.
+    pub fn pace_summaries(&self) -> Vec<PaceSummary> {
+        self.paces.summaries()
+    }
+
+    /// Learns the pace of instances from the gaps that an entry reports. Returns the instances whose
+    /// estimates may have changed.
+    fn observe_gaps(&mut self, loads: &[Load], now_ms: u64) -> Vec<Arc<str>> {
+        for load in loads.iter().filter(|load| load.gaps.count > 0) {
+            let running = self.usage(&load.identity).paced.count;
+            if let Some(listed) = find(&self.listed, &load.identity) {
+                let observed = Observed {
+                    identity: &listed.identity,
+                    service: &listed.service,
+                    born_ms: listed.born_ms,
+                    running,
+                };
+                self.paces.observe(&observed, load.gaps, now_ms);
+            }
+        }
+        self.paces.refresh(now_ms)
+    }
+
     /// Replaces the load that an entry has placed on engines.
     pub fn load(&mut self, entry: &Arc<str>, loads: &[Load], now_ms: u64) {
         self.expire(now_ms);
         let mut affected = self.loads.replace(entry, loads, now_ms + LOAD_TTL_MS);
         affected.extend(self.reservations.release_reported(entry, now_ms));
+        let with_new_pace = self.observe_gaps(loads, now_ms);
         self.record_loads(&affected);
+        self.record_loads(&with_new_pace);
         self.record_own_changes(entry, &affected, now_ms);
     }
 
@@ -457,7 +490,10 @@
         listed
             .filter_map(|listed| self.instance_update(entry, &listed.identity, now_ms))
             .filter(|update| {
-                update.report.is_some() || update.running > 0 || update.limit.is_some()
+                update.report.is_some()
+                    || update.running > 0
+                    || update.limit.is_some()
+                    || update.pace.is_some()
             })
             .collect()
     }
@@ -476,6 +512,8 @@
             running: usage.running,
             committed_tokens: usage.committed_tokens,
             prefill_tokens: usage.prefill_tokens,
+            paced: usage.paced,
+            pace: self.pace(listed),
             limit: self.limiters.statement(identity, now_ms),
         })
     }
--- a/src/domain/fleet/hub/placement.rs
+++ b/src/domain/fleet/hub/placement.rs
@@ -61,7 +61,7 @@
             });
             let takes_work =
                 takes_work && condition(identity) && !self.starts.is_unverified(listed, now_ms);
-            takes_work.then(|| self.usage(identity))
+            takes_work.then(|| (self.usage(identity), self.pace(listed).unwrap_or_default()))
         };
         Reservations::with_room(request, usage)
     }
--- a/src/domain/fleet/instance.rs
+++ b/src/domain/fleet/instance.rs
@@ -8,6 +8,7 @@
 use super::pause::Pause;
 use super::request_limit::{KnownLimit, LimitChange};
 use super::{Listed, ListedState, Report};
+use crate::domain::pace::{Gaps, PaceEstimate, PacedStreams};
 
 /// How long an instance that could not be reached is avoided after the first failure. The time
 /// doubles with each further failure.
@@ -35,6 +36,8 @@
     /// Memory in use according to the last report received, and the report's age.
     pub used_tokens: Option<u64>,
     pub report_age_ms: Option<u64>,
+    /// Its time per step in thousandths of the median of its service.
+    pub slowness_permille: u32,
     /// Average time of its plain calls, the percentage that failed, and the time since the last one
     /// ended. `None` before the first one.
     pub average_ms: Option<u64>,
@@ -83,6 +86,8 @@
     pub(super) running: u32,
     pub(super) committed_tokens: u64,
     pub(super) prefill_tokens: u64,
+    pub(super) paced: PacedStreams,
+    pub(super) pace: Option<PaceEstimate>,
     /// The request limit that the hub knows.
     pub(super) limit_milli_per_s: Option<u64>,
 }
@@ -94,6 +99,9 @@
     pub(super) running: u32,
     pub(super) committed_tokens: u64,
     pub(super) prefill_tokens: u64,
+    pub(super) paced: PacedStreams,
+    /// Gaps between events of this entry's streams since its last report.
+    pub(super) gaps: Gaps,
     /// `None` before the first update.
     pub(super) hub_update: Option<HubUpdate>,
     pub(super) leaving: Option<Leaving>,
@@ -124,6 +132,8 @@
             running: 0,
             committed_tokens: 0,
             prefill_tokens: 0,
+            paced: PacedStreams::default(),
+            gaps: Gaps::default(),
             hub_update: None,
             leaving: None,
             delisted_ms: None,
@@ -203,6 +213,7 @@
             running: self.running,
             committed_tokens: self.committed_tokens,
             prefill_tokens: self.prefill_tokens,
+            paced: self.paced,
             pause: self.pause,
             limit: self.limit,
             at_limit_until_ms: self.at_limit_until_ms,
@@ -253,6 +264,7 @@
             prefill_tokens: self.total_prefill(),
             used_tokens: report.map(|(report, _)| report.used_tokens),
             report_age_ms: report.map(|(_, at_ms)| now_ms.saturating_sub(at_ms)),
+            slowness_permille: PaceEstimate::default().slowness_permille,
             average_ms: self.answered.then_some(self.average_ms as u64),
             failed_percent: is_observed.then_some((self.failure_rate * 100.0) as u64),
             observed_age_ms: is_observed.then(|| now_ms.saturating_sub(self.observed_ms)),
@@ -288,6 +300,17 @@
                 .map_or(0, |update| update.committed_tokens)
     }
 
+    pub(super) fn total_paced(&self) -> PacedStreams {
+        let mut paced = self.paced;
+        paced.add(
+            self.hub_update
+                .as_ref()
+                .map(|update| update.paced)
+                .unwrap_or_default(),
+        );
+        paced
+    }
+
     pub(super) fn total_prefill(&self) -> u64 {
         self.prefill_tokens
             + self
--- a/src/domain/fleet/mod.rs
+++ b/src/domain/fleet/mod.rs
@@ -29,6 +29,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::domain::pace::{Gaps, PaceEstimate, PacedStreams};
 use crate::model::ZoneName;
 
 pub use address_owner::AddressOwner;
@@ -102,7 +103,7 @@
 }
 
 /// The load that one entry has placed on an instance.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     pub identity: Arc<str>,
     pub running: u32,
@@ -110,10 +111,14 @@
     pub committed_tokens: u64,
     /// Prompt tokens of generations without a first event.
     pub prefill_tokens: u64,
+    /// Its running generations with a gap target.
+    pub paced: PacedStreams,
+    /// Gaps between events since the entry's last report.
+    pub gaps: Gaps,
 }
 
 /// The hub's update to an entry on one instance.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceUpdate {
     pub identity: Arc<str>,
     /// The newest report and its age in milliseconds.
@@ -122,6 +127,9 @@
     pub running: u32,
     pub committed_tokens: u64,
     pub prefill_tokens: u64,
+    pub paced: PacedStreams,
+    /// Its pace; `None` if it is unknown.
+    pub pace: Option<PaceEstimate>,
     /// What the instance has last stated about its request limit; `None` if it never named one.
     pub limit: Option<LimitStatement>,
 }
--- a/src/domain/fleet/placement.rs
+++ b/src/domain/fleet/placement.rs
@@ -9,8 +9,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::choice::{Demand, waiting_ms};
+use super::choice::{Demand, EngineLoad, paced_waiting_ms};
 use super::usage::{Usage, UsageByEngine};
+use crate::domain::pace::{PaceEstimate, PacedEngine, PacedStreams};
 
 /// A reservation counts for at most this long if its entry has not reported the generation in its
 /// load. Entries sync every 200 ms, so that two failed calls in a row are tolerated.
@@ -80,26 +81,31 @@
 
 impl Reservations {
     /// Returns the indices of the candidates with room, and the wait at each. `usage` returns what
-    /// runs at an engine, reservations included, or `None` if it accepts nothing new.
+    /// runs at an engine, reservations included, and its pace, or `None` if it accepts nothing new.
     pub(super) fn with_room(
         request: &PlacementRequest,
-        usage: impl Fn(&str) -> Option<Usage>,
+        usage: impl Fn(&str) -> Option<(Usage, PaceEstimate)>,
     ) -> Vec<(usize, u64)> {
         let fitting = request
             .candidates
             .iter()
             .enumerate()
             .filter_map(|(at, candidate)| {
-                let total = usage(&candidate.identity)?;
+                let (total, pace) = usage(&candidate.identity)?;
                 let needed = total.committed_tokens + request.demand.total_tokens();
                 let fits = total.running < request.slots
                     && request.is_read_in_time(total.prefill_tokens)
                     && (needed <= request.planned_tokens || total.committed_tokens == 0);
-                let load_ms = waiting_ms(
-                    total.prefill_tokens,
-                    total.committed_tokens,
-                    request.planned_tokens,
-                );
+                let load = EngineLoad {
+                    prefill_tokens: total.prefill_tokens,
+                    committed_tokens: total.committed_tokens,
+                    planned_tokens: request.planned_tokens,
+                    engine: PacedEngine {
+                        pace,
+                        paced: total.paced,
+                    },
+                };
+                let load_ms = paced_waiting_ms(request.demand, request.unread_limit_tokens, load);
                 fits.then_some((at, load_ms + candidate.penalty_ms))
             });
         fitting.collect()
@@ -119,6 +125,7 @@
                 Some(_) => request.demand.prompt_tokens,
                 None => 0,
             },
+            paced: PacedStreams::one(request.demand.gap_target_ms),
         };
         let reservation = Reservation {
             entry: Arc::clone(&request.entry),
--- a/src/domain/fleet/updates.rs
+++ b/src/domain/fleet/updates.rs
@@ -14,6 +14,7 @@
 
 use super::usage::Usage;
 use super::{InstanceUpdate, Listed, Report};
+use crate::domain::pace::PaceEstimate;
 
 /// Smallest change of a load that is sent, as a percentage of the engine's memory: one long
 /// generation on the planned deployments.
@@ -93,6 +94,7 @@
     pub(super) usage: Usage,
     /// The request limit in force; `None` if there is none.
     pub(super) limit_milli_per_s: Option<u64>,
+    pub(super) pace: Option<PaceEstimate>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -107,6 +109,10 @@
         if self.limit_milli_per_s != new.limit_milli_per_s {
             return true;
         }
+        let (pace, new_pace) = (self.pace.unwrap_or_default(), new.pace.unwrap_or_default());
+        if pace.differs(&new_pace) {
+            return true;
+        }
         let usage = new.usage;
         let (before, now) = match (self.report, new.report) {
             (Some(before), Some(now)) => (before, now),
--- a/src/domain/fleet/usage.rs
+++ b/src/domain/fleet/usage.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use super::Load;
+use crate::domain::pace::PacedStreams;
 
 /// The load that runs on an engine or is reserved there.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -14,6 +15,7 @@
     pub(super) running: u32,
     pub(super) committed_tokens: u64,
     pub(super) prefill_tokens: u64,
+    pub(super) paced: PacedStreams,
 }
 
 impl Usage {
@@ -22,6 +24,7 @@
         self.running += other.running;
         self.committed_tokens += other.committed_tokens;
         self.prefill_tokens += other.prefill_tokens;
+        self.paced.add(other.paced);
     }
 
     /// Subtracts usage that was added before.
@@ -29,6 +32,7 @@
         self.running = self.running.saturating_sub(other.running);
         self.committed_tokens = self.committed_tokens.saturating_sub(other.committed_tokens);
         self.prefill_tokens = self.prefill_tokens.saturating_sub(other.prefill_tokens);
+        self.paced.subtract(other.paced);
     }
 }
 
@@ -38,6 +42,7 @@
             running: load.running,
             committed_tokens: load.committed_tokens,
             prefill_tokens: load.prefill_tokens,
+            paced: load.paced,
         }
     }
 }
--- a/src/domain/fleet/view/mod.rs
+++ b/src/domain/fleet/view/mod.rs
@@ -11,6 +11,7 @@
 use super::pause::AskedPause;
 use super::updates::{FleetUpdate, Position};
 use super::{Demand, InstanceUpdate, Listed, ListedState, Load, Report};
+use crate::domain::pace::{Observed, PaceEstimate, PacedStreams, Paces};
 use crate::model::ZoneName;
 
 /// The platform's list may be this old when it is read.
@@ -29,6 +30,8 @@
     dropped: BTreeSet<Arc<str>>,
     /// Shutdowns that instances have announced to this entry.
     departures: Departures,
+    /// What this entry's own streams show of the pace of instances, used without the hub.
+    paces: Paces,
     /// The latest update received from the hub; `None` if the list is from the platform.
     position: Option<Position>,
     /// When the newest list was read from the platform.
@@ -47,6 +50,7 @@
             received: BTreeMap::new(),
             dropped: BTreeSet::new(),
             departures: Departures::default(),
+            paces: Paces::default(),
             position: None,
             listed_ms: None,
             share: EntryShare {
@@ -193,6 +197,8 @@
                 running: update.running,
                 committed_tokens: update.committed_tokens,
                 prefill_tokens: update.prefill_tokens,
+                paced: update.paced,
+                pace: update.pace,
                 limit_milli_per_s: update.limit.and_then(|limit| limit.limit_milli_per_s),
             });
             if let Some(statement) = update.limit {
@@ -265,6 +271,7 @@
             if let Some(demand) = demand {
                 instance.committed_tokens += demand.total_tokens();
                 instance.prefill_tokens += demand.prompt_tokens;
+                instance.paced.add(PacedStreams::one(demand.gap_target_ms));
             }
         }
     }
@@ -284,6 +291,8 @@
                 instance.committed_tokens = instance
                     .committed_tokens
                     .saturating_sub(demand.total_tokens());
+                let paced = PacedStreams::one(demand.gap_target_ms);
+                instance.paced.subtract(paced);
                 if !prompt_read {
                     instance.prefill_tokens =
                         instance.prefill_tokens.saturating_sub(demand.prompt_tokens);
@@ -315,21 +324,61 @@
     pub fn loads(&self) -> Vec<Load> {
         self.instances
             .values()
-            .filter(|instance| instance.running > 0)
+            .filter(|instance| instance.running > 0 || instance.gaps.count > 0)
             .map(|instance| Load {
                 identity: Arc::clone(&instance.listed.identity),
                 running: instance.running,
                 committed_tokens: instance.committed_tokens,
                 prefill_tokens: instance.prefill_tokens,
+                paced: instance.paced,
+                gaps: instance.gaps,
             })
             .collect()
     }
 
+    /// Returns the load for the hub like [`View::loads`], and learns from the gaps in it, which the
+    /// next report does not name again.
+    pub fn take_loads(&mut self, now_ms: u64) -> Vec<Load> {
+        let loads = self.loads();
+        for instance in self.instances.values_mut() {
+            let gaps = std::mem::take(&mut instance.gaps);
+            let observed = Observed {
+                identity: &instance.listed.identity,
+                service: &instance.listed.service,
+                born_ms: instance.listed.born_ms,
+                running: instance.total_paced().count,
+            };
+            self.paces.observe(&observed, gaps, now_ms);
+        }
+        self.paces.refresh(now_ms);
+        loads
+    }
+
+    /// Records that a stream has received `events` events together, `gap_ms` after the ones before.
+    pub fn record_gap(&mut self, identity: &str, gap_ms: u64, events: u32) {
+        if let Some(instance) = self.instances.get_mut(identity) {
+            instance.gaps.record(gap_ms, events);
+        }
+    }
+
+    /// Returns the pace of an instance, as the hub has last estimated it or, without a hub, as this
+    /// entry's own streams show it. `None` if it is unknown.
+    pub(super) fn pace(&self, instance: &Instance) -> Option<PaceEstimate> {
+        let from_hub = instance.hub_update.as_ref().and_then(|update| update.pace);
+        let listed = &instance.listed;
+        let own = || self.paces.estimate(&listed.identity, listed.born_ms);
+        match self.position {
+            Some(_) => from_hub,
+            None => own().or(from_hub),
+        }
+    }
+
     /// Returns the data that a choice of an instance was based on, for the log.
     pub fn summary(&self, identity: &str, now_ms: u64) -> InstanceSummary {
         let instance = self.instances.get(identity);
-        instance.map_or_else(InstanceSummary::default, |instance| {
-            instance.summary(now_ms)
+        instance.map_or_else(InstanceSummary::default, |instance| InstanceSummary {
+            slowness_permille: self.pace(instance).unwrap_or_default().slowness_permille,
+            ..instance.summary(now_ms)
         })
     }
 
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -8,6 +8,7 @@
 pub mod log;
 pub mod members;
 pub mod orders;
+pub mod pace;
 pub mod quarantine;
 pub mod retry;
 pub mod room;
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -78,6 +78,7 @@
                 prefill_tokens = summary.prefill_tokens,
                 used_tokens = summary.used_tokens,
                 report_age_ms = summary.report_age_ms,
+                slowness_permille = summary.slowness_permille,
                 age_ms = job.age_ms(),
                 left_ms = job.left_ms(),
                 "generation sent"
@@ -313,12 +314,14 @@
             return None;
         }
         let excluded = [Arc::clone(&source.identity)];
+        let demand = job.demand.of_copy();
         let query = EngineQuery {
+            demand,
             read_within_ms: None,
             ..engine_query(job, engine, &excluded)
         };
         let chosen = self.with_view(|view| view.choose_backup(&query, &source.identity))?;
-        let mut ticket = Ticket::begin(self, chosen, Some(job.demand));
+        let mut ticket = Ticket::begin(self, chosen, Some(demand));
         ticket.mark_prompt_read();
         Some(ticket)
     }
--- a/src/roles/gateway/migrate.rs
+++ b/src/roles/gateway/migrate.rs
@@ -70,6 +70,7 @@
         Demand {
             prompt_tokens: self.held_tokens,
             output_tokens: self.demand.total_tokens().saturating_sub(self.held_tokens),
+            gap_target_ms: self.demand.gap_target_ms,
         }
     }
 }
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -64,6 +64,11 @@
     time_to_first_event_ms: Option<u64>,
     /// Time at which the last event was received.
     last_event_at: Instant,
+    /// When the last events of the source were received; `None` if the next ones end no gap: before
+    /// the first events, after a resumption, and while the engine is checked for its silence.
+    gap_since: Option<Instant>,
+    /// True once a gap was longer than the route's gap target.
+    has_missed_gap_target: bool,
     /// What an attempt at another engine has to know of the engine before.
     source_state: Arc<SourceState>,
     /// When to check again whether the engine is silent; set once it seems to be.
@@ -102,6 +107,8 @@
             first_event_ms: None,
             time_to_first_event_ms: None,
             last_event_at: Instant::now(),
+            gap_since: None,
+            has_missed_gap_target: false,
             source_state: Arc::new(SourceState::new(monotonic_ms())),
             silence_recheck_at: None,
             switch_at_ms: None,
@@ -225,6 +232,8 @@
     /// resumption; `None` if there are none.
     fn next_events(&mut self) -> Result<Option<Bytes>, String> {
         let mut whole = bytes::BytesMut::new();
+        let mut events: u32 = 0;
+        let is_checked = self.release.is_some() || self.silent_attempts > 0;
         while let Some(event) = self.events.next_event()? {
             // Events that are skipped show too that the engine is not silent.
             self.last_event_at = Instant::now();
@@ -245,6 +254,7 @@
             }
             self.last_event = event.id.or(self.last_event);
             whole.extend_from_slice(&event.bytes);
+            events += 1;
         }
         if whole.is_empty() {
             return Ok(None);
@@ -252,6 +262,7 @@
         if let Some(source) = &mut self.source {
             source.ticket.mark_prompt_read();
         }
+        self.record_gap(events, is_checked);
         self.silent_attempts = 0;
         self.job
             .open
@@ -267,6 +278,24 @@
         Ok(Some(whole.freeze()))
     }
 
+    /// Records the gap before events that have just been received together.
+    fn record_gap(&mut self, events: u32, is_checked: bool) {
+        let now = Instant::now();
+        let since = self.gap_since.replace(now).filter(|_| !is_checked);
+        let (Some(since), Some(source)) = (since, &self.source) else {
+            return;
+        };
+        let gap_ms = u64::try_from((now - since).as_millis()).unwrap_or(u64::MAX);
+        let identity = &source.ticket.identity;
+        self.gateway
+            .with_view(|view| view.record_gap(identity, gap_ms, events));
+        self.gateway.metrics.observe_gap(gap_ms, events);
+        let gap_target_ms = self.job.route.gap_target_ms.unwrap_or(u64::MAX);
+        if gap_ms > gap_target_ms && !std::mem::replace(&mut self.has_missed_gap_target, true) {
+            self.gateway.metrics.missed_gap_targets.inc();
+        }
+    }
+
     /// Finishes a complete stream. Returns the bytes after its last event, if there are any.
     fn end(&mut self) -> Option<Bytes> {
         if let Some(EngineStream { exchange, ticket }) = self.source.take() {
@@ -467,6 +496,7 @@
             "engine stream closed; resuming the generation elsewhere"
         );
         self.switch_at_ms = None;
+        self.gap_since = None;
         self.events.clear();
         Some(ticket)
     }
@@ -496,6 +526,7 @@
                 self.has_open_stop = false;
                 self.source_state = Arc::new(SourceState::new(monotonic_ms()));
                 self.last_event_at = Instant::now();
+                self.gap_since = None;
                 self.silence_recheck_at = None;
                 self.first_event_ms = Some(monotonic_ms());
                 self.silent_attempts = 0;
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -347,6 +347,7 @@
     let hint = headers::number(&head.headers, &headers::LENGTH_HINT);
     let hint_tokens = hint.unwrap_or(most_output).min(most_output);
     let output_tokens = expected_tokens(&route.name, hint_tokens, most_output);
+    let gap_target_ms = route.gap_target_ms;
     Ok(Job {
         id,
         host,
@@ -362,6 +363,7 @@
         demand: Demand {
             prompt_tokens,
             output_tokens,
+            gap_target_ms,
         },
         shared_parts: headers::shared_prompt_parts(&head.headers),
         hint_tokens,
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -185,7 +185,7 @@
             zone: view.zone().clone(),
             version,
             position: view.position(),
-            loads: view.loads(),
+            loads: view.take_loads(monotonic_ms()),
             departures: view.departures(),
             limits: view.limit_notices(monotonic_ms()),
             parts: PartNotices::default(),
--- a/tests/fleet_hub.rs
+++ b/tests/fleet_hub.rs
@@ -26,6 +26,7 @@
         running: 2,
         committed_tokens: 8_000,
         prefill_tokens: 3_000,
+        ..Load::default()
     };
     let (one, two): (Arc<str>, Arc<str>) = ("entry-1".into(), "entry-2".into());
     hub.load(&one, std::slice::from_ref(&load), 100);
@@ -281,6 +282,7 @@
     let demand = |takes_ms: &u64| Demand {
         prompt_tokens: 8 * takes_ms,
         output_tokens: 900,
+        gap_target_ms: None,
     };
     sort_by_worth(&mut asking, |takes_ms| (demand(takes_ms), *takes_ms));
     let granted = asking.iter().enumerate().filter(|(request, takes_ms)| {
--- a/tests/fleet_placement.rs
+++ b/tests/fleet_placement.rs
@@ -41,6 +41,7 @@
         running,
         committed_tokens: count * LONG.total_tokens(),
         prefill_tokens: count * LONG.prompt_tokens,
+        ..Load::default()
     }]
 }
 
@@ -187,6 +188,7 @@
         running: 3,
         committed_tokens: 3 * LONG.total_tokens(),
         prefill_tokens: 0,
+        ..Load::default()
     };
     hub.load(&request.entry, &[read], 100);
     assert!(hub.place(&request, 100).is_some());
--- a/tests/fleet_queue.rs
+++ b/tests/fleet_queue.rs
@@ -12,6 +12,7 @@
 const SHORT: Demand = Demand {
     prompt_tokens: 2_200,
     output_tokens: 12,
+    gap_target_ms: None,
 };
 /// Time for which a generation may wait in these tests.
 const LIMIT_MS: u64 = 900;
--- a/tests/fleet_subset.rs
+++ b/tests/fleet_subset.rs
@@ -44,6 +44,7 @@
         running,
         committed_tokens: u64::from(running) * LONG.total_tokens(),
         prefill_tokens: 0,
+        ..Load::default()
     }
 }
 
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -26,6 +26,7 @@
 pub const LONG: Demand = Demand {
     prompt_tokens: 3_000,
     output_tokens: 1_000,
+    gap_target_ms: None,
 };
 
 pub fn address(number: u8) -> SocketAddr {
@@ -67,8 +68,7 @@
         report: report.map(|report| (report, 100)),
         running: 1,
         committed_tokens,
-        prefill_tokens: 0,
-        limit: None,
+        ..InstanceUpdate::default()
     }
 }
 
--- a/tests/fleet_updates.rs
+++ b/tests/fleet_updates.rs
@@ -57,11 +57,7 @@
         };
         let idle = InstanceUpdate {
             identity: "".into(),
-            report: None,
-            running: 0,
-            committed_tokens: 0,
-            prefill_tokens: 0,
-            limit: None,
+            ..InstanceUpdate::default()
         };
         self.listed == other.listed
             && self.listed.keys().all(|identity| {
@@ -80,6 +76,7 @@
         running,
         committed_tokens: u64::from(running) * LONG.total_tokens(),
         prefill_tokens: u64::from(running) * LONG.prompt_tokens,
+        ..Load::default()
     }
 }
 
