Show the pace of engines in metrics, and document it

Adds a histogram of gaps, a counter of streams over their gap target, gauges of the slowest and median pace, and a counter of placements that avoided or preferred engines by reason. Copies of generations no longer count as streams with a gap target; a generation that is resumed from its copy does. An entry uses its own estimate where a new hub has none yet. The hub compares only instances whose estimate has changed, in linear time, since fleets have up to 3,000 instances.

--- a/src/domain/fleet/choice.rs
+++ b/src/domain/fleet/choice.rs
@@ -4,6 +4,7 @@
 // exactly.
 #![allow(clippy::cast_precision_loss)]
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -96,6 +97,7 @@
     }
 
     /// Returns the demand of a copy of the generation's memory, which produces no events.
+    #[must_use]
     pub fn of_copy(self) -> Self {
         Self {
             gap_target_ms: None,
@@ -405,6 +407,25 @@
         }
     }
 
+    /// Returns how the pace of engines affects the choice for a generation: reasons why some are
+    /// avoided, and whether `chosen` is preferred. For metrics.
+    pub fn pace_effects(&self, query: &EngineQuery<'_>, chosen: &str) -> BTreeSet<Suitability> {
+        let demand = query.paced();
+        if demand.gap_target_ms.is_none() {
+            return BTreeSet::new();
+        }
+        let open = self.open(query).map(|instance| {
+            let suitability = pace::suitability(&demand, &self.paced_engine(instance));
+            (&instance.listed.identity, suitability)
+        });
+        let affected = open.filter(|(identity, suitability)| match suitability {
+            Suitability::Preferred => ***identity == *chosen,
+            Suitability::Neutral => false,
+            Suitability::BreaksOthers | Suitability::BreaksOwn => ***identity != *chosen,
+        });
+        affected.map(|(_, suitability)| suitability).collect()
+    }
+
     /// Divides engines by how their pace suits a generation that can choose among `most`. Returns
     /// those that have to be among its candidates, fewer than `most`, and those that the others are
     /// sampled from.
--- a/src/domain/fleet/hub/mod.rs
+++ b/src/domain/fleet/hub/mod.rs
@@ -18,7 +18,7 @@
 use super::updates::{FleetUpdate, InstanceState, ListHistory, LoadHistory, Position};
 use super::usage::{Loads, Usage};
 use super::{InstanceUpdate, Listed, ListedState, Load, Report};
-use crate::domain::pace::{Observed, PaceEstimate, PaceSummary, Paces};
+use crate::domain::pace::{Observed, PaceEstimate, Paces};
 use crate::model::ZoneName;
 
 /// The load of an entry counts for this long after its last sync. Entries sync at intervals of at
@@ -247,11 +247,6 @@
         self.paces.estimate(&listed.identity, listed.born_ms)
     }
 
-    /// Returns the pace of each service, for metrics.
-    pub fn pace_summaries(&self) -> Vec<PaceSummary> {
-        self.paces.summaries()
-    }
-
     /// Learns the pace of instances from the gaps that an entry reports. Returns the instances whose
     /// estimates may have changed.
     fn observe_gaps(&mut self, loads: &[Load], now_ms: u64) -> Vec<Arc<str>> {
--- a/src/domain/fleet/view/mod.rs
+++ b/src/domain/fleet/view/mod.rs
@@ -11,7 +11,7 @@
 use super::pause::AskedPause;
 use super::updates::{FleetUpdate, Position};
 use super::{Demand, InstanceUpdate, Listed, ListedState, Load, Report};
-use crate::domain::pace::{Observed, PaceEstimate, PacedStreams, Paces};
+use crate::domain::pace::{Observed, PaceEstimate, PaceSummary, PacedStreams, Paces};
 use crate::model::ZoneName;
 
 /// The platform's list may be this old when it is read.
@@ -361,6 +361,17 @@
         }
     }
 
+    /// Returns the pace of each service whose instances' pace is known, for metrics.
+    pub fn pace_summaries(&self) -> Vec<PaceSummary> {
+        let mut summaries = self.paces.summaries();
+        for summary in &mut summaries {
+            let paces = self.members(&summary.service).map(|i| self.pace(i));
+            let slowest = paces.map(|pace| pace.unwrap_or_default().slowness_permille);
+            summary.slowest_permille = slowest.max().unwrap_or(summary.slowest_permille);
+        }
+        summaries
+    }
+
     /// Returns the pace of an instance, as the hub has last estimated it or, without a hub, as this
     /// entry's own streams show it. `None` if it is unknown.
     pub(super) fn pace(&self, instance: &Instance) -> Option<PaceEstimate> {
@@ -368,7 +379,8 @@
         let listed = &instance.listed;
         let own = || self.paces.estimate(&listed.identity, listed.born_ms);
         match self.position {
-            Some(_) => from_hub,
+            // A new hub has to learn the pace of instances first.
+            Some(_) => from_hub.or_else(own),
             None => own().or(from_hub),
         }
     }
--- a/src/domain/pace/learning.rs
+++ b/src/domain/pace/learning.rs
@@ -12,6 +12,8 @@
 const MAX_SAMPLES: usize = 64;
 /// Fewer reports than this show nothing.
 const MIN_SAMPLES: usize = 8;
+/// A longer mean gap counts as this one. It is far over those of the slowest engine.
+const MAX_GAP_MS: f64 = 2_000.0;
 /// A report on fewer gaps than this is not a sample: single gaps vary with the CPU time of the entry.
 const MIN_GAPS: u32 = 2;
 /// The pace is unknown for this long after the first report, more than twice as long as the 600 ms
@@ -100,9 +102,10 @@
     /// unknown.
     fn refresh_own_ms(&mut self) -> Option<f64> {
         if self.is_known() && std::mem::take(&mut self.has_news) {
-            let mut sorted: Vec<f64> = self.samples_ms.iter().copied().collect();
-            sorted.sort_by(f64::total_cmp);
-            let low_ms = sorted[sorted.len() * OWN_PACE_PERCENTILE / 100];
+            let mut samples_ms: Vec<f64> = self.samples_ms.iter().copied().collect();
+            let at = samples_ms.len() * OWN_PACE_PERCENTILE / 100;
+            let (_, low_ms, _) = samples_ms.select_nth_unstable_by(at, f64::total_cmp);
+            let low_ms = *low_ms;
             self.own_ms = Some(match self.own_ms {
                 Some(before_ms) => before_ms + (low_ms - before_ms) * SMOOTHING,
                 None => low_ms,
@@ -172,7 +175,7 @@
             let mean_ms = gaps.sum_ms as f64 / f64::from(gaps.count);
             let others = f64::from(observed.running.saturating_sub(1));
             let load_factor = 1.0 + others * STEP_PERMILLE_PER_STREAM / 1_000.0;
-            pace.add(mean_ms / load_factor, now_ms);
+            pace.add(mean_ms.min(MAX_GAP_MS) / load_factor, now_ms);
         }
         let slowness = pace
             .estimate
@@ -187,17 +190,18 @@
         *high_ms = (*high_ms + step_ms).max(0.0);
     }
 
-    /// Calculates the estimates again if that is due. Returns the instances concerned.
+    /// Calculates the estimates again if that is due. Returns the instances whose estimates have
+    /// changed.
     pub fn refresh(&mut self, now_ms: u64) -> Vec<Arc<str>> {
         if now_ms < self.next_refresh_ms {
             return Vec::new();
         }
         self.next_refresh_ms = now_ms + REFRESH_INTERVAL_MS;
-        let mut gone: Vec<Arc<str>> = Vec::new();
+        let mut changed: Vec<Arc<str>> = Vec::new();
         self.instances.retain(|identity, pace| {
             let is_kept = now_ms < pace.last_ms + RETENTION_MS;
             if !is_kept {
-                gone.push(Arc::clone(identity));
+                changed.push(Arc::clone(identity));
             }
             is_kept
         });
@@ -222,17 +226,24 @@
         }
         self.services
             .retain(|service, _| self.instances.values().any(|pace| pace.service == *service));
-        for pace in self.instances.values_mut() {
+        for (identity, pace) in &mut self.instances {
             let median_ms = medians.get(&pace.service);
             let service = self.services.entry(Arc::clone(&pace.service)).or_default();
+            let before = pace.estimate.unwrap_or_default();
             pace.estimate = pace.own_ms.zip(median_ms).map(|(own_ms, median_ms)| {
                 service.median_ms = *median_ms;
                 let slowness_permille = pace.slowness_permille(own_ms, *median_ms, now_ms);
                 estimate(slowness_permille, service.high_ms)
             });
+            let new = pace.estimate.unwrap_or_default();
+            // The expected gap matters only at slow instances.
+            if before.slowness_permille != new.slowness_permille
+                || (new.slowness_permille > USUAL_PERMILLE && before != new)
+            {
+                changed.push(Arc::clone(identity));
+            }
         }
-        gone.extend(self.instances.keys().cloned());
-        gone
+        changed
     }
 
     /// Returns the estimate for the start of an instance at `born_ms`; `None` if it is unknown.
--- a/src/domain/pace/mod.rs
+++ b/src/domain/pace/mod.rs
@@ -152,9 +152,14 @@
 }
 
 impl Suitability {
-    /// Returns true if the engine is to be used only if no other has room.
-    pub fn is_avoided(self) -> bool {
-        matches!(self, Self::BreaksOthers | Self::BreaksOwn)
+    /// Returns the label of the suitability in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Preferred => "preferred_for_short",
+            Self::Neutral => "neutral",
+            Self::BreaksOthers => "other_streams",
+            Self::BreaksOwn => "own_gaps",
+        }
     }
 }
 
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -58,6 +58,7 @@
             tried.push(Arc::clone(&chosen.identity));
             let summary = self.with_view(|view| view.summary(&chosen.identity, monotonic_ms()));
             let by_hub = chosen.by_hub;
+            self.count_pace_effects(&job, engine, &chosen.identity);
             let ticket = Ticket::begin(&self, chosen, Some(demand));
             job.open.set_instance(&ticket.identity);
             let backup = self.choose_backup(&job, engine, &ticket);
@@ -130,6 +131,15 @@
         }
     }
 
+    /// Counts the effects of the pace of engines on the choice for a generation.
+    fn count_pace_effects(&self, job: &Job, engine: EngineSpec, chosen: &str) {
+        let query = engine_query(job, engine, &[]);
+        let effects = self.with_view(|view| view.pace_effects(&query, chosen));
+        for effect in effects {
+            self.pace_metrics.count_effect(effect);
+        }
+    }
+
     /// Fails if the request or a part of its prompt is quarantined: it would crash its engine. The
     /// status is final for callers, since no attempt can succeed.
     fn check_quarantine(&self, job: &Job) -> Result<(), Refusal> {
--- a/src/roles/gateway/metrics.rs
+++ b/src/roles/gateway/metrics.rs
@@ -10,11 +10,6 @@
     5.0, 20.0, 50.0, 100.0, 150.0, 300.0, 600.0, 1_000.0, 1_800.0, 4_000.0, 10_000.0, 40_000.0,
 ];
 
-/// Upper bounds of the buckets of gaps between events in milliseconds, around usual gap targets.
-const GAP_MS: [f64; 10] = [
-    10.0, 20.0, 40.0, 80.0, 120.0, 180.0, 250.0, 400.0, 1_000.0, 2_000.0,
-];
-
 /// The metrics of one gateway.
 pub(super) struct Metrics {
     refusals: IntCounterVec,
@@ -27,8 +22,6 @@
     instance_signals: IntCounterVec,
     permits: IntCounterVec,
     first_event_ms: Histogram,
-    gap_ms: Histogram,
-    pub(super) missed_gap_targets: IntCounter,
     pub(super) document_version: prometheus::IntGauge,
     pub(super) sync_failures: IntCounter,
     pub(super) local_placements: IntCounter,
@@ -40,10 +33,6 @@
             "lilac_gateway_first_event_ms",
             "Time from a request to the first event of its stream.",
         );
-        let gaps = HistogramOpts::new(
-            "lilac_gateway_event_gap_ms",
-            "Time between two events of a stream, as received from its engine.",
-        );
         let metrics = Self {
             refusals: counters(
                 "lilac_gateway_refused_total",
@@ -95,13 +84,6 @@
             .expect("constant options are valid"),
             first_event_ms: Histogram::with_opts(first.buckets(LATENCY_MS.to_vec()))
                 .expect("constant options are valid"),
-            gap_ms: Histogram::with_opts(gaps.buckets(GAP_MS.to_vec()))
-                .expect("constant options are valid"),
-            missed_gap_targets: IntCounter::new(
-                "lilac_gateway_missed_gap_targets_total",
-                "Streams with a gap between events over the gap target of their route.",
-            )
-            .expect("constant options are valid"),
             document_version: prometheus::IntGauge::new(
                 "lilac_gateway_document_version",
                 "Version of the document in force.",
@@ -118,7 +100,7 @@
             )
             .expect("constant options are valid"),
         };
-        let all: [Box<dyn prometheus::core::Collector>; 15] = [
+        let all: [Box<dyn prometheus::core::Collector>; 13] = [
             Box::new(metrics.refusals.clone()),
             Box::new(metrics.sends.clone()),
             Box::new(metrics.moves.clone()),
@@ -129,8 +111,6 @@
             Box::new(metrics.instance_signals.clone()),
             Box::new(metrics.permits.clone()),
             Box::new(metrics.first_event_ms.clone()),
-            Box::new(metrics.gap_ms.clone()),
-            Box::new(metrics.missed_gap_targets.clone()),
             Box::new(metrics.document_version.clone()),
             Box::new(metrics.sync_failures.clone()),
             Box::new(metrics.local_placements.clone()),
@@ -149,14 +129,6 @@
         self.first_event_ms.observe(age_ms as f64);
     }
 
-    /// Records a gap before events that were received together, as that many equal gaps.
-    #[allow(clippy::cast_precision_loss)]
-    pub(super) fn observe_gap(&self, gap_ms: u64, events: u32) {
-        for _ in 0..events {
-            self.gap_ms.observe(gap_ms as f64 / f64::from(events));
-        }
-    }
-
     pub(super) fn count_refusal(&self, code: &str) {
         self.refusals.with_label_values(&[code]).inc();
     }
--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod metrics;
 mod migrate;
 mod open_requests;
+mod pace_metrics;
 mod permits;
 mod plain;
 mod relay;
@@ -53,6 +54,7 @@
 
 use metrics::Metrics;
 use open_requests::OpenRequests;
+use pace_metrics::PaceMetrics;
 use release::LivenessChecks;
 use upstream::ConnectionPool;
 
@@ -122,6 +124,7 @@
     /// Requests on which instances crash.
     request_watch: Mutex<RequestWatch>,
     metrics: Metrics,
+    pace_metrics: PaceMetrics,
     /// True once a planned stop has begun.
     stopping: watch::Sender<bool>,
     /// When the grace period of a planned stop ends; `None` before the stop.
@@ -165,6 +168,7 @@
             part_watch: Mutex::default(),
             request_watch: Mutex::default(),
             metrics: Metrics::new(),
+            pace_metrics: PaceMetrics::new(),
             stopping: watch::Sender::new(false),
             grace_ends_at: watch::Sender::new(None),
             closes_at: watch::Sender::new(None),
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -2,6 +2,7 @@
 //! another engine when its own shuts down or fails.
 
 mod departure;
+mod gaps;
 
 use std::future::Future;
 use std::sync::Arc;
@@ -14,6 +15,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
+use gaps::EventGaps;
+
 use super::Gateway;
 use super::events::EventBuffer;
 use super::generation::response_lost;
@@ -64,11 +67,7 @@
     time_to_first_event_ms: Option<u64>,
     /// Time at which the last event was received.
     last_event_at: Instant,
-    /// When the last events of the source were received; `None` if the next ones end no gap: before
-    /// the first events, after a resumption, and while the engine is checked for its silence.
-    gap_since: Option<Instant>,
-    /// True once a gap was longer than the route's gap target.
-    has_missed_gap_target: bool,
+    gaps: EventGaps,
     /// What an attempt at another engine has to know of the engine before.
     source_state: Arc<SourceState>,
     /// When to check again whether the engine is silent; set once it seems to be.
@@ -107,8 +106,7 @@
             first_event_ms: None,
             time_to_first_event_ms: None,
             last_event_at: Instant::now(),
-            gap_since: None,
-            has_missed_gap_target: false,
+            gaps: EventGaps::default(),
             source_state: Arc::new(SourceState::new(monotonic_ms())),
             silence_recheck_at: None,
             switch_at_ms: None,
@@ -233,7 +231,7 @@
     fn next_events(&mut self) -> Result<Option<Bytes>, String> {
         let mut whole = bytes::BytesMut::new();
         let mut events: u32 = 0;
-        let is_checked = self.release.is_some() || self.silent_attempts > 0;
+        let was_silent = self.release.is_some() || self.silent_attempts > 0;
         while let Some(event) = self.events.next_event()? {
             // Events that are skipped show too that the engine is not silent.
             self.last_event_at = Instant::now();
@@ -262,7 +260,7 @@
         if let Some(source) = &mut self.source {
             source.ticket.mark_prompt_read();
         }
-        self.record_gap(events, is_checked);
+        self.record_gap(events, was_silent);
         self.silent_attempts = 0;
         self.job
             .open
@@ -278,24 +276,6 @@
         Ok(Some(whole.freeze()))
     }
 
-    /// Records the gap before events that have just been received together.
-    fn record_gap(&mut self, events: u32, is_checked: bool) {
-        let now = Instant::now();
-        let since = self.gap_since.replace(now).filter(|_| !is_checked);
-        let (Some(since), Some(source)) = (since, &self.source) else {
-            return;
-        };
-        let gap_ms = u64::try_from((now - since).as_millis()).unwrap_or(u64::MAX);
-        let identity = &source.ticket.identity;
-        self.gateway
-            .with_view(|view| view.record_gap(identity, gap_ms, events));
-        self.gateway.metrics.observe_gap(gap_ms, events);
-        let gap_target_ms = self.job.route.gap_target_ms.unwrap_or(u64::MAX);
-        if gap_ms > gap_target_ms && !std::mem::replace(&mut self.has_missed_gap_target, true) {
-            self.gateway.metrics.missed_gap_targets.inc();
-        }
-    }
-
     /// Finishes a complete stream. Returns the bytes after its last event, if there are any.
     fn end(&mut self) -> Option<Bytes> {
         if let Some(EngineStream { exchange, ticket }) = self.source.take() {
@@ -358,7 +338,12 @@
         let plan = self.migration_plan(&source.ticket, None);
         let last_event = self.last_event.unwrap_or_default();
         let gateway = Arc::clone(&self.gateway);
-        let release = Release::begin(gateway, plan, backup.another(), last_event);
+        let release = Release::begin(
+            gateway,
+            plan,
+            backup.another(self.job.demand.of_copy()),
+            last_event,
+        );
         self.release = Some(release);
     }
 
@@ -496,7 +481,7 @@
             "engine stream closed; resuming the generation elsewhere"
         );
         self.switch_at_ms = None;
-        self.gap_since = None;
+        self.gaps.restart();
         self.events.clear();
         Some(ticket)
     }
@@ -526,7 +511,7 @@
                 self.has_open_stop = false;
                 self.source_state = Arc::new(SourceState::new(monotonic_ms()));
                 self.last_event_at = Instant::now();
-                self.gap_since = None;
+                self.gaps.restart();
                 self.silence_recheck_at = None;
                 self.first_event_ms = Some(monotonic_ms());
                 self.silent_attempts = 0;
--- a/src/roles/gateway/resume.rs
+++ b/src/roles/gateway/resume.rs
@@ -159,7 +159,7 @@
         backup: &Ticket,
         before: Option<Arc<SourceState>>,
     ) -> Self {
-        let ticket = backup.another();
+        let ticket = backup.another(resumer.job.demand);
         Self {
             reason,
             attempt: Box::pin(async move {
@@ -181,7 +181,7 @@
         source: Ticket,
         backup: Option<&Ticket>,
     ) -> Self {
-        let backup = backup.map(Ticket::another);
+        let backup = backup.map(|backup| backup.another(resumer.job.demand));
         Self {
             reason,
             attempt: Box::pin(resumer.resume_stopped(stopping, source, backup)),
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -225,6 +225,8 @@
         let fleet_changed = reply.fleet.is_some_and(|update| {
             self.with_view(|view| view.apply_update(update, read_ms, now_ms))
         });
+        self.pace_metrics
+            .set(&self.with_view(|view| view.pace_summaries()));
         self.capacity_changes.notify_waiters();
         if fleet_changed {
             self.departure_changes.send_modify(|count| *count += 1);
--- a/src/roles/gateway/ticket.rs
+++ b/src/roles/gateway/ticket.rs
@@ -34,15 +34,17 @@
         }
     }
 
-    /// Counts a further request for the same generation at the same instance.
-    pub(super) fn another(&self) -> Self {
+    /// Counts a further request for the same generation, of which the instance may hold a copy, at the
+    /// same instance.
+    pub(super) fn another(&self, demand: Demand) -> Self {
+        let demand = Some(demand);
         self.gateway
-            .with_view(|view| view.begin(&self.identity, self.demand));
+            .with_view(|view| view.begin(&self.identity, demand));
         let mut ticket = Self {
             gateway: Arc::clone(&self.gateway),
             identity: Arc::clone(&self.identity),
             address: self.address,
-            demand: self.demand,
+            demand,
             prompt_read: false,
         };
         if self.prompt_read {
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -1,13 +1,22 @@
 //! The pace of engines and placement by it, without I/O.
 
+// Times in a replay are short, and random numbers are taken modulo small ones.
+#![allow(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss
+)]
+
 mod fleet_support;
 
 use std::sync::Arc;
 
-use fleet_support::{ENGINE, listed};
+use fleet_support::{ENGINE, LONG, listed, query, view};
 use lilacspindle::domain::document::EngineSpec;
 use lilacspindle::domain::fleet::{Demand, EngineQuery, Hub, View};
+use lilacspindle::domain::pace::{Gaps, Observed, PaceEstimate, Paces};
 use lilacspindle::model::ZoneName;
+use quickcheck::quickcheck;
 
 const ENGINES: u8 = 55;
 const ENTRIES: usize = 16;
@@ -48,7 +57,7 @@
     streams: Vec<Stream>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, PartialEq, Eq)]
 struct Counts {
     long: u32,
     late_long: u32,
@@ -64,6 +73,8 @@
     names: Vec<Arc<str>>,
     engines: Vec<Engine>,
     counts: Counts,
+    /// The engine of each generation, in the order of placement.
+    placed: Vec<usize>,
 }
 
 impl Fleet {
@@ -83,6 +94,7 @@
             names: (0..ENTRIES).map(|n| format!("entry-{n}").into()).collect(),
             engines: (0..usize::from(ENGINES)).map(engine).collect(),
             counts: Counts::default(),
+            placed: Vec::new(),
         }
     }
 
@@ -125,6 +137,7 @@
         let identity = &engines[at].identity;
         view.begin(identity, Some(demand));
         let number: usize = identity.strip_prefix("i-").unwrap().parse().unwrap();
+        self.placed.push(number);
         self.engines[number].streams.push(Stream {
             entry,
             demand,
@@ -196,15 +209,12 @@
                 self.views[done.entry].end(&identity, Some(done.demand), true);
                 let late = u32::from(done.is_late);
                 let counts = &mut self.counts;
-                match done.demand.is_long() {
-                    true => {
-                        (counts.long, counts.late_long) = (counts.long + 1, counts.late_long + late)
-                    }
-                    false => {
-                        (counts.short, counts.late_short) =
-                            (counts.short + 1, counts.late_short + late)
-                    }
-                }
+                let (all, all_late) = match done.demand.is_long() {
+                    true => (&mut counts.long, &mut counts.late_long),
+                    false => (&mut counts.short, &mut counts.late_short),
+                };
+                *all += 1;
+                *all_late += late;
             }
         }
     }
@@ -226,8 +236,8 @@
                 waiting.push((random.next() as usize % ENTRIES, kind, now_ms));
             }
         }
-        for entry in
-            (0..ENTRIES).filter(|entry| (now_ms + 13 * *entry as u64) % 200 == 0 || now_ms == 0)
+        for entry in (0..ENTRIES)
+            .filter(|entry| (now_ms + 13 * *entry as u64).is_multiple_of(200) || now_ms == 0)
         {
             fleet.sync(entry, now_ms);
         }
@@ -256,7 +266,6 @@
 fn long_streams_keep_their_gap_targets_on_uneven_engines() {
     let without = replay(&SPEEDS, None, 40).counts;
     let with = replay(&SPEEDS, Some(GAP_TARGET_MS), 40).counts;
-    println!("without: {without:?}\nwith: {with:?}");
     assert!(
         4 * with.late_long <= without.late_long,
         "{without:?} {with:?}"
@@ -270,3 +279,148 @@
         "{without:?} {with:?}"
     );
 }
+
+/// Where all engines run at one speed, placements must be those of deployments without gap targets,
+/// and chance must not make an engine count as slow.
+#[test]
+fn engines_of_one_speed_are_used_as_without_gap_targets() {
+    let without = replay(&[1.0], None, 20);
+    let with = replay(&[1.0], Some(GAP_TARGET_MS), 20);
+    assert_eq!(with.placed, without.placed);
+    let updates = with.hub.instance_updates("entry-0", 20_000);
+    let paces = updates.iter().filter_map(|update| update.pace);
+    assert!(paces.clone().count() > 0, "no pace is known");
+    for pace in paces {
+        assert_eq!(pace.slowness_permille, 1_000);
+    }
+}
+
+fn observe(paces: &mut Paces, number: usize, born_ms: u64, gap_ms: u64, now_ms: u64) {
+    let observed = Observed {
+        identity: &format!("i-{number}").into(),
+        service: &"model".into(),
+        born_ms: Some(born_ms),
+        running: 1,
+    };
+    let gaps = Gaps {
+        count: 5,
+        sum_ms: gap_ms.saturating_mul(5),
+        longest_ms: gap_ms,
+    };
+    paces.observe(&observed, gaps, now_ms);
+}
+
+/// Returns the paces of three engines that are observed for 4 s, the third one with `gap_ms`.
+fn observed(gap_ms: impl Fn(u64) -> u64) -> Paces {
+    let mut paces = Paces::default();
+    for now_ms in (0..4_000).step_by(100) {
+        for number in 0..2 {
+            observe(&mut paces, number, 1, 40, now_ms);
+        }
+        observe(&mut paces, 2, 1, gap_ms(now_ms), now_ms);
+        paces.refresh(now_ms);
+    }
+    paces
+}
+
+fn slowness(paces: &Paces, born_ms: Option<u64>) -> Option<u32> {
+    Some(paces.estimate("i-2", born_ms)?.slowness_permille)
+}
+
+/// An engine that is restarted may run at another speed, and must not be avoided for its past.
+#[test]
+fn a_restarted_instance_starts_with_an_unknown_pace() {
+    let mut paces = observed(|_| 64);
+    assert_eq!(slowness(&paces, Some(1)), Some(1_600));
+    assert_eq!(slowness(&paces, Some(2)), None);
+    observe(&mut paces, 2, 2, 40, 4_000);
+    paces.refresh(5_000);
+    assert_eq!(slowness(&paces, Some(2)), None);
+}
+
+/// An engine that has become fast again would never be used by long generations if what is known of
+/// it did not age.
+#[test]
+fn an_old_pace_loses_its_effect() {
+    let mut paces = observed(|_| 64);
+    paces.refresh(14_900);
+    assert_eq!(slowness(&paces, Some(1)), Some(1_300));
+    paces.refresh(40_000);
+    assert_eq!(slowness(&paces, Some(1)), Some(1_000));
+    paces.refresh(90_000);
+    assert_eq!(slowness(&paces, Some(1)), None);
+}
+
+/// A neighbour that slows an engine for a short time must not make it count as slow for good.
+#[test]
+fn spells_of_a_neighbour_do_not_count_as_slowness() {
+    let paces = observed(|now_ms| if now_ms % 2_000 < 600 { 100 } else { 40 });
+    assert_eq!(slowness(&paces, Some(1)), Some(1_000));
+}
+
+quickcheck! {
+    /// False reports must have a bounded effect: one false entry among ten has none on the slowness,
+    /// and whatever is reported, the slowness stays within its bounds.
+    fn false_reports_have_a_bounded_effect(reports: Vec<(u8, u32, u64, u64, u8)>) -> bool {
+        let mut paces = observed(|_| 40);
+        let mut now_ms = 4_000;
+        let all_within_bounds = reports.into_iter().all(|(number, count, sum_ms, longest_ms, step_ms)| {
+            now_ms += u64::from(step_ms);
+            for _ in 0..9 {
+                observe(&mut paces, 2, 1, 40, now_ms);
+            }
+            let identity = format!("i-{}", 2 + number % 2).into();
+            let observed = Observed {
+                identity: &identity,
+                service: &"model".into(),
+                born_ms: Some(1),
+                running: u32::from(number),
+            };
+            paces.observe(&observed, Gaps { count, sum_ms, longest_ms }, now_ms);
+            paces.refresh(now_ms);
+            let estimates = (0..4).filter_map(|n| paces.estimate(&format!("i-{n}"), None));
+            let slowness = estimates.map(|estimate: PaceEstimate| estimate.slowness_permille);
+            let mut slowness = slowness.filter(|slowness| !(400..=4_000).contains(slowness));
+            slowness.next().is_none()
+        });
+        paces.refresh(now_ms + 500);
+        all_within_bounds && slowness(&paces, Some(1)) == Some(1_000)
+    }
+}
+
+/// Without the hub, entries must follow the same rules by the gaps of their own streams, and must
+/// not refuse a generation for which only slow engines are left.
+#[test]
+fn entries_without_a_hub_place_by_the_pace_of_their_own_streams() {
+    let mut view = view(9);
+    for now_ms in (0..4_000).step_by(100) {
+        for number in 1..=9 {
+            let gap_ms = if number <= 3 { 64 } else { 40 };
+            view.record_gap(&format!("i-{number}"), 5 * gap_ms, 5);
+        }
+        view.take_loads(now_ms);
+    }
+    let is_slow = |demand: Demand, excluded: &[Arc<str>], random: u64| {
+        let query = EngineQuery {
+            demand,
+            read_within_ms: Some(900),
+            random,
+            ..query(excluded)
+        };
+        let chosen = view.choose_engine(&query).unwrap().identity;
+        matches!(&*chosen, "i-1" | "i-2" | "i-3")
+    };
+    let long = Demand {
+        gap_target_ms: Some(50),
+        ..LONG
+    };
+    let short = Demand {
+        output_tokens: 12,
+        ..long
+    };
+    let fast: Vec<Arc<str>> = (4..=9).map(|number| format!("i-{number}").into()).collect();
+    assert!((0..40).all(|random| !is_slow(long, &[], random)));
+    assert!((0..40).all(|random| is_slow(short, &[], random)));
+    assert!((0..40).any(|random| is_slow(LONG, &[], random)));
+    assert!(is_slow(long, &fast, 1), "only slow engines are left");
+}
