--- a/src/domain/fleet/hub/placement.rs
+++ b/src/domain/fleet/hub/placement.rs
@@ -84,7 +84,7 @@
                 && condition(identity)
                 && !self.evacuated.contains(&listed.zone)
                 && !self.starts.is_unverified(listed, now_ms);
-            takes_work.then(|| self.usage(identity))
+            takes_work.then(|| (self.usage(identity), self.pace(listed).unwrap_or_default()))
         };
         Reservations::with_room(request, usage)
     }
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -10,6 +10,7 @@
 pub mod members;
 pub mod orders;
 pub mod overload;
+pub mod pace;
 pub mod quarantine;
 pub mod retry;
 pub mod room;
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -70,6 +70,7 @@
             tried.push(Arc::clone(&chosen.identity));
             let summary = self.with_view(|view| view.summary(&chosen.identity, monotonic_ms()));
             let by_hub = chosen.by_hub;
+            self.count_pace_effects(&job, engine, &chosen.identity);
             let ticket = Ticket::begin(&self, chosen, Some(demand));
             job.open.set_instance(&ticket.identity);
             let backup = self.choose_backup(&job, engine, &ticket);
@@ -90,6 +91,7 @@
                 prefill_tokens = summary.prefill_tokens,
                 used_tokens = summary.used_tokens,
                 report_age_ms = summary.report_age_ms,
+                slowness_permille = summary.slowness_permille,
                 age_ms = job.age_ms(),
                 left_ms = job.left_ms(),
                 "generation sent"
@@ -141,6 +143,15 @@
         }
     }
 
+    /// Counts the effects of the pace of engines on the choice for a generation.
+    fn count_pace_effects(&self, job: &Job, engine: EngineSpec, chosen: &str) {
+        let query = engine_query(job, engine, &[]);
+        let effects = self.with_view(|view| view.pace_effects(&query, chosen));
+        for effect in effects {
+            self.pace_metrics.count_effect(effect);
+        }
+    }
+
     /// Fails if the request or a part of its prompt is quarantined: it would crash its engine. The
     /// status is final for callers, since no attempt can succeed.
     fn check_quarantine(&self, job: &Job) -> Result<(), Refusal> {
@@ -356,12 +367,14 @@
             return None;
         }
         let excluded = [Arc::clone(&source.identity)];
+        let demand = job.demand.of_copy();
         let query = EngineQuery {
+            demand,
             read_within_ms: None,
             ..engine_query(job, engine, &excluded)
         };
         let chosen = self.with_view(|view| view.choose_backup(&query, &source.identity))?;
-        let mut ticket = Ticket::begin(self, chosen, Some(job.demand));
+        let mut ticket = Ticket::begin(self, chosen, Some(demand));
         ticket.mark_prompt_read();
         Some(ticket)
     }
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -2,6 +2,7 @@
 //! another engine when its own shuts down or fails.
 
 mod departure;
+mod gaps;
 
 use std::future::Future;
 use std::sync::Arc;
@@ -14,6 +15,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
+use gaps::EventGaps;
+
 use super::Gateway;
 use super::events::EventBuffer;
 use super::generation::response_lost;
@@ -64,6 +67,7 @@
     time_to_first_event_ms: Option<u64>,
     /// Time at which the last event was received.
     last_event_at: Instant,
+    gaps: EventGaps,
     /// What an attempt at another engine has to know of the engine before.
     source_state: Arc<SourceState>,
     /// When to check again whether the engine is silent; set once it seems to be.
@@ -102,6 +106,7 @@
             first_event_ms: None,
             time_to_first_event_ms: None,
             last_event_at: Instant::now(),
+            gaps: EventGaps::default(),
             source_state: Arc::new(SourceState::new(monotonic_ms())),
             silence_recheck_at: None,
             switch_at_ms: None,
@@ -225,6 +230,8 @@
     /// resumption; `None` if there are none.
     fn next_events(&mut self) -> Result<Option<Bytes>, String> {
         let mut whole = bytes::BytesMut::new();
+        let mut events: u32 = 0;
+        let was_silent = self.release.is_some() || self.silent_attempts > 0;
         while let Some(event) = self.events.next_event()? {
             // Events that are skipped show too that the engine is not silent.
             self.last_event_at = Instant::now();
@@ -245,6 +252,7 @@
             }
             self.last_event = event.id.or(self.last_event);
             whole.extend_from_slice(&event.bytes);
+            events += 1;
         }
         if whole.is_empty() {
             return Ok(None);
@@ -252,6 +260,7 @@
         if let Some(source) = &mut self.source {
             source.ticket.mark_prompt_read();
         }
+        self.record_gap(events, was_silent);
         self.silent_attempts = 0;
         self.job
             .open
@@ -329,7 +338,12 @@
         let plan = self.migration_plan(&source.ticket, None);
         let last_event = self.last_event.unwrap_or_default();
         let gateway = Arc::clone(&self.gateway);
-        let release = Release::begin(gateway, plan, backup.another(), last_event);
+        let release = Release::begin(
+            gateway,
+            plan,
+            backup.another(self.job.demand.of_copy()),
+            last_event,
+        );
         self.release = Some(release);
     }
 
@@ -467,6 +481,7 @@
             "engine stream closed; resuming the generation elsewhere"
         );
         self.switch_at_ms = None;
+        self.gaps.restart();
         self.events.clear();
         Some(ticket)
     }
@@ -496,6 +511,7 @@
                 self.has_open_stop = false;
                 self.source_state = Arc::new(SourceState::new(monotonic_ms()));
                 self.last_event_at = Instant::now();
+                self.gaps.restart();
                 self.silence_recheck_at = None;
                 self.first_event_ms = Some(monotonic_ms());
                 self.silent_attempts = 0;
--- a/src/roles/gateway/sync.rs
+++ b/src/roles/gateway/sync.rs
@@ -188,7 +188,7 @@
             version,
             evacuation_revision,
             position: view.position(),
-            loads: view.loads(),
+            loads: view.take_loads(monotonic_ms()),
             departures: view.departures(),
             limits: view.limit_notices(monotonic_ms()),
             parts: PartNotices::default(),
@@ -237,6 +237,8 @@
             .cold
             .instances
             .set(i64::try_from(cold).unwrap_or(i64::MAX));
+        self.pace_metrics
+            .set(&self.with_view(|view| view.pace_summaries()));
         self.capacity_changes.notify_waiters();
         if fleet_changed {
             self.departure_changes.send_modify(|count| *count += 1);
