--- a/tests/overload_loads.rs
+++ b/tests/overload_loads.rs
@@ -111,6 +111,7 @@
             demand: Demand {
                 prompt_tokens: 600,
                 output_tokens: 90,
+                gap_target_ms: None,
             },
             workspace: "w",
             priority: 2,
@@ -121,6 +122,7 @@
             demand: Demand {
                 prompt_tokens: 12_000,
                 output_tokens: 400,
+                gap_target_ms: None,
             },
             per_s: |now_ms| u64::from((5_000..15_000).contains(&now_ms)),
             ..LONG
--- a/tests/overload_support/mod.rs
+++ b/tests/overload_support/mod.rs
@@ -29,6 +29,7 @@
     demand: Demand {
         prompt_tokens: 3_080,
         output_tokens: 744,
+        gap_target_ms: None,
     },
     priority: 2,
     workspace: "w",
@@ -40,6 +41,7 @@
     demand: Demand {
         prompt_tokens: 2_550,
         output_tokens: 8,
+        gap_target_ms: None,
     },
     priority: 0,
     workspace: "w",
