Keep no engine of an evacuated zone for an old generation

Cause: two parts met: the engine that is kept for an old long generation could be in an evacuated zone, where it is never placed.

--- a/src/domain/fleet/hub/placement.rs
+++ b/src/domain/fleet/hub/placement.rs
@@ -35,6 +35,7 @@
             let listed = self.find(identity)?;
             let report = self.reports.get(&listed.address);
             let accepts = report.is_none_or(|(report, _)| !report.leaves())
+                && !self.evacuated.contains(&listed.zone)
                 && !self.starts.is_unverified(listed, now_ms);
             accepts.then(|| self.usage(identity).committed_tokens)
         };
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -113,7 +113,10 @@
     let mut evidence = CrashEvidence::new(1);
     let again = crash("a", &["shared", "x"]);
     for now_ms in (0..10).map(|n| 2_000 * n) {
-        assert_eq!(evidence.record(crashes(&[again.clone()]), now_ms), []);
+        assert_eq!(
+            evidence.record(crashes(std::slice::from_ref(&again)), now_ms),
+            []
+        );
     }
     // Others with the part count, each once.
     let _ = evidence.record(crashes(&[crash("b", &["shared", "y"])]), 22_000);
