--- a/src/domain/document/mod.rs
+++ b/src/domain/document/mod.rs
@@ -47,8 +47,6 @@
     pub target_ms: u64,
     /// Maximum gap between two events of a stream that counts as on time.
     pub gap_target_ms: Option<u64>,
-    /// Time without an event, also before the first one, after which callers abandon a stream.
-    pub patience_ms: u64,
     /// Priority of the route's requests; 0 is the most urgent.
     pub priority: u32,
     pub shares: Vec<Share>,
--- a/src/domain/fleet/hub/placement.rs
+++ b/src/domain/fleet/hub/placement.rs
@@ -28,28 +28,6 @@
         }
     }
 
-    /// Returns the index of the candidate that is expected to have room for a generation first: the one
-    /// with the least committed memory of those that accept new work.
-    pub fn first_free(&self, request: &PlacementRequest, now_ms: u64) -> Option<usize> {
-        let accepts_work = |identity: &str| {
-            let listed = self.find(identity)?;
-            let report = self.reports.get(&listed.address);
-            let accepts = report.is_none_or(|(report, _)| !report.leaves())
-                && !self.evacuated.contains(&listed.zone)
-                && !self.starts.is_unverified(listed, now_ms);
-            accepts.then(|| self.usage(identity).committed_tokens)
-        };
-        let candidates = request.candidates.iter().enumerate();
-        let accepting =
-            candidates.filter_map(|(at, candidate)| Some((accepts_work(&candidate.identity)?, at)));
-        accepting.min().map(|(_, at)| at)
-    }
-
-    /// Returns the number of generations that run on all engines, reservations included.
-    pub fn running(&self) -> u32 {
-        self.loads.running() + self.reservations.running()
-    }
-
     /// Returns the indices and addresses of the candidates with room for a generation that is moved.
     /// Instances with a request limit are in need themselves.
     pub fn with_room(
--- a/src/domain/fleet/placement.rs
+++ b/src/domain/fleet/placement.rs
@@ -145,11 +145,6 @@
         self.total.of(engine)
     }
 
-    /// Returns the number of reservations.
-    pub(super) fn running(&self) -> u32 {
-        self.total.running()
-    }
-
     /// Returns the usage of an engine that is reserved for one entry.
     pub(super) fn of_entry(&self, entry: &str, engine: &str) -> Usage {
         let mut total = Usage::default();
--- a/src/domain/overload/refused_calls.rs
+++ b/src/domain/fleet/refused_calls.rs
@@ -29,12 +29,6 @@
         }
     }
 
-    /// Returns true if a call was refused before and has not been placed since.
-    pub fn contains(&self, call: u64, now_ms: u64) -> bool {
-        let first_ms = self.first_ms.get(&call);
-        first_ms.is_some_and(|first_ms| now_ms < first_ms + CALL_TTL_MS)
-    }
-
     /// Records the refusal of a call whose first attempt arrived at `first_ms`.
     pub fn remember(&mut self, call: u64, first_ms: u64, now_ms: u64) {
         if self.first_ms.len() >= MAX_CALLS {
--- a/src/domain/fleet/usage.rs
+++ b/src/domain/fleet/usage.rs
@@ -56,11 +56,6 @@
         self.0.get(engine).copied().unwrap_or_default()
     }
 
-    /// Returns the number of generations on all engines.
-    pub(super) fn running(&self) -> u32 {
-        self.0.values().map(|usage| usage.running).sum()
-    }
-
     pub(super) fn add(&mut self, engine: &Arc<str>, usage: Usage) {
         self.0.entry(Arc::clone(engine)).or_default().add(usage);
     }
@@ -148,11 +143,6 @@
         self.total.of(engine)
     }
 
-    /// Returns the number of generations that run on all engines.
-    pub(super) fn running(&self) -> u32 {
-        self.total.running()
-    }
-
     /// Returns the load of one entry on an engine.
     pub(super) fn of_entry(&self, entry: &str, engine: &str) -> Usage {
         let loads = self.by_entry.get(entry);
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -9,7 +9,6 @@
 pub mod log;
 pub mod members;
 pub mod orders;
-pub mod overload;
 pub mod pace;
 pub mod quarantine;
 pub mod retry;
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -187,17 +187,14 @@
         }
         _ => {}
     }
-    let target_ms = wire.target_latency_ms.unwrap_or(wire.timeout_ms);
-    let gap_target_ms = wire.gap_target_ms.map(to_integer);
     Route {
         name: wire.name,
         host: wire.host,
         prefix: wire.path_prefix,
         repeat,
         timeout_ms: wire.timeout_ms,
-        target_ms,
-        gap_target_ms,
-        patience_ms: patience_ms(target_ms, gap_target_ms),
+        target_ms: wire.target_latency_ms.unwrap_or(wire.timeout_ms),
+        gap_target_ms: wire.gap_target_ms.map(to_integer),
         priority: wire.priority,
         shares,
         max_attempts: wire.max_attempts.unwrap_or(1).max(1),
@@ -205,13 +202,6 @@
     }
 }
 
-/// Returns the time without an event after which callers of a route abandon a stream, as the platform
-/// states it: two seconds, four times the target or eight times the gap target, whichever is longest.
-pub(crate) fn patience_ms(target_ms: u64, gap_target_ms: Option<u64>) -> u64 {
-    let by_gap_ms = gap_target_ms.unwrap_or(0).saturating_mul(8);
-    target_ms.saturating_mul(4).max(by_gap_ms).max(2_000)
-}
-
 fn decode_service(wire: WireService) -> Service {
     let cold_per_s = wire.cold_per_s.filter(|per_s| *per_s > 0.0);
     let cold_start_s = wire.cold_start_s.unwrap_or_default();
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -13,7 +13,6 @@
     read_identity, read_list,
 };
 pub use configuration::decode_document;
-pub(crate) use configuration::patience_ms;
 pub use instances::decode_instances;
 pub use reports::{RunningGenerations, decode_report};
 
--- a/src/roles/directory/mod.rs
+++ b/src/roles/directory/mod.rs
@@ -10,13 +10,12 @@
 mod observer;
 mod operators;
 mod placement;
-mod placement_metrics;
 mod quarantine;
 mod service;
 mod turns;
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -82,7 +81,6 @@
     hub: Mutex<Hub>,
     waiting: Mutex<placement::WaitingPlacements>,
     cold_metrics: cold::ColdMetrics,
-    placement_metrics: placement_metrics::PlacementMetrics,
     copy_schedule: Mutex<CopySchedule>,
     pending_turns: Mutex<Vec<turns::PendingTurn>>,
     crash_evidence: Mutex<CrashEvidence>,
@@ -135,7 +133,6 @@
             hub: Mutex::new(Hub::new(rand::random())),
             waiting: Mutex::default(),
             cold_metrics: cold::ColdMetrics::new(),
-            placement_metrics: placement_metrics::PlacementMetrics::new(),
             copy_schedule: Mutex::default(),
             pending_turns: Mutex::default(),
             crash_evidence: Mutex::new(CrashEvidence::new(rand::random())),
@@ -235,12 +232,8 @@
         (leader.address != self.endpoint.rpc_address).then_some(leader.address)
     }
 
-    fn hub(&self) -> MutexGuard<'_, Hub> {
-        self.hub.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn with_hub<T>(&self, use_hub: impl FnOnce(&mut Hub) -> T) -> T {
-        use_hub(&mut self.hub())
+        use_hub(&mut self.hub.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Wakes the entries that wait for updates, once for all updates of a short time.
--- a/src/roles/directory/placement.rs
+++ b/src/roles/directory/placement.rs
@@ -1,6 +1,5 @@
 //! Placement of generations on engines: at once if there is room, else from a queue.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -10,7 +9,7 @@
 
 use super::DirectoryRole;
 use crate::adapters::clock::monotonic_ms;
-use crate::domain::overload::{PendingGeneration, PlacementDecision, PlacementQueue, RefusedCalls};
+use crate::domain::fleet::{PendingGeneration, PlacementDecision, PlacementQueue, RefusedCalls};
 use crate::rpc::directory::{PlaceReply, PlaceRequest};
 
 /// Time between attempts to place the generations in the queue. An attempt on each of the hundreds
@@ -53,23 +52,14 @@
         let hold = Duration::from_millis(request.hold_ms).min(MAX_HOLD);
         let (call, now_ms) = (request.call, monotonic_ms());
         let arrived_ms = now_ms.saturating_sub(request.waited_ms);
-        let (first_ms, was_refused) = {
-            let mut waiting = self.waiting();
-            let was_refused = waiting.refused_calls.contains(call, now_ms);
-            (
-                waiting.refused_calls.first_ms(call, arrived_ms),
-                was_refused,
-            )
-        };
-        let pending = PendingGeneration {
-            demand: request.placement.demand,
-            priority: request.priority,
-            workspace: Arc::clone(&request.workspace),
-            since_ms: first_ms,
-            in_time_until_ms: first_ms + request.in_time_ms,
-            until_ms: now_ms + request.left_ms,
-            is_known: was_refused || !request.is_first,
-        };
+        let first_ms = self.waiting().refused_calls.first_ms(call, arrived_ms);
+        let pending = PendingGeneration::new(
+            request.placement.demand,
+            first_ms,
+            request.in_time_ms,
+            request.left_ms,
+            now_ms,
+        );
         let reply = match self.place_or_enqueue(request, pending, now_ms) {
             Err(reply) => reply,
             Ok((id, answer)) => {
@@ -83,18 +73,10 @@
         };
         let mut waiting = self.waiting();
         match reply {
-            PlaceReply::Full(outlook) => {
-                waiting.refused_calls.remember(call, first_ms, now_ms);
-                self.placement_metrics.count_refusal(outlook.refused);
-            }
-            PlaceReply::AtLimit { .. } => {
+            PlaceReply::Full(_) | PlaceReply::AtLimit { .. } => {
                 waiting.refused_calls.remember(call, first_ms, now_ms);
             }
-            PlaceReply::At(_) => {
-                waiting.refused_calls.forget(call);
-                let wait_ms = monotonic_ms().saturating_sub(arrived_ms);
-                self.placement_metrics.observe_wait(wait_ms);
-            }
+            PlaceReply::At(_) => waiting.refused_calls.forget(call),
             PlaceReply::Wait(_) | PlaceReply::Ask | PlaceReply::NotLeader => {}
         }
         reply
@@ -111,25 +93,20 @@
     ) -> Result<(u64, oneshot::Receiver<PlaceReply>), PlaceReply> {
         let placement = request.placement;
         let mut waiting = self.waiting();
-        let (reporting, expects_engines, running) = self.with_hub(|hub| {
-            let expects_engines = hub.expects_engines(now_ms);
-            (hub.reporting(), expects_engines, hub.running())
-        });
+        let (reporting, expects_engines) =
+            self.with_hub(|hub| (hub.reporting(), hub.expects_engines(now_ms)));
         waiting.queue.expect(reporting);
-        waiting.queue.set_fleet_running(running);
         if expects_engines {
             waiting.queue.expect_engines();
         }
-        let placed = self.with_hub(|hub| {
-            let place = |request: &_| hub.place(request, now_ms);
-            waiting.queue.place_now(&placement, &pending, place, now_ms)
-        });
-        if let Some(at) = placed {
+        let outlook = waiting.queue.outlook(pending);
+        if outlook.ahead == 0
+            && let Some(at) = self.with_hub(|hub| hub.place(&placement, now_ms))
+        {
             return Err(PlaceReply::At(at));
         }
-        if request.is_first {
-            waiting.queue.record_arrival(&pending, now_ms);
-            // A waiting generation asks repeatedly, but is counted once.
+        if request.hold_ms == 0 {
+            // An entry asks once without waiting, and then repeatedly.
             self.count_held_back(&placement, now_ms);
         }
         let at_limit = self.with_hub(|hub| hub.limits_reached(&placement, now_ms));
@@ -139,10 +116,9 @@
             });
         }
         if request.hold_ms == 0 {
-            let outlook = waiting.queue.outlook(&pending, now_ms);
-            return Err(match outlook.refused {
-                None => PlaceReply::Wait(outlook),
-                Some(_) => PlaceReply::Full(waiting.queue.promise_return(outlook, now_ms)),
+            return Err(match outlook.can_be_placed_within(request.left_ms) {
+                true => PlaceReply::Wait(outlook),
+                false => PlaceReply::Full(outlook),
             });
         }
         let id = waiting
@@ -168,14 +144,10 @@
                 waiting.calls.clear();
                 waiting.queue.clear();
             }
-            let decisions = {
-                let hub = RefCell::new(self.hub());
-                let place = |request: &_| hub.borrow_mut().place(request, now_ms);
-                let first_free = |request: &_| hub.borrow().first_free(request, now_ms);
-                waiting.queue.set_fleet_running(hub.borrow().running());
-                waiting.queue.serve(place, first_free, now_ms)
-            };
-            self.placement_metrics.set_waiting(&waiting.queue.waiting());
+            let decisions = self.with_hub(|hub| {
+                let place = |request: &_| hub.place(request, now_ms);
+                waiting.queue.serve(place, now_ms)
+            });
             for (id, decision) in decisions {
                 let reply = match decision {
                     PlacementDecision::Placed(at) => PlaceReply::At(at),
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -19,8 +19,7 @@
 use crate::adapters::clock::monotonic_ms;
 use crate::domain::admission::AdmissionQueue;
 use crate::domain::document::EngineSpec;
-use crate::domain::fleet::{ChosenInstance, EngineQuery, Outcome};
-use crate::domain::overload::{Outlook, RefusalReason, WaitBounds, usable_retry_ms};
+use crate::domain::fleet::{ChosenInstance, EngineQuery, Outcome, Outlook};
 use crate::domain::quarantine::Fingerprint;
 use crate::platform::headers;
 use crate::rpc::directory::{PlaceReply, PlaceRequest};
@@ -34,9 +33,6 @@
 /// Time for which control may hold a placement call until an engine has capacity. Each call offers
 /// a new selection of engines, and waiting generations lose this much time when a leader is lost.
 const PLACEMENT_HOLD_MS: u64 = 200;
-/// The same for a late generation. It may wait for several seconds, and an engine is kept for an old
-/// one only while it is among its candidates.
-const LATE_PLACEMENT_HOLD_MS: u64 = 600;
 /// Generations that wait without control retry at this interval while instances are cold: the share
 /// of a cold limit is renewed each second, without a change of capacity.
 const COLD_RETRY_INTERVAL: Duration = Duration::from_millis(250);
@@ -194,16 +190,10 @@
         engine: EngineSpec,
         tried: &[Arc<str>],
     ) -> Result<ChosenInstance, Refusal> {
+        let limit_ms = AdmissionQueue::limit_ms(job.route.target_ms);
         let mut hold_ms = 0;
         loop {
-            let bounds = WaitBounds {
-                demand: job.demand,
-                target_ms: job.route.target_ms,
-                patience_ms: job.route.patience_ms,
-                age_ms: job.age_ms(),
-                left_ms: job.left_ms(),
-            };
-            let left_ms = bounds.remaining_ms();
+            let left_ms = limit_ms.saturating_sub(job.age_ms()).min(job.left_ms());
             match self
                 .request_placement(job, engine, tried, left_ms, hold_ms)
                 .await
@@ -216,16 +206,12 @@
                 }
                 PlacementResult::Wait(outlook) => {
                     log_outlook(job, outlook, left_ms, "waiting for engine capacity");
-                    hold_ms = match outlook.late {
-                        true => LATE_PLACEMENT_HOLD_MS,
-                        false => PLACEMENT_HOLD_MS,
-                    };
+                    hold_ms = PLACEMENT_HOLD_MS;
                 }
                 PlacementResult::AskAgain => {}
                 PlacementResult::NoCapacity(outlook) => {
                     log_outlook(job, outlook, left_ms, "no engine capacity expected in time");
-                    let after_ms = usable_retry_ms(outlook.retry_after_ms, job.left_ms());
-                    return Err(retry_after("no_room", after_ms));
+                    return Err(retry_after("no_room", outlook.retry_after_ms));
                 }
                 PlacementResult::AtLimit { return_in_ms } => {
                     return Err(Refusal::not_run("all_at_limit", return_in_ms));
@@ -263,14 +249,9 @@
         let request = PlaceRequest {
             placement,
             call: job.call_hash(),
-            priority: job.priority,
-            workspace: headers::text(&job.headers, &headers::WORKSPACE)
-                .unwrap_or_default()
-                .into(),
             waited_ms: job.age_ms(),
             in_time_ms: AdmissionQueue::limit_ms(job.route.target_ms),
             left_ms,
-            is_first: hold_ms == 0 && tried.is_empty(),
             hold_ms,
         };
         let limit = PLACEMENT_TIMEOUT + Duration::from_millis(hold_ms);
@@ -463,7 +444,6 @@
         ahead = outlook.ahead,
         expected_ms = outlook.expected_ms,
         late = outlook.late,
-        reason = outlook.refused.map(RefusalReason::name),
         left_ms,
         age_ms = job.age_ms(),
         "{message}"
--- a/src/rpc/directory.rs
+++ b/src/rpc/directory.rs
@@ -8,10 +8,9 @@
 
 use crate::domain::evacuation::Evacuations;
 use crate::domain::fleet::{
-    Demand, Departure, FleetUpdate, LimitNotice, LimitStatement, LimitsReached, Load,
+    Demand, Departure, FleetUpdate, LimitNotice, LimitStatement, LimitsReached, Load, Outlook,
     PlacementRequest, Position, Report,
 };
-use crate::domain::overload::Outlook;
 use crate::domain::quarantine::{KnownParts, KnownRequests, PartNotices, RequestNotices};
 use crate::model::ZoneName;
 use crate::rpc::Packed;
@@ -113,20 +112,13 @@
     pub placement: PlacementRequest,
     /// Identifies the call across all attempts of its caller.
     pub call: u64,
-    /// 0 is the most urgent.
-    pub priority: u32,
-    /// The caller's workspace; empty for anonymous callers.
-    pub workspace: Arc<str>,
     /// Time since this attempt arrived.
     pub waited_ms: u64,
     /// Time, counted from the first attempt, within which the generation must find room in order to
     /// start in time.
     pub in_time_ms: u64,
-    /// Remaining time for which the generation may wait. It may be longer than the time in which it
-    /// can start in time.
+    /// Remaining time for which the generation may wait.
     pub left_ms: u64,
-    /// True for the first call of this attempt. Later ones are made while the generation waits.
-    pub is_first: bool,
     /// How long the answer may wait for room. The first request of an entry does not wait, so that
     /// it finds out quickly whether the instance answers at all.
     pub hold_ms: u64,
--- a/src/soak/operator/drafts.rs
+++ b/src/soak/operator/drafts.rs
@@ -11,7 +11,7 @@
     CallerLimits, Document, EngineSpec, Repeat, Route, Service, Share, Workspace,
 };
 use crate::model::WorkspaceName;
-use crate::platform::{patience_ms, standin};
+use crate::platform::standin;
 use crate::soak::history::{SentDocument, SentRoute};
 use crate::soak::upstreams::HEALTH_PATH;
 
@@ -144,7 +144,6 @@
             timeout_ms: self.catalog.timeout_ms,
             target_ms: TARGET_MS,
             gap_target_ms: Some(GAP_TARGET_MS),
-            patience_ms: patience_ms(TARGET_MS, Some(GAP_TARGET_MS)),
             priority: PRIORITY,
             max_attempts: if repeat == Repeat::Safe { 2 } else { 1 },
             anonymous: self.random.random_ratio(1, 4),
