Review case 7: streams of a service without engine are held back

Cause: CONFIG; an entry relays a stream only if its service has an engine, and collects all other answers first.

--- a/review/standins-2/late_move.rs
+++ b/review/standins-2/late_move.rs
@@ -63,9 +63,14 @@
 
 /// Sends one generation and reads its stream to the end.
 pub fn generate(world: &Arc<World>, id: &str) -> Stream {
+    generate_on(world, "report", id)
+}
+
+/// The same on another route.
+pub fn generate_on(world: &Arc<World>, route: &str, id: &str) -> Stream {
     let body = "{}";
     let request = format!(
-        "POST /report/1 HTTP/1.1\r\nHost: depot.example\r\nX-Lilacspindle-Request-Id: {id}\r\n\
+        "POST /{route}/1 HTTP/1.1\r\nHost: depot.example\r\nX-Lilacspindle-Request-Id: {id}\r\n\
          X-Lilacspindle-Model: m\r\nX-Lilacspindle-Token-Usage: 3000,600\r\n\
          X-Lilacspindle-Prompt-Prefix: 5c1e07a2:800,e4402b7d:2200\r\n\
          X-Lilacspindle-Deadline-Milliseconds: 39000\r\nAuthorization: Bearer key-depot\r\n\
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,10 +2,12 @@
 //! held, 2 if the case could not be played. With `TROUBLE=0` in the environment the disruption is left
 //! out.
 
+mod held_stream;
 mod large_bodies;
 mod late_backup;
 mod late_move;
 mod lost_answer;
+mod old_limits;
 mod stale_tenant;
 mod unstopped_run;
 mod world;
@@ -38,10 +40,12 @@
         exit(2);
     };
     let play: fn(&Arc<World>) -> Verdict = match case.as_str() {
+        "held-stream" => held_stream::play,
         "large-bodies" => large_bodies::play,
         "late-backup" => late_backup::play,
         "late-move" => late_move::play,
         "lost-answer" => lost_answer::play,
+        "old-limits" => old_limits::play,
         "stale-tenant" => stale_tenant::play,
         "unstopped-run" => unstopped_run::play,
         _ => {
