Review case 8: replicas that answer 421 are never used again

Cause: CONFIG; an entry takes every 421 as that of another replica at the address, also where a client has asked for other weights, and marks the replica as gone for good. Change: review/8 plays asked-weights; the model replicas of the stand-ins have weights.

--- a/review/standins-2/held_stream.rs
+++ b/review/standins-2/held_stream.rs
@@ -46,7 +46,7 @@
             .map(|n| {
                 thread::sleep(ms(100));
                 let world = Arc::clone(&world);
-                thread::spawn(move || generate_on(&world, route, &format!("{route}-{n}")))
+                thread::spawn(move || generate_on(&world, route, &format!("{route}-{n}"), ""))
             })
             .collect();
         let join = |client: thread::JoinHandle<Stream>| {
--- a/review/standins-2/large_bodies.rs
+++ b/review/standins-2/large_bodies.rs
@@ -51,6 +51,7 @@
         pace: ms(WORK_MS),
         cold_ms: 0,
         drops_closed: true,
+        weights: 2,
         slots: 24,
         born_ms: 0,
         started: Instant::now(),
--- a/review/standins-2/late_move.rs
+++ b/review/standins-2/late_move.rs
@@ -47,6 +47,7 @@
         pace: ms(100),
         cold_ms,
         drops_closed: true,
+        weights: 2,
         slots: 24,
         born_ms: 0,
         started: Instant::now(),
@@ -63,18 +64,18 @@
 
 /// Sends one generation and reads its stream to the end.
 pub fn generate(world: &Arc<World>, id: &str) -> Stream {
-    generate_on(world, "report", id)
+    generate_on(world, "report", id, "")
 }
 
-/// The same on another route.
-pub fn generate_on(world: &Arc<World>, route: &str, id: &str) -> Stream {
+/// The same on another route, with further header lines.
+pub fn generate_on(world: &Arc<World>, route: &str, id: &str, headers: &str) -> Stream {
     let body = "{}";
     let request = format!(
         "POST /{route}/1 HTTP/1.1\r\nHost: depot.example\r\nX-Lilacspindle-Request-Id: {id}\r\n\
          X-Lilacspindle-Model: m\r\nX-Lilacspindle-Token-Usage: 3000,600\r\n\
          X-Lilacspindle-Prompt-Prefix: 5c1e07a2:800,e4402b7d:2200\r\n\
          X-Lilacspindle-Deadline-Milliseconds: 39000\r\nAuthorization: Bearer key-depot\r\n\
-         Content-Length: {}\r\n\r\n{body}",
+         {headers}Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
     let mut stream =
@@ -98,6 +99,9 @@
         if let Some(id) = text.strip_prefix("id:") {
             got.ids.push(id.trim().parse().unwrap_or(0));
         }
+        if text.is_empty() && got.status != 200 {
+            break;
+        }
         if text == "0" {
             got.is_whole = true;
             break;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,6 +2,7 @@
 //! held, 2 if the case could not be played. With `TROUBLE=0` in the environment the disruption is left
 //! out.
 
+mod asked_weights;
 mod held_stream;
 mod large_bodies;
 mod late_backup;
@@ -40,6 +41,7 @@
         exit(2);
     };
     let play: fn(&Arc<World>) -> Verdict = match case.as_str() {
+        "asked-weights" => asked_weights::play,
         "held-stream" => held_stream::play,
         "large-bodies" => large_bodies::play,
         "late-backup" => late_backup::play,
--- a/review/standins-2/stale_tenant.rs
+++ b/review/standins-2/stale_tenant.rs
@@ -51,6 +51,7 @@
         pace: ms(5),
         cold_ms: 0,
         drops_closed: true,
+        weights: 2,
         slots: 6,
         born_ms: 0,
         started: Instant::now(),
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -220,6 +220,8 @@
     /// Most replicas drop a request when its connection closes. If false, this one does not: it
     /// works on until the end, or until it is told to stop.
     pub drops_closed: bool,
+    /// Version of the weights of a model replica.
+    pub weights: u32,
     pub slots: u32,
     pub born_ms: u64,
     pub started: Instant,
@@ -793,6 +795,14 @@
     };
     let echo = ("X-Lilacspindle-Request-Id", id.as_str());
     let not_run = ("X-Lilacspindle-Not-Executed", "1");
+    let asked_weights = text("X-Lilacspindle-Expected-Version");
+    if asked_weights.is_some_and(|asked| asked != replica.weights.to_string()) {
+        record.note(&format!(
+            "{}: has weights {}; not run",
+            replica.id, replica.weights
+        ));
+        return respond(to, "421 Misdirected Request", &[echo, not_run], "");
+    }
     if expected.is_some_and(|expected| expected != replica.id) {
         return respond(to, "421 Misdirected Request", &[echo, not_run], "");
     }
@@ -837,8 +847,8 @@
     }
     let head = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
-         {}: {}\r\n{}: {}\r\n\r\n",
-        echo.0, echo.1, seal.0, seal.1
+         {}: {}\r\n{}: {}\r\nX-Lilacspindle-Weight-Versions: {}\r\n\r\n",
+        echo.0, echo.1, seal.0, seal.1, replica.weights
     );
     let is_complete = stream_events(replica, &id, last_event, head, to);
     let mut state = replica.state.lock().unwrap();
