--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,4 +8,4 @@
         exit 2
     fi
 done
-exec target/review-2/drill-2 asked-weights review/8/record.txt
+exec target/review-2/drill-2 cut-event review/8/record.txt
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 //! out.
 
 mod asked_weights;
+mod cut_event;
 mod held_stream;
 mod large_bodies;
 mod late_backup;
@@ -42,6 +43,7 @@
     };
     let play: fn(&Arc<World>) -> Verdict = match case.as_str() {
         "asked-weights" => asked_weights::play,
+        "cut-event" => cut_event::play,
         "held-stream" => held_stream::play,
         "large-bodies" => large_bodies::play,
         "late-backup" => late_backup::play,
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -189,6 +189,8 @@
     pub runs: BTreeMap<String, Run>,
     copies: BTreeSet<String>,
     streams: Vec<TcpStream>,
+    /// The answer to this request ends inside an event, with the regular end of its body.
+    pub cuts_answer_of: Option<String>,
     /// The answer to this request is lost: its connection closes, and the run goes on.
     pub loses_answer_of: Option<String>,
     /// Requests of clients that have arrived: time, request id, tenant and `Kv-From`.
@@ -879,14 +881,22 @@
         if replica.is_gone() {
             return false;
         }
-        let is_lost = {
+        let (is_lost, is_cut) = {
             let mut state = replica.state.lock().unwrap();
             match state.runs.get_mut(id) {
                 Some(run) if !run.stop => run.made = event,
                 _ => return false,
             }
-            state.loses_answer_of.as_deref() == Some(id)
+            (
+                state.loses_answer_of.as_deref() == Some(id),
+                state.cuts_answer_of.as_deref() == Some(id),
+            )
         };
+        if is_cut {
+            let text = format!("id: {event}\ndata: {{\"te");
+            let _ = to.write_all(format!("{:x}\r\n{text}\r\n0\r\n\r\n", text.len()).as_bytes());
+            return false;
+        }
         if is_lost {
             if !is_closed {
                 let _ = to.shutdown(std::net::Shutdown::Both);
