Treat a stream that ends inside an event as cut off, however its body is framed

The engine with the backup was not asked.

Cause: the relay looked for a partial event only in bodies that end with their connection. The end of a body in chunks or with a length was taken for the end of the stream. The log of the case says `outcome` `complete`.

Change: the format of events decides in each framing. A cut stream is resumed from its backup, or the caller's body ends without its end. An empty body, and a resumed stream that sends nothing and ends with its connection, are not complete either. A success of another content type is no stream and is returned whole.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -41,6 +41,8 @@
 pub const CONTINUE_FROM: HeaderName = HeaderName::from_static("kv-from");
 /// Id of the last event that was received before the stream was interrupted.
 pub const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
 
 /// Announces that the replica is about to leave; it may be set on any response.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
@@ -183,6 +185,13 @@
     }
 }
 
+/// Returns true unless a response declares a content other than a stream of events.
+pub fn is_event_stream(response: &HeaderMap) -> bool {
+    let content_type = text(response, &header::CONTENT_TYPE).unwrap_or(EVENT_STREAM);
+    let media_type = content_type.split(';').next().unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case(EVENT_STREAM)
+}
+
 /// Returns true if a response carries the seal of a replica that executed the request.
 fn is_executed(response: &HeaderMap) -> bool {
     response.contains_key(SEAL)
--- a/src/roles/gateway/events.rs
+++ b/src/roles/gateway/events.rs
@@ -64,9 +64,27 @@
         None
     }
 
-    /// Returns true if bytes of an event were received whose end was not.
-    pub(super) fn has_partial_event(&self) -> bool {
-        !self.buffer.is_empty()
+    /// Returns true if a stream that ends now has been cut inside an event: a field was received, but
+    /// not the blank line that ends its event. Comments belong to no event.
+    pub(super) fn ends_inside_event(&self) -> bool {
+        let mut is_inside = false;
+        let mut rest = &self.buffer[..];
+        while !rest.is_empty() {
+            // At the end of a stream, a carriage return without a line feed ends a line too.
+            let line_end = rest.iter().position(|byte| matches!(byte, b'\n' | b'\r'));
+            let line_end = line_end.unwrap_or(rest.len());
+            let (line, after) = rest.split_at(line_end);
+            is_inside = match line {
+                [] => false,
+                [b':', ..] => is_inside,
+                _ => true,
+            };
+            rest = match after {
+                [b'\r', b'\n', next @ ..] | [_, next @ ..] => next,
+                [] => after,
+            };
+        }
+        is_inside
     }
 
     /// Takes the bytes after the last whole event, once the stream has ended; `None` if there are
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -132,6 +132,9 @@
             if !exchange.head.status.is_success() {
                 return self.forward_failure(&job, &ticket, exchange).await;
             }
+            if !headers::is_event_stream(&exchange.head.headers) {
+                return self.forward_whole(&job, exchange).await;
+            }
             let source = EngineStream { exchange, ticket };
             return Relay::new(Arc::clone(&self), job, engine, source, backup)
                 .into_response()
@@ -379,6 +382,15 @@
             status,
             "engine failed"
         );
+        self.forward_whole(job, exchange).await
+    }
+
+    /// Returns a response that is no event stream to the caller, once its body is complete.
+    async fn forward_whole(
+        &self,
+        job: &Job,
+        exchange: Exchange,
+    ) -> Result<Response<Body>, Refusal> {
         match timeout_at(job.deadline, self.pool.collect(exchange)).await {
             Ok(Ok((head, body))) => {
                 self.record_completion(job);
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -202,14 +202,8 @@
                     self.events.push(data);
                 }
             }
-            // Without an explicit end, a stream that breaks off looks as if it had ended.
-            None if !source.exchange.has_explicit_end()
-                && (self.events.has_partial_event() || self.last_event.is_none()) =>
-            {
-                let cause = format!(
-                    "stream from {} ended inside an event",
-                    source.ticket.identity
-                );
+            None if self.is_cut(&source.exchange) => {
+                let cause = format!("stream from {} was cut off", source.ticket.identity);
                 self.lose_failed_source(&cause);
             }
             // An engine closes the stream of a generation that it has stopped early. A stream that
@@ -226,6 +220,16 @@
         false
     }
 
+    /// Returns true if the end of a response body is not the end of its stream: it is inside an event,
+    /// or nothing was sent. An engine that resumes a generation may have nothing left to send, which
+    /// only an explicit end shows.
+    fn is_cut(&self, exchange: &Exchange) -> bool {
+        let has_begun = self.time_to_first_event_ms.is_some();
+        self.events.ends_inside_event()
+            || !has_begun
+            || (self.is_resuming && !exchange.has_explicit_end())
+    }
+
     /// Returns the whole events received so far, without those that were relayed before a
     /// resumption; `None` if there are none.
     fn next_events(&mut self) -> Result<Option<Bytes>, String> {
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -7,6 +7,7 @@
 
 mod callers;
 mod disks;
+mod engines;
 mod limits;
 mod replica;
 
@@ -25,6 +26,10 @@
 #[allow(unused_imports)]
 pub use callers::{call, call_entry, caller, patient_caller, proper, wait_routable};
 #[allow(unused_imports)]
+pub use engines::{
+    engines_with_backups, events, is_resumption, json_answer, source_and_other, stream_head,
+};
+#[allow(unused_imports)]
 pub use limits::{Limit, Load, assert_within_limit, limited, send_load};
 #[allow(unused_imports)]
 pub use replica::{Reply, Request, Upstream, answer, sse, with_header};
