Count an engine as left too early only if it is left before the stream has ended

Cause, the test's: its engine sends event 50, event 51 and the end of the body at once. The entry closes the request to the silent backup when it has read that end, while the test still checks the chunk with event 50.

The engine now records when it sends its end, and an engine that is left before that still fails the test, as an event that is missing does.

--- a/tests/site_resumptions.rs
+++ b/tests/site_resumptions.rs
@@ -316,6 +316,7 @@
         };
         let mut replies = vec![Reply::Bytes(sse(request.id(), 1..=1, true, false))];
         replies.extend((2..=50).flat_map(event));
+        replies.push(Reply::Record("end"));
         replies.push(Reply::Bytes(sse(request.id(), 51..=51, false, true)));
         replies
     })
@@ -327,7 +328,10 @@
     let engines = [&first, &second];
     while let Some(chunk) = stream.chunk().await.unwrap() {
         received.extend_from_slice(&chunk);
-        assert_eq!(abandoned(&engines), 0, "an engine was left before the end");
+        // The entry may have read the end of the stream before this check of its last events.
+        let was_left = abandoned(&engines) > 0;
+        let has_ended = engines.iter().any(|engine| !engine.times("end").is_empty());
+        assert!(!was_left || has_ended, "an engine was left before the end");
     }
     assert_eq!(String::from_utf8(received).unwrap(), events(1..=51));
     assert_eq!(resumptions(&engines), 1);
