Ask a backup only once the engine of a broken stream is proved to have stopped

Cause: a stream that breaks off was taken for the end of its engine's work, and the engine with the backup was asked in the same millisecond. A closed connection stops most engines, not all.

Change: the engine is checked first. It counts as stopped if its machine refuses connections, the platform has ended it, it doesn't know the generation, or it confirms the stop; it is checked again until then.

Three tests had engines that answer the call to stop with a stream or never; they now answer 404, as an engine that has dropped the generation does.

--- a/src/roles/gateway/metrics.rs
+++ b/src/roles/gateway/metrics.rs
@@ -19,6 +19,7 @@
     detached: IntCounterVec,
     resumptions: IntCounterVec,
     releases: IntCounterVec,
+    broken_releases: IntCounterVec,
     instance_signals: IntCounterVec,
     permits: IntCounterVec,
     first_event_ms: Histogram,
@@ -72,6 +73,11 @@
                 "Checks of engines that sent no event, by outcome.",
                 "outcome",
             ),
+            broken_releases: counters(
+                "lilac_gateway_broken_stream_engines_total",
+                "Engines whose streams broke off, by what shows that they do not work on.",
+                "outcome",
+            ),
             instance_signals: counters(
                 "lilac_gateway_heeded_total",
                 "What instances said of themselves in answers, by reason.",
@@ -109,31 +115,36 @@
             ),
             cold: ColdMetrics::new(),
         };
-        let all: [Box<dyn prometheus::core::Collector>; 17] = [
-            Box::new(metrics.refusals.clone()),
-            Box::new(metrics.sends.clone()),
-            Box::new(metrics.moves.clone()),
-            Box::new(metrics.streams.clone()),
-            Box::new(metrics.detached.clone()),
-            Box::new(metrics.resumptions.clone()),
-            Box::new(metrics.releases.clone()),
-            Box::new(metrics.instance_signals.clone()),
-            Box::new(metrics.permits.clone()),
-            Box::new(metrics.first_event_ms.clone()),
-            Box::new(metrics.document_version.clone()),
-            Box::new(metrics.evacuated_zones.clone()),
-            Box::new(metrics.evacuation_revision.clone()),
-            Box::new(metrics.sync_failures.clone()),
-            Box::new(metrics.local_placements.clone()),
-            Box::new(metrics.cold.instances.clone()),
-            Box::new(metrics.cold.held_back.clone()),
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let all: [Box<dyn prometheus::core::Collector>; 18] = [
+            Box::new(self.refusals.clone()),
+            Box::new(self.sends.clone()),
+            Box::new(self.moves.clone()),
+            Box::new(self.streams.clone()),
+            Box::new(self.detached.clone()),
+            Box::new(self.resumptions.clone()),
+            Box::new(self.releases.clone()),
+            Box::new(self.broken_releases.clone()),
+            Box::new(self.instance_signals.clone()),
+            Box::new(self.permits.clone()),
+            Box::new(self.first_event_ms.clone()),
+            Box::new(self.document_version.clone()),
+            Box::new(self.evacuated_zones.clone()),
+            Box::new(self.evacuation_revision.clone()),
+            Box::new(self.sync_failures.clone()),
+            Box::new(self.local_placements.clone()),
+            Box::new(self.cold.instances.clone()),
+            Box::new(self.cold.held_back.clone()),
         ];
         for collector in all {
             // Fails if a test starts a second gateway in the process; the metrics of the first one
             // stay registered.
             let _ = registry().register(collector);
         }
-        metrics
     }
 
     /// Records the time from a request to the first event of its stream.
@@ -182,6 +193,10 @@
         self.releases.with_label_values(&[outcome]).inc();
     }
 
+    pub(super) fn count_broken_release(&self, outcome: &str) {
+        self.broken_releases.with_label_values(&[outcome]).inc();
+    }
+
     pub(super) fn count_stream(&self, outcome: &str) {
         self.streams.with_label_values(&[outcome]).inc();
     }
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -22,7 +22,7 @@
 use super::generation::response_lost;
 use super::migrate::{Migration, MigrationPlan, StoppedGeneration};
 use super::plain::end_to_end_headers;
-use super::release::{Release, Released, revoke};
+use super::release::{Release, Released, revoke, revoke_left};
 use super::request::Job;
 use super::response::{Body, IncompleteBody, Refusal};
 use super::resume::{Reason, ResumeFailure, Resumed, Resumer, Resumption, SourceState};
@@ -38,6 +38,12 @@
     pub(super) ticket: Ticket,
 }
 
+/// An engine whose stream has broken off, and which may still work on the generation.
+struct BrokenSource {
+    ticket: Ticket,
+    reason: Reason,
+}
+
 /// State of a generation whose events are relayed to its caller.
 pub(super) struct Relay {
     gateway: Arc<Gateway>,
@@ -51,8 +57,9 @@
     /// True from a resumption until its first new event, whose id has to be `last_event` + 1.
     is_resuming: bool,
     migration: Option<Migration>,
-    /// Check of a silent engine, before another one is asked.
+    /// Check of an engine that is silent or whose stream has broken off, before another one is asked.
     release: Option<Release>,
+    broken_source: Option<BrokenSource>,
     /// True if the engine was told to stop the generation and has not responded: it may yet do so.
     has_open_stop: bool,
     /// Attempt to resume the generation at another engine.
@@ -99,6 +106,7 @@
             is_resuming: false,
             migration: None,
             release: None,
+            broken_source: None,
             has_open_stop: false,
             resumption: None,
             silent_attempts: 0,
@@ -166,14 +174,14 @@
             if Instant::now() >= self.job.deadline {
                 return Err("out of time".to_owned());
             }
-            if self.source.is_none() && self.resumption.is_none() {
+            if self.source.is_none() && self.resumption.is_none() && self.release.is_none() {
                 return Err("no engine holds a copy of the KV cache".to_owned());
             }
             let next_check_at = self.next_check_at();
             tokio::select! {
                 biased;
                 result = Resumption::finish(&mut self.resumption) => self.finish_resumption(result)?,
-                released = Release::finish(&mut self.release) => self.finish_release(released),
+                released = Release::finish(&mut self.release) => self.finish_release(released)?,
                 frame = next_frame(&mut self.source) => {
                     if self.receive(frame) {
                         return Ok(self.end());
@@ -342,7 +350,7 @@
         let plan = self.migration_plan(&source.ticket, None);
         let last_event = self.last_event.unwrap_or_default();
         let gateway = Arc::clone(&self.gateway);
-        let release = Release::begin(
+        let release = Release::of_silent(
             gateway,
             plan,
             backup.another(self.job.demand.of_copy()),
@@ -351,9 +359,30 @@
         self.release = Some(release);
     }
 
-    /// Asks another engine if the silent one does not work on the generation any more.
-    fn finish_release(&mut self, released: Released) {
+    /// Starts to find out whether an engine whose stream has broken off still works on the generation,
+    /// if another one can go on with it.
+    fn begin_release_of_broken(&mut self, broken: BrokenSource) {
+        let Some(backup) = &self.backup else {
+            return;
+        };
+        let before = self.release.take();
+        let release = Release::of_broken(
+            Arc::clone(&self.gateway),
+            self.migration_plan(&broken.ticket, None),
+            backup.another(self.job.demand.of_copy()),
+            before.filter(Release::stop_was_requested),
+        );
+        self.release = Some(release);
+        self.broken_source = Some(broken);
+    }
+
+    /// Asks another engine if the one before does not work on the generation any more. Fails if the
+    /// stream of that one has broken off, and nothing can show that it has stopped.
+    fn finish_release(&mut self, released: Released) -> Result<(), String> {
         let release = self.release.take();
+        if let Some(broken) = self.broken_source.take() {
+            return self.finish_release_of_broken(broken, released);
+        }
         self.has_open_stop |= release.is_some_and(|release| release.stop_was_requested());
         match released {
             Released::Gone(_) => {
@@ -362,16 +391,36 @@
             }
             Released::Stopped(stopped) => {
                 let cause = "the engine was silent and has stopped the generation";
-                let Some(source) = self.detach_source(Reason::Silent, cause, true) else {
-                    return;
-                };
-                self.resume_stopped(Reason::Silent, async { Some(stopped) }, source);
+                let source = self.detach_source(Reason::Silent, cause, true);
+                if let Some(source) = source {
+                    self.resume_stopped(Reason::Silent, async { Some(stopped) }, source);
+                }
             }
             Released::Unproved(_) => {
                 self.silent_attempts += 1;
                 self.silence_recheck_at = None;
             }
         }
+        Ok(())
+    }
+
+    fn finish_release_of_broken(
+        &mut self,
+        broken: BrokenSource,
+        released: Released,
+    ) -> Result<(), String> {
+        let BrokenSource { ticket, reason } = broken;
+        match released {
+            Released::Gone(_) => self.begin_resumption(reason),
+            Released::Stopped(stopped) => {
+                self.resume_stopped(reason, async { Some(stopped) }, ticket);
+            }
+            Released::Unproved(label) => {
+                let engine = &ticket.identity;
+                return Err(format!("{engine} may still work on it: {label}"));
+            }
+        }
+        Ok(())
     }
 
     /// Starts to resume a generation that its engine was told to stop.
@@ -427,15 +476,26 @@
         let Some(ticket) = self.detach_source(reason, cause, true) else {
             return;
         };
-        if self.resumption.is_some() {
-            return;
-        }
-        match (self.migration.take(), self.release.take()) {
-            (Some(migration), _) => self.resume_stopped(reason, migration.finish(), ticket),
-            (None, Some(release)) if release.stop_was_requested() => {
-                self.resume_stopped(reason, release.stopped(), ticket);
+        match self.migration.take() {
+            Some(migration) => self.resume_stopped(reason, migration.finish(), ticket),
+            // Another engine may go on with the generation at any time.
+            None if self.resumption.is_some() && self.source_state.is_handed_over() => {
+                self.stop_left_engine(&ticket, self.backup.as_ref());
             }
-            (None, _) => self.begin_resumption(reason),
+            // The attempt asks no other engine any more.
+            None if self.resumption.is_some() => {
+                self.broken_source = Some(BrokenSource { ticket, reason });
+            }
+            None => self.begin_release_of_broken(BrokenSource { ticket, reason }),
+        }
+    }
+
+    /// Makes sure that an engine which was left for another one stops the generation. A closed
+    /// connection does not stop every engine.
+    fn stop_left_engine(&self, left: &Ticket, next: Option<&Ticket>) {
+        if let (true, Some(next)) = (self.engine.moves, next) {
+            let plan = self.migration_plan(left, None);
+            tokio::spawn(revoke_left(Arc::clone(&self.gateway), plan, next.address));
         }
     }
 
@@ -510,7 +570,7 @@
         match result {
             Ok(Resumed { source, backup }) => {
                 let cause = "another engine has taken the generation over";
-                self.detach_source(reason, cause, false);
+                let left = self.detach_source(reason, cause, false);
                 self.is_resuming = true;
                 self.has_open_stop = false;
                 self.source_state = Arc::new(SourceState::new(monotonic_ms()));
@@ -521,8 +581,17 @@
                 self.silent_attempts = 0;
                 self.backup = backup;
                 self.source = Some(source);
+                if let Some(left) = left {
+                    let next = self.source.as_ref().map(|source| &source.ticket);
+                    self.stop_left_engine(&left, next);
+                }
             }
-            Err(failure) if self.source.is_none() => return Err(failure.cause),
+            Err(failure) if self.source.is_none() => match self.broken_source.take() {
+                Some(broken) if failure.not_run && self.backup.is_some() => {
+                    self.begin_release_of_broken(broken);
+                }
+                _ => return Err(failure.cause),
+            },
             // The copy may not be complete yet, or the engine before is held up.
             Err(failure)
                 if failure.not_run && (reason == Reason::Silent || failure.is_of_source) =>
@@ -576,6 +645,18 @@
     }
 }
 
+impl Drop for Relay {
+    /// A caller may leave while one engine works on the generation and another one was asked to.
+    fn drop(&mut self) {
+        if self.resumption.is_some()
+            && self.source_state.is_handed_over()
+            && let Some(source) = &self.source
+        {
+            self.stop_left_engine(&source.ticket, self.backup.as_ref());
+        }
+    }
+}
+
 fn elapsed_ms(since: Instant) -> u64 {
     u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/roles/gateway/resume.rs
+++ b/src/roles/gateway/resume.rs
@@ -61,6 +61,8 @@
     /// Monotonic time of its last event.
     last_event_ms: AtomicU64,
     is_open: AtomicBool,
+    /// True once another engine was asked to go on with the generation.
+    is_handed_over: AtomicBool,
 }
 
 impl SourceState {
@@ -68,6 +70,7 @@
         Self {
             last_event_ms: AtomicU64::new(now_ms),
             is_open: AtomicBool::new(true),
+            is_handed_over: AtomicBool::new(false),
         }
     }
 
@@ -85,6 +88,22 @@
         self.is_open.load(Ordering::Relaxed)
     }
 
+    /// Returns true if another engine was asked to go on with the generation.
+    pub(super) fn is_handed_over(&self) -> bool {
+        self.is_handed_over.load(Ordering::Relaxed)
+    }
+
+    /// Records that another engine is asked now. Fails if the stream has broken off meanwhile: its
+    /// engine has to be released first.
+    fn hand_over(&self) -> Result<(), ResumeFailure> {
+        if !self.is_open() {
+            let cause = "the stream of the engine before has broken off".to_owned();
+            return Err(ResumeFailure::not_run("source_broken", cause));
+        }
+        self.is_handed_over.store(true, Ordering::Relaxed);
+        Ok(())
+    }
+
     /// Returns true if the engine has sent an event just now.
     pub(super) fn is_prompt(&self, now_ms: u64) -> bool {
         let last_ms = self.last_event_ms.load(Ordering::Relaxed);
@@ -165,7 +184,7 @@
             attempt: Box::pin(async move {
                 match before {
                     Some(before) => resumer.take_over(reason, ticket, &before).await,
-                    None => resumer.resume_at_backup(ticket).await,
+                    None => resumer.resume_at_backup(ticket, None).await,
                 }
             }),
         }
@@ -214,9 +233,12 @@
         }
     }
 
-    async fn resume_at_backup(&self, ticket: Ticket) -> ResumeResult {
+    /// Resumes the generation at the engine with the backup copy. `before` is the state of the engine
+    /// that may still work on it.
+    async fn resume_at_backup(&self, ticket: Ticket, before: Option<&SourceState>) -> ResumeResult {
         let copy = format!("{}/{}", ticket.address, self.job.id);
-        self.resume_at(ticket, &copy, PERMISSION_TIMEOUT).await
+        self.resume_at(ticket, &copy, PERMISSION_TIMEOUT, before)
+            .await
     }
 
     /// Resumes the generation at the engine with the backup copy while another engine may work on it.
@@ -242,7 +264,6 @@
         }
         let liveness = self.gateway.check_liveness(ticket.address).await;
         match liveness {
-            _ if !before.is_open() => {}
             Liveness::Late | Liveness::Unreachable => {
                 let cause = format!("{identity} does not respond in time");
                 return Err(self.failed(ResumeFailure::not_run("late", cause)));
@@ -259,9 +280,11 @@
             }
             Liveness::Responds(_) => {}
         }
-        self.resume_at_backup(ticket).await
+        self.resume_at_backup(ticket, Some(before)).await
     }
 
+    /// Resumes a generation once its engine has stopped it. Without that, nothing shows that the engine
+    /// does not work on.
     async fn resume_stopped(
         self,
         stopping: impl Future<Output = Option<StoppedGeneration>>,
@@ -275,11 +298,7 @@
                 ResumeFailure::unknown("migration_timed_out", "the migration timed out".into())
             }
         };
-        let failure = self.failed(failure);
-        match backup {
-            Some(backup) => self.resume_at_backup(backup).await,
-            None => Err(failure),
-        }
+        Err(self.failed(failure))
     }
 
     /// Resumes a generation that its engine has stopped, at the first engine that does not refuse.
@@ -291,25 +310,34 @@
     ) -> ResumeResult {
         let copy = format!("{}/{}", source.address, stopped.handle);
         if let Some(target) = stopped.target {
-            match self.resume_at(target, &copy, PERMISSION_TIMEOUT).await {
+            match self
+                .resume_at(target, &copy, PERMISSION_TIMEOUT, None)
+                .await
+            {
                 Err(failure) if failure.not_run => {}
                 result => return result,
             }
         }
         if let Some(backup) = backup {
-            match self.resume_at_backup(backup).await {
+            match self.resume_at_backup(backup, None).await {
                 Err(failure) if failure.not_run => {}
                 result => return result,
             }
         }
         // No other engine is left, so a pause that it asks for is waited out.
         let pause_limit = Duration::from_millis(self.job.left_ms());
-        self.resume_at(source, &copy, pause_limit).await
+        self.resume_at(source, &copy, pause_limit, None).await
     }
 
     /// Resumes the generation at an engine from a copy, which is given as `address/handle`. Waits up
     /// to `pause_limit` if the engine has asked for time.
-    async fn resume_at(&self, ticket: Ticket, copy: &str, pause_limit: Duration) -> ResumeResult {
+    async fn resume_at(
+        &self,
+        ticket: Ticket,
+        copy: &str,
+        pause_limit: Duration,
+        before: Option<&SourceState>,
+    ) -> ResumeResult {
         tracing::info!(
             request = &*self.job.id,
             instance = &*ticket.identity,
@@ -319,7 +347,7 @@
             "resuming the generation"
         );
         let identity = Arc::clone(&ticket.identity);
-        let resumed = self.try_resume(ticket, copy, pause_limit).await;
+        let resumed = self.try_resume(ticket, copy, pause_limit, before).await;
         let resumed = resumed.map_err(|failure| self.failed(failure))?;
         self.gateway.metrics.count_resumption("resumed");
         self.gateway.metrics.count_move("continued");
@@ -333,7 +361,13 @@
         Ok(resumed)
     }
 
-    async fn try_resume(&self, ticket: Ticket, copy: &str, pause_limit: Duration) -> ResumeResult {
+    async fn try_resume(
+        &self,
+        ticket: Ticket,
+        copy: &str,
+        pause_limit: Duration,
+        before: Option<&SourceState>,
+    ) -> ResumeResult {
         let (gateway, identity) = (&self.gateway, &ticket.identity);
         let evacuated = || {
             let cause = format!("the zone of {identity} is evacuated");
@@ -356,6 +390,9 @@
         if gateway.is_evacuated(identity) {
             return Err(evacuated());
         }
+        if let Some(before) = before {
+            before.hand_over()?;
+        }
         let request = with_backup(self.request(&ticket, copy), backup.as_ref());
         // Without a time limit: silence does not show that the engine has failed, and an attempt that
         // is dropped may still be begun.
--- a/tests/site_streams.rs
+++ b/tests/site_streams.rs
@@ -53,6 +53,10 @@
     let script = |request: &Request| {
         let id = request.id();
         match request.header("kv-from") {
+            // The engine has dropped the generation with its connection.
+            _ if request.path == "/kv-move" => {
+                vec![Reply::Bytes(answer("404 Not Found", &[], b"{}"))]
+            }
             _ if request.path != "/stream/x" => vec![Reply::Bytes(sse(id, 1..=1, true, true))],
             None => vec![Reply::Bytes(sse(id, 1..=3, true, false)), Reply::Close],
             // The engine may repeat events that were sent before.
