Relay streams of services without engine as they arrive

Cause: only responses of engines were relayed event by event; all others went the way of plain calls, which collects the whole body.

Change: an attempt on a streaming route ends with the head of a success, and its stream is relayed from the first whole event on. Choice, signals, permits, attempts and the check of the head are those of plain calls. A success of another content type is collected as before.

--- a/src/roles/gateway/mod.rs
+++ b/src/roles/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod pace_metrics;
 mod permits;
 mod plain;
+mod plain_stream;
 mod relay;
 mod release;
 mod request;
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -1,5 +1,6 @@
-//! Plain (non-streaming) calls: the response is buffered whole, and retries are made only where the
-//! route allows them.
+//! Plain calls, and streams of instances that are no engines. Retries are made only where the route
+//! allows them. The response to a call is buffered whole; a stream is relayed once an instance has
+//! accepted it.
 
 use std::sync::Arc;
 
@@ -9,10 +10,11 @@
 
 use super::Gateway;
 use super::permits::NoInstance;
+use super::plain_stream::PlainStream;
 use super::request::Job;
 use super::response::{Body, Refusal, full};
 use super::ticket::Ticket;
-use super::upstream::{Connections, SendFailure};
+use super::upstream::{Connections, Exchange, SendFailure};
 use crate::adapters::clock::monotonic_ms;
 use crate::adapters::telemetry::{ROUTINE, keeps_routine};
 use crate::domain::document::Repeat;
@@ -29,6 +31,8 @@
 enum AttemptResult {
     /// The instance sent a complete response.
     Response(response::Parts, Bytes),
+    /// The instance has accepted the request of a stream and sent the head of its response.
+    Stream(Exchange),
     /// The request was certainly not executed.
     NotRun(NotRunProof),
     /// The request may have been executed.
@@ -45,18 +49,30 @@
     NotSent,
 }
 
+/// The response to a request that an instance has accepted.
+enum Accepted {
+    Whole(Response<Body>),
+    Stream(Ticket, Exchange),
+}
+
 impl Gateway {
-    /// Forwards a plain call and returns its response. An instance's error response is returned
-    /// only if no further attempt is allowed or succeeds.
+    /// Forwards a plain call or a stream and returns its response. An instance's error response is
+    /// returned only if no further attempt is allowed or succeeds.
     pub(super) async fn forward_call(
         self: &Arc<Self>,
-        job: &Job,
+        job: Job,
     ) -> Result<Response<Body>, Refusal> {
         let mut failure = None;
-        let result = self.try_instances(job, &mut failure).await;
+        let result = self.try_instances(&job, &mut failure).await;
         match (result, failure) {
             (Err(_), Some((head, body))) => Ok(to_response(&head, body)),
-            (result, _) => result,
+            (Err(refusal), None) => Err(refusal),
+            (Ok(Accepted::Whole(response)), _) => Ok(response),
+            (Ok(Accepted::Stream(ticket, exchange)), _) => {
+                PlainStream::new(Arc::clone(self), job, ticket, exchange)
+                    .into_response()
+                    .await
+            }
         }
     }
 
@@ -66,7 +82,7 @@
         self: &Arc<Self>,
         job: &Job,
         failure: &mut Option<(response::Parts, Bytes)>,
-    ) -> Result<Response<Body>, Refusal> {
+    ) -> Result<Accepted, Refusal> {
         let mut tried = Vec::new();
         let mut asked = Vec::new();
         // Attempts in which the request may have been executed.
@@ -109,7 +125,10 @@
                     *failure = Some((head, body));
                     possible_runs += 1;
                 }
-                AttemptResult::Response(head, body) => return Ok(to_response(&head, body)),
+                AttemptResult::Response(head, body) => {
+                    return Ok(Accepted::Whole(to_response(&head, body)));
+                }
+                AttemptResult::Stream(exchange) => return Ok(Accepted::Stream(ticket, exchange)),
                 AttemptResult::NotRun(_) if attempts_left => {}
                 AttemptResult::NotRun(_) => return Err(self.no_instance_left(job, possible_runs)),
                 AttemptResult::Unknown if may_rerun => possible_runs += 1,
@@ -138,11 +157,21 @@
     ) -> AttemptResult {
         let begun_ms = monotonic_ms();
         let request = job.upstream_request(&ticket.identity);
-        let sending = async {
-            let exchange = self.send(ticket, request, &job.id, connections).await?;
-            self.pool.collect(exchange).await.map_err(SendFailure::Lost)
+        let sending = self.send(ticket, request, &job.id, connections);
+        let collected = match timeout_at(job.deadline, sending).await {
+            Ok(Ok(exchange)) if job.is_stream() && is_successful_stream(&exchange) => {
+                let result = AttemptResult::Stream(exchange);
+                self.metrics.count_send(attempt_label(&result));
+                return result;
+            }
+            Ok(Ok(exchange)) => {
+                let collecting = timeout_at(job.deadline, self.pool.collect(exchange)).await;
+                collecting.map(|collected| collected.map_err(SendFailure::Lost))
+            }
+            Ok(Err(failure)) => Ok(Err(failure)),
+            Err(elapsed) => Err(elapsed),
         };
-        let (result, outcome) = match timeout_at(job.deadline, sending).await {
+        let (result, outcome) = match collected {
             Ok(Ok((head, _))) if headers::states_not_run(head.status, &head.headers) => {
                 if head.status == StatusCode::MISDIRECTED_REQUEST {
                     self.with_view(|view| view.misdirected(&ticket.identity, monotonic_ms()));
@@ -197,6 +226,7 @@
 ) {
     let status = match result {
         AttemptResult::Response(head, _) => Some(head.status.as_u16()),
+        AttemptResult::Stream(exchange) => Some(exchange.head.status.as_u16()),
         _ => None,
     };
     let refused_with = match result {
@@ -241,12 +271,18 @@
 fn attempt_label(result: &AttemptResult) -> &'static str {
     match result {
         AttemptResult::Response(..) => "answer",
+        AttemptResult::Stream(_) => "stream",
         AttemptResult::NotRun(_) => "not_run",
         AttemptResult::Unknown => "unknown",
         AttemptResult::OutOfTime => "out_of_time",
     }
 }
 
+/// Returns true for a success whose body is a stream of events.
+fn is_successful_stream(exchange: &Exchange) -> bool {
+    exchange.head.status.is_success() && headers::is_event_stream(&exchange.head.headers)
+}
+
 /// Returns true for statuses that guarantee to callers that the request was not executed.
 pub(super) fn implies_not_run(status: StatusCode) -> bool {
     matches!(
--- a/src/roles/gateway/relay/mod.rs
+++ b/src/roles/gateway/relay/mod.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures::stream;
 use http::Response;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::BodyExt;
 use hyper::body::Frame;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
@@ -24,7 +24,7 @@
 use super::plain::end_to_end_headers;
 use super::release::{Release, Released, revoke, revoke_left};
 use super::request::Job;
-use super::response::{Body, IncompleteBody, Refusal};
+use super::response::{Body, IncompleteBody, Refusal, streamed};
 use super::resume::{Reason, ResumeFailure, Resumed, Resumer, Resumption, SourceState};
 use super::ticket::Ticket;
 use super::upstream::Exchange;
@@ -137,10 +137,7 @@
             Some((frame, relay))
         });
         let frames = futures::StreamExt::chain(stream::iter([Ok(first)]), rest);
-        let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
-        *response.status_mut() = status;
-        *response.headers_mut() = headers;
-        Ok(response)
+        Ok(streamed(status, headers, frames))
     }
 
     /// Returns the next whole events, or `None` after the end of the stream.
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -76,6 +76,11 @@
         self.engine.is_some() && self.demand.is_long()
     }
 
+    /// Returns true if the route declares that responses are streams of events.
+    pub(super) fn is_stream(&self) -> bool {
+        self.route.repeat == Repeat::Stream
+    }
+
     /// Returns the milliseconds left until the deadline.
     pub(super) fn left_ms(&self) -> u64 {
         let left = self.deadline.saturating_duration_since(Instant::now());
@@ -210,7 +215,7 @@
         let forwarding = async {
             match (job.route.repeat, job.engine) {
                 (Repeat::Stream, Some(engine)) => Arc::clone(&self).generate(job, engine).await,
-                _ => self.forward_call(&job).await,
+                _ => self.forward_call(job).await,
             }
         };
         let result = tokio::select! {
--- a/src/roles/gateway/response.rs
+++ b/src/roles/gateway/response.rs
@@ -1,8 +1,10 @@
 //! Response bodies, and the error responses that the gateway generates itself.
 
 use bytes::Bytes;
-use http::{HeaderValue, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use futures::Stream;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
 
 /// Body of a response to a caller.
 pub(super) type Body = http_body_util::combinators::UnsyncBoxBody<Bytes, IncompleteBody>;
@@ -92,3 +94,15 @@
         .map_err(|never| match never {})
         .boxed_unsync()
 }
+
+/// Returns a response whose body is passed on frame by frame.
+pub(super) fn streamed(
+    status: StatusCode,
+    headers: HeaderMap,
+    frames: impl Stream<Item = Result<Frame<Bytes>, IncompleteBody>> + Send + 'static,
+) -> Response<Body> {
+    let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
