Treat a 421 to a request that names its weights as that request's own

Cause: engines answer 421 for other weights too, and the entry took each 421 for that of another instance at the address, which it leaves out until the list changes. Each refused request was also sent to two more engines.

Change: such a request gets its 421 at once, is not sent again, and nothing is concluded of the instance.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -41,6 +41,8 @@
 pub const CONTINUE_FROM: HeaderName = HeaderName::from_static("kv-from");
 /// Id of the last event that was received before the stream was interrupted.
 pub const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// Version of the weights with which a request is to be run; other replicas answer 421.
+pub const EXPECTED_WEIGHTS: HeaderName = HeaderName::from_static("x-lilacspindle-expected-version");
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
--- a/src/roles/gateway/generation.rs
+++ b/src/roles/gateway/generation.rs
@@ -121,9 +121,7 @@
                     "engine refused"
                 );
                 ticket.record_outcome(Outcome::Refused);
-                if exchange.head.status == StatusCode::MISDIRECTED_REQUEST {
-                    self.with_view(|view| view.misdirected(&ticket.identity, monotonic_ms()));
-                }
+                self.check_misdirection(&job, &ticket.identity, exchange.head.status)?;
                 match tried.len() < MAX_ATTEMPTS {
                     true => continue,
                     false => return Err(self.no_capacity(&job)),
--- a/src/roles/gateway/instance_signals.rs
+++ b/src/roles/gateway/instance_signals.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use super::Gateway;
+use super::request::Job;
 use super::response::Refusal;
 use super::ticket::Ticket;
 use super::upstream::{Connections, Exchange, SendFailure};
@@ -65,6 +66,27 @@
         }
     }
 
+    /// Handles the status of a refusal. With 421, another instance has responded at the address of the
+    /// expected one. Fails if that is not certain because the request names its weights: the refusal
+    /// then concerns only this request, and is its caller's.
+    pub(super) fn check_misdirection(
+        &self,
+        job: &Job,
+        identity: &str,
+        status: StatusCode,
+    ) -> Result<(), Refusal> {
+        match status {
+            StatusCode::MISDIRECTED_REQUEST if job.names_weights() => {
+                Err(Refusal::denied(status, "other_weights"))
+            }
+            StatusCode::MISDIRECTED_REQUEST => {
+                self.with_view(|view| view.misdirected(identity, monotonic_ms()));
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Records the request limit that an instance names in its response, `None` if it names none.
     fn apply_limit(&self, instance: &str, named: Option<NamedLimit>, sent_ms: u64) {
         if named == Some(NamedLimit::Unreadable) {
--- a/src/roles/gateway/plain.rs
+++ b/src/roles/gateway/plain.rs
@@ -112,6 +112,12 @@
             asked.push(ticket.address);
             let result = self.send_plain(job, &ticket, connections).await;
             log_attempt(job, &ticket, tried.len(), &summary, &result);
+            if let AttemptResult::NotRun(NotRunProof::Stated(status)) = &result {
+                let misdirection = self.check_misdirection(job, &ticket.identity, *status);
+                if possible_runs == 0 {
+                    misdirection?;
+                }
+            }
             let attempts_left = tried.len() < MAX_ATTEMPTS;
             // It may be this request that has crashed the instance.
             let may_crash = matches!(result, AttemptResult::Unknown) && self.is_suspected(job);
@@ -173,9 +179,6 @@
         };
         let (result, outcome) = match collected {
             Ok(Ok((head, _))) if headers::states_not_run(head.status, &head.headers) => {
-                if head.status == StatusCode::MISDIRECTED_REQUEST {
-                    self.with_view(|view| view.misdirected(&ticket.identity, monotonic_ms()));
-                }
                 let proof = NotRunProof::Stated(head.status);
                 (AttemptResult::NotRun(proof), Outcome::Refused)
             }
--- a/src/roles/gateway/request.rs
+++ b/src/roles/gateway/request.rs
@@ -81,6 +81,12 @@
         self.route.repeat == Repeat::Stream
     }
 
+    /// Returns true if the request names the weights with which it is to be run. An instance with
+    /// other weights refuses it with the same status as one that is not the expected instance.
+    pub(super) fn names_weights(&self) -> bool {
+        self.headers.contains_key(headers::EXPECTED_WEIGHTS)
+    }
+
     /// Returns the milliseconds left until the deadline.
     pub(super) fn left_ms(&self) -> u64 {
         let left = self.deadline.saturating_duration_since(Instant::now());
--- a/src/roles/gateway/resume.rs
+++ b/src/roles/gateway/resume.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::Request;
 use http_body_util::Full;
 use tokio::time::timeout;
 
@@ -404,9 +404,8 @@
             }),
             Ok(exchange) => {
                 let status = exchange.head.status;
-                if status == StatusCode::MISDIRECTED_REQUEST {
-                    gateway.with_view(|view| view.misdirected(identity, monotonic_ms()));
-                }
+                // The generation may still go on from another copy, so the caller isn't told.
+                let _ = gateway.check_misdirection(&self.job, identity, status);
                 let cause = format!("{identity} answered {status}");
                 Err(
                     match headers::states_not_run(status, &exchange.head.headers) {
