--- a/src/roles/gateway/plain_stream.rs
+++ b/src/roles/gateway/plain_stream.rs
@@ -6,11 +6,10 @@
 use bytes::{Bytes, BytesMut};
 use futures::stream;
 use http::{Response, StatusCode};
+use http_body_util::BodyExt;
 use hyper::body::Frame;
 use tokio::time::{Instant, timeout_at};
 
-use http_body_util::BodyExt;
-
 use super::Gateway;
 use super::events::EventBuffer;
 use super::generation::response_lost;
