--- a/tests/site_plain_streams.rs
+++ b/tests/site_plain_streams.rs
@@ -7,8 +7,8 @@
 use serde_json::{Value, json};
 
 use site_support::{
-    Reply, Request, Site, Upstream, answer, call, document, events, patient_caller, proper, sse,
-    stream_head, wait_for,
+    Reply, Request, Site, Upstream, answer, call, document, events, not_executed, patient_caller,
+    proper, sse, stream_head, wait_for,
 };
 
 /// How long after its timeout a stream may end.
@@ -223,17 +223,7 @@
     };
     let refuses = |request: &Request| match request.path.as_str() {
         "/stream/lost" => vec![Reply::Close],
-        _ => {
-            let headers = [
-                ("X-Lilacspindle-Request-Id", request.id()),
-                ("X-Lilacspindle-Not-Executed", "1"),
-            ];
-            vec![Reply::Bytes(answer(
-                "503 Service Unavailable",
-                &headers,
-                b"",
-            ))]
-        }
+        _ => not_executed(request),
     };
     let sound = site.upstream("plain", or_proper(script)).await;
     let full = site.upstream("plain", or_proper(refuses)).await;
--- a/tests/site_releases.rs
+++ b/tests/site_releases.rs
@@ -12,38 +12,12 @@
 use tokio::sync::Notify;
 
 use site_support::{
-    Reply, Request, Site, Upstream, answer, call, document, patient_caller, sse, wait_for,
+    Reply, Request, Site, Upstream, document, engines_with_backups, events, is_resumption,
+    json_answer, not_executed, patient_caller, sse,
 };
 
 const STEP: Duration = Duration::from_millis(50);
 
-fn events(ids: std::ops::RangeInclusive<u64>) -> String {
-    let events: Vec<String> = ids
-        .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
-        .collect();
-    events.concat()
-}
-fn is_resumption(request: &Request) -> bool {
-    request.header("kv-from").is_some()
-}
-fn json_answer(status: &str, body: &Value) -> Vec<Reply> {
-    vec![Reply::Bytes(answer(
-        status,
-        &[],
-        body.to_string().as_bytes(),
-    ))]
-}
-fn not_executed(request: &Request) -> Vec<Reply> {
-    let headers = [
-        ("X-Lilacspindle-Request-Id", request.id()),
-        ("X-Lilacspindle-Not-Executed", "1"),
-    ];
-    vec![Reply::Bytes(answer(
-        "503 Service Unavailable",
-        &headers,
-        b"",
-    ))]
-}
 fn warm(request: &Request) -> Vec<Reply> {
     vec![Reply::Bytes(sse(request.id(), 1..=1, true, true))]
 }
@@ -52,18 +26,7 @@
 ) -> (Site, Upstream, Upstream) {
     let mut patient = document(1);
     patient["routes"][2]["timeoutMs"] = json!(15_000);
-    let mut site = Site::serving(&patient).await;
-    let first = site.upstream("model", script.clone()).await;
-    let second = site.upstream("model", script).await;
-    wait_for("both engines are known", || async {
-        let _ = call(&site, "/stream/warm", "warm").await.bytes().await;
-        let mut all = first.requests("/stream/warm");
-        all.extend(second.requests("/stream/warm"));
-        all.iter()
-            .any(|r| r.header("x-lilacspindle-cache-backup").is_some())
-    })
-    .await;
-    (site, first, second)
+    engines_with_backups(&patient, script).await
 }
 async fn stream(site: &Site, after_first: impl FnOnce()) -> Result<String, String> {
     let sent = patient_caller(site, "/stream/x", "id-1", 12_000).send();
--- a/tests/site_resumptions.rs
+++ b/tests/site_resumptions.rs
@@ -10,8 +10,8 @@
 use serde_json::{Value, json};
 
 use site_support::{
-    Reply, Request, Site, Upstream, answer, call, client, document, patient_caller, sse, wait_for,
-    wait_routable, with_header,
+    Reply, Request, Site, Upstream, call, client, document, events, is_resumption, json_answer,
+    not_executed, patient_caller, source_and_other, sse, wait_for, wait_routable, with_header,
 };
 
 /// Time between an engine's notice and its shutdown; the shortest on the supported sites.
@@ -23,35 +23,6 @@
 /// How long after its deadline a caller may wait for the end of its stream.
 const LATE_END_LIMIT: Duration = Duration::from_millis(500);
 
-/// Returns the events of a stream as its caller receives them.
-fn events(ids: std::ops::RangeInclusive<u64>) -> String {
-    let events: Vec<String> = ids
-        .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
-        .collect();
-    events.concat()
-}
-
-/// Returns the response with which an engine refuses a generation that it does not execute.
-fn not_executed(request: &Request) -> Vec<Reply> {
-    let headers = [
-        ("X-Lilacspindle-Request-Id", request.id()),
-        ("X-Lilacspindle-Not-Executed", "1"),
-    ];
-    vec![Reply::Bytes(answer(
-        "503 Service Unavailable",
-        &headers,
-        b"",
-    ))]
-}
-
-fn json_answer(status: &str, body: &Value) -> Vec<Reply> {
-    vec![Reply::Bytes(answer(
-        status,
-        &[],
-        body.to_string().as_bytes(),
-    ))]
-}
-
 /// Starts two engines that each back up the generations of the other one. Returns them once the
 /// entry uses both. `script` responds to the requests for `/stream/x`.
 async fn engines_with_backups(
@@ -65,29 +36,14 @@
     document: &Value,
     script: impl Fn(&Request) -> Vec<Reply> + Clone + Send + Sync + 'static,
 ) -> (Site, Upstream, Upstream) {
-    let mut site = Site::serving(document).await;
-    let engine = move |request: &Request| match request.path.as_str() {
+    site_support::engines_with_backups(document, move |request| match request.path.as_str() {
         "/stream/x" => script(request),
         "/kv-move" => json_answer("200 OK", &json!({"handle": HANDLE, "made": 3})),
         // More events than the entry has received: the connection is dead.
         "/report" => json_answer("200 OK", &json!({"runs": [["id-1", 100, 5, 5]]})),
         _ => vec![Reply::Bytes(sse(request.id(), 1..=1, true, true))],
-    };
-    let first = site.upstream("model", engine.clone()).await;
-    let second = site.upstream("model", engine).await;
-    wait_for("both engines are known", || async {
-        let _ = call(&site, "/stream/warm", "warm").await.bytes().await;
-        let mut all = first.requests("/stream/warm");
-        all.extend(second.requests("/stream/warm"));
-        all.iter()
-            .any(|request| request.header("x-lilacspindle-cache-backup").is_some())
     })
-    .await;
-    (site, first, second)
-}
-
-fn is_resumption(request: &Request) -> bool {
-    request.header("kv-from").is_some()
+    .await
 }
 
 /// Returns how often the engines were asked to resume the generation.
@@ -114,14 +70,6 @@
     copies.map(str::to_owned).collect()
 }
 
-/// Returns the engine that the generation was sent to first, and the other one.
-fn source_and_other<'a>(first: &'a Upstream, second: &'a Upstream) -> (&'a Upstream, &'a Upstream) {
-    match first.requests("/stream/x").first() {
-        Some(request) if !is_resumption(request) => (first, second),
-        _ => (second, first),
-    }
-}
-
 /// Guards against losing the generation of an engine whose connection is dead, if the engine with the
 /// backup copy refuses after it was stopped.
 #[tokio::test]
@@ -142,7 +90,7 @@
     .await;
     let response = call(&site, "/stream/x", "id-1").await;
     assert_eq!(response.text().await.unwrap(), events(1..=6));
-    let (source, other) = source_and_other(&first, &second);
+    let (source, other) = source_and_other("/stream/x", &first, &second);
     let moved = format!("{}/{HANDLE}", source.address);
     let backup = format!("{}/id-1", other.address);
     assert_eq!(resumed_copies(other), [moved.clone(), backup]);
@@ -205,7 +153,9 @@
     let mut stream = call(&site, "/stream/x", "id-1").await;
     let mut text = String::new();
     while let Some(chunk) = stream.chunk().await.unwrap() {
-        source_and_other(&first, &second).0.refuse_connections();
+        source_and_other("/stream/x", &first, &second)
+            .0
+            .refuse_connections();
         text.push_str(std::str::from_utf8(&chunk).unwrap());
     }
     assert_eq!(text, events(1..=7));
@@ -237,7 +187,9 @@
     })
     .await;
     let stream = call(&site, "/stream/x", "id-1").await;
-    source_and_other(&first, &second).0.refuse_connections();
+    source_and_other("/stream/x", &first, &second)
+        .0
+        .refuse_connections();
     assert_eq!(stream.text().await.unwrap(), events(1..=7));
     wait_for("the first engine is left", || async {
         abandoned(&[&first, &second]) == 1
--- a/tests/site_stalled_engines.rs
+++ b/tests/site_stalled_engines.rs
@@ -8,7 +8,10 @@
 
 use serde_json::json;
 
-use site_support::{Reply, Request, Site, Upstream, call, document, patient_caller, sse, wait_for};
+use site_support::{
+    Reply, Request, Site, Upstream, document, engines_with_backups, events, is_resumption,
+    patient_caller, sse,
+};
 
 /// How long an engine may still be at work on a generation that another one has begun to go on with.
 const OVERLAP_LIMIT: Duration = Duration::from_millis(400);
@@ -17,18 +20,6 @@
 /// Number of events of a generation.
 const EVENTS: u64 = 61;
 
-/// Returns the events of a stream as its caller receives them.
-fn events(ids: std::ops::RangeInclusive<u64>) -> String {
-    let events: Vec<String> = ids
-        .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
-        .collect();
-    events.concat()
-}
-
-fn is_resumption(request: &Request) -> bool {
-    request.header("kv-from").is_some()
-}
-
 /// Returns the steps that make the events after `last` one by one. Each one is recorded as `event`,
 /// the first one as `begin` too.
 fn work_from(request: &Request, last: u64) -> Vec<Reply> {
@@ -52,25 +43,13 @@
     work_from(request, last)
 }
 
-/// Starts two engines that back up each other's generations, with the same script. Returns them once
-/// the entry uses both.
+/// Starts two engines that back up each other's generations, with the same script.
 async fn engines(
     script: impl Fn(&Request) -> Vec<Reply> + Clone + Send + Sync + 'static,
 ) -> (Site, Upstream, Upstream) {
     let mut patient = document(1);
     patient["routes"][2]["timeoutMs"] = json!(15_000);
-    let mut site = Site::serving(&patient).await;
-    let first = site.upstream("model", script.clone()).await;
-    let second = site.upstream("model", script).await;
-    wait_for("both engines are known", || async {
-        let _ = call(&site, "/stream/warm", "warm").await.bytes().await;
-        let mut all = first.requests("/stream/warm");
-        all.extend(second.requests("/stream/warm"));
-        all.iter()
-            .any(|request| request.header("x-lilacspindle-cache-backup").is_some())
-    })
-    .await;
-    (site, first, second)
+    engines_with_backups(&patient, script).await
 }
 
 fn warm(request: &Request) -> Vec<Reply> {
--- a/tests/site_support/engines.rs
+++ b/tests/site_support/engines.rs
@@ -34,6 +34,19 @@
     vec![Reply::Bytes(answer(status, &[], &bytes))]
 }
 
+/// Returns the response with which an instance refuses a request that it does not execute.
+pub fn not_executed(request: &Request) -> Vec<Reply> {
+    let headers = [
+        ("X-Lilacspindle-Request-Id", request.id()),
+        ("X-Lilacspindle-Not-Executed", "1"),
+    ];
+    vec![Reply::Bytes(answer(
+        "503 Service Unavailable",
+        &headers,
+        b"",
+    ))]
+}
+
 /// Starts two engines with the same script, and a site with a document. Returns them once the entry
 /// uses both. The script is not asked for `/stream/warm`.
 pub async fn engines_with_backups(
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -27,7 +27,8 @@
 pub use callers::{call, call_entry, caller, patient_caller, proper, wait_routable};
 #[allow(unused_imports)]
 pub use engines::{
-    engines_with_backups, events, is_resumption, json_answer, source_and_other, stream_head,
+    engines_with_backups, events, is_resumption, json_answer, not_executed, source_and_other,
+    stream_head,
 };
 #[allow(unused_imports)]
 pub use limits::{Limit, Load, assert_within_limit, limited, send_load};
