--- a/src/roles/gateway/release.rs
+++ b/src/roles/gateway/release.rs
@@ -262,11 +262,11 @@
     gateway: &Gateway,
     plan: &MigrationPlan,
     target: Ticket,
-    before: Option<Release>,
+    mut before: Option<Release>,
 ) -> Released {
     let broke_off_at = Instant::now();
     if before.is_some() {
-        match Release::finish(&mut { before }).await {
+        match Release::finish(&mut before).await {
             Released::Unproved(_) => {}
             proved => return proved,
         }
