Review case 12: a stream without a length looks complete when its server crashes

Cause: the end of a connection between two events counts as the end of a stream that has neither a length nor chunks. A process that is killed closes its connections in the same way.

Case 11 plays events of 40 ms, which leaves the callers further behind. No code of the system is changed.

--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -12,8 +12,8 @@
 use crate::site::{Record, Server, respond, serve};
 
 /// Time between two events, of four tokens each: a step takes 7 ms and more, on a server of speed 0.6 of
-/// the sheet 11.5 ms.
-pub const EVENT_MS: u64 = 46;
+/// the sheet 11.5 ms. Here it is 10 ms.
+pub const EVENT_MS: u64 = 40;
 /// Time in which a prompt is read, and the rest of one of which there is a copy.
 const PROMPT_MS: u64 = 150;
 const REST_MS: u64 = 30;
@@ -48,12 +48,15 @@
 #[derive(Clone)]
 pub struct Engines {
     state: Arc<Mutex<State>>,
+    unframed: fn(&str) -> bool,
     record: Record,
 }
 
 impl Engines {
-    pub fn start(servers: &[Server], events: u64, record: &Record) -> Self {
-        let engines = Self { state: Arc::default(), record: record.clone() };
+    /// Starts the engines, which make `events` events of each stream. `unframed` returns true for requests
+    /// whose answers come without a length and without chunks.
+    pub fn start(servers: &[Server], events: u64, unframed: fn(&str) -> bool, record: &Record) -> Self {
+        let engines = Self { state: Arc::default(), unframed, record: record.clone() };
         for server in servers {
             let (engines, server) = (engines.clone(), server.clone());
             serve(server.address, move |reader, request| engines.answer(&server, events, reader, &request));
@@ -188,10 +191,12 @@
         });
         thread::sleep(Duration::from_millis(wait_ms));
         let _ = reader.stream.set_write_timeout(Some(UNREAD_LIMIT));
+        let is_unframed = (self.unframed)(&id);
+        let framing = if is_unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
         let head = format!(
             "HTTP/1.1 200 OK\r\n{leaving}X-Lilacspindle-Request-Id: {id}\r\n\
              X-Lilacspindle-Response-Seal: {}.{id}\r\nX-Lilacspindle-Weight-Versions: 1\r\n\
-             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+             Content-Type: text/event-stream\r\n{framing}\r\n",
             server.identity
         );
         let mut next = Instant::now();
@@ -219,7 +224,10 @@
                 }
             });
             let event = format!("id: {made}\ndata: {}\n\n", "x".repeat(DATA_BYTES));
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            let chunk = match is_unframed {
+                true => event,
+                false => format!("{:x}\r\n{event}\r\n", event.len()),
+            };
             let bytes = if first { format!("{head}{chunk}") } else { chunk };
             if first {
                 self.record.line(&format!("server {} runs {id}, event {made}", server.identity));
@@ -240,7 +248,7 @@
             }
         });
         self.record.line(&format!("server {} ends {id} after event {made}: {outcome}", server.identity));
-        is_complete && reader.stream.write_all(b"0\r\n\r\n").is_ok()
+        is_complete && !is_unframed && reader.stream.write_all(b"0\r\n\r\n").is_ok()
     }
 }
 
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -1,6 +1,7 @@
 //! Cases of the third review that are played with real processes. Each exits with 1 if the rule was
 //! broken, 0 if it held, and 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
+mod crash;
 mod engine;
 mod list;
 mod net;
@@ -9,6 +10,11 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
+    if let [_, case, identity, address, born, record] = arguments.as_slice()
+        && case == "engine"
+    {
+        crash::serve_engine(identity, address, born, &site::Record::create(record));
+    }
     let [_, case, record] = arguments.as_slice() else {
         site::cannot_run("usage: cases CASE RECORD");
     };
@@ -17,6 +23,7 @@
     record.line(&format!("case {case}, with its disruption: {trouble}"));
     let broken = match case.as_str() {
         "slow-callers" => slow::run(&record, trouble),
+        "crashed-server" => crash::run(&record, trouble),
         "unreadable-entry" => list::unreadable(&record, trouble),
         "other-service" => list::other_service(&record, trouble),
         other => site::cannot_run(&format!("unknown case {other}")),
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -322,6 +322,21 @@
         &self.engines
     }
 
+    /// Starts a stand-in of this program as a process of its own, which ends with this one.
+    pub fn spawn_standin(&self, arguments: &[String]) -> Child {
+        let program = std::env::current_exe().unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let mut command = Command::new(program);
+        command.args(arguments).stdin(Stdio::null()).stdout(Stdio::null());
+        let child = spawn(&mut command);
+        PIDS.lock().unwrap_or_else(|e| e.into_inner()).push(child.id());
+        child
+    }
+
+    /// Returns the path of a file in the folder of the run.
+    pub fn file(&self, name: &str) -> String {
+        self.folder.join(name).display().to_string()
+    }
+
     /// Starts every process that does not run.
     pub fn start_all(&mut self) {
         for process in &mut self.processes {
@@ -472,6 +487,18 @@
     bytes
 }
 
+/// Starts a process that ends with this one.
+fn spawn(command: &mut Command) -> Child {
+    // SAFETY: between fork and exec only a system call is made.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as usize);
+            Ok(())
+        });
+    }
+    command.spawn().unwrap_or_else(|error| cannot_run(&format!("{command:?}: {error}")))
+}
+
 impl Process {
     fn new(folder: &std::path::Path, name: String, text: &str) -> Self {
         let settings = folder.join(format!("{name}.ini"));
@@ -488,16 +515,7 @@
         let errors = log.try_clone().unwrap_or_else(|e| cannot_run(&e.to_string()));
         let mut command = Command::new(program);
         command.arg("run").arg(&self.settings).stdin(Stdio::null()).stdout(log).stderr(errors);
-        // SAFETY: between fork and exec only a system call is made. The process ends with this program.
-        unsafe {
-            command.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL as usize);
-                Ok(())
-            });
-        }
-        let child = command
-            .spawn()
-            .unwrap_or_else(|e| cannot_run(&format!("{}: {e}", program.display())));
+        let child = spawn(&mut command);
         PIDS.lock().unwrap_or_else(|e| e.into_inner()).push(child.id());
         self.child = Some(child);
     }
--- a/review/standins-3/slow.rs
+++ b/review/standins-3/slow.rs
@@ -12,8 +12,8 @@
 /// Events of a stream, the largest `trek-plan` of the sheet.
 const EVENTS: u64 = 442;
 /// The server leaves when it has made about so many events of each stream.
-const LEAVES_AFTER: u64 = 290;
-/// What each caller reads, in bytes a second. A server makes about 7,800.
+const LEAVES_AFTER: u64 = 310;
+/// What each caller reads, in bytes a second. A server makes about 8,900.
 const RATES: [f64; 6] = [2_000.0, 2_250.0, 2_500.0, 2_750.0, 3_000.0, 3_250.0];
 /// Number of callers, of which each of the eight servers gets about six.
 const CALLERS: usize = 48;
@@ -26,7 +26,7 @@
 
 pub fn run(record: &Record, trouble: bool) -> bool {
     let mut site = Site::prepare(record.clone(), &Plan::with_engines());
-    let engines = Engines::start(site.engines(), EVENTS, record);
+    let engines = Engines::start(site.engines(), EVENTS, |_| false, record);
     site.start_all();
     if !site.publish(7) {
         cannot_run("no configuration was acknowledged");
@@ -84,12 +84,12 @@
     broken
 }
 
-fn id(at: usize) -> String {
+pub fn id(at: usize) -> String {
     format!("9c41d07be2a35f{at:02x}")
 }
 
 /// Sends one request and reads its stream, at `rate` bytes a second if there is one.
-fn call(entry: SocketAddr, id: &str, rate: Option<f64>, record: &Record) {
+pub fn call(entry: SocketAddr, id: &str, rate: Option<f64>, record: &Record) -> Answer {
     let headers = "X-Lilacspindle-Model: m\r\nX-Lilacspindle-Token-Usage: 300,1768\r\nX-Lilacspindle-Length-Hint: 700\r\n\
         X-Lilacspindle-Prompt-Prefix: 5c1e07a2:40,91bd3f06:30,e4402b7d:230\r\nContent-Length: 3\r\n";
     let request = client_request("POST", "/mofa118/2f", id, headers, b"abc");
@@ -120,4 +120,14 @@
         }
     };
     record.line(&format!("client of {id}: {end} after {} bytes", read.len()));
+    let text = String::from_utf8_lossy(&read);
+    let events = text.lines().filter(|line| line.starts_with("id: ")).count();
+    Answer { is_complete: end == "complete", events: u64::try_from(events).unwrap_or(u64::MAX) }
+}
+
+/// What a caller has got.
+pub struct Answer {
+    /// True if the response had its regular end.
+    pub is_complete: bool,
+    pub events: u64,
 }
