--- a/review/standins-3/crash.rs
+++ b/review/standins-3/crash.rs
@@ -18,7 +18,9 @@
 const CRASHES_AFTER: u64 = 90;
 
 fn is_unframed(id: &str) -> bool {
-    let number = id.get(14..).and_then(|text| u64::from_str_radix(text, 16).ok());
+    let number = id
+        .get(14..)
+        .and_then(|text| u64::from_str_radix(text, 16).ok());
     number.is_some_and(|number| number % UNFRAMED_ONE_IN == 0)
 }
 
@@ -30,7 +32,9 @@
         address: address.parse().unwrap_or_else(|_| cannot_run("no address")),
         zone: String::new(),
         state: "ready".to_owned(),
-        born: born.parse().unwrap_or_else(|_| cannot_run("no time of start")),
+        born: born
+            .parse()
+            .unwrap_or_else(|_| cannot_run("no time of start")),
     };
     Engines::start(&[server], EVENTS, is_unframed, record);
     loop {
@@ -63,22 +67,37 @@
         .map(|at| {
             let (entry, record) = (site.entries[at % 2], record.clone());
             thread::sleep(Duration::from_millis(10));
-            thread::spawn(move || (slow::id(at), slow::call(entry, &slow::id(at), None, &record)))
+            thread::spawn(move || {
+                (
+                    slow::id(at),
+                    slow::call(entry, &slow::id(at), None, &record),
+                )
+            })
         })
         .collect();
     thread::sleep(Duration::from_millis(EVENT_MS * CRASHES_AFTER));
-    let unframed = (0..CALLERS).map(slow::id).find(|id| is_unframed(id)).unwrap_or_default();
-    let Some(at) = engines.iter().position(|(server, _)| runs(server).contains(&unframed)) else {
+    let unframed = (0..CALLERS)
+        .map(slow::id)
+        .find(|id| is_unframed(id))
+        .unwrap_or_default();
+    let Some(at) = engines
+        .iter()
+        .position(|(server, _)| runs(server).contains(&unframed))
+    else {
         cannot_run("no server runs the stream without a length");
     };
-    record.line(&format!("server {} runs {unframed}, whose answer has no length", engines[at].0.identity));
+    record.line(&format!(
+        "server {} runs {unframed}, whose answer has no length",
+        engines[at].0.identity
+    ));
     if trouble {
         let (server, engine) = &mut engines[at];
         let _ = engine.kill();
         let _ = engine.wait();
         record.line(&format!("server {} was killed", server.identity));
     }
-    let answers: BTreeMap<String, Answer> = callers.into_iter().filter_map(|c| c.join().ok()).collect();
+    let answers: BTreeMap<String, Answer> =
+        callers.into_iter().filter_map(|c| c.join().ok()).collect();
     let mut broken = false;
     for (id, answer) in &answers {
         if answer.is_complete && answer.events < EVENTS {
@@ -90,14 +109,25 @@
             broken = true;
         }
     }
-    let whole = answers.values().filter(|answer| answer.is_complete && answer.events == EVENTS).count();
+    let whole = answers
+        .values()
+        .filter(|answer| answer.is_complete && answer.events == EVENTS)
+        .count();
     record.line(&format!("{whole} of {CALLERS} streams came whole"));
     for (server, engine) in &mut engines {
         let _ = engine.kill();
         let _ = engine.wait();
         let text = std::fs::read_to_string(site.file(&format!("{}.txt", server.identity)));
-        for line in text.unwrap_or_default().lines().filter(|line| line.contains(&unframed)) {
-            record.line(&format!("by the clock of server {}: {}", server.identity, line.trim()));
+        for line in text
+            .unwrap_or_default()
+            .lines()
+            .filter(|line| line.contains(&unframed))
+        {
+            record.line(&format!(
+                "by the clock of server {}: {}",
+                server.identity,
+                line.trim()
+            ));
         }
     }
     broken
@@ -105,7 +135,15 @@
 
 /// Returns what a server says of its runs.
 fn runs(server: &Server) -> String {
-    let request = format!("GET /report HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", server.address);
+    let request = format!(
+        "GET /report HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
+        server.address
+    );
     let report = exchange(server.address, request.as_bytes(), Duration::from_secs(1));
-    String::from_utf8_lossy(&report.map(|report: Message| report.body).unwrap_or_default()).into_owned()
+    String::from_utf8_lossy(
+        &report
+            .map(|report: Message| report.body)
+            .unwrap_or_default(),
+    )
+    .into_owned()
 }
--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -55,11 +55,22 @@
 impl Engines {
     /// Starts the engines, which make `events` events of each stream. `unframed` returns true for requests
     /// whose answers come without a length and without chunks.
-    pub fn start(servers: &[Server], events: u64, unframed: fn(&str) -> bool, record: &Record) -> Self {
-        let engines = Self { state: Arc::default(), unframed, record: record.clone() };
+    pub fn start(
+        servers: &[Server],
+        events: u64,
+        unframed: fn(&str) -> bool,
+        record: &Record,
+    ) -> Self {
+        let engines = Self {
+            state: Arc::default(),
+            unframed,
+            record: record.clone(),
+        };
         for server in servers {
             let (engines, server) = (engines.clone(), server.clone());
-            serve(server.address, move |reader, request| engines.answer(&server, events, reader, &request));
+            serve(server.address, move |reader, request| {
+                engines.answer(&server, events, reader, &request)
+            });
         }
         engines
     }
@@ -87,11 +98,22 @@
 
     fn answer(&self, server: &Server, events: u64, reader: &mut Reader, request: &Message) -> bool {
         let is_leaving = self.with(|state| state.leaving.contains(&server.identity));
-        let leaving = if is_leaving { "Server-Leaving: 1\r\n" } else { "" };
+        let leaving = if is_leaving {
+            "Server-Leaving: 1\r\n"
+        } else {
+            ""
+        };
         match (request.method(), request.target()) {
             ("GET", "/health") => {
-                let status = if is_leaving { "503 Service Unavailable" } else { "200 OK" };
-                let headers = format!("{leaving}X-Lilacspindle-Instance-Id: {}\r\n", server.identity);
+                let status = if is_leaving {
+                    "503 Service Unavailable"
+                } else {
+                    "200 OK"
+                };
+                let headers = format!(
+                    "{leaving}X-Lilacspindle-Instance-Id: {}\r\n",
+                    server.identity
+                );
                 respond(reader, status, &headers, b"")
             }
             ("GET", "/report") => {
@@ -106,7 +128,10 @@
 
     fn report(&self, server: &Server, is_leaving: bool) -> String {
         let runs = self.with(|state| {
-            let own = state.running.iter().filter(|((identity, _), _)| *identity == server.identity);
+            let own = state
+                .running
+                .iter()
+                .filter(|((identity, _), _)| *identity == server.identity);
             own.map(|((_, id), made)| format!("[\"{id}\",{},{made},0]", 1_460 + made * 4))
                 .collect::<Vec<_>>()
         });
@@ -135,28 +160,51 @@
         let stops = body.contains("\"last\":true");
         let made = self.with(|state| {
             let made = state.running.get(&key).copied()?;
-            state.handles.insert(format!("{}/h-{id}", server.address), (id.clone(), to.clone()));
+            state.handles.insert(
+                format!("{}/h-{id}", server.address),
+                (id.clone(), to.clone()),
+            );
             if stops {
                 state.stopped.insert(key.clone());
             }
             Some(made)
         });
-        self.record.line(&format!("server {} is asked to move {id} to {to}, last {stops}: {made:?}", server.identity));
+        self.record.line(&format!(
+            "server {} is asked to move {id} to {to}, last {stops}: {made:?}",
+            server.identity
+        ));
         match made {
             Some(made) => {
                 thread::sleep(Duration::from_millis(60));
                 let body = format!("{{\"handle\":\"h-{id}\",\"made\":{made}}}");
-                respond(reader, "200 OK", "Content-Type: application/json\r\n", body.as_bytes())
+                respond(
+                    reader,
+                    "200 OK",
+                    "Content-Type: application/json\r\n",
+                    body.as_bytes(),
+                )
             }
             None => respond(reader, "404 Not Found", "", b""),
         }
     }
 
     /// Runs a request and writes its stream. The run ends early if the connection is closed.
-    fn generate(&self, server: &Server, events: u64, leaving: &str, reader: &mut Reader, request: &Message) -> bool {
-        let id = request.header("x-lilacspindle-request-id").unwrap_or_default().to_owned();
+    fn generate(
+        &self,
+        server: &Server,
+        events: u64,
+        leaving: &str,
+        reader: &mut Reader,
+        request: &Message,
+    ) -> bool {
+        let id = request
+            .header("x-lilacspindle-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let refuse = |reader: &mut Reader, status: &str| {
-            let headers = format!("{leaving}X-Lilacspindle-Request-Id: {id}\r\nX-Lilacspindle-Not-Executed: 1\r\n");
+            let headers = format!(
+                "{leaving}X-Lilacspindle-Request-Id: {id}\r\nX-Lilacspindle-Not-Executed: 1\r\n"
+            );
             respond(reader, status, &headers, b"")
         };
         let expected = request.header("x-lilacspindle-expected-instance");
@@ -170,21 +218,33 @@
             let is_held = self.with(|state| {
                 let of_backup = state.copies.remove(&(address.to_owned(), copy.to_owned()))
                     && address == server.address.to_string();
-                of_backup || state.handles.remove(from).is_some_and(|(of, to)| {
-                    of == id && (to == server.address.to_string() || address == server.address.to_string())
-                })
+                of_backup
+                    || state.handles.remove(from).is_some_and(|(of, to)| {
+                        of == id
+                            && (to == server.address.to_string()
+                                || address == server.address.to_string())
+                    })
             });
             if !is_held {
-                self.record.line(&format!("server {} holds no copy {from}", server.identity));
+                self.record
+                    .line(&format!("server {} holds no copy {from}", server.identity));
                 return refuse(reader, "503 Service Unavailable");
             }
-            made = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+            made = request
+                .header("last-event-id")
+                .and_then(|id| id.parse().ok())
+                .unwrap_or(0);
             wait_ms = REST_MS;
         }
         let from = request.header("kv-from").unwrap_or("the prompt");
-        self.record.line(&format!("server {} takes {id} from {from}, after event {made}", server.identity));
+        self.record.line(&format!(
+            "server {} takes {id} from {from}, after event {made}",
+            server.identity
+        ));
         let key = (server.identity.clone(), id.clone());
-        let backup = request.header("x-lilacspindle-cache-backup").map(str::to_owned);
+        let backup = request
+            .header("x-lilacspindle-cache-backup")
+            .map(str::to_owned);
         self.with(|state| {
             state.running.insert(key.clone(), made);
             state.stopped.remove(&key);
@@ -192,7 +252,11 @@
         thread::sleep(Duration::from_millis(wait_ms));
         let _ = reader.stream.set_write_timeout(Some(UNREAD_LIMIT));
         let is_unframed = (self.unframed)(&id);
-        let framing = if is_unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
+        let framing = if is_unframed {
+            ""
+        } else {
+            "Transfer-Encoding: chunked\r\n"
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\n{leaving}X-Lilacspindle-Request-Id: {id}\r\n\
              X-Lilacspindle-Response-Seal: {}.{id}\r\nX-Lilacspindle-Weight-Versions: 1\r\n\
@@ -228,9 +292,16 @@
                 true => event,
                 false => format!("{:x}\r\n{event}\r\n", event.len()),
             };
-            let bytes = if first { format!("{head}{chunk}") } else { chunk };
+            let bytes = if first {
+                format!("{head}{chunk}")
+            } else {
+                chunk
+            };
             if first {
-                self.record.line(&format!("server {} runs {id}, event {made}", server.identity));
+                self.record.line(&format!(
+                    "server {} runs {id}, event {made}",
+                    server.identity
+                ));
             }
             first = false;
             if reader.stream.write_all(bytes.as_bytes()).is_err() {
@@ -247,7 +318,10 @@
                 state.copies.remove(&(backup.clone(), id.clone()));
             }
         });
-        self.record.line(&format!("server {} ends {id} after event {made}: {outcome}", server.identity));
+        self.record.line(&format!(
+            "server {} ends {id} after event {made}: {outcome}",
+            server.identity
+        ));
         is_complete && !is_unframed && reader.stream.write_all(b"0\r\n\r\n").is_ok()
     }
 }
@@ -266,7 +340,11 @@
 
 /// Sets the largest segment and the receive buffer of a connection that is about to be opened, as on
 /// links with small windows, and opens it.
-pub fn connect_narrow(address: SocketAddr, segment: i32, buffer: i32) -> std::io::Result<TcpStream> {
+pub fn connect_narrow(
+    address: SocketAddr,
+    segment: i32,
+    buffer: i32,
+) -> std::io::Result<TcpStream> {
     use std::os::fd::FromRawFd;
     const AF_INET: i32 = 2;
     const SOCK_STREAM: i32 = 1;
--- a/review/standins-3/list.rs
+++ b/review/standins-3/list.rs
@@ -70,7 +70,10 @@
     }
     let before = traffic(&site, 0xb0, Duration::from_secs(5));
     write(&site);
-    record.line(&format!("the list now holds {} entries of another writer", site.foreign()));
+    record.line(&format!(
+        "the list now holds {} entries of another writer",
+        site.foreign()
+    ));
     // The list is read every 0.3 s.
     let just_before = traffic(&site, 0xb1, Duration::from_secs(1));
     if !site.publish(9) {
@@ -86,7 +89,10 @@
         sent: before.sent + just_before.sent,
         served: before.served + just_before.served,
     };
-    record.line(&format!("before the final fault: {} of {} served", before.served, before.sent));
+    record.line(&format!(
+        "before the final fault: {} of {} served",
+        before.served, before.sent
+    ));
     record.line(&format!(
         "later than {RECOVERY_S} s after the processes were back: {} of {} served",
         after.served, after.sent
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod list;
 mod net;
+mod plain;
 mod site;
 mod slow;
 
@@ -15,6 +16,11 @@
     {
         crash::serve_engine(identity, address, born, &site::Record::create(record));
     }
+    if let [_, case, identity, address] = arguments.as_slice()
+        && case == "plain"
+    {
+        plain::serve_plain(identity, address);
+    }
     let [_, case, record] = arguments.as_slice() else {
         site::cannot_run("usage: cases CASE RECORD");
     };
@@ -24,10 +30,15 @@
     let broken = match case.as_str() {
         "slow-callers" => slow::run(&record, trouble),
         "crashed-server" => crash::run(&record, trouble),
+        "crashed-plain-server" => plain::run(&record, trouble),
         "unreadable-entry" => list::unreadable(&record, trouble),
         "other-service" => list::other_service(&record, trouble),
         other => site::cannot_run(&format!("unknown case {other}")),
     };
-    record.line(if broken { "the rule was broken" } else { "the rule held" });
+    record.line(if broken {
+        "the rule was broken"
+    } else {
+        "the rule held"
+    });
     std::process::exit(i32::from(broken));
 }
--- a/review/standins-3/net.rs
+++ b/review/standins-3/net.rs
@@ -15,7 +15,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let mut found = self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        let mut found = self
+            .headers
+            .iter()
+            .filter(|(n, _)| n.eq_ignore_ascii_case(name));
         found.next().map(|(_, value)| value.as_str())
     }
 
@@ -42,7 +45,10 @@
 
 impl Reader {
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     fn fill(&mut self) -> io::Result<bool> {
@@ -67,7 +73,10 @@
     fn exactly(&mut self, length: usize) -> io::Result<Vec<u8>> {
         while self.buffer.len() < length {
             if !self.fill()? {
-                return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "cut in the body"));
+                return Err(io::Error::new(
+                    io::ErrorKind::UnexpectedEof,
+                    "cut in the body",
+                ));
             }
         }
         Ok(self.buffer.drain(..length).collect())
@@ -79,19 +88,33 @@
         let Some(start) = self.line()? else {
             return Ok(None);
         };
-        let mut message = Message { start, ..Message::default() };
+        let mut message = Message {
+            start,
+            ..Message::default()
+        };
         loop {
             match self.line()? {
                 Some(line) if line.is_empty() => break,
                 Some(line) => {
                     let (name, value) = line.split_once(':').unwrap_or((&line, ""));
-                    message.headers.push((name.to_owned(), value.trim().to_owned()));
+                    message
+                        .headers
+                        .push((name.to_owned(), value.trim().to_owned()));
+                }
+                None => {
+                    return Err(io::Error::new(
+                        io::ErrorKind::UnexpectedEof,
+                        "cut in the head",
+                    ));
                 }
-                None => return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "cut in the head")),
             }
         }
-        let chunked = message.header("transfer-encoding").is_some_and(|v| v.contains("chunked"));
-        let length = message.header("content-length").and_then(|v| v.parse().ok());
+        let chunked = message
+            .header("transfer-encoding")
+            .is_some_and(|v| v.contains("chunked"));
+        let length = message
+            .header("content-length")
+            .and_then(|v| v.parse().ok());
         if chunked {
             loop {
                 let size = self.line()?.unwrap_or_default();
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -4,8 +4,8 @@
 
 use std::fs;
 use std::io::Write;
-use std::os::unix::process::CommandExt;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -31,8 +31,12 @@
 
 impl Record {
     pub fn create(path: &str) -> Self {
-        let file = fs::File::create(path).unwrap_or_else(|error| cannot_run(&format!("{path}: {error}")));
-        Self { begun: Instant::now(), file: Arc::new(Mutex::new(file)) }
+        let file =
+            fs::File::create(path).unwrap_or_else(|error| cannot_run(&format!("{path}: {error}")));
+        Self {
+            begun: Instant::now(),
+            file: Arc::new(Mutex::new(file)),
+        }
     }
 
     pub fn line(&self, text: &str) {
@@ -74,17 +78,36 @@
     zones: [&'static str; 3],
     /// Number of engines, each with its sidecar.
     engines: u8,
+    /// True if the plain servers run in this process.
+    serves: bool,
 }
 
 impl Plan {
     /// As in `atlas-pneus`, without engines.
     pub fn small() -> Self {
-        Self { zones: ["hall-nord", "hall-centre", "hall-sud"], engines: 0 }
+        Self {
+            zones: ["hall-nord", "hall-centre", "hall-sud"],
+            engines: 0,
+            serves: true,
+        }
+    }
+
+    /// As in `simien-booking-grown`, without engines. The plain servers are started by the case.
+    pub fn without_servers() -> Self {
+        Self {
+            engines: 0,
+            serves: false,
+            ..Self::with_engines()
+        }
     }
 
     /// As in `simien-booking-grown`, with eight engines, of which one is an eighth.
     pub fn with_engines() -> Self {
-        Self { zones: ["debark-gate", "gondar-town", "tana-shore"], engines: 8 }
+        Self {
+            zones: ["debark-gate", "gondar-town", "tana-shore"],
+            engines: 8,
+            serves: true,
+        }
     }
 }
 
@@ -118,7 +141,10 @@
 
 impl List {
     fn page(&self) -> Vec<u8> {
-        let own = self.servers.iter().map(|server| server.entry().into_bytes());
+        let own = self
+            .servers
+            .iter()
+            .map(|server| server.entry().into_bytes());
         let entries: Vec<Vec<u8>> = self.foreign.iter().cloned().chain(own).collect();
         let mut body = b"{\"instances\":[".to_vec();
         body.extend(entries.join(&b","[..]));
@@ -128,13 +154,19 @@
 }
 
 pub fn respond(reader: &mut Reader, status: &str, headers: &str, body: &[u8]) -> bool {
-    let mut bytes =
-        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+    let mut bytes = format!(
+        "HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
     bytes.extend_from_slice(body);
     reader.stream.write_all(&bytes).is_ok()
 }
 
-pub fn serve(address: SocketAddr, answer: impl Fn(&mut Reader, Message) -> bool + Send + Sync + 'static) {
+pub fn serve(
+    address: SocketAddr,
+    answer: impl Fn(&mut Reader, Message) -> bool + Send + Sync + 'static,
+) {
     let listener = TcpListener::bind(address)
         .unwrap_or_else(|error| cannot_run(&format!("cannot listen on {address}: {error}")));
     let answer = Arc::new(answer);
@@ -158,8 +190,12 @@
 fn start_server(server: &Server, record: &Record) {
     let (own, record) = (server.clone(), record.clone());
     serve(server.address, move |reader, request| {
-        let id = request.header("x-lilacspindle-request-id").unwrap_or_default().to_owned();
-        let echo = format!("X-Lilacspindle-Request-Id: {id}\r\nX-Lilacspindle-Server-Load: 0,0,6\r\n");
+        let id = request
+            .header("x-lilacspindle-request-id")
+            .unwrap_or_default()
+            .to_owned();
+        let echo =
+            format!("X-Lilacspindle-Request-Id: {id}\r\nX-Lilacspindle-Server-Load: 0,0,6\r\n");
         if request.target() == "/health" {
             let headers = format!("X-Lilacspindle-Instance-Id: {}\r\n", own.identity);
             return respond(reader, "200 OK", &headers, b"");
@@ -173,9 +209,15 @@
             let headers = "X-Lilacspindle-Not-Executed: 1\r\n";
             return respond(reader, "400 Bad Request", headers, b"");
         }
-        record.line(&format!("server {} runs {} ({})", own.identity, id, request.start));
+        record.line(&format!(
+            "server {} runs {} ({})",
+            own.identity, id, request.start
+        ));
         thread::sleep(Duration::from_millis(15));
-        let headers = format!("{echo}X-Lilacspindle-Response-Seal: {}.{id}\r\n", own.identity);
+        let headers = format!(
+            "{echo}X-Lilacspindle-Response-Seal: {}.{id}\r\n",
+            own.identity
+        );
         respond(reader, "200 OK", &headers, b"served")
     });
 }
@@ -230,8 +272,14 @@
         fs::create_dir_all(&folder).unwrap_or_else(|e| cannot_run(&e.to_string()));
         let list_address = SocketAddr::new(ip(13), port + 3);
         let zones = plan.zones;
-        let control: Vec<SocketAddr> = (1..=3).map(|n| SocketAddr::new(ip(n), control_port)).collect();
-        let seeds = control.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+        let control: Vec<SocketAddr> = (1..=3)
+            .map(|n| SocketAddr::new(ip(n), control_port))
+            .collect();
+        let seeds = control
+            .iter()
+            .map(ToString::to_string)
+            .collect::<Vec<_>>()
+            .join(",");
         let mut processes = Vec::new();
         // As deploy/control.ini.tmpl and deploy/entry.ini.tmpl are filled in.
         for (at, address) in control.iter().enumerate() {
@@ -243,7 +291,12 @@
                  [directory]\noperator_address = {address}\ndata_folder = {}\n\
                  list_address = {list_address}\nzones = {}\nmay_form = true\n\
                  tolerated_losses = 1\ngrace_ms = {GRACE_S}000\n",
-                zones[at], port + 4, port + 5, port + 4, data.display(), zones.join(",")
+                zones[at],
+                port + 4,
+                port + 5,
+                port + 4,
+                data.display(),
+                zones.join(",")
             );
             processes.push(Process::new(&folder, format!("control-{at}"), &text));
         }
@@ -256,7 +309,10 @@
                  [gateway]\nhttp_address = {address}\nready_address = {host}:{ready}\n\
                  list_address = {list_address}\ngrace_ms = {GRACE_S}000\nretry_ratio = 0.2\n\
                  retry_slack = 60\nretry_window_s = 10\n",
-                zones[at], port + 6, port + 7, port + 4
+                zones[at],
+                port + 6,
+                port + 7,
+                port + 4
             );
             processes.push(Process::new(&folder, format!("entry-{at}"), &text));
         }
@@ -287,24 +343,40 @@
                 "[instance]\nname = sidecar-{at}\nzone = {}\nrpc_address = {host}:{}\n\
                  admin_address = {host}:{}\ncontrol_addresses = {seeds}\ncontrol_rpc_port = {}\n\n\
                  [reporter]\nengine_address = {}\nengine_service = huvo11a\nreuse_after_s = 2\n",
-                server.zone, port + 9, port + 10, port + 4, server.address
+                server.zone,
+                port + 9,
+                port + 10,
+                port + 4,
+                server.address
             );
             processes.push(Process::new(&folder, format!("sidecar-{at}"), &text));
             listed.push(server.clone());
             engine_servers.push(server);
         }
-        let list = Arc::new(Mutex::new(List { servers: listed, ..List::default() }));
+        let list = Arc::new(Mutex::new(List {
+            servers: listed,
+            ..List::default()
+        }));
         let shown = Arc::clone(&list);
         serve(list_address, move |reader, _| {
             let page = shown.lock().unwrap_or_else(|e| e.into_inner()).page();
-            respond(reader, "200 OK", "Content-Type: application/json\r\n", &page)
+            respond(
+                reader,
+                "200 OK",
+                "Content-Type: application/json\r\n",
+                &page,
+            )
         });
-        for server in &servers {
-            start_server(server, &record);
+        if plan.serves {
+            for server in &servers {
+                start_server(server, &record);
+            }
         }
         let program = PathBuf::from("target/release/lilacspindled");
         if !program.exists() {
-            cannot_run("target/release/lilacspindled is missing; run the build of deploy/system.toml");
+            cannot_run(
+                "target/release/lilacspindled is missing; run the build of deploy/system.toml",
+            );
         }
         Self {
             record,
@@ -318,6 +390,21 @@
         }
     }
 
+    /// Returns the plain servers as the list has them.
+    pub fn listed(&self) -> Vec<Server> {
+        let list = self.list.lock().unwrap_or_else(|e| e.into_inner());
+        list.servers.clone()
+    }
+
+    /// The list shows a later start of a server.
+    pub fn set_born(&self, identity: &str, born: u64) {
+        let mut list = self.list.lock().unwrap_or_else(|e| e.into_inner());
+        let servers = list.servers.iter_mut();
+        for server in servers.filter(|server| server.identity == identity) {
+            server.born = born;
+        }
+    }
+
     pub fn engines(&self) -> &[Server] {
         &self.engines
     }
@@ -326,9 +413,14 @@
     pub fn spawn_standin(&self, arguments: &[String]) -> Child {
         let program = std::env::current_exe().unwrap_or_else(|e| cannot_run(&e.to_string()));
         let mut command = Command::new(program);
-        command.args(arguments).stdin(Stdio::null()).stdout(Stdio::null());
+        command
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null());
         let child = spawn(&mut command);
-        PIDS.lock().unwrap_or_else(|e| e.into_inner()).push(child.id());
+        PIDS.lock()
+            .unwrap_or_else(|e| e.into_inner())
+            .push(child.id());
         child
     }
 
@@ -367,7 +459,10 @@
     pub fn end_bootstrap(&self) {
         for process in &self.processes {
             let text = fs::read_to_string(&process.settings).unwrap_or_default();
-            let _ = fs::write(&process.settings, text.replace("may_form = true", "may_form = false"));
+            let _ = fs::write(
+                &process.settings,
+                text.replace("may_form = true", "may_form = false"),
+            );
         }
     }
 
@@ -404,7 +499,8 @@
                      Content-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
                     body.len()
                 );
-                let Ok(reply) = exchange(address, request.as_bytes(), Duration::from_secs(1)) else {
+                let Ok(reply) = exchange(address, request.as_bytes(), Duration::from_secs(1))
+                else {
                     return false;
                 };
                 match reply.status() {
@@ -422,7 +518,9 @@
             }
             false
         });
-        self.record.line(&format!("configuration {version} acknowledged: {acknowledged}"));
+        self.record.line(&format!(
+            "configuration {version} acknowledged: {acknowledged}"
+        ));
         acknowledged
     }
 
@@ -431,7 +529,9 @@
         let request = client_request("GET", path, id, "", b"");
         let reply = exchange(self.entries[entry], &request, Duration::from_millis(1_500));
         let status = reply.as_ref().map_or(0, Message::status);
-        self.record.line(&format!("client sent {id} to entry-{entry}: status {status}"));
+        self.record.line(&format!(
+            "client sent {id} to entry-{entry}: status {status}"
+        ));
         status
     }
 
@@ -460,7 +560,10 @@
     pub fn entries_of_service(&self, name: &str) -> Vec<Vec<u8>> {
         let list = self.list.lock().unwrap_or_else(|e| e.into_inner());
         let servers = list.servers.iter().cloned();
-        let renamed = servers.map(|server| Server { service: name.to_owned(), ..server });
+        let renamed = servers.map(|server| Server {
+            service: name.to_owned(),
+            ..server
+        });
         renamed.map(|server| server.entry().into_bytes()).collect()
     }
 
@@ -472,7 +575,6 @@
             server.state = "draining".to_owned();
         }
     }
-
 }
 
 /// Returns a whole request of a client. `headers` are further header lines.
@@ -480,7 +582,11 @@
     let mut bytes = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Lilacspindle-Request-Id: {id}\r\n\
          X-Lilacspindle-Deadline-Milliseconds: {}\r\nAuthorization: Bearer {KEY}\r\n{headers}\r\n",
-        if path.starts_with("/mofa118/") { 39_000 } else { 1_000 }
+        if path.starts_with("/mofa118/") {
+            39_000
+        } else {
+            1_000
+        }
     )
     .into_bytes();
     bytes.extend_from_slice(body);
@@ -496,14 +602,20 @@
             Ok(())
         });
     }
-    command.spawn().unwrap_or_else(|error| cannot_run(&format!("{command:?}: {error}")))
+    command
+        .spawn()
+        .unwrap_or_else(|error| cannot_run(&format!("{command:?}: {error}")))
 }
 
 impl Process {
     fn new(folder: &std::path::Path, name: String, text: &str) -> Self {
         let settings = folder.join(format!("{name}.ini"));
         fs::write(&settings, text).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        Self { name, settings, child: None }
+        Self {
+            name,
+            settings,
+            child: None,
+        }
     }
 
     fn start(&mut self, program: &std::path::Path, folder: &std::path::Path) {
@@ -512,11 +624,20 @@
             .append(true)
             .open(folder.join(format!("{}.log", self.name)))
             .unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let errors = log.try_clone().unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let errors = log
+            .try_clone()
+            .unwrap_or_else(|e| cannot_run(&e.to_string()));
         let mut command = Command::new(program);
-        command.arg("run").arg(&self.settings).stdin(Stdio::null()).stdout(log).stderr(errors);
+        command
+            .arg("run")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors);
         let child = spawn(&mut command);
-        PIDS.lock().unwrap_or_else(|e| e.into_inner()).push(child.id());
+        PIDS.lock()
+            .unwrap_or_else(|e| e.into_inner())
+            .push(child.id());
         self.child = Some(child);
     }
 }
--- a/review/standins-3/slow.rs
+++ b/review/standins-3/slow.rs
@@ -53,11 +53,15 @@
     let Some((leaving, runs)) = by_server.into_iter().max_by_key(|(_, runs)| *runs) else {
         cannot_run("no stream is run");
     };
-    record.line(&format!("server {leaving}, which runs {runs} streams, begins to leave"));
+    record.line(&format!(
+        "server {leaving}, which runs {runs} streams, begins to leave"
+    ));
     engines.leave(&leaving);
     site.set_draining(&leaving);
     // Both servers have ended all streams by then, whatever their callers read.
-    thread::sleep(Duration::from_millis(EVENT_MS * (EVENTS - LEAVES_AFTER)) + Duration::from_secs(16));
+    thread::sleep(
+        Duration::from_millis(EVENT_MS * (EVENTS - LEAVES_AFTER)) + Duration::from_secs(16),
+    );
     let work = engines.work();
     let mut broken = false;
     for request in (0..CALLERS).map(id) {
@@ -93,12 +97,15 @@
     let headers = "X-Lilacspindle-Model: m\r\nX-Lilacspindle-Token-Usage: 300,1768\r\nX-Lilacspindle-Length-Hint: 700\r\n\
         X-Lilacspindle-Prompt-Prefix: 5c1e07a2:40,91bd3f06:30,e4402b7d:230\r\nContent-Length: 3\r\n";
     let request = client_request("POST", "/mofa118/2f", id, headers, b"abc");
-    let mut stream = connect_narrow(entry, SEGMENT, BUFFER).unwrap_or_else(|e| cannot_run(&e.to_string()));
+    let mut stream =
+        connect_narrow(entry, SEGMENT, BUFFER).unwrap_or_else(|e| cannot_run(&e.to_string()));
     let _ = stream.set_read_timeout(Some(Duration::from_secs(8)));
     if stream.write_all(&request).is_err() {
         cannot_run("a request could not be sent");
     }
-    record.line(&format!("client sent {id}, which it reads at {rate:?} bytes a second"));
+    record.line(&format!(
+        "client sent {id}, which it reads at {rate:?} bytes a second"
+    ));
     let begun = Instant::now();
     let mut read: Vec<u8> = Vec::new();
     let mut chunk = [0; 512];
@@ -122,7 +129,10 @@
     record.line(&format!("client of {id}: {end} after {} bytes", read.len()));
     let text = String::from_utf8_lossy(&read);
     let events = text.lines().filter(|line| line.starts_with("id: ")).count();
-    Answer { is_complete: end == "complete", events: u64::try_from(events).unwrap_or(u64::MAX) }
+    Answer {
+        is_complete: end == "complete",
+        events: u64::try_from(events).unwrap_or(u64::MAX),
+    }
 }
 
 /// What a caller has got.
