--- a/review/standins-3/plain.rs
+++ b/review/standins-3/plain.rs
@@ -15,13 +15,14 @@
 const BODY_BYTES: usize = 800;
 const PARTS: usize = 4;
 const PART_MS: u64 = 8;
-/// One in so many answers has neither a length nor chunks.
+/// One in so many answers of half of the servers has neither a length nor chunks.
 const UNFRAMED_ONE_IN: u64 = 20;
-/// Crashes of one server each, and the time between them. A server is back after `DOWN`.
+const UNFRAMED_SERVERS: usize = 3;
+/// Crashes of one of these servers each, and the time between them. A server is back after `DOWN`.
 const CRASHES: usize = 24;
 const BETWEEN: Duration = Duration::from_millis(3_300);
 const DOWN: Duration = Duration::from_millis(1_000);
-const CALLERS: usize = 18;
+const CALLERS: usize = 36;
 
 fn is_unframed(id: &str) -> bool {
     let number = id
@@ -30,6 +31,12 @@
     number.is_some_and(|number| number % UNFRAMED_ONE_IN == 7)
 }
 
+/// True for the servers of which one in twenty answers has no length: the first three of six.
+fn may_unframe(identity: &str) -> bool {
+    let number = identity.as_bytes().get(2).copied().unwrap_or(b'9');
+    usize::from(number - b'0') < UNFRAMED_SERVERS
+}
+
 /// The whole answer to a request.
 fn body_of(id: &str) -> Vec<u8> {
     id.bytes().cycle().take(BODY_BYTES).collect()
@@ -64,7 +71,7 @@
         let headers = format!("{echo}X-Lilacspindle-Not-Executed: 1\r\n");
         return respond(reader, "421 Misdirected Request", &headers, b"");
     }
-    let is_unframed = is_unframed(&id);
+    let is_unframed = may_unframe(own) && is_unframed(&id);
     let length = match is_unframed {
         true => String::new(),
         false => format!("Content-Length: {BODY_BYTES}\r\n"),
@@ -149,7 +156,7 @@
         .collect();
     thread::sleep(Duration::from_secs(2));
     for crash in 0..CRASHES {
-        let (server, process) = &mut servers[crash % 3];
+        let (server, process) = &mut servers[crash % UNFRAMED_SERVERS];
         if trouble {
             let _ = process.kill();
             let _ = process.wait();
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -76,6 +76,8 @@
 /// What a deployment consists of besides its three control instances and two entries.
 pub struct Plan {
     zones: [&'static str; 3],
+    /// Number of plain servers.
+    plain: u8,
     /// Number of engines, each with its sidecar.
     engines: u8,
     /// True if the plain servers run in this process.
@@ -87,14 +89,17 @@
     pub fn small() -> Self {
         Self {
             zones: ["hall-nord", "hall-centre", "hall-sud"],
+            plain: 3,
             engines: 0,
             serves: true,
         }
     }
 
-    /// As in `simien-booking-grown`, without engines. The plain servers are started by the case.
+    /// As in `simien-booking-grown`, without engines, and with six plain servers, of which one is less
+    /// than a share of 0.17. They are started by the case.
     pub fn without_servers() -> Self {
         Self {
+            plain: 6,
             engines: 0,
             serves: false,
             ..Self::with_engines()
@@ -105,6 +110,7 @@
     pub fn with_engines() -> Self {
         Self {
             zones: ["debark-gate", "gondar-town", "tana-shore"],
+            plain: 3,
             engines: 8,
             serves: true,
         }
@@ -256,7 +262,7 @@
         let is_free = |last: u8| {
             (port..port + 12).all(|port| TcpListener::bind(SocketAddr::new(ip(last), port)).is_ok())
         };
-        if (1..=13).chain(FIRST_ENGINE..FIRST_ENGINE + 8).all(is_free) {
+        if (1..=15).chain(FIRST_ENGINE..FIRST_ENGINE + 8).all(is_free) {
             return port;
         }
     }
@@ -316,12 +322,12 @@
             );
             processes.push(Process::new(&folder, format!("entry-{at}"), &text));
         }
-        let servers: Vec<Server> = (0..3)
+        let servers: Vec<Server> = (0..plan.plain)
             .map(|at| Server {
                 identity: format!("i-{at}f3a91c2"),
                 service: "wuno96b".to_owned(),
                 address: SocketAddr::new(ip(10 + at), port + 8),
-                zone: zones[usize::from(at)].to_owned(),
+                zone: zones[usize::from(at) % zones.len()].to_owned(),
                 state: "ready".to_owned(),
                 born: 1_796_000_000_000 + u64::from(at),
             })
